--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; run one with `python -m benchmarks NAME`."""
--- /dev/null
+++ b/src/daisywharf/_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/daisywharf/_contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Read, check and show contracts."""
--- /dev/null
+++ b/src/daisywharf/_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The small process that stands on each target VM."""
--- /dev/null
+++ b/src/daisywharf/_demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration in one process."""
--- /dev/null
+++ b/src/daisywharf/_errors.py
@@ -0,0 +1,121 @@
+"""The closed list of error kinds, the answer for each, and the exception tree."""
+
+from enum import Enum
+from typing import Final
+
+import msgspec
+
+
+class ErrorKind(Enum):
+    """Name every way in which a request, a link, an edit or a start can fail."""
+
+    BAD_REQUEST = "bad-request"
+    TOO_LARGE = "too-large"
+    UNKNOWN_CUSTOMER = "unknown-customer"
+    NOT_IN_CONTRACT = "not-in-contract"
+    RATE_EXCEEDED = "rate-exceeded"
+    SHED = "shed"
+    TOO_LATE = "too-late"
+    TIMED_OUT = "timed-out"
+    CANCELLED = "cancelled"
+    NO_TARGET = "no-target"
+    DRAINING = "draining"
+    CONNECT_FAILED = "connect-failed"
+    CUT_ANSWER = "cut-answer"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    STILL_RUNNING = "still-running"
+    WRONG_INCARNATION = "wrong-incarnation"
+    TICKET_BURNT = "ticket-burnt"
+    TICKET_EXPIRED = "ticket-expired"
+    RECORDS_FULL = "records-full"
+    CLAIM_UNAVAILABLE = "claim-unavailable"
+    TARGET_FAILED = "target-failed"
+    BAD_FRAME = "bad-frame"
+    UNTRUSTED_PEER = "untrusted-peer"
+    PLATFORM_CONFLICT = "platform-conflict"
+    PLATFORM_GONE = "platform-gone"
+    PLATFORM_UNAVAILABLE = "platform-unavailable"
+    PLATFORM_OUTCOME_UNKNOWN = "platform-outcome-unknown"
+    INVALID_SETTINGS = "invalid-settings"
+    INVALID_CONTRACT = "invalid-contract"
+    INTERNAL = "internal"
+
+
+class Ran(Enum):
+    """Tell whether the target ran the call."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Give the HTTP status of an error kind, whether a retry may help, and whether it ran."""
+
+    status: int
+    retryable: bool
+    ran: Ran
+
+
+ANSWERS_BY_KIND: Final[dict[ErrorKind, Answer]] = {
+    ErrorKind.BAD_REQUEST: Answer(400, False, Ran.NO),
+    ErrorKind.TOO_LARGE: Answer(413, False, Ran.NO),
+    ErrorKind.UNKNOWN_CUSTOMER: Answer(403, False, Ran.NO),
+    ErrorKind.NOT_IN_CONTRACT: Answer(403, False, Ran.NO),
+    ErrorKind.RATE_EXCEEDED: Answer(429, False, Ran.NO),
+    ErrorKind.SHED: Answer(503, True, Ran.NO),
+    ErrorKind.TOO_LATE: Answer(504, False, Ran.NO),
+    ErrorKind.TIMED_OUT: Answer(504, False, Ran.UNKNOWN),
+    ErrorKind.CANCELLED: Answer(499, False, Ran.NO),
+    ErrorKind.NO_TARGET: Answer(503, False, Ran.NO),
+    ErrorKind.DRAINING: Answer(503, True, Ran.NO),
+    ErrorKind.CONNECT_FAILED: Answer(503, True, Ran.NO),
+    ErrorKind.CUT_ANSWER: Answer(502, False, Ran.UNKNOWN),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(502, False, Ran.UNKNOWN),
+    ErrorKind.STILL_RUNNING: Answer(409, False, Ran.YES),
+    ErrorKind.WRONG_INCARNATION: Answer(503, True, Ran.NO),
+    ErrorKind.TICKET_BURNT: Answer(409, False, Ran.NO),
+    ErrorKind.TICKET_EXPIRED: Answer(409, False, Ran.UNKNOWN),
+    ErrorKind.RECORDS_FULL: Answer(503, True, Ran.NO),
+    ErrorKind.CLAIM_UNAVAILABLE: Answer(503, False, Ran.NO),
+    ErrorKind.TARGET_FAILED: Answer(502, False, Ran.YES),
+    ErrorKind.BAD_FRAME: Answer(400, False, Ran.NO),
+    ErrorKind.UNTRUSTED_PEER: Answer(401, False, Ran.NO),
+    ErrorKind.PLATFORM_CONFLICT: Answer(409, False, Ran.NO),
+    ErrorKind.PLATFORM_GONE: Answer(410, False, Ran.NO),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, True, Ran.NO),
+    ErrorKind.PLATFORM_OUTCOME_UNKNOWN: Answer(504, False, Ran.UNKNOWN),
+    ErrorKind.INVALID_SETTINGS: Answer(400, False, Ran.NO),
+    ErrorKind.INVALID_CONTRACT: Answer(400, False, Ran.NO),
+    ErrorKind.INTERNAL: Answer(500, False, Ran.UNKNOWN),
+}
+
+
+class DaisywharfError(Exception):
+    """Carry an error kind, a message that shows the value at fault, and when to come back."""
+
+    def __init__(self, kind: ErrorKind, message: str, *, retry_after_s: float = 0.0) -> None:
+        super().__init__(message)
+        self.kind = kind
+        self.retry_after_s = retry_after_s
+
+    @property
+    def answer(self) -> Answer:
+        """Return the row of the table for this error's kind."""
+        return ANSWERS_BY_KIND[self.kind]
+
+
+class RequestError(DaisywharfError):
+    """Report a request that got no whole answer."""
+
+
+class LinkError(DaisywharfError):
+    """Report a link between two processes that broke, or a frame that can't be read."""
+
+
+class PlatformError(DaisywharfError):
+    """Report a call to the platform that failed."""
+
+
+class ConfigurationError(DaisywharfError):
+    """Report settings or a contract that can't be accepted."""
--- /dev/null
+++ b/src/daisywharf/_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the users' object API: versions, conditional updates and watches."""
--- /dev/null
+++ b/src/daisywharf/_signals/__init__.py
@@ -0,0 +1,1 @@
+"""Events, metrics and spans."""
--- /dev/null
+++ b/src/daisywharf/_topology.py
@@ -0,0 +1,47 @@
+"""What the fleet knows of one target."""
+
+from enum import Enum
+
+import msgspec
+
+from daisywharf._ids import Incarnation, ServiceName, TargetId, VmId, ZoneName
+
+
+class TargetState(Enum):
+    """Name the states in which a target announces itself."""
+
+    COLD = "cold"
+    SERVING = "serving"
+    DRAINING = "draining"
+
+
+class GateHost(Enum):
+    """Tell which process runs the gate: the target's own, or the daemon of its VM."""
+
+    TARGET = "target"
+    DAEMON = "daemon"
+
+
+class Address(msgspec.Struct, frozen=True, order=True):
+    """Name an IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Target(msgspec.Struct, frozen=True):
+    """Describe a target as it announced itself; `address` is where its gate answers."""
+
+    target_id: TargetId
+    service: ServiceName
+    vm: VmId
+    zone: ZoneName
+    incarnation: Incarnation
+    address: Address
+    slots: int
+    connections: int
+    state: TargetState = TargetState.SERVING
+    gate: GateHost = GateHost.TARGET
