Add the platform: embedded, over HTTP, and a stand-in with faults

The daemon and the command line need the object API behind the narrow interface. The embedded form keeps a change history per kind, so that frequent contacts push no contract out of it; a watch from a version that is not kept (too old, or of a platform that lost its state) is gone.

Names go in the query: dot segments and escaped slashes of a path are rewritten on the way.

The stand-in is the embedded form behind the faults; it limits waiting watches to 48 of its 64 threads, so that they block no other call.

The command line finds its command before it imports typer, so the daemon never imports it.

--- a/src/daisywharf/_cli/app.py
+++ b/src/daisywharf/_cli/app.py
@@ -1,15 +1,27 @@
-"""Assemble the command line."""
+"""Find the command that a command line names, importing no more than it needs."""
 
-import typer
+import importlib
+import sys
+from typing import Final
 
-app = typer.Typer(name="daisywharf", no_args_is_help=True)
+# These commands parse their own arguments, so that the processes that they run never import typer.
+MODULE_BY_PLAIN_COMMAND: Final = {
+    "daemon": "daisywharf._cli.daemon",
+    "demo": "daisywharf._cli.demo",
+    "platform-standin": "daisywharf._cli.platform_standin",
+    "replay": "daisywharf._cli.replay",
+}
 
 
-@app.callback()
-def main_options() -> None:
-    """Keep service call graphs useful when demand outruns capacity."""
+def main() -> None:
+    """Run the command line and exit with its code."""
+    sys.exit(run(sys.argv[1:]))
 
 
-def main() -> None:
-    """Run the command line."""
-    app()
+def run(arguments: list[str]) -> int:
+    """Run one command and return its exit code."""
+    name = arguments[0] if arguments else ""
+    module_name = MODULE_BY_PLAIN_COMMAND.get(name, "daisywharf._cli.operators")
+    module = importlib.import_module(module_name)
+    is_plain = name in MODULE_BY_PLAIN_COMMAND
+    return int(module.main(arguments[1:] if is_plain else arguments))
--- /dev/null
+++ b/src/daisywharf/_cli/platform_standin.py
@@ -0,0 +1,39 @@
+"""Run the stand-in platform as a process."""
+
+import argparse
+import signal
+import threading
+from pathlib import Path
+
+from daisywharf._platform._standin import Standin
+
+
+def main(arguments: list[str]) -> int:
+    """Serve until SIGTERM or SIGINT; write the address to the ready file once serving."""
+    parser = argparse.ArgumentParser(
+        prog="daisywharf platform-standin",
+        description="Serve an object API in memory, in place of the users' own, for trials.",
+        epilog="Example: daisywharf platform-standin --port 8400",
+    )
+    parser.add_argument("--host", default="127.0.0.1", help="IP number to listen on")
+    parser.add_argument("--port", type=int, default=0, help="port; 0 lets the kernel choose")
+    parser.add_argument("--ready-file", type=Path, help="file that gets the URL once it serves")
+    options = parser.parse_args(arguments)
+    is_ended = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: is_ended.set())
+    standin = Standin(options.host, options.port)
+    standin.start()
+    print(standin.base_url, flush=True)
+    if options.ready_file is not None:
+        _write_whole(options.ready_file, standin.base_url)
+    is_ended.wait()
+    standin.stop()
+    return 0
+
+
+def _write_whole(path: Path, text: str) -> None:
+    # A reader that polls for the file must never see a part of the text.
+    partial = path.with_suffix(".partial")
+    partial.write_text(text + "\n")
+    partial.replace(path)
--- /dev/null
+++ b/src/daisywharf/_platform/_embedded.py
@@ -0,0 +1,142 @@
+"""Keep the platform's objects in memory, for demonstrations, tests and the stand-in."""
+
+import threading
+from collections import deque
+from typing import Final
+
+from daisywharf._errors import ErrorKind, PlatformError
+from daisywharf._ids import EditId, Version
+from daisywharf._limits import MAX_BODY_BYTES, MAX_NAME_CHARS
+from daisywharf._platform._interface import Change, Changes, Listing, ObjectKind, PlatformObject
+
+HISTORY_CHANGES: Final = 4_096
+
+
+class EmbeddedPlatform:
+    """Hold objects by kind and name, and for each kind its last changes for watches."""
+
+    def __init__(self, *, history_changes: int = HISTORY_CHANGES) -> None:
+        self._changed = threading.Condition()
+        self._version = 0
+        self._object_by_name: dict[ObjectKind, dict[str, PlatformObject]] = {
+            kind: {} for kind in ObjectKind
+        }
+        self._history_by_kind: dict[ObjectKind, deque[Change]] = {
+            kind: deque() for kind in ObjectKind
+        }
+        self._forgotten_by_kind = dict.fromkeys(ObjectKind, 0)
+        self._history_changes = history_changes
+
+    def get(self, kind: ObjectKind, name: str, *, timeout_s: float) -> PlatformObject:
+        """Read one object."""
+        with self._changed:
+            return self._existing(kind, name)
+
+    def list(self, kind: ObjectKind, *, prefix: str = "", timeout_s: float) -> Listing:
+        """Read all objects of a kind whose names start with `prefix`, ordered by name."""
+        with self._changed:
+            by_name = self._object_by_name[kind]
+            names = sorted(name for name in by_name if name.startswith(prefix))
+            return Listing(tuple(by_name[name] for name in names), Version(self._version))
+
+    def create(
+        self, kind: ObjectKind, name: str, body: bytes, *, edit_id: EditId, timeout_s: float
+    ) -> PlatformObject:
+        """Write an object that must not exist yet."""
+        _check(name, body)
+        with self._changed:
+            known = self._object_by_name[kind].get(name)
+            if known is not None:
+                message = f"{kind.value}/{name} exists at version {known.version}; read and update"
+                raise PlatformError(ErrorKind.PLATFORM_CONFLICT, message)
+            return self._write(kind, name, body, edit_id)
+
+    def update(
+        self,
+        kind: ObjectKind,
+        name: str,
+        body: bytes,
+        *,
+        if_version: Version,
+        edit_id: EditId,
+        timeout_s: float,
+    ) -> PlatformObject:
+        """Write an object that must still be at `if_version`."""
+        _check(name, body)
+        with self._changed:
+            self._check_version(kind, name, if_version)
+            return self._write(kind, name, body, edit_id)
+
+    def delete(
+        self, kind: ObjectKind, name: str, *, if_version: Version, edit_id: EditId, timeout_s: float
+    ) -> Version:
+        """Delete an object that must still be at `if_version`; return the deletion's version."""
+        with self._changed:
+            self._check_version(kind, name, if_version)
+            del self._object_by_name[kind][name]
+            return self._record(kind, name, None)
+
+    def watch(self, kind: ObjectKind, *, after: Version, timeout_s: float) -> Changes:
+        """Wait for changes after a version; return none when `timeout_s` runs out."""
+        with self._changed:
+            self._changed.wait_for(lambda: self._has_news(kind, after), timeout_s)
+            self._check_known(kind, after)
+            history = self._history_by_kind[kind]
+            changes = tuple(change for change in history if change.version > after)
+            return Changes(changes, Version(self._version))
+
+    def _has_news(self, kind: ObjectKind, after: Version) -> bool:
+        history = self._history_by_kind[kind]
+        return (
+            after > self._version
+            or after < self._forgotten_by_kind[kind]
+            or bool(history and history[-1].version > after)
+        )
+
+    def _check_known(self, kind: ObjectKind, after: Version) -> None:
+        # A version from the future was given by a platform whose state is lost.
+        least = self._forgotten_by_kind[kind]
+        if least <= after <= self._version:
+            return
+        message = f"changes after version {after} aren't kept (kept: {least} to {self._version})"
+        raise PlatformError(ErrorKind.PLATFORM_GONE, f"{message}; list {kind.value} again")
+
+    def _existing(self, kind: ObjectKind, name: str) -> PlatformObject:
+        known = self._object_by_name[kind].get(name)
+        if known is None:
+            message = f"there is no {kind.value}/{name}; list {kind.value} for what there is"
+            raise PlatformError(ErrorKind.PLATFORM_GONE, message)
+        return known
+
+    def _check_version(self, kind: ObjectKind, name: str, if_version: Version) -> None:
+        known = self._existing(kind, name)
+        if known.version == if_version:
+            return
+        message = f"{kind.value}/{name} is at version {known.version}, not {if_version}; read again"
+        raise PlatformError(ErrorKind.PLATFORM_CONFLICT, message)
+
+    def _write(self, kind: ObjectKind, name: str, body: bytes, edit_id: EditId) -> PlatformObject:
+        version = Version(self._version + 1)
+        written = PlatformObject(kind, name, version, edit_id, body)
+        self._object_by_name[kind][name] = written
+        self._record(kind, name, written)
+        return written
+
+    def _record(self, kind: ObjectKind, name: str, written: PlatformObject | None) -> Version:
+        self._version += 1
+        version = Version(self._version)
+        history = self._history_by_kind[kind]
+        history.append(Change(kind, name, version, written))
+        if len(history) > self._history_changes:
+            self._forgotten_by_kind[kind] = history.popleft().version
+        self._changed.notify_all()
+        return version
+
+
+def _check(name: str, body: bytes) -> None:
+    if not 0 < len(name) <= MAX_NAME_CHARS:
+        message = f"object name {name[:40]!r} has {len(name)} characters; use 1 to {MAX_NAME_CHARS}"
+        raise PlatformError(ErrorKind.BAD_REQUEST, message)
+    if len(body) > MAX_BODY_BYTES:
+        message = f"object {name!r} has {len(body)} bytes; at most {MAX_BODY_BYTES} are taken"
+        raise PlatformError(ErrorKind.TOO_LARGE, message)
--- /dev/null
+++ b/src/daisywharf/_platform/_faults.py
@@ -0,0 +1,203 @@
+"""Add switchable faults and call counts to a platform, for tests and the stand-in."""
+
+import threading
+import time
+from collections.abc import Callable
+from enum import Enum
+from typing import Final, TypeVar
+
+import msgspec
+
+from daisywharf._errors import ErrorKind, PlatformError
+from daisywharf._ids import EditId, Version
+from daisywharf._platform._interface import (
+    Changes,
+    Listing,
+    ObjectKind,
+    Platform,
+    PlatformObject,
+)
+
+RATE_WINDOW_S: Final = 1.0
+
+Result = TypeVar("Result")
+
+
+class Verb(Enum):
+    """Name the calls of the platform's interface."""
+
+    GET = "get"
+    LIST = "list"
+    CREATE = "create"
+    UPDATE = "update"
+    DELETE = "delete"
+    WATCH = "watch"
+
+
+WRITES: Final = frozenset({Verb.CREATE, Verb.UPDATE, Verb.DELETE})
+
+
+class WatchFault(Enum):
+    """Name what goes wrong with each watch."""
+
+    NONE = "none"
+    SILENT = "silent"
+    CLOSED = "closed"
+
+
+class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Switch faults: each call is refused (`down`), delayed, lost after its effect, or capped."""
+
+    down: bool = False
+    slow_s: float = 0.0
+    lose_answers: int = 0
+    watches: WatchFault = WatchFault.NONE
+    calls_per_second: int | None = None
+
+
+class Counts(msgspec.Struct, frozen=True):
+    """Count the calls that arrived, by verb, and those of them that were refused."""
+
+    calls_by_verb: dict[Verb, int]
+    refused: int
+
+
+class AnswerLostError(PlatformError):
+    """Report that a call ran, or a watch waited, and that its answer never came."""
+
+
+class FaultyPlatform:
+    """Stand before a platform and do to its calls what the faults say."""
+
+    def __init__(self, platform: Platform, *, clock: Callable[[], float] = time.monotonic) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._lock = threading.Condition()
+        self._faults = Faults()
+        self._answers_to_lose = 0
+        self._window_started_at = clock()
+        self._calls_in_window = 0
+        self._calls_by_verb = dict.fromkeys(Verb, 0)
+        self._refused = 0
+
+    def switch(self, faults: Faults) -> None:
+        """Replace all faults."""
+        with self._lock:
+            self._faults = faults
+            self._answers_to_lose = faults.lose_answers
+            self._lock.notify_all()
+
+    def counts(self) -> Counts:
+        """Return the calls counted so far."""
+        with self._lock:
+            return Counts(dict(self._calls_by_verb), self._refused)
+
+    def get(self, kind: ObjectKind, name: str, *, timeout_s: float) -> PlatformObject:
+        """Read one object."""
+        return self._run(Verb.GET, lambda: self._platform.get(kind, name, timeout_s=timeout_s))
+
+    def list(self, kind: ObjectKind, *, prefix: str = "", timeout_s: float) -> Listing:
+        """Read all objects of a kind whose names start with `prefix`."""
+        return self._run(
+            Verb.LIST, lambda: self._platform.list(kind, prefix=prefix, timeout_s=timeout_s)
+        )
+
+    def create(
+        self, kind: ObjectKind, name: str, body: bytes, *, edit_id: EditId, timeout_s: float
+    ) -> PlatformObject:
+        """Write an object that must not exist yet."""
+        return self._run(
+            Verb.CREATE,
+            lambda: self._platform.create(kind, name, body, edit_id=edit_id, timeout_s=timeout_s),
+        )
+
+    def update(
+        self,
+        kind: ObjectKind,
+        name: str,
+        body: bytes,
+        *,
+        if_version: Version,
+        edit_id: EditId,
+        timeout_s: float,
+    ) -> PlatformObject:
+        """Write an object that must still be at `if_version`."""
+        return self._run(
+            Verb.UPDATE,
+            lambda: self._platform.update(
+                kind, name, body, if_version=if_version, edit_id=edit_id, timeout_s=timeout_s
+            ),
+        )
+
+    def delete(
+        self, kind: ObjectKind, name: str, *, if_version: Version, edit_id: EditId, timeout_s: float
+    ) -> Version:
+        """Delete an object that must still be at `if_version`; return the deletion's version."""
+        return self._run(
+            Verb.DELETE,
+            lambda: self._platform.delete(
+                kind, name, if_version=if_version, edit_id=edit_id, timeout_s=timeout_s
+            ),
+        )
+
+    def watch(self, kind: ObjectKind, *, after: Version, timeout_s: float) -> Changes:
+        """Wait for changes after a version; return none when `timeout_s` runs out."""
+
+        def wait() -> Changes:
+            self._check_watch(timeout_s)
+            return self._platform.watch(kind, after=after, timeout_s=timeout_s)
+
+        return self._run(Verb.WATCH, wait)
+
+    def _run(self, verb: Verb, call: Callable[[], Result]) -> Result:
+        self._arrive(verb)
+        result = call()
+        if self._loses_answer():
+            unknown = ErrorKind.PLATFORM_OUTCOME_UNKNOWN
+            kind = unknown if verb in WRITES else ErrorKind.PLATFORM_UNAVAILABLE
+            raise AnswerLostError(kind, f"the answer to a {verb.value} was lost; read again")
+        return result
+
+    def _arrive(self, verb: Verb) -> None:
+        with self._lock:
+            self._calls_by_verb[verb] += 1
+            refusal = self._refusal()
+            if refusal is not None:
+                self._refused += 1
+                raise refusal
+            slow_s = self._faults.slow_s
+        if slow_s > 0:
+            time.sleep(slow_s)
+
+    def _refusal(self) -> PlatformError | None:
+        unavailable = ErrorKind.PLATFORM_UNAVAILABLE
+        if self._faults.down:
+            return PlatformError(unavailable, "the platform is down; come back later")
+        now = self._clock()
+        if now - self._window_started_at >= RATE_WINDOW_S:
+            self._window_started_at = now
+            self._calls_in_window = 0
+        self._calls_in_window += 1
+        cap = self._faults.calls_per_second
+        if cap is None or self._calls_in_window <= cap:
+            return None
+        message = f"more than {cap} calls a second; call less often"
+        return PlatformError(unavailable, message, retry_after_s=RATE_WINDOW_S)
+
+    def _loses_answer(self) -> bool:
+        with self._lock:
+            is_lost = self._answers_to_lose > 0
+            self._answers_to_lose -= is_lost
+            return is_lost
+
+    def _check_watch(self, timeout_s: float) -> None:
+        with self._lock:
+            fault = self._faults.watches
+            if fault is WatchFault.NONE:
+                return
+            if fault is WatchFault.SILENT:
+                self._lock.wait_for(
+                    lambda: self._faults.watches is not WatchFault.SILENT, timeout_s
+                )
+        message = f"the watch was cut ({fault.value}); watch again"
+        raise AnswerLostError(ErrorKind.PLATFORM_UNAVAILABLE, message)
--- /dev/null
+++ b/src/daisywharf/_platform/_standin.py
@@ -0,0 +1,212 @@
+"""Serve an embedded platform over HTTP in place of the users' object API, with faults."""
+
+import math
+import socket
+import threading
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any, Final
+from urllib.parse import parse_qsl, urlsplit
+
+import msgspec
+from cheroot import wsgi
+
+from daisywharf._errors import ErrorKind, PlatformError
+from daisywharf._ids import EditId, Version
+from daisywharf._limits import MAX_BODY_BYTES, MAX_HEADER_VALUE_CHARS
+from daisywharf._platform._embedded import EmbeddedPlatform
+from daisywharf._platform._faults import AnswerLostError, Faults, FaultyPlatform
+from daisywharf._platform._http_client import Deletion, ErrorBody
+from daisywharf._platform._interface import ObjectKind
+
+THREADS: Final = 64
+# The rest of the threads answer at once, however many watches wait.
+MAX_WATCHES: Final = 48
+MAX_WATCH_S: Final = 10.0
+CALL_TIMEOUT_S: Final = 10.0
+MAX_HEADERS_BYTES: Final = 65_536
+POLL_INTERVAL_S: Final = 0.1
+REQUEST_KEY: Final = "daisywharf.request"
+
+STATUSES_BY_KIND: Final[dict[ErrorKind, HTTPStatus]] = {
+    ErrorKind.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
+    ErrorKind.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    ErrorKind.PLATFORM_CONFLICT: HTTPStatus.CONFLICT,
+    ErrorKind.PLATFORM_GONE: HTTPStatus.GONE,
+    ErrorKind.PLATFORM_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+}
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Hand the request's connection to the application, which may have to cut it."""
+
+    def get_environ(self) -> Any:
+        """Add the request to the usual environment."""
+        environ = super().get_environ()  # type: ignore[no-untyped-call]
+        environ[REQUEST_KEY] = self.req
+        return environ
+
+
+class Standin:
+    """Hold a stand-in server; `address` is known once it has been started."""
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        self.platform = FaultyPlatform(EmbeddedPlatform())
+        self._watches = threading.BoundedSemaphore(MAX_WATCHES)
+        self._server = wsgi.Server((host, port), self._answer, numthreads=THREADS)
+        self._server.gateway = _Gateway
+        self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.max_request_header_size = MAX_HEADERS_BYTES
+        self._server.shutdown_timeout = 1
+        self._server.expiration_interval = POLL_INTERVAL_S
+        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+
+    @property
+    def base_url(self) -> str:
+        """Return the URL under which the objects are."""
+        host, port = self._server.bind_addr[:2]
+        return f"http://{host}:{port}"
+
+    def start(self) -> None:
+        """Listen and serve until `stop`."""
+        self._server.prepare()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Cut what waits and end."""
+        self._server.stop()
+        self._thread.join()
+
+    def _answer(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        try:
+            return _reply(start, HTTPStatus.OK, msgspec.json.encode(self._dispatch(environ)))
+        except AnswerLostError:
+            _cut_connection(environ)
+            return _reply(start, HTTPStatus.BAD_GATEWAY, b"")
+        except PlatformError as error:
+            return _refuse(start, error)
+
+    def _dispatch(self, environ: dict[str, Any]) -> Any:
+        url = urlsplit(environ["REQUEST_URI"])
+        query = dict(parse_qsl(url.query, keep_blank_values=True))
+        method = environ["REQUEST_METHOD"]
+        match method, url.path.strip("/").split("/"):
+            case "GET", ["counts"]:
+                return self.platform.counts()
+            case "POST", ["faults"]:
+                return self._switch(_read_body(environ))
+            case "GET", ["objects", kind]:
+                return self._read(_kind_of(kind), query)
+            case "POST" | "PUT" | "DELETE", ["objects", kind]:
+                return self._write(method, _kind_of(kind), query, environ)
+        message = f"{method} {url.path} is unknown; use /objects/KIND, /faults or /counts"
+        raise PlatformError(ErrorKind.BAD_REQUEST, message)
+
+    def _switch(self, body: bytes) -> Faults:
+        try:
+            faults = msgspec.json.decode(body, type=Faults)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise PlatformError(ErrorKind.BAD_REQUEST, f"faults can't be read: {error}") from error
+        self.platform.switch(faults)
+        return faults
+
+    def _read(self, kind: ObjectKind, query: dict[str, str]) -> Any:
+        if "after" in query:
+            return self._watch(kind, query)
+        if "name" in query:
+            return self.platform.get(kind, query["name"], timeout_s=CALL_TIMEOUT_S)
+        return self.platform.list(kind, prefix=query.get("prefix", ""), timeout_s=CALL_TIMEOUT_S)
+
+    def _watch(self, kind: ObjectKind, query: dict[str, str]) -> Any:
+        after = _version_of(query["after"])
+        wait_s = min(max(0.0, _number_of(query.get("wait_s", "0"))), MAX_WATCH_S)
+        if not self._watches.acquire(blocking=False):
+            message = f"{MAX_WATCHES} watches wait already; come back later"
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, message, retry_after_s=1.0)
+        try:
+            return self.platform.watch(kind, after=after, timeout_s=wait_s)
+        finally:
+            self._watches.release()
+
+    def _write(
+        self, method: str, kind: ObjectKind, query: dict[str, str], environ: dict[str, Any]
+    ) -> Any:
+        name = query.get("name", "")
+        edit_id = EditId(environ.get("HTTP_EDIT_ID", ""))
+        if not 0 < len(edit_id) <= MAX_HEADER_VALUE_CHARS:
+            message = f"header Edit-Id is {edit_id[:40]!r}; send the edit's own id"
+            raise PlatformError(ErrorKind.BAD_REQUEST, message)
+        if method == "POST":
+            body = _read_body(environ)
+            return self.platform.create(kind, name, body, edit_id=edit_id, timeout_s=CALL_TIMEOUT_S)
+        if_version = _version_of(environ.get("HTTP_IF_VERSION", ""))
+        if method == "DELETE":
+            version = self.platform.delete(
+                kind, name, if_version=if_version, edit_id=edit_id, timeout_s=CALL_TIMEOUT_S
+            )
+            return Deletion(version)
+        return self.platform.update(
+            kind,
+            name,
+            _read_body(environ),
+            if_version=if_version,
+            edit_id=edit_id,
+            timeout_s=CALL_TIMEOUT_S,
+        )
+
+
+def _reply(
+    start: StartResponse, status: HTTPStatus, content: bytes, *, retry_after_s: float = 0.0
+) -> list[bytes]:
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(content)))]
+    if retry_after_s > 0:
+        headers.append(("Retry-After", f"{max(1.0, retry_after_s):.0f}"))
+    start(f"{status.value} {status.phrase}", headers)
+    return [content]
+
+
+def _refuse(start: StartResponse, error: PlatformError) -> list[bytes]:
+    status = STATUSES_BY_KIND.get(error.kind, HTTPStatus.INTERNAL_SERVER_ERROR)
+    if error.retry_after_s > 0:
+        status = HTTPStatus.TOO_MANY_REQUESTS
+    content = msgspec.json.encode(ErrorBody(str(error)))
+    return _reply(start, status, content, retry_after_s=error.retry_after_s)
+
+
+def _cut_connection(environ: dict[str, Any]) -> None:
+    request = environ[REQUEST_KEY]
+    request.close_connection = True
+    request.conn.socket.shutdown(socket.SHUT_RDWR)
+
+
+def _read_body(environ: dict[str, Any]) -> bytes:
+    body: bytes = environ["wsgi.input"].read()
+    return body
+
+
+def _kind_of(text: str) -> ObjectKind:
+    try:
+        return ObjectKind(text)
+    except ValueError as error:
+        names = ", ".join(kind.value for kind in ObjectKind)
+        message = f"there is no kind {text[:40]!r}; use one of: {names}"
+        raise PlatformError(ErrorKind.BAD_REQUEST, message) from error
+
+
+def _version_of(text: str) -> Version:
+    if text.isascii() and text.isdecimal() and len(text) <= 18:
+        return Version(int(text))
+    message = f"version {text[:40]!r} is no whole number; send the version that was read"
+    raise PlatformError(ErrorKind.BAD_REQUEST, message)
+
+
+def _number_of(text: str) -> float:
+    try:
+        number = float(text)
+    except ValueError:
+        number = float("nan")
+    if not math.isnan(number):
+        return number
+    raise PlatformError(ErrorKind.BAD_REQUEST, f"wait_s is {text[:40]!r}; send seconds")
