Read contracts with one fault for each thing wrong in a file

An operator who mends a file wants all its faults at once, each with its line; msgspec stops at the first and knows no lines. A walk over YAML's nodes beside msgspec's description of the type finds all of them, and serves settings as well. Aliases are refused: a short document of them can stand for an endless one. YAML dates, repeated keys, several documents and wrong encodings are faults.

--- a/src/daisywharf/_contracts/__init__.py
+++ b/src/daisywharf/_contracts/__init__.py
@@ -1,1 +1,10 @@
 """Read, check and show contracts."""
+
+from daisywharf._contracts._files import (
+    contract_from_json,
+    contract_to_json,
+    load_contract,
+    load_contract_file,
+)
+
+__all__ = ["contract_from_json", "contract_to_json", "load_contract", "load_contract_file"]
--- /dev/null
+++ b/src/daisywharf/_contracts/_files.py
@@ -0,0 +1,73 @@
+"""Read contract files, and write and read contracts as the platform keeps them."""
+
+from pathlib import Path
+
+import msgspec
+
+from daisywharf._contract import Contract
+from daisywharf._contracts._schema import (
+    Edit,
+    StoredContract,
+    WrittenContract,
+    contract_of,
+    repeated_names,
+    written_classes,
+)
+from daisywharf._documents._reader import read_document, read_file
+from daisywharf._errors import ConfigurationError, ErrorKind
+from daisywharf._ids import Version
+from daisywharf._limits import MAX_CONTRACT_BYTES
+
+NO_EDIT = Edit()
+
+
+def load_contract_file(path: Path) -> Contract:
+    """Read a contract file; raise `DocumentError` (invalid contract) with each fault in it."""
+    written = read_file(
+        path,
+        WrittenContract,
+        kind=ErrorKind.INVALID_CONTRACT,
+        max_bytes=MAX_CONTRACT_BYTES,
+        check=repeated_names,
+    )
+    return contract_of(written, Version(0))
+
+
+def load_contract(content: bytes, *, file_name: str) -> Contract:
+    """Read a contract from YAML; raise `DocumentError` (invalid contract) with each fault."""
+    written = read_document(
+        content,
+        WrittenContract,
+        file_name=file_name,
+        kind=ErrorKind.INVALID_CONTRACT,
+        max_bytes=MAX_CONTRACT_BYTES,
+        check=repeated_names,
+    )
+    return contract_of(written, Version(0))
+
+
+def contract_to_json(contract: Contract, *, edit: Edit = NO_EDIT) -> bytes:
+    """Write a contract as the platform keeps it; its version is the object's."""
+    stored = StoredContract(contract.customer, written_classes(contract), edit)
+    return msgspec.json.encode(stored)
+
+
+def contract_from_json(content: bytes, version: Version) -> Contract:
+    """Read a contract that the platform keeps; raise `ConfigurationError` (invalid contract)."""
+    return contract_of(stored_from_json(content), version)
+
+
+def stored_from_json(content: bytes) -> StoredContract:
+    """Read a stored contract with its edit; raise `ConfigurationError` (invalid contract)."""
+    if len(content) > MAX_CONTRACT_BYTES:
+        message = f"contract has {len(content)} bytes; at most {MAX_CONTRACT_BYTES} are taken"
+        raise ConfigurationError(ErrorKind.INVALID_CONTRACT, message)
+    try:
+        stored = msgspec.json.decode(content, type=StoredContract)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        message = f"stored contract can't be read: {error}; apply it again from its file"
+        raise ConfigurationError(ErrorKind.INVALID_CONTRACT, message) from error
+    for problem in repeated_names(msgspec.to_builtins(stored)):
+        message = f"stored contract names {problem.value!r} twice; {problem.mend}"
+        raise ConfigurationError(ErrorKind.INVALID_CONTRACT, message)
+    return stored
--- /dev/null
+++ b/src/daisywharf/_documents/_reader.py
@@ -0,0 +1,239 @@
+"""Read a YAML document into a typed value, collecting a fault for each thing wrong in it."""
+
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any, Final, TypeVar
+
+import msgspec
+import yaml
+from msgspec import inspect
+
+from daisywharf._documents._expected import expected_text, fits, has_length
+from daisywharf._documents._faults import (
+    DocumentError,
+    DocumentPath,
+    Fault,
+    path_text,
+    value_text,
+)
+from daisywharf._errors import ErrorKind
+
+MAX_FAULTS: Final = 100
+
+DocumentT = TypeVar("DocumentT")
+# YAML's own values (dict, list, scalar), with what was faulty left out.
+PlainValue = Any
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """Name a fault that a document's own check found, by its path."""
+
+    path: DocumentPath
+    value: object
+    mend: str
+
+
+Check = Callable[[PlainValue], Iterable[Problem]]
+
+
+def no_check(_value: PlainValue) -> Iterable[Problem]:
+    """Find no fault beyond the types."""
+    return ()
+
+
+def read_file(
+    path: Path,
+    document_type: type[DocumentT],
+    *,
+    kind: ErrorKind,
+    max_bytes: int,
+    check: Check = no_check,
+) -> DocumentT:
+    """Read a file; raise `DocumentError` of this kind with each fault in it."""
+    try:
+        with path.open("rb") as file:
+            content = file.read(max_bytes + 1)
+    except OSError as error:
+        fault = Fault(str(path), 0, "the file", "unreadable", f"{error.strerror}: name another")
+        raise DocumentError(kind, [fault]) from error
+    return read_document(
+        content,
+        document_type,
+        file_name=str(path),
+        kind=kind,
+        max_bytes=max_bytes,
+        check=check,
+    )
+
+
+def read_document(
+    content: bytes,
+    document_type: type[DocumentT],
+    *,
+    file_name: str,
+    kind: ErrorKind,
+    max_bytes: int,
+    check: Check = no_check,
+) -> DocumentT:
+    """Read a document; raise `DocumentError` of this kind with each fault in it."""
+    if len(content) > max_bytes:
+        mend = f"write at most {max_bytes} bytes"
+        fault = Fault(file_name, 0, "the document", f"{len(content)} bytes or more", mend)
+        raise DocumentError(kind, [fault])
+    walk = _Walk(file_name)
+    try:
+        node = yaml.compose(content, Loader=_PlainLoader)
+        plain = walk.read(node, inspect.type_info(document_type), ())
+    except (yaml.YAMLError, UnicodeDecodeError, RecursionError) as error:
+        raise DocumentError(kind, [_syntax_fault(file_name, error)]) from error
+    for problem in check(plain):
+        walk.add(problem.path, value_text(problem.value), problem.mend)
+    if walk.faults:
+        raise DocumentError(kind, sorted(walk.faults, key=lambda fault: fault.line)[:MAX_FAULTS])
+    return msgspec.convert(plain, document_type)
+
+
+class _PlainLoader(yaml.SafeLoader):
+    """Refuse aliases: a short document of aliases can stand for an endless one."""
+
+    def compose_node(self, parent: Any, index: Any) -> Any:
+        """Compose a node that is no alias."""
+        if self.check_event(yaml.events.AliasEvent):
+            mark = self.peek_event().start_mark  # type: ignore[no-untyped-call]
+            raise yaml.MarkedYAMLError(problem="an alias; write the value out", problem_mark=mark)
+        return super().compose_node(parent, index)
+
+
+class _Walk:
+    """Hold the faults found so far and the line of each path."""
+
+    def __init__(self, file_name: str) -> None:
+        self.file_name = file_name
+        self.faults: list[Fault] = []
+        self.line_by_path: dict[DocumentPath, int] = {(): 1}
+
+    def add(self, path: DocumentPath, shown: str, mend: str) -> None:
+        """Add a fault at the line of its path, or of the nearest part around it."""
+        known = path
+        while known not in self.line_by_path:
+            known = known[:-1]
+        line = self.line_by_path[known]
+        self.faults.append(Fault(self.file_name, line, path_text(path), shown, mend))
+
+    def read(self, node: yaml.Node | None, info: inspect.Type, path: DocumentPath) -> PlainValue:
+        """Return a node's plain value, with faulty parts left out."""
+        if node is None:
+            self.add(path, "empty", f"write {expected_text(info)}")
+            return None
+        self.line_by_path[path] = node.start_mark.line + 1
+        inner = _pick(node, info)
+        if isinstance(node, yaml.MappingNode) and isinstance(inner, inspect.StructType):
+            return self._read_struct(node, inner, path)
+        if isinstance(node, yaml.MappingNode) and isinstance(inner, inspect.DictType):
+            return self._read_dict(node, inner, path)
+        if isinstance(node, yaml.SequenceNode) and isinstance(
+            inner, inspect.ListType | inspect.VarTupleType
+        ):
+            return self._read_list(node, inner, path)
+        return self._read_scalar(node, inner, path)
+
+    def _read_struct(
+        self, node: yaml.MappingNode, info: inspect.StructType, path: DocumentPath
+    ) -> PlainValue:
+        field_by_name = {field.encode_name: field for field in info.fields}
+        plain: dict[str, PlainValue] = {}
+        seen: set[str] = set()
+        for name, value in self._entries(node, path):
+            seen.add(name)
+            if name in field_by_name:
+                plain[name] = self.read(value, field_by_name[name].type, (*path, name))
+                continue
+            names = ", ".join(sorted(field_by_name))
+            self.line_by_path[(*path, name)] = value.start_mark.line + 1
+            self.add((*path, name), "unknown", f"use one of: {names}")
+        for name, field in field_by_name.items():
+            if field.required and name not in seen:
+                mend = f"write {name}: {expected_text(field.type)}"
+                self.add((*path, name), "missing", mend)
+        return {name: value for name, value in plain.items() if value is not _FAULTY}
+
+    def _read_dict(
+        self, node: yaml.MappingNode, info: inspect.DictType, path: DocumentPath
+    ) -> PlainValue:
+        values = {
+            name: self.read(value, info.value_type, (*path, name))
+            for name, value in self._entries(node, path)
+        }
+        return {name: value for name, value in values.items() if value is not _FAULTY}
+
+    def _entries(
+        self, node: yaml.MappingNode, path: DocumentPath
+    ) -> Iterable[tuple[str, yaml.Node]]:
+        seen: set[str] = set()
+        for key, value in node.value:
+            name = key.value if isinstance(key, yaml.ScalarNode) else "(no name)"
+            if name in seen:
+                self.line_by_path[(*path, name)] = key.start_mark.line + 1
+                self.add((*path, name), "written twice", "write it once")
+                continue
+            seen.add(name)
+            yield name, value
+
+    def _read_list(
+        self,
+        node: yaml.SequenceNode,
+        info: inspect.ListType | inspect.VarTupleType,
+        path: DocumentPath,
+    ) -> PlainValue:
+        if not has_length(len(node.value), info):
+            self.add(path, f"a list of {len(node.value)}", f"write {expected_text(info)}")
+            return _FAULTY
+        # A faulty item stays in its place, so that the paths of those after it stay right.
+        items = [
+            self.read(item, info.item_type, (*path, place)) for place, item in enumerate(node.value)
+        ]
+        return [None if item is _FAULTY else item for item in items]
+
+    def _read_scalar(self, node: yaml.Node, info: inspect.Type, path: DocumentPath) -> PlainValue:
+        value = _scalar_of(node)
+        if value is not _FAULTY and fits(value, info):
+            return value
+        written = node.value if value is _FAULTY else value
+        shown = _NODE_NAMES.get(type(node)) or value_text(written)
+        self.add(path, shown, f"write {expected_text(info)}")
+        return _FAULTY
+
+
+_FAULTY: Final = object()
+_NODE_NAMES: Final[dict[type[yaml.Node], str]] = {
+    yaml.MappingNode: "fields and values",
+    yaml.SequenceNode: "a list",
+}
+
+
+def _pick(node: yaml.Node, info: inspect.Type) -> inspect.Type:
+    """Choose the part of a union that a mapping or a list is meant for."""
+    if not isinstance(info, inspect.UnionType) or isinstance(node, yaml.ScalarNode):
+        return info
+    wanted = (
+        (inspect.StructType, inspect.DictType)
+        if isinstance(node, yaml.MappingNode)
+        else (inspect.ListType, inspect.VarTupleType)
+    )
+    return next((part for part in info.types if isinstance(part, wanted)), info)
+
+
+def _scalar_of(node: yaml.Node) -> PlainValue:
+    if not isinstance(node, yaml.ScalarNode):
+        return _FAULTY
+    try:
+        return yaml.constructor.SafeConstructor().construct_object(node)
+    except (yaml.YAMLError, ValueError, OverflowError):
+        return _FAULTY
+
+
+def _syntax_fault(file_name: str, error: Exception) -> Fault:
+    mark = getattr(error, "problem_mark", None)
+    line = 0 if mark is None else mark.line + 1
+    problem = getattr(error, "problem", None) or str(error) or type(error).__name__
+    return Fault(file_name, line, "the document", "not readable as YAML", f"mend: {problem}")
