--- /dev/null
+++ b/src/daisywharf/_routing/_resends.py
@@ -0,0 +1,72 @@
+"""Recognise at an entry the requests that a caller sends again by itself."""
+
+from typing import Final
+
+import msgspec
+
+from daisywharf._ids import CustomerId, IdempotencyKey, RequestId
+
+RESEND_WINDOW_S: Final = 30.0
+MAX_REMEMBERED_SENDS: Final = 16_384
+
+
+class Send(msgspec.Struct, frozen=True):
+    """Tell which send of a request this is, and the retries that remain for its tree.
+
+    `resends` is 0 for the first. A re-send takes a retry like any other; `is_within_budget`
+    is false where the callers' re-sends alone have used up what the contract allows.
+    """
+
+    resends: int
+    retries_left: int
+    is_within_budget: bool
+
+
+class ResendState:
+    """Hold how often each request was sent, in two generations of half `max_sends` each."""
+
+    def __init__(
+        self, *, window_s: float = RESEND_WINDOW_S, max_sends: int = MAX_REMEMBERED_SENDS
+    ) -> None:
+        self.window_s = window_s
+        self.max_generation = max(1, max_sends // 2)
+        self.started_at = float("-inf")
+        self.sends_by_hash: dict[int, int] = {}
+        self.older_sends_by_hash: dict[int, int] = {}
+
+
+def note_send(
+    state: ResendState,
+    customer: CustomerId,
+    request_id: RequestId,
+    *,
+    retries: int,
+    now: float,
+    key: IdempotencyKey | None = None,
+) -> Send:
+    """Count a request that enters, by its idempotency key or else its request id.
+
+    A send is remembered for at least `window_s` after the last one, unless more than
+    `max_sends` others arrive within it.
+    """
+    _age(state, now)
+    # The hash bounds the memory of one send; a process-wide secret salts it.
+    hashed = hash((customer, key is not None, request_id if key is None else key))
+    earlier = state.sends_by_hash.get(hashed, 0) or state.older_sends_by_hash.get(hashed, 0)
+    state.sends_by_hash[hashed] = earlier + 1
+    return Send(
+        resends=earlier,
+        retries_left=max(0, retries - earlier),
+        is_within_budget=earlier <= retries,
+    )
+
+
+def _age(state: ResendState, now: float) -> None:
+    age = now - state.started_at
+    is_full = len(state.sends_by_hash) >= state.max_generation
+    if age < state.window_s and not is_full:
+        return
+    is_older_needed = age < 2 * state.window_s
+    state.older_sends_by_hash = state.sends_by_hash if is_older_needed else {}
+    state.sends_by_hash = {}
+    state.started_at = now
