--- /dev/null
+++ b/benchmarks/_processes.py
@@ -0,0 +1,106 @@
+"""Start and stop the project's own processes on loopback."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import urllib3
+
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+
+
+@dataclass
+class Processes:
+    """Hold what a test started, by name; each is stopped by its own id."""
+
+    directory: Path
+    process_by_name: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    http: urllib3.PoolManager = field(default_factory=lambda: urllib3.PoolManager(retries=False))
+
+    def start(self, name: str, *arguments: str) -> str:
+        """Start `daisywharf ARGUMENTS` and return what it wrote once ready."""
+        ready_file = self.directory / f"{name}.ready"
+        ready_file.unlink(missing_ok=True)
+        log = (self.directory / f"{name}.log").open("ab")
+        command = [sys.executable, "-m", "daisywharf", *arguments, "--ready-file", str(ready_file)]
+        process = subprocess.Popen(command, stdout=log, stderr=log, env=os.environ.copy())
+        self.process_by_name[name] = process
+        give_up_at = time.monotonic() + READY_TIMEOUT_S
+        while not (ready_file.exists() and ready_file.read_text().endswith("\n")):
+            assert (
+                process.poll() is None
+            ), f"{name} ended with {process.returncode}: {self.log(name)}"
+            assert time.monotonic() < give_up_at, f"{name} was not ready in {READY_TIMEOUT_S} s"
+            time.sleep(0.02)
+        return ready_file.read_text()
+
+    def stop(self, name: str, number: signal.Signals = signal.SIGTERM) -> int:
+        """Send a signal, wait, and return the exit code."""
+        process = self.process_by_name.pop(name)
+        process.send_signal(number)
+        return process.wait(timeout=STOP_TIMEOUT_S)
+
+    def log(self, name: str) -> str:
+        """Return the end of what a process wrote."""
+        return (self.directory / f"{name}.log").read_text()[-2_000:]
+
+    def stop_all(self) -> None:
+        """Kill what still runs."""
+        for process in self.process_by_name.values():
+            process.kill()
+            process.wait(timeout=STOP_TIMEOUT_S)
+        self.process_by_name.clear()
+        self.http.clear()
+
+
+def address_in(ready: str, name: str) -> str:
+    """Return the HOST:PORT that a ready file gives under a name."""
+    return next(line.split()[1] for line in ready.splitlines() if line.startswith(name + " "))
+
+
+def eventually(condition: Callable[[], bool], *, timeout_s: float = 15.0) -> None:
+    """Wait until a condition holds; the time only bounds a failing run."""
+    give_up_at = time.monotonic() + timeout_s
+    while True:
+        if condition():
+            return
+        assert time.monotonic() < give_up_at, f"{condition} did not hold within {timeout_s} s"
+        time.sleep(0.05)
+
+
+def write_settings(
+    directory: Path,
+    name: str,
+    *,
+    zone: str,
+    platform: str | None,
+    peers: Sequence[str] = (),
+    keys: Sequence[str] = ("a-shared-key",),
+) -> Path:
+    """Write a daemon's settings file, with ports chosen by the kernel."""
+    anywhere = {"host": "127.0.0.1", "port": 0}
+    settings = {
+        "vm": name,
+        "zone": zone,
+        "links": anywhere,
+        "http": anywhere,
+        "platform": platform,
+        "keys": list(keys),
+        "peers": [_split(peer) for peer in peers],
+    }
+    path = directory / f"{name}.yaml"
+    # JSON is YAML, and needs no second library here.
+    path.write_text(json.dumps(settings))
+    return path
+
+
+def _split(address: str) -> dict[str, str | int]:
+    host, _, port = address.rpartition(":")
+    return {"host": host, "port": int(port)}
--- /dev/null
+++ b/src/daisywharf/_call/_attempts.py
@@ -0,0 +1,139 @@
+"""Make the attempts of one call: choose a target, send, and retry within the budget."""
+
+from typing import Final
+
+from daisywharf._call._exchange import CallReply, CallRequest, error_in
+from daisywharf._call._parties import CallerState, choose_target, note_outcome
+from daisywharf._call._resolving import new_ticket, resolve_outcome
+from daisywharf._call._scope import Scope
+from daisywharf._call._transport import send_call
+from daisywharf._context import LEVEL, RETRIES, RETRIES_UNSPENT, TICKET
+from daisywharf._errors import ErrorKind, Ran, RequestError
+from daisywharf._ids import TargetId
+from daisywharf._outcomes._ticket import Ticket
+from daisywharf._overload._level import level_from_header
+from daisywharf._overload._level_cache import note_level
+from daisywharf._routing._retries import (
+    RetryRatioKey,
+    earn_retry,
+    lend,
+    may_retry,
+    spend_retry,
+    take_back,
+)
+from daisywharf._routing._router import CallOutcome
+from daisywharf._topology import Target
+
+NO_TARGET_RETRY_AFTER_S: Final = 2.0
+
+_OUTCOME_BY_KIND: Final = {
+    ErrorKind.SHED: CallOutcome.REFUSED,
+    ErrorKind.DRAINING: CallOutcome.REFUSED,
+    ErrorKind.RECORDS_FULL: CallOutcome.REFUSED,
+    ErrorKind.TOO_LATE: CallOutcome.REFUSED,
+    ErrorKind.RATE_EXCEEDED: CallOutcome.REFUSED,
+    ErrorKind.TIMED_OUT: CallOutcome.TIMED_OUT,
+}
+
+
+def call_with_retries(state: CallerState, scope: Scope, request: CallRequest) -> CallReply:
+    """Return the whole answer of one attempt; raise the last attempt's `RequestError`."""
+    ratio_key = RetryRatioKey(request.context.customer, request.service)
+    with state.lock:
+        earn_retry(state.ratio, ratio_key)
+    excluded: frozenset[TargetId] = frozenset()
+    while True:
+        target = choose_target(state, request.service, excluded, now=state.clock())
+        if target is None:
+            raise _no_target(request, excluded)
+        try:
+            return _attempt(state, scope, request, target)
+        except RequestError as error:
+            if not _should_retry(state, scope, request, error, ratio_key):
+                raise
+            excluded |= {target.target_id}
+
+
+def _no_target(request: CallRequest, excluded: frozenset[TargetId]) -> RequestError:
+    tried = f" besides {len(excluded)} already tried" if excluded else ""
+    message = f"service {request.service!r} has no target that may be called{tried}"
+    return RequestError(ErrorKind.NO_TARGET, message, retry_after_s=NO_TARGET_RETRY_AFTER_S)
+
+
+def _should_retry(
+    state: CallerState,
+    scope: Scope,
+    request: CallRequest,
+    error: RequestError,
+    ratio_key: RetryRatioKey,
+) -> bool:
+    was_not_run = error.answer.ran is Ran.NO
+    is_safe = was_not_run or request.context.idempotent
+    may_help = error.answer.retryable or not was_not_run
+    is_final = error.kind in (ErrorKind.TIMED_OUT, ErrorKind.STILL_RUNNING)
+    if is_final or not (is_safe and may_help):
+        return False
+    if request.context.deadline <= state.clock():
+        return False
+    with state.lock:
+        return scope.budget.left > 0 and may_retry(state.ratio, ratio_key) and _spend(scope)
+
+
+def _spend(scope: Scope) -> bool:
+    return spend_retry(scope.budget)
+
+
+def _attempt(state: CallerState, scope: Scope, request: CallRequest, target: Target) -> CallReply:
+    started = state.clock()
+    ticket = None if request.context.idempotent else new_ticket(request, target, now=started)
+    # Half stays here, so that a lost answer does not take the caller's own retries with it.
+    lent = lend(scope.budget, calls_to_come=2)
+    unspent: int | None = None
+    outcome = CallOutcome.FAILED
+    try:
+        reply = _send(state, request, target, ticket, lent, now=started)
+        unspent = _unspent(reply)
+        _note_level(state, scope, request, reply)
+        error = error_in(reply)
+        if error is not None:
+            raise error
+        outcome = CallOutcome.SUCCEEDED
+        return reply
+    except RequestError as error:
+        outcome = _OUTCOME_BY_KIND.get(error.kind, CallOutcome.FAILED)
+        raise
+    finally:
+        take_back(scope.budget, lent=lent, unspent=unspent)
+        note_outcome(state, target, outcome, started=started, now=state.clock())
+
+
+def _send(
+    state: CallerState,
+    request: CallRequest,
+    target: Target,
+    ticket: Ticket | None,
+    lent: int,
+    *,
+    now: float,
+) -> CallReply:
+    extra_headers = {RETRIES: str(lent)}
+    if ticket is not None:
+        extra_headers[TICKET] = ticket.to_header()
+    try:
+        return send_call(state.connections, target, request, extra_headers=extra_headers, now=now)
+    except RequestError as error:
+        if ticket is None or error.answer.ran is Ran.NO:
+            raise
+        return resolve_outcome(state, target, request, ticket, error)
+
+
+def _unspent(reply: CallReply) -> int | None:
+    text = reply.headers.get(RETRIES_UNSPENT, "")
+    return int(text) if text.isdecimal() and len(text) < 4 else None
+
+
+def _note_level(state: CallerState, scope: Scope, request: CallRequest, reply: CallReply) -> None:
+    level = level_from_header(reply.headers.get(LEVEL))
+    scope.note_level(level)
+    with state.lock:
+        note_level(state.levels, request.service, level, now=state.clock())
--- /dev/null
+++ b/src/daisywharf/_call/_caller.py
@@ -0,0 +1,144 @@
+"""The embedded caller's side: make calls under a contract from any process."""
+
+import time
+from random import Random
+from secrets import token_hex
+from typing import Final
+
+from daisywharf._call._attempts import call_with_retries
+from daisywharf._call._exchange import CallReply, CallRequest
+from daisywharf._call._parties import CallerState, Clock
+from daisywharf._call._scope import Scope, current_scope
+from daisywharf._call._snapshot import SnapshotHolder, call_class_of
+from daisywharf._context import RequestContext
+from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._ids import CallClassName, CustomerId, IdempotencyKey, RequestId, ServiceName
+from daisywharf._overload._level_cache import is_refused_early, kept_level
+from daisywharf._overload._rates import BucketKey, RateState, take_token
+
+MS_PER_S: Final = 1_000.0
+SHED_RETRY_AFTER_S: Final = 1.0
+
+
+class Caller:
+    """Route calls to targets under the contracts of a snapshot; safe to share by threads."""
+
+    def __init__(
+        self,
+        holder: SnapshotHolder,
+        *,
+        name: str,
+        clock: Clock = time.monotonic,
+        rng: Random | None = None,
+    ) -> None:
+        self._state = CallerState(holder, caller=name, clock=clock, rng=rng or Random())
+        self._rates = RateState()
+
+    def call(
+        self,
+        service: str,
+        path: str = "/",
+        *,
+        method: str = "GET",
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        idempotent: bool | None = None,
+    ) -> CallReply:
+        """Call a service within the present request; raise `RequestError`."""
+        scope = current_scope.get()
+        if scope is None:
+            message = f"call to {service!r} outside any request; use `enter` for a new one"
+            raise RequestError(ErrorKind.BAD_REQUEST, message)
+        context = _below(scope.context, idempotent=idempotent)
+        request = CallRequest(ServiceName(service), method, path, context, headers or {}, body)
+        return self._pass(scope, request)
+
+    def enter(
+        self,
+        service: str,
+        path: str = "/",
+        *,
+        customer: str,
+        call_class: str,
+        method: str = "GET",
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        key: str | None = None,
+        traceparent: str | None = None,
+    ) -> CallReply:
+        """Start a new request under a customer's contract; raise `RequestError`."""
+        context = self._admit(service, customer, call_class, key, traceparent)
+        request = CallRequest(ServiceName(service), method, path, context, headers or {}, body)
+        return self._pass(Scope(context), request)
+
+    def close(self) -> None:
+        """Close the connections to targets."""
+        self._state.connections.close()
+
+    def _admit(
+        self,
+        service: str,
+        customer: str,
+        name: str,
+        key: str | None,
+        traceparent: str | None,
+    ) -> RequestContext:
+        now = self._state.clock()
+        snapshot = self._state.holder.current
+        bucket = BucketKey(CustomerId(customer), CallClassName(name))
+        call_class = call_class_of(
+            snapshot, bucket.customer, bucket.call_class, ServiceName(service)
+        )
+        with self._state.lock:
+            wait_s = take_token(
+                self._rates,
+                bucket,
+                rate_per_second=call_class.rate_per_second,
+                burst=call_class.burst,
+                now=now,
+            )
+        if wait_s > 0:
+            message = (
+                f"customer {customer!r} is beyond {call_class.rate_per_second:g} requests/s "
+                f"of class {name!r}"
+            )
+            raise RequestError(ErrorKind.RATE_EXCEEDED, message, retry_after_s=wait_s)
+        return RequestContext(
+            request_id=RequestId(token_hex(12)),
+            customer=bucket.customer,
+            call_class=bucket.call_class,
+            importance=call_class.importance,
+            deadline=now + call_class.deadline_ms / MS_PER_S,
+            retries=call_class.retries,
+            idempotent=call_class.idempotent,
+            key=None if key is None else IdempotencyKey(key),
+            traceparent=traceparent,
+        )
+
+    def _pass(self, scope: Scope, request: CallRequest) -> CallReply:
+        state = self._state
+        now = state.clock()
+        if request.context.deadline <= now:
+            raise RequestError(ErrorKind.TOO_LATE, f"no time is left for {request.service!r}")
+        with state.lock:
+            is_refused = is_refused_early(state.levels, request.service, request.context, now=now)
+            level = kept_level(state.levels, request.service, now=now)
+        if is_refused:
+            scope.note_level(level)
+            message = f"service {request.service!r} sheds calls of this importance now"
+            raise RequestError(ErrorKind.SHED, message, retry_after_s=SHED_RETRY_AFTER_S)
+        return call_with_retries(state, scope, request)
+
+
+def _below(context: RequestContext, *, idempotent: bool | None) -> RequestContext:
+    return RequestContext(
+        request_id=context.request_id,
+        customer=context.customer,
+        call_class=context.call_class,
+        importance=context.importance,
+        deadline=context.deadline,
+        retries=context.retries,
+        idempotent=context.idempotent if idempotent is None else idempotent,
+        depth=context.depth + 1,
+        traceparent=context.traceparent,
+    )
--- /dev/null
+++ b/src/daisywharf/_call/_exchange.py
@@ -0,0 +1,103 @@
+"""A call and its reply, and how filters are put in a row."""
+
+from collections.abc import Callable, Sequence
+from functools import reduce
+from typing import Final
+
+import msgspec
+
+from daisywharf._context import ERROR_KIND, RAN, RequestContext
+from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._ids import ServiceName
+
+RETRY_AFTER: Final = "Retry-After"
+HEADERS_OF_ONE_HOP: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "host",
+        "keep-alive",
+        "server",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class CallRequest(msgspec.Struct, frozen=True):
+    """Describe a call to a service; `path` starts with a slash and holds the query."""
+
+    service: ServiceName
+    method: str
+    path: str
+    context: RequestContext
+    headers: dict[str, str] = {}
+    body: bytes = b""
+
+
+class CallReply(msgspec.Struct, frozen=True):
+    """Hold a whole answer."""
+
+    status: int
+    headers: dict[str, str] = {}
+    body: bytes = b""
+
+
+Handler = Callable[[CallRequest], CallReply]
+Filter = Callable[[CallRequest, Handler], CallReply]
+
+
+def pipeline(filters: Sequence[Filter], last: Handler) -> Handler:
+    """Put filters before a handler; the first filter sees the call first."""
+
+    def put_before(handler: Handler, step: Filter) -> Handler:
+        return lambda request: step(request, handler)
+
+    return reduce(put_before, reversed(filters), last)
+
+
+def without_headers_of_one_hop(headers: dict[str, str]) -> dict[str, str]:
+    """Drop the headers that only concern one connection."""
+    return {
+        name: value for name, value in headers.items() if name.lower() not in HEADERS_OF_ONE_HOP
+    }
+
+
+def reply_for(error: RequestError) -> CallReply:
+    """Write an error as an answer with its kind, whether it ran, and when to come back."""
+    answer = error.answer
+    document = {
+        "error": error.kind.value,
+        "message": str(error),
+        "ran": answer.ran.value,
+        "retry_after_s": round(error.retry_after_s, 3),
+    }
+    headers = {
+        "Content-Type": "application/json",
+        ERROR_KIND: error.kind.value,
+        RAN: answer.ran.value,
+    }
+    if error.retry_after_s > 0:
+        headers[RETRY_AFTER] = f"{error.retry_after_s:.3f}"
+    return CallReply(answer.status, headers, msgspec.json.encode(document) + b"\n")
+
+
+def error_in(reply: CallReply) -> RequestError | None:
+    """Return the error that a reply from a gate reports, if any."""
+    name = reply.headers.get(ERROR_KIND)
+    if name is None:
+        return None
+    try:
+        kind = ErrorKind(name)
+    except ValueError:
+        kind = ErrorKind.INTERNAL
+    message = reply.body[:512].decode(errors="replace").strip()
+    return RequestError(kind, message, retry_after_s=_seconds(reply.headers.get(RETRY_AFTER)))
+
+
+def _seconds(text: str | None) -> float:
+    try:
+        return max(0.0, min(float(text or 0.0), 3_600.0))
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/src/daisywharf/_call/_gate_admission.py
@@ -0,0 +1,117 @@
+"""Wait for a gate's admission on the thread of the call."""
+
+import threading
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from daisywharf._context import RequestContext
+from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._overload._admission import (
+    AdmissionAction,
+    AdmissionState,
+    Admit,
+    CallId,
+    Enqueue,
+    Refuse,
+    cancel,
+    current_level,
+    finish,
+    offer,
+    start_draining,
+    tick,
+)
+from daisywharf._overload._level import Level
+
+TICK_PERIOD_S: Final = 0.01
+
+
+class WaitingCall:
+    """Hold the decision that a waiting thread is woken for."""
+
+    def __init__(self) -> None:
+        self.woken = threading.Event()
+        self.decision: Admit | Refuse | None = None
+
+
+class GateAdmission:
+    """Hold a gate's admission state, its lock, and the threads that wait."""
+
+    def __init__(self, state: AdmissionState, *, clock: Callable[[], float]) -> None:
+        self.state = state
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.waiting_by_id: dict[CallId, WaitingCall] = {}
+        self.attempts = 0
+
+
+def enter_gate(gate: GateAdmission, context: RequestContext) -> CallId:
+    """Return once the call is admitted; raise `RequestError` at once when it is refused."""
+    with gate.lock:
+        gate.attempts += 1
+        call_id = CallId(context.request_id, gate.attempts)
+        own = _apply(gate, offer(gate.state, call_id, context, now=gate.clock()), call_id)
+        if own is None:
+            waiting = gate.waiting_by_id[call_id] = WaitingCall()
+    if own is None:
+        own = _wait(gate, call_id, waiting)
+    if isinstance(own, Refuse):
+        message = f"the gate did not run request {context.request_id}: {own.kind.value}"
+        raise RequestError(own.kind, message, retry_after_s=own.retry_after_s)
+    return call_id
+
+
+def leave_gate(gate: GateAdmission, call_id: CallId, *, succeeded: bool) -> None:
+    """Give the slot of a call that ended to one that waits."""
+    with gate.lock:
+        _apply(gate, finish(gate.state, call_id, now=gate.clock(), succeeded=succeeded), None)
+
+
+def drain_gate(gate: GateAdmission) -> None:
+    """Refuse all that waits and all that comes."""
+    with gate.lock:
+        _apply(gate, start_draining(gate.state, now=gate.clock()), None)
+
+
+def level_of_gate(gate: GateAdmission) -> Level:
+    """Return the level to send back on an answer."""
+    with gate.lock:
+        return current_level(gate.state, now=gate.clock())
+
+
+def cancel_call(gate: GateAdmission, call_id: CallId) -> None:
+    """Refuse a waiting call whose caller gave up."""
+    with gate.lock:
+        waiting = gate.waiting_by_id.get(call_id)
+        _apply(gate, cancel(gate.state, call_id, now=gate.clock()), None)
+        if waiting is not None and waiting.decision is None:
+            _wake(gate, Refuse(call_id, ErrorKind.CANCELLED, 0.0))
+
+
+def _wait(gate: GateAdmission, call_id: CallId, waiting: WaitingCall) -> Admit | Refuse:
+    # The threads that wait drive the ticks, so that an idle gate needs no timer.
+    while not waiting.woken.wait(TICK_PERIOD_S):
+        with gate.lock:
+            _apply(gate, tick(gate.state, now=gate.clock()), None)
+    assert waiting.decision is not None
+    return waiting.decision
+
+
+def _apply(
+    gate: GateAdmission, actions: Iterable[AdmissionAction], own_id: CallId | None
+) -> Admit | Refuse | None:
+    own: Admit | Refuse | None = None
+    for action in actions:
+        if isinstance(action, Enqueue):
+            continue
+        if action.call_id == own_id:
+            own = action
+        else:
+            _wake(gate, action)
+    return own
+
+
+def _wake(gate: GateAdmission, decision: Admit | Refuse) -> None:
+    waiting = gate.waiting_by_id.pop(decision.call_id, None)
+    if waiting is not None:
+        waiting.decision = decision
+        waiting.woken.set()
--- /dev/null
+++ b/src/daisywharf/_call/_gate_once.py
@@ -0,0 +1,86 @@
+"""Run a call under a ticket at most once, and tell outcomes to callers that ask."""
+
+import threading
+from collections.abc import Callable
+from typing import Final
+
+from daisywharf._call._exchange import CallReply
+from daisywharf._context import TICKET
+from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._outcomes._once import (
+    OnceDecision,
+    OnceRecords,
+    RefuseRun,
+    RepeatAnswer,
+    StoredAnswer,
+    begin,
+    complete,
+    release,
+    resolve,
+    tick,
+)
+from daisywharf._outcomes._ticket import Ticket, ticket_from_header
+
+EXPIRY_PERIOD_S: Final = 1.0
+
+
+class GateRecords:
+    """Hold a gate's records of tickets and the lock that guards them."""
+
+    def __init__(self, records: OnceRecords, *, clock: Callable[[], float]) -> None:
+        self.records = records
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.expired_at = clock()
+
+
+def ticket_in(headers: dict[str, str]) -> Ticket:
+    """Return the ticket of a non-idempotent call; raise `RequestError` (bad request)."""
+    text = headers.get(TICKET)
+    if text is None:
+        message = f"header {TICKET} is missing; a non-idempotent call runs only under a ticket"
+        raise RequestError(ErrorKind.BAD_REQUEST, message)
+    return ticket_from_header(text)
+
+
+def begin_run(gate: GateRecords, ticket: Ticket) -> CallReply | None:
+    """Return none where the call may run, or the first run's answer; raise where neither."""
+    with gate.lock:
+        now = gate.clock()
+        if now - gate.expired_at >= EXPIRY_PERIOD_S:
+            gate.expired_at = now
+            tick(gate.records, now=now)
+        return _answer(begin(gate.records, ticket, now=now), ticket)
+
+
+def end_run(gate: GateRecords, ticket: Ticket, reply: CallReply) -> None:
+    """Keep a run's whole answer."""
+    stored = StoredAnswer(reply.status, tuple(reply.headers.items()), reply.body)
+    with gate.lock:
+        complete(gate.records, ticket.key, stored, now=gate.clock())
+
+
+def give_up_run(gate: GateRecords, ticket: Ticket) -> None:
+    """Forget a ticket whose call was refused before it was run."""
+    with gate.lock:
+        release(gate.records, ticket.key, now=gate.clock())
+
+
+def tell_outcome(gate: GateRecords, ticket: Ticket) -> CallReply:
+    """Return the answer of a ticket's run; raise `RequestError` where there is none."""
+    with gate.lock:
+        decision = resolve(gate.records, ticket, now=gate.clock())
+        reply = _answer(decision, ticket)
+    if reply is not None:
+        return reply
+    raise RequestError(ErrorKind.INTERNAL, f"ticket {ticket.key} can't be told")
+
+
+def _answer(decision: OnceDecision, ticket: Ticket) -> CallReply | None:
+    if isinstance(decision, RepeatAnswer):
+        answer = decision.answer
+        return CallReply(answer.status, dict(answer.headers), answer.body)
+    if isinstance(decision, RefuseRun):
+        message = f"order {ticket.key} is not run now: {decision.kind.value}"
+        raise RequestError(decision.kind, message)
+    return None
--- /dev/null
+++ b/src/daisywharf/_call/_parties.py
@@ -0,0 +1,72 @@
+"""What a caller keeps between calls."""
+
+import threading
+from collections.abc import Callable
+from random import Random
+
+from daisywharf._call._snapshot import SnapshotHolder
+from daisywharf._call._transport import Connections
+from daisywharf._ids import ServiceName, TargetId
+from daisywharf._overload._level_cache import LevelCache
+from daisywharf._routing._retries import RetryRatio
+from daisywharf._routing._router import (
+    CallOutcome,
+    RouterState,
+    choose,
+    record_outcome,
+    record_start,
+    update_targets,
+)
+from daisywharf._topology import Target
+
+Clock = Callable[[], float]
+
+
+class CallerState:
+    """Hold a caller's routers, levels and retry ratios, which one lock guards."""
+
+    def __init__(self, holder: SnapshotHolder, *, caller: str, clock: Clock, rng: Random) -> None:
+        self.holder = holder
+        self.caller = caller
+        self.clock = clock
+        self.rng = rng
+        self.lock = threading.Lock()
+        self.connections = Connections()
+        self.levels = LevelCache()
+        self.ratio = RetryRatio()
+        self.router_by_service: dict[ServiceName, RouterState] = {}
+        self.sequence_by_service: dict[ServiceName, int] = {}
+
+
+def choose_target(
+    state: CallerState, service: ServiceName, excluded: frozenset[TargetId], *, now: float
+) -> Target | None:
+    """Choose a target by the present snapshot and count the call that leaves for it."""
+    snapshot = state.holder.current
+    with state.lock:
+        router = _router(state, service)
+        if state.sequence_by_service.get(service) != snapshot.sequence:
+            update_targets(router, snapshot.targets_by_service.get(service, ()), now=now)
+            state.sequence_by_service[service] = snapshot.sequence
+        target = choose(router, now=now, rng=state.rng, excluded=excluded)
+        if target is not None:
+            record_start(router, target.target_id, now=now)
+    return target
+
+
+def note_outcome(
+    state: CallerState, target: Target, outcome: CallOutcome, *, started: float, now: float
+) -> None:
+    """Let the router learn from a call that ended."""
+    with state.lock:
+        router = _router(state, target.service)
+        record_outcome(router, target.target_id, outcome, latency_s=now - started, now=now)
+
+
+def _router(state: CallerState, service: ServiceName) -> RouterState:
+    router = state.router_by_service.get(service)
+    if router is None:
+        zone = state.holder.current.zone
+        router = RouterState(service=service, zone=zone, caller=state.caller)
+        state.router_by_service[service] = router
+    return router
--- /dev/null
+++ b/src/daisywharf/_call/_snapshot.py
@@ -0,0 +1,52 @@
+"""The immutable view of the fleet from which calls are decided."""
+
+import msgspec
+
+from daisywharf._contract import CallClass, Contract
+from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._ids import CallClassName, CustomerId, ServiceName, VmId, ZoneName
+from daisywharf._topology import Target
+
+
+class Share(msgspec.Struct, frozen=True):
+    """Give the part (0 to 1) of a contract's rate that may enter at this VM."""
+
+    customer: CustomerId
+    call_class: CallClassName
+    fraction: float
+
+
+class Snapshot(msgspec.Struct, frozen=True, tag="snapshot"):
+    """Hold what a daemon hands to the callers on its VM; it is replaced whole."""
+
+    vm: VmId
+    zone: ZoneName
+    sequence: int
+    contract_by_customer: dict[CustomerId, Contract] = {}
+    targets_by_service: dict[ServiceName, tuple[Target, ...]] = {}
+    shares: tuple[Share, ...] = ()
+
+
+class SnapshotHolder:
+    """Hold the present snapshot; replacing the reference needs no lock."""
+
+    def __init__(self, current: Snapshot) -> None:
+        self.current = current
+
+
+def call_class_of(
+    snapshot: Snapshot, customer: CustomerId, name: CallClassName, service: ServiceName
+) -> CallClass:
+    """Find the class of a call; raise `RequestError` (unknown customer, not in contract)."""
+    contract = snapshot.contract_by_customer.get(customer)
+    if contract is None:
+        message = f"customer {customer!r} has no contract in force here; apply one"
+        raise RequestError(ErrorKind.UNKNOWN_CUSTOMER, message)
+    call_class = contract.classes_by_name.get(name)
+    if call_class is None or service not in call_class.services:
+        message = (
+            f"contract of {customer!r} (version {contract.version}) has no class {name!r} "
+            f"for service {service!r}; ask for one of: {', '.join(contract.classes_by_name)}"
+        )
+        raise RequestError(ErrorKind.NOT_IN_CONTRACT, message)
+    return call_class
--- /dev/null
+++ b/src/daisywharf/_call/_transport.py
@@ -0,0 +1,124 @@
+"""Send a call to a gate over HTTP and tell how it ended."""
+
+import threading
+from secrets import token_hex
+from typing import Final
+
+import urllib3
+from urllib3 import exceptions
+
+from daisywharf._call._exchange import CallReply, CallRequest, without_headers_of_one_hop
+from daisywharf._context import headers_from
+from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._topology import Address, Target
+
+CALL_ID: Final = "Daisywharf-Call-Id"
+INCARNATION: Final = "Daisywharf-Incarnation"
+TARGET: Final = "Daisywharf-Target"
+RESOLVE_PATH: Final = "/.daisywharf/resolve"
+CONNECT_TIMEOUT_S: Final = 0.5
+CONNECTIONS_PER_TARGET: Final = 64
+
+
+class Connections:
+    """Hold the pools of connections to gates."""
+
+    def __init__(self) -> None:
+        self.pool_by_address: dict[Address, urllib3.HTTPConnectionPool] = {}
+        self.lock = threading.Lock()
+
+    def pool(self, address: Address) -> urllib3.HTTPConnectionPool:
+        """Return the pool for an address, opened on first use."""
+        pool = self.pool_by_address.get(address)
+        if pool is not None:
+            return pool
+        with self.lock:
+            return self.pool_by_address.setdefault(address, _new_pool(address))
+
+    def close(self) -> None:
+        """Close all connections."""
+        for pool in list(self.pool_by_address.values()):
+            pool.close()
+
+
+def _new_pool(address: Address) -> urllib3.HTTPConnectionPool:
+    return urllib3.HTTPConnectionPool(
+        address.host, address.port, maxsize=CONNECTIONS_PER_TARGET, block=False, retries=False
+    )
+
+
+def send_call(
+    connections: Connections,
+    target: Target,
+    request: CallRequest,
+    *,
+    extra_headers: dict[str, str],
+    now: float,
+) -> CallReply:
+    """Send a call and return its whole answer.
+
+    Raise `RequestError`: connect failed (not run), timed out, cut answer, outcome unknown.
+    """
+    call_id = token_hex(8)
+    headers = without_headers_of_one_hop(request.headers)
+    headers.update(headers_from(request.context, now=now))
+    headers.update(extra_headers)
+    headers[CALL_ID] = call_id
+    headers[INCARNATION] = str(target.incarnation)
+    headers[TARGET] = target.target_id
+    reply = _exchange(connections, target, request, headers, request.context.deadline - now)
+    _check_identity(reply, target, call_id)
+    return reply
+
+
+def _exchange(
+    connections: Connections,
+    target: Target,
+    request: CallRequest,
+    headers: dict[str, str],
+    time_left_s: float,
+) -> CallReply:
+    time_left_s = max(time_left_s, 0.001)
+    timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, time_left_s), read=time_left_s)
+    try:
+        response = connections.pool(target.address).urlopen(
+            request.method,
+            target.path_prefix + request.path,
+            body=request.body,
+            headers=headers,
+            timeout=timeout,
+            redirect=False,
+            assert_same_host=False,
+        )
+    except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError) as error:
+        raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
+    except exceptions.ReadTimeoutError as error:
+        raise RequestError(ErrorKind.TIMED_OUT, _told(target, error)) from error
+    except (exceptions.IncompleteRead, exceptions.DecodeError) as error:
+        raise RequestError(ErrorKind.CUT_ANSWER, _told(target, error)) from error
+    except exceptions.ProtocolError as error:
+        kind = ErrorKind.CUT_ANSWER if _is_cut(error) else ErrorKind.OUTCOME_UNKNOWN
+        raise RequestError(kind, _told(target, error)) from error
+    except exceptions.HTTPError as error:
+        raise RequestError(ErrorKind.OUTCOME_UNKNOWN, _told(target, error)) from error
+    return CallReply(response.status, dict(response.headers), response.data)
+
+
+def _is_cut(error: exceptions.ProtocolError) -> bool:
+    return any(isinstance(cause, exceptions.IncompleteRead) for cause in error.args)
+
+
+def _told(target: Target, error: Exception) -> str:
+    return f"call to {target.target_id} at {target.address} failed: {error}"
+
+
+def _check_identity(reply: CallReply, target: Target, call_id: str) -> None:
+    answered_id = reply.headers.get(CALL_ID)
+    incarnation = reply.headers.get(INCARNATION)
+    if (answered_id, incarnation) == (call_id, str(target.incarnation)):
+        return
+    message = (
+        f"{target.target_id} answered call {answered_id!r} of incarnation {incarnation!r}, "
+        f"not {call_id!r} of {target.incarnation}; the answer is dropped"
+    )
+    raise RequestError(ErrorKind.OUTCOME_UNKNOWN, message)
--- /dev/null
+++ b/src/daisywharf/_call/_wsgi.py
@@ -0,0 +1,88 @@
+"""Read WSGI environments and run WSGI applications to the end of their answers."""
+
+from collections.abc import Callable, Iterable
+from http.client import responses
+from typing import Any, Final
+
+from daisywharf._call._exchange import CallReply, without_headers_of_one_hop
+from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._limits import MAX_BODY_BYTES
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+WsgiApp = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+_PREFIX: Final = "HTTP_"
+_NOT_PREFIXED_BY_KEY: Final = {"CONTENT_TYPE": "Content-Type"}
+
+
+def headers_of(environ: Environ) -> dict[str, str]:
+    """Return the request's headers under their usual names."""
+    headers = {
+        _header_name(key[len(_PREFIX) :]): value
+        for key, value in environ.items()
+        if key.startswith(_PREFIX)
+    }
+    for key, name in _NOT_PREFIXED_BY_KEY.items():
+        if environ.get(key):
+            headers[name] = environ[key]
+    return headers
+
+
+def _header_name(key: str) -> str:
+    name = "-".join(part.capitalize() for part in key.split("_"))
+    return name.lower() if name == "Traceparent" else name
+
+
+def body_of(environ: Environ) -> bytes:
+    """Read the whole body; raise `RequestError` (bad request, too large)."""
+    text = environ.get("CONTENT_LENGTH") or "0"
+    if not text.isdecimal():
+        message = f"Content-Length is {text[:40]!r}; send a whole number of bytes"
+        raise RequestError(ErrorKind.BAD_REQUEST, message)
+    if int(text) > MAX_BODY_BYTES:
+        message = f"body has {text[:40]} bytes; at most {MAX_BODY_BYTES} are taken"
+        raise RequestError(ErrorKind.TOO_LARGE, message)
+    body: bytes = environ["wsgi.input"].read(int(text)) if int(text) else b""
+    if len(body) != int(text):
+        message = f"body ended after {len(body)} of {text} bytes"
+        raise RequestError(ErrorKind.BAD_REQUEST, message)
+    return body
+
+
+def path_of(environ: Environ) -> str:
+    """Return the path with its query."""
+    path = environ.get("PATH_INFO") or "/"
+    query = environ.get("QUERY_STRING")
+    return f"{path}?{query}" if query else path
+
+
+def run_app(app: WsgiApp, environ: Environ) -> CallReply:
+    """Run an application and collect its whole answer."""
+    started: list[tuple[str, list[tuple[str, str]]]] = []
+    written: list[bytes] = []
+
+    def start_response(
+        status: str, headers: list[tuple[str, str]], exc_info: Any = None
+    ) -> Callable[[bytes], None]:
+        started.append((status, headers))
+        return written.append
+
+    parts = app(environ, start_response)
+    try:
+        body = b"".join(parts)
+    finally:
+        close = getattr(parts, "close", None)
+        if close is not None:
+            close()
+    status, headers = started[-1]
+    return CallReply(
+        int(status[:3]), without_headers_of_one_hop(dict(headers)), b"".join(written) + body
+    )
+
+
+def send_reply(reply: CallReply, start_response: StartResponse) -> list[bytes]:
+    """Give a whole answer, with its length, to a WSGI server."""
+    headers = [*reply.headers.items(), ("Content-Length", str(len(reply.body)))]
+    start_response(f"{reply.status} {responses.get(reply.status, 'Answer')}", headers)
+    return [reply.body]
--- a/src/daisywharf/_cli/app.py
+++ b/src/daisywharf/_cli/app.py
@@ -10,6 +10,7 @@
     "demo": "daisywharf._cli.demo",
     "platform-standin": "daisywharf._cli.platform_standin",
     "replay": "daisywharf._cli.replay",
+    "target-standin": "daisywharf._cli.target_standin",
 }
 
 
--- /dev/null
+++ b/src/daisywharf/_cli/daemon.py
@@ -0,0 +1,39 @@
+"""Run one daemon until it is told to stop."""
+
+import argparse
+import signal
+import sys
+import threading
+from pathlib import Path
+
+from daisywharf._errors import ConfigurationError
+
+EXIT_INVALID_SETTINGS = 2
+
+
+def main(arguments: list[str]) -> int:
+    """Start the daemon that a settings file describes; stop on SIGTERM or SIGINT."""
+    parser = argparse.ArgumentParser(prog="daisywharf daemon", description=main.__doc__)
+    parser.add_argument("--settings", type=Path, required=True, help="YAML file")
+    parser.add_argument("--ready-file", type=Path, help="write the addresses here once serving")
+    options = parser.parse_args(arguments)
+    from daisywharf._daemon._daemon import Daemon
+    from daisywharf._settings import load_settings
+
+    try:
+        settings = load_settings(options.settings)
+    except ConfigurationError as error:
+        print(error, file=sys.stderr)
+        return EXIT_INVALID_SETTINGS
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    daemon = Daemon(settings)
+    daemon.start()
+    addresses = f"http {daemon.http.address}\nlinks {daemon.running.member.address}\n"
+    print(addresses, end="", flush=True)
+    if options.ready_file is not None:
+        options.ready_file.write_text(addresses)
+    stopped.wait()
+    daemon.stop()
+    return 0
--- /dev/null
+++ b/src/daisywharf/_cli/target_standin.py
@@ -0,0 +1,70 @@
+"""Run a stand-in target as a process, for trials and tests."""
+
+import argparse
+import signal
+import threading
+from pathlib import Path
+
+from daisywharf._demo._targets import stand_in_app
+from daisywharf._embedded._caller import EmbeddedCaller
+from daisywharf._embedded._target import TargetServer
+from daisywharf._topology import Address
+
+
+def main(arguments: list[str]) -> int:
+    """Serve until SIGTERM or SIGINT; then leave the fleet and finish what is in flight."""
+    options = _parser().parse_args(arguments)
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    http, links = _address(options.daemon_http), _address(options.daemon_links)
+    embedded = EmbeddedCaller(
+        daemon=(links.host, links.port), name=options.id, keys=options.key, services=options.next
+    )
+    app = stand_in_app(
+        options.service,
+        work_s=options.work_ms / 1_000.0,
+        next_services=options.next,
+        caller=lambda: embedded.caller,
+    )
+    server = TargetServer(
+        app,
+        target_id=options.id,
+        service=options.service,
+        slots=options.slots,
+        connections=options.connections,
+        daemon_http=(http.host, http.port),
+    )
+    server.start()
+    print(f"target {server.address}", flush=True)
+    if options.ready_file is not None:
+        options.ready_file.write_text(f"target {server.address}\n")
+    stopped.wait()
+    server.stop()
+    embedded.close()
+    return 0
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="daisywharf target-standin",
+        description="Serve a stand-in target that sleeps and calls other services.",
+        epilog="Example: daisywharf target-standin --service stock --id stock-1 "
+        "--daemon-http 127.0.0.1:8501 --daemon-links 127.0.0.1:8401",
+    )
+    parser.add_argument("--service", required=True, help="name of the service")
+    parser.add_argument("--id", required=True, help="name of the target")
+    parser.add_argument("--daemon-http", required=True, help="HOST:PORT of the daemon's HTTP")
+    parser.add_argument("--daemon-links", required=True, help="HOST:PORT of the daemon's links")
+    parser.add_argument("--key", action="append", default=[], help="shared key of the links")
+    parser.add_argument("--next", action="append", default=[], help="service to call on each call")
+    parser.add_argument("--slots", type=int, default=8, help="calls at a time")
+    parser.add_argument("--connections", type=int, default=64, help="connections at a time")
+    parser.add_argument("--work-ms", type=float, default=5.0, help="sleep of each call")
+    parser.add_argument("--ready-file", type=Path, help="write the address here once serving")
+    return parser
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
--- /dev/null
+++ b/src/daisywharf/_daemon/_daemon.py
@@ -0,0 +1,136 @@
+"""One daemon: its parts, how it starts, and how it stops."""
+
+import time
+from random import Random
+from typing import Any, Final
+
+import msgspec
+import pykka
+
+from daisywharf._call._caller import Caller
+from daisywharf._call._snapshot import Snapshot, SnapshotHolder
+from daisywharf._daemon._fleet_actor import FleetActor
+from daisywharf._daemon._forwarding import HostedGates
+from daisywharf._daemon._frames import Fleet, Subscribe
+from daisywharf._daemon._http import http_app
+from daisywharf._daemon._in_flight import InFlight
+from daisywharf._daemon._links import Link, Links
+from daisywharf._daemon._platform_actor import PlatformActor
+from daisywharf._daemon._routes import routes_of
+from daisywharf._daemon._subscriptions import Subscriptions, push_snapshot, subscribe
+from daisywharf._fleet._messages import Member
+from daisywharf._fleet._state import FleetAction, FleetState, PlatformResult, WatchContracts
+from daisywharf._http_server import HttpServer
+from daisywharf._ids import Incarnation
+from daisywharf._platform._interface import Platform
+from daisywharf._settings import DaemonSettings
+
+TICK_PERIOD_S: Final = 0.1
+STOP_TIMEOUT_S: Final = 30.0
+STOP_POLL_S: Final = 0.02
+LEAVE_SPREAD_S: Final = 0.5
+
+
+class Running(msgspec.Struct):
+    """Hold what exists only while a daemon runs."""
+
+    member: Member
+    fleet: Any
+    actors: list[pykka.ActorRef[Any]]
+
+
+class Daemon:
+    """Hold the parts of one daemon."""
+
+    def __init__(self, settings: DaemonSettings, *, platform: Platform | None = None) -> None:
+        self.settings = settings
+        self.holder = SnapshotHolder(Snapshot(settings.vm, settings.zone, 0))
+        self.caller = Caller(self.holder, name=settings.vm)
+        self.gates = HostedGates()
+        self.subscriptions = Subscriptions()
+        self.entered = InFlight()
+        self.is_draining = False
+        self.platform = platform or _platform_at(settings.platform)
+        self.running: Running
+        self.links = Links(
+            me=lambda: self.running.member,
+            keys=settings.keys,
+            on_frame=self._take_frame,
+            on_unreachable=lambda address: None,
+        )
+        self.http = HttpServer(
+            http_app(routes_of(self)), address=settings.http, threads=settings.http_threads
+        )
+
+    def start(self) -> None:
+        """Accept links, join the fleet and answer HTTP."""
+        address = self.links.start(self.settings.links)
+        incarnation = Incarnation(time.time_ns())
+        member = Member(self.settings.vm, self.settings.zone, incarnation, address)
+        asking, watching = (self._start_platform_actor() for _ in range(2))
+        fleet = FleetActor.start(
+            FleetState(me=member, seeds=self.settings.peers),
+            holder=self.holder,
+            send=lambda action: self.links.send(action.address, Fleet(action.message)),
+            ask_platform=lambda action: _ask(action, asking, watching),
+            on_snapshot=lambda snapshot: push_snapshot(self.subscriptions, self.links, snapshot),
+            rng=Random(),
+        )
+        self.running = Running(member, fleet.proxy(), [fleet, asking, watching])
+        self.links.every(TICK_PERIOD_S, self._tick)
+        self.http.start()
+
+    def stop(self) -> None:
+        """Admit nothing more, finish what is in flight, leave the fleet and close."""
+        self.is_draining = True
+        for gate in self.gates.gate_by_id.values():
+            gate.drain()
+        self.running.fleet.leave().get(timeout=STOP_TIMEOUT_S)
+        # Peers hear of the leave before the links close.
+        time.sleep(LEAVE_SPREAD_S)
+        self._wait_for_calls()
+        self.http.stop()
+        self.links.stop()
+        for actor in self.running.actors:
+            actor.stop(block=False)
+        self.caller.close()
+
+    def _wait_for_calls(self) -> None:
+        give_up_at = time.monotonic() + STOP_TIMEOUT_S
+        while self._calls_in_flight() and time.monotonic() < give_up_at:
+            time.sleep(STOP_POLL_S)
+
+    def _calls_in_flight(self) -> int:
+        hosted = sum(gate.in_flight for gate in self.gates.gate_by_id.values())
+        return hosted + self.entered.count
+
+    def _tick(self) -> None:
+        self.running.fleet.tick.defer()
+
+    def _take_frame(self, link: Link, frame: Any) -> None:
+        if isinstance(frame, Fleet):
+            self.running.fleet.receive.defer(frame.message)
+        elif isinstance(frame, Subscribe):
+            subscribe(self.subscriptions, self.links, link, frame, self.holder.current)
+
+    def _start_platform_actor(self) -> pykka.ActorRef[Any]:
+        return PlatformActor.start(self.platform, report=self._report)
+
+    def _report(self, result: PlatformResult) -> None:
+        self.running.fleet.platform_answered.defer(result)
+
+
+def _ask(action: FleetAction, asking: pykka.ActorRef[Any], watching: pykka.ActorRef[Any]) -> None:
+    # A waiting watch holds its actor, so it has one of its own.
+    actor = watching if isinstance(action, WatchContracts) else asking
+    actor.proxy().run.defer(action)
+
+
+def _platform_at(url: str | None) -> Platform:
+    if url is None:
+        from daisywharf._platform._absent import AbsentPlatform
+
+        return AbsentPlatform()
+    from daisywharf._platform._http_client import HttpPlatform
+
+    return HttpPlatform(url)
--- /dev/null
+++ b/src/daisywharf/_daemon/_handshake.py
@@ -0,0 +1,49 @@
+"""Prove on a new link that both ends hold a shared key, without sending it."""
+
+import hmac
+from collections.abc import Sequence
+from typing import Final
+
+from daisywharf._daemon._frames import Challenge, Hello, Welcome
+from daisywharf._errors import ErrorKind, LinkError
+from daisywharf._fleet._messages import Member
+
+NONCE_BYTES: Final = 16
+_OPEN_KEY: Final = ""
+
+
+def answer_challenge(
+    challenge: Challenge, *, key: str, nonce: bytes, member: Member | None
+) -> Hello:
+    """Prove the key to the accepting side, and challenge it in turn."""
+    return Hello(nonce, _proof(key, b"hello", challenge.nonce, nonce, member), member)
+
+
+def accept_hello(challenge: Challenge, hello: Hello, *, keys: Sequence[str]) -> Welcome:
+    """Check a proof against each key in force; raise `LinkError` (untrusted peer)."""
+    for key in keys or (_OPEN_KEY,):
+        expected = _proof(key, b"hello", challenge.nonce, hello.nonce, hello.member)
+        if hmac.compare_digest(expected, hello.proof):
+            return Welcome(_proof(key, b"welcome", challenge.nonce, hello.nonce, None))
+    name = "a library" if hello.member is None else hello.member.vm
+    message = f"{name} proved none of the {len(keys)} keys; give both ends a key in common"
+    raise LinkError(ErrorKind.UNTRUSTED_PEER, message)
+
+
+def check_welcome(challenge: Challenge, hello: Hello, welcome: Welcome, *, key: str) -> None:
+    """Check the accepting side's proof; raise `LinkError` (untrusted peer)."""
+    expected = _proof(key, b"welcome", challenge.nonce, hello.nonce, None)
+    if not hmac.compare_digest(expected, welcome.proof):
+        message = "the accepting side did not prove the key; give both ends a key in common"
+        raise LinkError(ErrorKind.UNTRUSTED_PEER, message)
+
+
+def first_key(keys: Sequence[str]) -> str:
+    """Return the key to prove: the first in the settings."""
+    return keys[0] if keys else _OPEN_KEY
+
+
+def _proof(key: str, role: bytes, first: bytes, second: bytes, member: Member | None) -> bytes:
+    named = b"" if member is None else f"{member.vm}|{member.zone}|{member.address}".encode()
+    parts = b"|".join((role, first.hex().encode(), second.hex().encode(), named))
+    return hmac.digest(key.encode(), parts, "sha256")
--- /dev/null
+++ b/src/daisywharf/_daemon/_in_flight.py
@@ -0,0 +1,25 @@
+"""Count the requests that a daemon has let in and not yet answered."""
+
+import threading
+from types import TracebackType
+
+
+class InFlight:
+    """Hold a count that each request raises while it is inside."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self.count = 0
+
+    def __enter__(self) -> None:
+        with self._lock:
+            self.count += 1
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        with self._lock:
+            self.count -= 1
--- /dev/null
+++ b/src/daisywharf/_daemon/_links.py
@@ -0,0 +1,284 @@
+"""The links of one process to its peers: websockets that carry CBOR frames."""
+
+import asyncio
+import secrets
+import threading
+import time
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import Server, serve
+from websockets.exceptions import WebSocketException
+
+from daisywharf._codec import decode, encode
+from daisywharf._daemon._frames import (
+    Challenge,
+    Frame,
+    Heartbeat,
+    HeartbeatEcho,
+    Hello,
+    Welcome,
+)
+from daisywharf._daemon._handshake import (
+    NONCE_BYTES,
+    accept_hello,
+    answer_challenge,
+    check_welcome,
+    first_key,
+)
+from daisywharf._errors import ErrorKind, LinkError
+from daisywharf._fleet._messages import Member
+from daisywharf._limits import MAX_FRAME_BYTES
+from daisywharf._outcomes._link import (
+    CloseLink,
+    LinkState,
+    SendHeartbeat,
+    TryNewConnection,
+    link_tick,
+    note_frame,
+)
+from daisywharf._topology import Address
+
+CONNECT_TIMEOUT_S: Final = 1.0
+LINK_TICK_S: Final = 0.25
+IDLE_LIMIT_S: Final = 15.0
+MAX_QUEUED_FRAMES: Final = 256
+
+FrameHandler = Callable[["Link", Any], None]
+
+
+class LinkCounts:
+    """Count what a process's links carried, in frames and bytes."""
+
+    def __init__(self) -> None:
+        self.frames_in = 0
+        self.frames_out = 0
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.refused_peers = 0
+        self.bad_frames = 0
+        self.silent_links = 0
+
+
+class Link:
+    """Hold one open connection to a peer; `member` is none for a library on the VM."""
+
+    def __init__(self, socket: Any, member: Member | None) -> None:
+        self.socket = socket
+        self.member = member
+        self.is_open = True
+        self.state = LinkState(now=time.monotonic())
+        self.used_at = time.monotonic()
+        self.queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED_FRAMES)
+
+    def put(self, frame: bytes) -> bool:
+        """Queue a frame to send, or tell that the peer takes too few."""
+        if self.queue.full():
+            return False
+        self.queue.put_nowait(frame)
+        return True
+
+
+class Links:
+    """Hold all links of one process; its event loop runs in a thread of its own."""
+
+    def __init__(
+        self,
+        *,
+        me: Callable[[], Member | None],
+        keys: Sequence[str],
+        on_frame: FrameHandler,
+        on_unreachable: Callable[[Address], None],
+    ) -> None:
+        self.me = me
+        self.keys = tuple(keys)
+        self.on_frame = on_frame
+        self.on_unreachable = on_unreachable
+        self.counts = LinkCounts()
+        self.loop = asyncio.new_event_loop()
+        self.link_by_address: dict[Address, Link] = {}
+        self.opening: dict[Address, list[bytes]] = {}
+        self.server: Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.thread = threading.Thread(target=self.loop.run_forever, name="links", daemon=True)
+
+    def start(self, address: Address) -> Address:
+        """Accept links at an address and return the one that the kernel gave."""
+        self.thread.start()
+        future = asyncio.run_coroutine_threadsafe(_listen(self, address), self.loop)
+        return future.result(timeout=10)
+
+    def send(self, address: Address, frame: Frame) -> None:
+        """Send a frame to the peer at an address, over an open link or a new one."""
+        self.loop.call_soon_threadsafe(_send_to, self, address, encode(frame))
+
+    def reply(self, link: Link, frame: Frame) -> None:
+        """Send a frame on a given link; it is dropped where the peer takes too few."""
+        self.loop.call_soon_threadsafe(link.put, encode(frame))
+
+    def every(self, period_s: float, action: Callable[[], None]) -> None:
+        """Run a short action on the loop again and again."""
+
+        def again() -> None:
+            self.loop.call_later(period_s, again)
+            action()
+
+        self.loop.call_soon_threadsafe(again)
+
+    def stop(self) -> None:
+        """Close all links and end the thread."""
+        future = asyncio.run_coroutine_threadsafe(_close_all(self), self.loop)
+        future.result(timeout=5)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(timeout=5)
+
+
+def _send_to(links: Links, address: Address, frame: bytes) -> None:
+    link = links.link_by_address.get(address)
+    if link is not None:
+        link.put(frame)
+        return
+    waiting = links.opening.get(address)
+    if waiting is not None:
+        if len(waiting) < MAX_QUEUED_FRAMES:
+            waiting.append(frame)
+        return
+    links.opening[address] = [frame]
+    _spawn(links, _open(links, address))
+
+
+def _spawn(links: Links, work: Any) -> None:
+    task = links.loop.create_task(work)
+    links.tasks.add(task)
+    task.add_done_callback(links.tasks.discard)
+
+
+async def _listen(links: Links, address: Address) -> Address:
+    links.server = await serve(
+        lambda socket: _accept(links, socket),
+        address.host,
+        address.port,
+        compression=None,
+        max_size=MAX_FRAME_BYTES,
+        ping_interval=None,
+        close_timeout=1,
+    )
+    host, port = next(iter(links.server.sockets)).getsockname()[:2]
+    return Address(host, port)
+
+
+async def _accept(links: Links, socket: Any) -> None:
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            challenge = Challenge(secrets.token_bytes(NONCE_BYTES))
+            await socket.send(encode(challenge))
+            hello = decode(await socket.recv(), Hello)
+            welcome = accept_hello(challenge, hello, keys=links.keys)
+            await socket.send(encode(welcome))
+    except (LinkError, WebSocketException, OSError, TimeoutError):
+        links.counts.refused_peers += 1
+        return
+    address = None if hello.member is None else hello.member.address
+    await _run(links, Link(socket, hello.member), address)
+
+
+async def _open(links: Links, address: Address) -> None:
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            socket = await connect(
+                f"ws://{address}",
+                compression=None,
+                max_size=MAX_FRAME_BYTES,
+                ping_interval=None,
+                close_timeout=1,
+                proxy=None,
+            )
+            await _prove(links, socket)
+    except (LinkError, WebSocketException, OSError, TimeoutError):
+        links.opening.pop(address, None)
+        links.on_unreachable(address)
+        return
+    link = Link(socket, None)
+    for frame in links.opening.pop(address, []):
+        link.put(frame)
+    await _run(links, link, address)
+
+
+async def _prove(links: Links, socket: Any) -> None:
+    challenge = decode(await socket.recv(), Challenge)
+    key = first_key(links.keys)
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    hello = answer_challenge(challenge, key=key, nonce=nonce, member=links.me())
+    await socket.send(encode(hello))
+    check_welcome(challenge, hello, decode(await socket.recv(), Welcome), key=key)
+
+
+async def _run(links: Links, link: Link, address: Address | None) -> None:
+    if address is not None:
+        links.link_by_address.setdefault(address, link)
+    try:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(_write(links, link))
+            group.create_task(_watch(links, link))
+            await _read(links, link)
+            raise LinkError(ErrorKind.CONNECT_FAILED, "the peer closed the link")
+    except* (LinkError, WebSocketException, OSError):
+        pass
+    finally:
+        link.is_open = False
+        if address is not None and links.link_by_address.get(address) is link:
+            del links.link_by_address[address]
+        await link.socket.close()
+
+
+async def _write(links: Links, link: Link) -> None:
+    while True:
+        frame = await link.queue.get()
+        await link.socket.send(frame)
+        links.counts.frames_out += 1
+        links.counts.bytes_out += len(frame)
+
+
+async def _read(links: Links, link: Link) -> None:
+    async for data in link.socket:
+        links.counts.frames_in += 1
+        links.counts.bytes_in += len(data)
+        note_frame(link.state, now=time.monotonic())
+        try:
+            _take(links, link, decode(data, Frame))
+        except LinkError:
+            # One bad frame costs its sender that frame; the link goes on.
+            links.counts.bad_frames += 1
+
+
+def _take(links: Links, link: Link, frame: Any) -> None:
+    if isinstance(frame, Heartbeat):
+        link.put(encode(HeartbeatEcho(frame.sequence)))
+    elif not isinstance(frame, HeartbeatEcho):
+        link.used_at = time.monotonic()
+        links.on_frame(link, frame)
+
+
+async def _watch(links: Links, link: Link) -> None:
+    while True:
+        await asyncio.sleep(LINK_TICK_S)
+        now = time.monotonic()
+        if link.member is None and now - link.used_at > IDLE_LIMIT_S:
+            raise LinkError(ErrorKind.CONNECT_FAILED, "the link was idle")
+        for action in link_tick(link.state, now=now, calls_out=0):
+            if isinstance(action, SendHeartbeat):
+                link.put(encode(Heartbeat(action.sequence)))
+            elif isinstance(action, CloseLink | TryNewConnection):
+                links.counts.silent_links += 1
+                raise LinkError(ErrorKind.CONNECT_FAILED, "the link is silent")
+
+
+async def _close_all(links: Links) -> None:
+    if links.server is not None:
+        links.server.close(close_connections=True)
+    for link in list(links.link_by_address.values()):
+        await link.socket.close()
+    for task in list(links.tasks):
+        task.cancel()
+    await asyncio.sleep(0)
--- /dev/null
+++ b/src/daisywharf/_daemon/_platform_actor.py
@@ -0,0 +1,114 @@
+"""The actors that call the platform, so that its delays hold up nothing else."""
+
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+import pykka
+
+from daisywharf._contracts import contract_from_json
+from daisywharf._errors import DaisywharfError, ErrorKind, PlatformError
+from daisywharf._fleet._messages import ContractRecord, Member
+from daisywharf._fleet._state import (
+    ContactsRead,
+    ContactWritten,
+    ContractsRead,
+    ListContacts,
+    ListContracts,
+    PlatformFailed,
+    PlatformResult,
+    WatchContracts,
+    WriteContact,
+)
+from daisywharf._ids import CustomerId, EditId, Version
+from daisywharf._platform._interface import ObjectKind, Platform, PlatformObject
+
+CALL_TIMEOUT_S: Final = 6.0
+WATCH_TIMEOUT_S: Final = 20.0
+
+PlatformAction = ListContracts | WatchContracts | ListContacts | WriteContact
+
+
+class PlatformActor(pykka.ThreadingActor):
+    """Run one call to the platform at a time and report its result."""
+
+    use_daemon_thread = True
+
+    def __init__(self, platform: Platform, *, report: Callable[[PlatformResult], None]) -> None:
+        super().__init__()
+        self._platform = platform
+        self._report = report
+
+    def run(self, action: PlatformAction) -> None:
+        """Run an action; a failure is a result too."""
+        try:
+            result = _result_of(self._platform, action)
+        except PlatformError as error:
+            result = PlatformFailed(action, is_gone=error.kind is ErrorKind.PLATFORM_GONE)
+        self._report(result)
+
+
+def _result_of(platform: Platform, action: PlatformAction) -> PlatformResult:
+    if isinstance(action, ListContracts):
+        listing = platform.list(ObjectKind.CONTRACT, timeout_s=CALL_TIMEOUT_S)
+        records = [_record(CustomerId(item.name), item.version, item) for item in listing.objects]
+        return ContractsRead(_readable(records), listing.version, whole=True)
+    if isinstance(action, WatchContracts):
+        changes = platform.watch(ObjectKind.CONTRACT, after=action.after, timeout_s=WATCH_TIMEOUT_S)
+        records = [
+            _record(CustomerId(change.name), change.version, change.object)
+            for change in changes.changes
+        ]
+        return ContractsRead(_readable(records), changes.version, whole=False)
+    if isinstance(action, ListContacts):
+        contacts = platform.list(ObjectKind.CONTACT, timeout_s=CALL_TIMEOUT_S)
+        return ContactsRead(_members(contacts.objects))
+    return _write_contact(platform, action.member)
+
+
+def _readable(records: list[ContractRecord | None]) -> tuple[ContractRecord, ...]:
+    return tuple(record for record in records if record is not None)
+
+
+def _record(
+    customer: CustomerId, version: Version, item: PlatformObject | None
+) -> ContractRecord | None:
+    if item is None:
+        return ContractRecord(customer, version, None)
+    try:
+        return ContractRecord(customer, version, contract_from_json(item.body, version))
+    except DaisywharfError:
+        # A contract that somebody wrote past the command line keeps its last good version.
+        return None
+
+
+def _members(objects: tuple[PlatformObject, ...]) -> tuple[Member, ...]:
+    members = []
+    for item in objects:
+        try:
+            members.append(msgspec.json.decode(item.body, type=Member))
+        except msgspec.MsgspecError:
+            continue
+    return tuple(members)
+
+
+def _write_contact(platform: Platform, member: Member) -> PlatformResult:
+    body = msgspec.json.encode(member)
+    edit_id = EditId(f"{member.vm}-{member.incarnation}")
+    name = f"{member.zone}.{member.vm}"
+    try:
+        present = platform.get(ObjectKind.CONTACT, name, timeout_s=CALL_TIMEOUT_S)
+    except PlatformError as error:
+        if error.kind is not ErrorKind.PLATFORM_GONE:
+            raise
+        platform.create(ObjectKind.CONTACT, name, body, edit_id=edit_id, timeout_s=CALL_TIMEOUT_S)
+        return ContactWritten()
+    platform.update(
+        ObjectKind.CONTACT,
+        name,
+        body,
+        if_version=present.version,
+        edit_id=edit_id,
+        timeout_s=CALL_TIMEOUT_S,
+    )
+    return ContactWritten()
--- /dev/null
+++ b/src/daisywharf/_demo/_targets.py
@@ -0,0 +1,43 @@
+"""A stand-in target's application: it works for a while and calls the next services."""
+
+import time
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from daisywharf._call._caller import Caller
+from daisywharf._call._wsgi import Environ, StartResponse, WsgiApp
+
+
+class StandInAnswer(msgspec.Struct, frozen=True):
+    """Tell which services took part in an answer."""
+
+    service: str
+    ran: int
+    below: tuple[str, ...] = ()
+
+
+def stand_in_app(
+    service: str,
+    *,
+    work_s: float,
+    next_services: Sequence[str] = (),
+    caller: Callable[[], Caller] | None = None,
+) -> WsgiApp:
+    """Return an application that sleeps, calls on, and answers with the chain's names."""
+    runs = 0
+
+    def app(environ: Environ, start_response: StartResponse) -> list[bytes]:
+        nonlocal runs
+        runs += 1
+        time.sleep(work_s)
+        below: list[str] = []
+        for name in next_services:
+            assert caller is not None
+            reply = caller().call(name, environ.get("PATH_INFO", "/"), idempotent=True)
+            answer = msgspec.json.decode(reply.body, type=StandInAnswer)
+            below.extend((answer.service, *answer.below))
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return [msgspec.json.encode(StandInAnswer(service, runs, tuple(below)))]
+
+    return app
--- /dev/null
+++ b/src/daisywharf/_embedded/__init__.py
@@ -0,0 +1,1 @@
+"""Embed daisywharf in a caller's or a target's own process."""
--- /dev/null
+++ b/src/daisywharf/_embedded/_caller.py
@@ -0,0 +1,41 @@
+"""Open the caller's side in a process on a VM that has a daemon."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from daisywharf._call._caller import Caller
+from daisywharf._call._snapshot import Snapshot, SnapshotHolder
+from daisywharf._embedded._daemon_link import DaemonLink
+from daisywharf._ids import ServiceName, VmId, ZoneName
+from daisywharf._topology import Address
+
+FIRST_SNAPSHOT_TIMEOUT_S: Final = 5.0
+
+
+class EmbeddedCaller:
+    """Make calls from this process, with snapshots from the VM's daemon."""
+
+    def __init__(
+        self,
+        *,
+        daemon: tuple[str, int],
+        name: str,
+        keys: Sequence[str] = (),
+        services: Sequence[str] = (),
+    ) -> None:
+        """Connect to the daemon's address for links; raise `LinkError`."""
+        holder = SnapshotHolder(Snapshot(VmId(""), ZoneName(""), 0))
+        wanted = tuple(ServiceName(service) for service in services)
+        self._link = DaemonLink(Address(*daemon), holder, keys=keys, services=wanted)
+        self._link.start(wait_s=FIRST_SNAPSHOT_TIMEOUT_S)
+        self._caller = Caller(holder, name=f"{holder.current.vm}/{name}")
+
+    @property
+    def caller(self) -> Caller:
+        """Return the caller's side, whose `enter` and `call` make requests."""
+        return self._caller
+
+    def close(self) -> None:
+        """Close the link and all connections."""
+        self._link.stop()
+        self._caller.close()
--- /dev/null
+++ b/src/daisywharf/_embedded/_daemon_link.py
@@ -0,0 +1,109 @@
+"""The link from a process to the daemon of its VM, which hands it snapshots."""
+
+import secrets
+import threading
+from collections.abc import Sequence
+from typing import Any, Final
+
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import ClientConnection, connect
+
+from daisywharf._call._snapshot import Snapshot, SnapshotHolder
+from daisywharf._codec import decode, encode
+from daisywharf._daemon._frames import (
+    Challenge,
+    Frame,
+    Heartbeat,
+    HeartbeatEcho,
+    Subscribe,
+    Welcome,
+)
+from daisywharf._daemon._handshake import (
+    NONCE_BYTES,
+    answer_challenge,
+    check_welcome,
+    first_key,
+)
+from daisywharf._errors import ErrorKind, LinkError
+from daisywharf._ids import ServiceName
+from daisywharf._limits import MAX_FRAME_BYTES
+from daisywharf._outcomes._link import SILENCE_LIMIT_S
+from daisywharf._topology import Address
+
+CONNECT_TIMEOUT_S: Final = 1.0
+RECONNECT_AFTER_S: Final = 0.25
+STOP_TIMEOUT_S: Final = 3.0
+
+
+class DaemonLink:
+    """Keep a snapshot up to date on a thread; a lost daemon leaves the last one in force."""
+
+    def __init__(
+        self,
+        address: Address,
+        holder: SnapshotHolder,
+        *,
+        keys: Sequence[str],
+        services: Sequence[ServiceName] = (),
+    ) -> None:
+        self.address = address
+        self.holder = holder
+        self.key = first_key(keys)
+        self.services = tuple(services)
+        self.received = threading.Event()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="daemon-link", daemon=True)
+
+    def start(self, *, wait_s: float) -> None:
+        """Connect and wait for the first snapshot; raise `LinkError` where none comes."""
+        self._thread.start()
+        if not self.received.wait(wait_s):
+            message = f"the daemon at {self.address} sent no snapshot within {wait_s} s"
+            raise LinkError(ErrorKind.CONNECT_FAILED, message)
+
+    def stop(self) -> None:
+        """Close the link."""
+        self._stopping.set()
+        self._thread.join(timeout=STOP_TIMEOUT_S)
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                with connect(
+                    f"ws://{self.address}",
+                    open_timeout=CONNECT_TIMEOUT_S,
+                    close_timeout=CONNECT_TIMEOUT_S,
+                    compression=None,
+                    max_size=MAX_FRAME_BYTES,
+                    ping_interval=None,
+                    proxy=None,
+                ) as socket:
+                    self._prove(socket)
+                    self._listen(socket)
+            except (LinkError, WebSocketException, OSError, TimeoutError):
+                self._stopping.wait(RECONNECT_AFTER_S)
+
+    def _prove(self, socket: ClientConnection) -> None:
+        challenge = _receive(socket, Challenge)
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        hello = answer_challenge(challenge, key=self.key, nonce=nonce, member=None)
+        socket.send(encode(hello))
+        check_welcome(challenge, hello, _receive(socket, Welcome), key=self.key)
+        socket.send(encode(Subscribe(self.services)))
+
+    def _listen(self, socket: ClientConnection) -> None:
+        # The daemon's heartbeats bound the silence of a live link.
+        while not self._stopping.is_set():
+            frame = _receive(socket, Frame)
+            if isinstance(frame, Snapshot):
+                self.holder.current = frame
+                self.received.set()
+            elif isinstance(frame, Heartbeat):
+                socket.send(encode(HeartbeatEcho(frame.sequence)))
+
+
+def _receive(socket: ClientConnection, frame_type: Any) -> Any:
+    data = socket.recv(timeout=SILENCE_LIMIT_S)
+    if isinstance(data, str):
+        raise LinkError(ErrorKind.BAD_FRAME, "a frame of text came; frames are binary CBOR")
+    return decode(data, frame_type)
--- /dev/null
+++ b/src/daisywharf/_embedded/_target.py
@@ -0,0 +1,124 @@
+"""Serve a target: its gate over HTTP, announced to the daemon of its VM until it leaves."""
+
+import threading
+import time
+from typing import Final
+
+import msgspec
+import urllib3
+
+from daisywharf._call._gate import Gate
+from daisywharf._call._wsgi import WsgiApp
+from daisywharf._daemon._announcement import Announcement
+from daisywharf._daemon._status import AnnouncementTaken
+from daisywharf._errors import DaisywharfError, ErrorKind, RequestError
+from daisywharf._http_server import HttpServer
+from daisywharf._topology import Address
+
+RENEW_AFTER_S: Final = 1.0
+ANNOUNCE_TIMEOUT_S: Final = 2.0
+# Calls that wait need threads besides those that run, and refusals need some at once.
+THREADS_PER_SLOT: Final = 2
+SPARE_THREADS: Final = 16
+LEAVE_SPREAD_S: Final = 2.0
+STOP_TIMEOUT_S: Final = 30.0
+STOP_POLL_S: Final = 0.02
+
+
+class TargetServer:
+    """Run one target with an embedded gate."""
+
+    def __init__(
+        self,
+        app: WsgiApp,
+        *,
+        target_id: str,
+        service: str,
+        slots: int,
+        connections: int,
+        daemon_http: tuple[str, int],
+        host: str = "127.0.0.1",
+        port: int = 0,
+    ) -> None:
+        incarnation = time.time_ns()
+        self.gate = Gate(app, target_id=target_id, incarnation=incarnation, slots=slots)
+        self._server = HttpServer(
+            self.gate,
+            address=Address(host, port),
+            threads=slots * THREADS_PER_SLOT + SPARE_THREADS,
+        )
+        self._announcement = Announcement(
+            target_id=target_id,
+            service=service,
+            incarnation=incarnation,
+            address=self._server.address,
+            slots=slots,
+            connections=connections,
+        )
+        self._announcer = Announcer(Address(*daemon_http))
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._renew, name="announce", daemon=True)
+
+    @property
+    def address(self) -> Address:
+        """Return where the gate answers."""
+        return self._server.address
+
+    def start(self) -> None:
+        """Serve and announce; raise `RequestError` where the daemon refuses."""
+        self._server.start()
+        self._announcer.announce(self._announcement)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Leave the fleet, finish what is in flight, and close; nothing is cut off."""
+        self._stopping.set()
+        self._thread.join(timeout=ANNOUNCE_TIMEOUT_S + RENEW_AFTER_S)
+        self._leave()
+        self.gate.drain()
+        give_up_at = time.monotonic() + STOP_TIMEOUT_S
+        while self.gate.in_flight and time.monotonic() < give_up_at:
+            time.sleep(STOP_POLL_S)
+        self._server.stop()
+
+    def _leave(self) -> None:
+        try:
+            self._announcer.withdraw(self._announcement)
+        except DaisywharfError:
+            # Without a daemon, callers learn of the leave from the gate's own refusals.
+            return
+        time.sleep(LEAVE_SPREAD_S)
+
+    def _renew(self) -> None:
+        while not self._stopping.wait(RENEW_AFTER_S):
+            try:
+                self._announcer.announce(self._announcement)
+            except DaisywharfError:
+                # The daemon is away; the next period asks again.
+                continue
+
+
+class Announcer:
+    """Tell a daemon about targets over its HTTP."""
+
+    def __init__(self, daemon: Address) -> None:
+        self._pool = urllib3.HTTPConnectionPool(daemon.host, daemon.port, maxsize=1, retries=False)
+
+    def announce(self, announcement: Announcement) -> AnnouncementTaken:
+        """Announce or renew; raise `RequestError`."""
+        return self._post("/announce", announcement)
+
+    def withdraw(self, announcement: Announcement) -> AnnouncementTaken:
+        """Take a target out of the fleet; raise `RequestError`."""
+        return self._post("/withdraw", announcement)
+
+    def _post(self, path: str, announcement: Announcement) -> AnnouncementTaken:
+        body = msgspec.json.encode(announcement)
+        try:
+            response = self._pool.urlopen("POST", path, body=body, timeout=ANNOUNCE_TIMEOUT_S)
+        except urllib3.exceptions.HTTPError as error:
+            raise RequestError(ErrorKind.CONNECT_FAILED, f"daemon: {error}") from error
+        if response.status != 200:
+            message = f"the daemon refused {path}: {response.data.decode(errors='replace')}"
+            raise RequestError(ErrorKind.BAD_REQUEST, message)
+        return msgspec.json.decode(response.data, type=AnnouncementTaken)
--- a/src/daisywharf/_topology.py
+++ b/src/daisywharf/_topology.py
@@ -33,7 +33,7 @@
 
 
 class Target(msgspec.Struct, frozen=True):
-    """Describe a target as it announced itself; `address` is where its gate answers."""
+    """Describe a target as it announced itself; `address` and `path_prefix` name its gate."""
 
     target_id: TargetId
     service: ServiceName
@@ -45,3 +45,4 @@
     connections: int
     state: TargetState = TargetState.SERVING
     gate: GateHost = GateHost.TARGET
+    path_prefix: str = ""
