Add the demonstration on an embedded platform

Cause: a newcomer needs one command that shows the whole path in calm and in a surge. Conclusion: the frame shows what overload work has to mend.

--- a/src/daisywharf/_call/_attempts.py
+++ b/src/daisywharf/_call/_attempts.py
@@ -76,11 +76,10 @@
     if request.context.deadline <= state.clock():
         return False
     with state.lock:
-        return scope.budget.left > 0 and may_retry(state.ratio, ratio_key) and _spend(scope)
-
-
-def _spend(scope: Scope) -> bool:
-    return spend_retry(scope.budget)
+        if scope.budget.left <= 0 or not may_retry(state.ratio, ratio_key):
+            return False
+        state.retries += 1
+        return spend_retry(scope.budget)
 
 
 def _attempt(state: CallerState, scope: Scope, request: CallRequest, target: Target) -> CallReply:
--- a/src/daisywharf/_call/_caller.py
+++ b/src/daisywharf/_call/_caller.py
@@ -71,6 +71,11 @@
         request = CallRequest(ServiceName(service), method, path, context, headers or {}, body)
         return self._pass(Scope(context), request)
 
+    @property
+    def retries(self) -> int:
+        """Return how many retries this caller has made."""
+        return self._state.retries
+
     def close(self) -> None:
         """Close the connections to targets."""
         self._state.connections.close()
--- a/src/daisywharf/_call/_parties.py
+++ b/src/daisywharf/_call/_parties.py
@@ -36,6 +36,7 @@
         self.ratio = RetryRatio()
         self.router_by_service: dict[ServiceName, RouterState] = {}
         self.sequence_by_service: dict[ServiceName, int] = {}
+        self.retries = 0
 
 
 def choose_target(
--- /dev/null
+++ b/src/daisywharf/_demo/_load.py
@@ -0,0 +1,127 @@
+"""Offer the demonstration's load through a daemon's entry, and count how it is answered."""
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Sequence
+
+import msgspec
+import urllib3
+
+from daisywharf._context import CALL_CLASS, CUSTOMER, ERROR_KIND
+from daisywharf._topology import Address
+
+NO_ANSWER = "no-answer"
+WHOLE = "whole"
+SLOW_ANSWER_S = 0.25
+
+
+class Stream(msgspec.Struct, frozen=True):
+    """Describe requests of one customer's call class, offered at a steady rate."""
+
+    customer: str
+    call_class: str
+    service: str
+    requests_per_second: float
+
+
+class Phase(msgspec.Struct, frozen=True):
+    """Offer all streams for a while; the rate of `surging` classes is multiplied."""
+
+    name: str
+    seconds: float
+    factor: float
+
+
+class StreamResult(msgspec.Struct):
+    """Count the answers of one stream in one phase; latencies are in milliseconds."""
+
+    phase: str
+    call_class: str
+    offered: int
+    whole: int
+    refused_by_kind: dict[str, int]
+    p50_ms: float
+    p99_ms: float
+
+
+class _Tally:
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.count_by_answer: Counter[str] = Counter()
+        self.latencies_ms: list[float] = []
+
+
+def run_phase(
+    phase: Phase, streams: Sequence[Stream], *, surging: frozenset[str], entry: Address
+) -> list[StreamResult]:
+    """Offer a phase's load and return what came of each stream."""
+    tally_by_class = {stream.call_class: _Tally() for stream in streams}
+    workers = []
+    for stream in streams:
+        factor = phase.factor if stream.call_class in surging else 1.0
+        rate = stream.requests_per_second * factor
+        tally = tally_by_class[stream.call_class]
+        workers.extend(_workers(stream, rate, phase.seconds, tally, entry))
+    for worker in workers:
+        worker.start()
+    for worker in workers:
+        worker.join()
+    return [_result(phase, stream, tally_by_class[stream.call_class]) for stream in streams]
+
+
+def _workers(
+    stream: Stream, rate: float, seconds: float, tally: _Tally, entry: Address
+) -> list[threading.Thread]:
+    # Each worker waits for its answers, so there are enough to keep up the rate at slow answers.
+    count = max(1, int(rate * SLOW_ANSWER_S) + 1)
+    return [
+        threading.Thread(
+            target=_offer,
+            args=(stream, tally, entry),
+            kwargs={"rate": rate / count, "seconds": seconds, "delay_s": index / rate},
+        )
+        for index in range(count)
+    ]
+
+
+def _offer(
+    stream: Stream, tally: _Tally, entry: Address, *, rate: float, seconds: float, delay_s: float
+) -> None:
+    pool = urllib3.HTTPConnectionPool(entry.host, entry.port, maxsize=1, retries=False)
+    started = time.monotonic()
+    due = started + delay_s
+    while due < started + seconds:
+        time.sleep(max(0.0, due - time.monotonic()))
+        _offer_one(pool, stream, tally)
+        due += 1.0 / rate
+    pool.close()
+
+
+def _offer_one(pool: urllib3.HTTPConnectionPool, stream: Stream, tally: _Tally) -> None:
+    headers = {CUSTOMER: stream.customer, CALL_CLASS: stream.call_class}
+    started = time.monotonic()
+    try:
+        reply = pool.urlopen("POST", f"/call/{stream.service}/", headers=headers, body=b"{}")
+        answer = WHOLE if reply.status == 200 else reply.headers.get(ERROR_KIND, NO_ANSWER)
+    except urllib3.exceptions.HTTPError:
+        answer = NO_ANSWER
+    elapsed_ms = (time.monotonic() - started) * 1_000.0
+    with tally.lock:
+        tally.count_by_answer[answer] += 1
+        if answer == WHOLE:
+            tally.latencies_ms.append(elapsed_ms)
+
+
+def _result(phase: Phase, stream: Stream, tally: _Tally) -> StreamResult:
+    refused = {kind: count for kind, count in tally.count_by_answer.items() if kind != WHOLE}
+    latencies_ms = sorted(tally.latencies_ms) or [0.0]
+    return StreamResult(
+        phase=phase.name,
+        call_class=stream.call_class,
+        offered=tally.count_by_answer.total(),
+        whole=tally.count_by_answer[WHOLE],
+        refused_by_kind=refused,
+        p50_ms=round(latencies_ms[len(latencies_ms) // 2], 1),
+        p99_ms=round(latencies_ms[int(len(latencies_ms) * 0.99)], 1),
+    )
