--- a/src/daisywharf/_call/_attempts.py
+++ b/src/daisywharf/_call/_attempts.py
@@ -6,7 +6,6 @@
 from daisywharf._call._parties import CallerState, choose_target, note_outcome
 from daisywharf._call._resolving import new_ticket, resolve_outcome
 from daisywharf._call._scope import Scope
-from daisywharf._call._transport import send_call
 from daisywharf._context import LEVEL, RETRIES, RETRIES_UNSPENT, TICKET
 from daisywharf._errors import ErrorKind, Ran, RequestError
 from daisywharf._ids import TargetId
@@ -119,7 +118,7 @@
     if ticket is not None:
         extra_headers[TICKET] = ticket.to_header()
     try:
-        return send_call(state.connections, target, request, extra_headers=extra_headers, now=now)
+        return state.send(target, request, extra_headers=extra_headers, now=now)
     except RequestError as error:
         if ticket is None or error.answer.ran is Ran.NO:
             raise
--- a/src/daisywharf/_call/_caller.py
+++ b/src/daisywharf/_call/_caller.py
@@ -7,7 +7,7 @@
 
 from daisywharf._call._attempts import call_with_retries
 from daisywharf._call._exchange import CallReply, CallRequest
-from daisywharf._call._parties import CallerState, Clock
+from daisywharf._call._parties import CallerState, Clock, SendCall
 from daisywharf._call._scope import Scope, current_scope
 from daisywharf._call._snapshot import SnapshotHolder, call_class_of
 from daisywharf._context import RequestContext
@@ -30,8 +30,9 @@
         name: str,
         clock: Clock = time.monotonic,
         rng: Random | None = None,
+        send: SendCall | None = None,
     ) -> None:
-        self._state = CallerState(holder, caller=name, clock=clock, rng=rng or Random())
+        self._state = CallerState(holder, caller=name, clock=clock, rng=rng or Random(), send=send)
         self._rates = RateState()
 
     def call(
--- a/src/daisywharf/_call/_parties.py
+++ b/src/daisywharf/_call/_parties.py
@@ -2,10 +2,13 @@
 
 import threading
 from collections.abc import Callable
+from functools import partial
 from random import Random
+from typing import Protocol
 
+from daisywharf._call._exchange import CallReply, CallRequest
 from daisywharf._call._snapshot import SnapshotHolder
-from daisywharf._call._transport import Connections
+from daisywharf._call._transport import Connections, send_call
 from daisywharf._ids import ServiceName, TargetId
 from daisywharf._overload._level_cache import LevelCache
 from daisywharf._routing._retries import RetryRatio
@@ -22,16 +25,34 @@
 Clock = Callable[[], float]
 
 
+class SendCall(Protocol):
+    """Send one attempt of a call and return its whole answer, or raise `RequestError`."""
+
+    def __call__(
+        self, target: Target, request: CallRequest, *, extra_headers: dict[str, str], now: float
+    ) -> CallReply:
+        """Send the call at `now`, in seconds of the caller's clock."""
+
+
 class CallerState:
     """Hold a caller's routers, levels and retry ratios, which one lock guards."""
 
-    def __init__(self, holder: SnapshotHolder, *, caller: str, clock: Clock, rng: Random) -> None:
+    def __init__(
+        self,
+        holder: SnapshotHolder,
+        *,
+        caller: str,
+        clock: Clock,
+        rng: Random,
+        send: SendCall | None,
+    ) -> None:
         self.holder = holder
         self.caller = caller
         self.clock = clock
         self.rng = rng
         self.lock = threading.Lock()
         self.connections = Connections()
+        self.send: SendCall = send or partial(send_call, self.connections)
         self.levels = LevelCache()
         self.ratio = RetryRatio()
         self.router_by_service: dict[ServiceName, RouterState] = {}
--- a/src/daisywharf/_call/_resolving.py
+++ b/src/daisywharf/_call/_resolving.py
@@ -6,7 +6,7 @@
 
 from daisywharf._call._exchange import CallReply, CallRequest
 from daisywharf._call._parties import CallerState
-from daisywharf._call._transport import RESOLVE_PATH, send_call
+from daisywharf._call._transport import RESOLVE_PATH
 from daisywharf._context import ERROR_KIND, TICKET
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import IdempotencyKey
@@ -36,7 +36,7 @@
     now = state.clock()
     while now < request.context.deadline:
         try:
-            reply = send_call(state.connections, target, asking, extra_headers=headers, now=now)
+            reply = state.send(target, asking, extra_headers=headers, now=now)
         except RequestError:
             reply = None
         if reply is not None and reply.headers.get(ERROR_KIND) != ErrorKind.STILL_RUNNING.value:
--- a/src/daisywharf/_call/_transport.py
+++ b/src/daisywharf/_call/_transport.py
@@ -59,16 +59,23 @@
 
     Raise `RequestError`: connect failed (not run), timed out, cut answer, outcome unknown.
     """
-    call_id = token_hex(8)
+    headers = call_headers(target, request, extra_headers=extra_headers, now=now)
+    reply = _exchange(connections, target, request, headers, request.context.deadline - now)
+    _check_identity(reply, target, headers[CALL_ID])
+    return reply
+
+
+def call_headers(
+    target: Target, request: CallRequest, *, extra_headers: dict[str, str], now: float
+) -> dict[str, str]:
+    """Write the headers of one attempt: the context, and which incarnation is meant."""
     headers = without_headers_of_one_hop(request.headers)
     headers.update(headers_from(request.context, now=now))
     headers.update(extra_headers)
-    headers[CALL_ID] = call_id
+    headers[CALL_ID] = token_hex(8)
     headers[INCARNATION] = str(target.incarnation)
     headers[TARGET] = target.target_id
-    reply = _exchange(connections, target, request, headers, request.context.deadline - now)
-    _check_identity(reply, target, call_id)
-    return reply
+    return headers
 
 
 def _exchange(
