Route by outcomes among a bounded subset, own zone first

Cause: the first form looked at all targets on each choice, so that its cost and each target's connections grew with the fleet; it knew only calls in flight, so that a target that fails or refuses quickly drew the calls; and it had no way out of an own zone that is down or slow. Ruled out while building: one smoothed part for refusals and failures (a gate that sheds would be ejected for shedding); ejecting without looking at the others (where all fail, it only loads the rest); taking the announced connections as they are (a lie widens all subsets). Change: weighted rendezvous subset sized by callers and connections; two choices by smoothed latency, calls in flight, refusals and failures, which fade; calls spill by what own-zone and other-zone outcomes show; slow start per incarnation; ejection capped at half, with single probes; outcomes that span a pause teach nothing.

--- /dev/null
+++ b/src/daisywharf/_routing/_record.py
@@ -0,0 +1,79 @@
+"""What a caller saw of one target, smoothed, and how fast it forgets."""
+
+from typing import Final
+
+from daisywharf._topology import Target
+
+LATENCY_GAIN: Final = 0.2
+FAILED_GAIN: Final = 0.2
+# A target that was not called for this long is judged as an average one.
+KNOWLEDGE_LIFETIME_S: Final = 5.0
+SLOW_START_S: Final = 10.0
+SLOW_START_LEAST: Final = 0.05
+# A target that answers none of its calls costs as much as one (1 + this) times as slow.
+FAILED_PENALTY: Final = 20.0
+LEAST_LATENCY_S: Final = 0.000_1
+
+
+class TargetRecord:
+    """Hold one target's outcomes; `failed_part` and `refused_part` are smoothed, 0 to 1."""
+
+    def __init__(self, target: Target, *, is_own_zone: bool, warm_at: float) -> None:
+        self.target = target
+        self.is_own_zone = is_own_zone
+        self.warm_at = warm_at
+        self.in_flight = 0
+        self.latency_s: float | None = None
+        self.failed_part = 0.0
+        self.refused_part = 0.0
+        self.learned_at = float("-inf")
+        self.failures_in_a_row = 0
+        self.ejections = 0
+        self.is_ejected = False
+        self.is_probing = False
+        self.probe_at = 0.0
+
+
+def freshness(record: TargetRecord, now: float) -> float:
+    """Return how far the record still holds, from 1 down to 0."""
+    return max(0.0, 1.0 - (now - record.learned_at) / KNOWLEDGE_LIFETIME_S)
+
+
+def learn(
+    record: TargetRecord, *, failed: float, refused: float, latency_s: float | None, now: float
+) -> None:
+    """Smooth one outcome into the record; a latency of none tells nothing of its speed."""
+    fresh = freshness(record, now)
+    record.failed_part = _smooth(record.failed_part * fresh, failed, FAILED_GAIN)
+    record.refused_part = _smooth(record.refused_part * fresh, refused, FAILED_GAIN)
+    if latency_s is not None:
+        known = record.latency_s if fresh > 0 else None
+        record.latency_s = _smooth(known, latency_s, LATENCY_GAIN)
+    record.learned_at = now
+
+
+def _smooth(known: float | None, value: float, gain: float) -> float:
+    return value if known is None else known + gain * (value - known)
+
+
+def cost(record: TargetRecord, *, typical_latency_s: float, now: float) -> float:
+    """Return the expected seconds of one more call, by outcomes alone."""
+    fresh = freshness(record, now)
+    latency_s = typical_latency_s
+    if record.latency_s is not None:
+        latency_s += (record.latency_s - typical_latency_s) * fresh
+    unanswered = (record.failed_part + record.refused_part) * fresh
+    calls = record.in_flight + 1
+    return max(latency_s, LEAST_LATENCY_S) * calls * (1.0 + FAILED_PENALTY * unanswered)
+
+
+def slow_start_part(record: TargetRecord, now: float) -> float:
+    """Return the part of its usual calls that a target gets now, 0 to 1."""
+    if now >= record.warm_at:
+        return 1.0
+    return max(SLOW_START_LEAST, 1.0 - (record.warm_at - now) / SLOW_START_S)
+
+
+def start_slowly(record: TargetRecord, *, now: float) -> None:
+    """Give the target a small share that rises over `SLOW_START_S`."""
+    record.warm_at = now + SLOW_START_S
--- a/src/daisywharf/_routing/_router.py
+++ b/src/daisywharf/_routing/_router.py
@@ -1,12 +1,31 @@
 """Choose among one service's targets by the outcomes of earlier calls."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import Enum
 from random import Random
+from typing import Final
 
 from daisywharf._ids import ServiceName, TargetId, ZoneName
+from daisywharf._routing._ejection import is_probe_due, note_answer, note_failure, note_probe
+from daisywharf._routing._record import (
+    TargetRecord,
+    cost,
+    learn,
+    slow_start_part,
+    start_slowly,
+)
+from daisywharf._routing._spill import (
+    SpillState,
+    forget_spill,
+    note_spill,
+    spill_part,
+    typical_latency_s,
+)
+from daisywharf._routing._subset import pick_subset
 from daisywharf._topology import Target, TargetState
 
+ALWAYS_WARM: Final = float("-inf")
+
 
 class CallOutcome(Enum):
     """Name what a caller saw of one call to a target."""
@@ -18,40 +37,140 @@
 
 
 class RouterState:
-    """Hold what one caller knows of one service's targets."""
+    """Hold what one caller knows of one service's targets; one thread at a time may use it."""
 
     def __init__(self, *, service: ServiceName, zone: ZoneName, caller: str) -> None:
         self.service = service
         self.zone = zone
         self.caller = caller
         self.target_by_id: dict[TargetId, Target] = {}
-        self.in_flight_by_id: dict[TargetId, int] = {}
+        self.callers_by_zone: dict[ZoneName, int] = {}
+        self.record_by_id: dict[TargetId, TargetRecord] = {}
+        self.own_zone: tuple[TargetRecord, ...] = ()
+        self.other_zones: tuple[TargetRecord, ...] = ()
+        self.subset: tuple[TargetRecord, ...] = ()
+        self.spill = SpillState()
+        self.distrusted_before = float("-inf")
 
 
-def update_targets(state: RouterState, targets: Iterable[Target], *, now: float) -> None:
-    """Take the service's targets that the fleet knows now, of every zone."""
-    state.target_by_id = {target.target_id: target for target in targets}
+def update_targets(
+    state: RouterState,
+    targets: Iterable[Target],
+    *,
+    now: float,
+    callers_by_zone: Mapping[ZoneName, int] | None = None,
+) -> None:
+    """Take the service's targets that the fleet knows now, of every zone.
+
+    `callers_by_zone` counts the callers of the whole fleet, by which a subset is sized.
+    """
+    target_by_id = {target.target_id: target for target in targets}
+    callers = dict(callers_by_zone or {})
+    if target_by_id == state.target_by_id and callers == state.callers_by_zone:
+        return
+    is_first = not state.target_by_id
+    state.target_by_id = target_by_id
+    state.callers_by_zone = callers
+    _refresh_subset(state, is_first=is_first, now=now)
+
+
+def _refresh_subset(state: RouterState, *, is_first: bool, now: float) -> None:
+    callable_targets = [
+        target for target in state.target_by_id.values() if target.state is not TargetState.DRAINING
+    ]
+    subset = pick_subset(
+        callable_targets,
+        caller=state.caller,
+        zone=state.zone,
+        callers_by_zone=state.callers_by_zone,
+    )
+    in_flight_by_id = {
+        target_id: record for target_id, record in state.record_by_id.items() if record.in_flight
+    }
+    state.own_zone = tuple(_record(state, t, is_first, now) for t in subset.own_zone)
+    state.other_zones = tuple(_record(state, t, is_first, now) for t in subset.other_zones)
+    state.subset = state.own_zone + state.other_zones
+    # A target that left the subset is forgotten when its last call ends.
+    state.record_by_id = in_flight_by_id | {
+        record.target.target_id: record for record in state.subset
+    }
+
+
+def _record(state: RouterState, target: Target, is_first: bool, now: float) -> TargetRecord:
+    known = state.record_by_id.get(target.target_id)
+    if known is not None and known.target.incarnation == target.incarnation:
+        known.target = target
+        return known
+    record = TargetRecord(target, is_own_zone=target.zone == state.zone, warm_at=ALWAYS_WARM)
+    # A caller that has just started can't tell an old target from a new one but by its state.
+    if not is_first or target.state is TargetState.COLD:
+        start_slowly(record, now=now)
+    if known is not None:
+        record.in_flight = known.in_flight
+    return record
 
 
 def choose(
     state: RouterState, *, now: float, rng: Random, excluded: frozenset[TargetId] = frozenset()
 ) -> Target | None:
     """Choose a target, or none where no target may be called."""
-    usable = [
-        target
-        for target in state.target_by_id.values()
-        if target.target_id not in excluded and target.state is not TargetState.DRAINING
-    ]
-    if not usable:
-        return None
-    own = [target for target in usable if target.zone == state.zone] or usable
-    two = rng.sample(own, min(2, len(own)))
-    return min(two, key=lambda target: state.in_flight_by_id.get(target.target_id, 0))
+    for record in state.subset:
+        is_excluded = record.target.target_id in excluded
+        if record.is_ejected and not is_excluded and is_probe_due(record, now=now):
+            return record.target
+    chosen = _choose_zone(state, excluded, now, rng)
+    return None if chosen is None else chosen.target
+
+
+def _choose_zone(
+    state: RouterState, excluded: frozenset[TargetId], now: float, rng: Random
+) -> TargetRecord | None:
+    is_spilled = bool(state.other_zones) and rng.random() < spill_part(state.spill, now=now)
+    first, second = state.own_zone, state.other_zones
+    if is_spilled:
+        first, second = second, first
+    candidates = _usable(first, excluded) or _usable(second, excluded)
+    if not candidates:
+        candidates = [r for r in state.subset if r.target.target_id not in excluded]
+    return _choose_of_two(state, candidates, now, rng) if candidates else None
+
+
+def _usable(records: tuple[TargetRecord, ...], excluded: frozenset[TargetId]) -> list[TargetRecord]:
+    return [r for r in records if not r.is_ejected and r.target.target_id not in excluded]
+
+
+def _choose_of_two(
+    state: RouterState, candidates: list[TargetRecord], now: float, rng: Random
+) -> TargetRecord:
+    first = candidates.pop(int(rng.random() * len(candidates)))
+    if not candidates:
+        return first
+    second = candidates[int(rng.random() * len(candidates))]
+    if not _takes_call(first, now, rng):
+        return second
+    if not _takes_call(second, now, rng):
+        return first
+    typical_s = typical_latency_s(state.spill)
+    first_cost = cost(first, typical_latency_s=typical_s, now=now)
+    return first if first_cost <= cost(second, typical_latency_s=typical_s, now=now) else second
+
+
+def _takes_call(record: TargetRecord, now: float, rng: Random) -> bool:
+    return now >= record.warm_at or rng.random() < slow_start_part(record, now)
 
 
 def record_start(state: RouterState, target_id: TargetId, *, now: float) -> None:
     """Count a call that leaves for a target."""
-    state.in_flight_by_id[target_id] = state.in_flight_by_id.get(target_id, 0) + 1
+    record = state.record_by_id.get(target_id)
+    if record is None:
+        target = state.target_by_id.get(target_id)
+        if target is None:
+            return
+        record = _record(state, target, is_first=True, now=now)
+        state.record_by_id[target_id] = record
+    record.in_flight += 1
+    if record.is_ejected:
+        note_probe(record, now=now)
 
 
 def record_outcome(
@@ -63,4 +182,43 @@
     now: float,
 ) -> None:
     """Learn from a call that ended."""
-    state.in_flight_by_id[target_id] = max(0, state.in_flight_by_id.get(target_id, 0) - 1)
+    record = state.record_by_id.get(target_id)
+    if record is None:
+        return
+    record.in_flight = max(0, record.in_flight - 1)
+    if now - latency_s >= state.distrusted_before:
+        _learn(state, record, outcome, latency_s, now)
+    if record.in_flight == 0 and record not in state.subset:
+        del state.record_by_id[target_id]
+
+
+def _learn(
+    state: RouterState, record: TargetRecord, outcome: CallOutcome, latency_s: float, now: float
+) -> None:
+    is_answered = outcome is CallOutcome.SUCCEEDED
+    is_refused = outcome is CallOutcome.REFUSED
+    is_failed = not is_answered and not is_refused
+    # Refusals and broken connections are quick, and say nothing of how long an answer takes.
+    tells_latency = is_answered or outcome is CallOutcome.TIMED_OUT
+    learn(
+        record,
+        failed=float(is_failed),
+        refused=float(is_refused),
+        latency_s=latency_s if tells_latency else None,
+        now=now,
+    )
+    note_spill(state.spill, record, is_answered=is_answered, latency_s=latency_s, now=now)
+    if is_failed:
+        note_failure(record, state.subset, now=now)
+    else:
+        note_answer(record, now=now)
+
+
+def note_pause(state: RouterState, *, now: float) -> None:
+    """Distrust what was learned before a gap in time, and calls that spanned it."""
+    state.distrusted_before = now
+    forget_spill(state.spill)
+    for record in state.record_by_id.values():
+        record.learned_at = float("-inf")
+        record.failures_in_a_row = 0
+        record.probe_at = min(record.probe_at, now)
--- /dev/null
+++ b/src/daisywharf/_routing/_spill.py
@@ -0,0 +1,90 @@
+"""Move calls to other zones by the headroom that outcomes show."""
+
+import math
+from typing import Final
+
+from daisywharf._routing._record import TargetRecord
+
+STEP_UP: Final = 0.1
+STEP_DOWN: Final = 0.003
+SPILL_LIFETIME_S: Final = 10.0
+SPILL_MOST: Final = 0.98
+# A few calls cross zones always, so that the other zones' latency is known.
+EXPLORING_PART: Final = 0.02
+ZONE_LATENCY_GAIN: Final = 0.05
+ZONE_LATENCY_LIFETIME_S: Final = 20.0
+SLOW_FACTOR: Final = 2.0
+SLOW_MARGIN_S: Final = 0.005
+
+
+class ZoneLatency:
+    """Hold the smoothed latency of answers from the own zone, or from the others."""
+
+    def __init__(self) -> None:
+        self.latency_s: float | None = None
+        self.learned_at = float("-inf")
+
+
+class SpillState:
+    """Hold the part of calls that leaves the own zone."""
+
+    def __init__(self) -> None:
+        self.part = 0.0
+        self.changed_at = 0.0
+        self.own = ZoneLatency()
+        self.others = ZoneLatency()
+
+
+def spill_part(state: SpillState, *, now: float) -> float:
+    """Return the part of calls to send to other zones now."""
+    return max(EXPLORING_PART, _faded(state, now))
+
+
+def note_spill(
+    state: SpillState,
+    record: TargetRecord,
+    *,
+    is_answered: bool,
+    latency_s: float,
+    now: float,
+) -> None:
+    """Move the part away from the side that refuses, fails, or is much slower."""
+    if is_answered:
+        _note_latency(state.own if record.is_own_zone else state.others, latency_s, now)
+    is_bad = not is_answered or (record.is_own_zone and _is_own_zone_slow(state, now))
+    step = STEP_UP if is_bad else -STEP_DOWN
+    if not record.is_own_zone:
+        step = -STEP_UP if is_bad else 0.0
+    state.part = min(SPILL_MOST, max(0.0, _faded(state, now) + step))
+    state.changed_at = now
+
+
+def forget_spill(state: SpillState) -> None:
+    """Return to the own zone and forget all latencies."""
+    state.part = 0.0
+    state.own = ZoneLatency()
+    state.others = ZoneLatency()
+
+
+def typical_latency_s(state: SpillState) -> float:
+    """Return the latency to expect of a target that nothing is known of."""
+    known = state.own.latency_s
+    return (state.others.latency_s or 0.0) if known is None else known
+
+
+def _faded(state: SpillState, now: float) -> float:
+    return state.part * math.exp(-max(0.0, now - state.changed_at) / SPILL_LIFETIME_S)
+
+
+def _note_latency(zone: ZoneLatency, latency_s: float, now: float) -> None:
+    if zone.latency_s is None or now - zone.learned_at > ZONE_LATENCY_LIFETIME_S:
+        zone.latency_s = latency_s
+    zone.latency_s += ZONE_LATENCY_GAIN * (latency_s - zone.latency_s)
+    zone.learned_at = now
+
+
+def _is_own_zone_slow(state: SpillState, now: float) -> bool:
+    own, others = state.own.latency_s, state.others.latency_s
+    if own is None or others is None or now - state.others.learned_at > ZONE_LATENCY_LIFETIME_S:
+        return False
+    return own > SLOW_FACTOR * others + SLOW_MARGIN_S
