Add the overload bench with thin admission

The entry keeps a window of requests in flight for each loaded service, sized from the load that rides back on answers.

--- /dev/null
+++ b/benchmarks/_overload_figures.py
@@ -0,0 +1,119 @@
+"""The figures of the overload bench, from what a run saw."""
+
+import msgspec
+
+from benchmarks._overload_run import Load, Scenario
+from benchmarks._overload_watch import Watch
+from daisywharf._contract import Importance
+from daisywharf._ids import CustomerId
+from daisywharf._virtual._clients import ClientRequest, SendResult
+
+RECOVERY_WINDOW_S = 1.0
+RECOVERY_STEP_S = 0.1
+RECOVERY_MARGIN = 0.1
+MS_PER_S = 1_000.0
+
+
+class Figures(msgspec.Struct, frozen=True):
+    """Hold the figures of one run."""
+
+    goodput_ratio: float
+    important_success_ratio: float
+    important_fits: bool
+    priority_inversions: int
+    recovery_seconds: float
+    attempts_per_request: float
+    max_retries_in_one_tree: int
+    wasted_work_ratio: float
+    refusal_delay_ms: float
+    refused_wait_ms: float
+    p99_before_ms: float
+    success_ratio: float
+    capacity_per_second: float
+    offered_per_second: float
+
+
+def figures_of(scenario: Scenario, load: Load, watch: Watch) -> Figures:
+    """Work out the figures of a run."""
+    start, end = scenario.surge_at, scenario.surge_end
+    whole = [r for r in watch.results if r.kind is None and start <= r.ended_at < end]
+    allowed = sum(load.allowed.rate_by_class.values()) * scenario.surge_s
+    requests = _requests(watch, start, end)
+    important = [r for r in requests if r.call_class.importance is Importance.CRITICAL]
+    worked_s = sum(r.send.target_s for r in watch.results)
+    wasted_s = sum(r.send.target_s for r in watch.results if r.kind is not None)
+    waits = sorted(watch.refused_wait_s)
+    return Figures(
+        goodput_ratio=_ratio(len(whole), allowed),
+        important_success_ratio=_success_ratio(important),
+        important_fits=load.allowed.important_fits,
+        priority_inversions=watch.inversions,
+        recovery_seconds=recovery_seconds(scenario, watch),
+        attempts_per_request=_ratio(watch.first_calls + watch.retried_calls, watch.first_calls),
+        max_retries_in_one_tree=max((r.send.retries for r in watch.results), default=0),
+        wasted_work_ratio=_ratio(wasted_s, worked_s),
+        refusal_delay_ms=0.0,
+        refused_wait_ms=waits[int(len(waits) * 0.99)] * MS_PER_S if waits else 0.0,
+        p99_before_ms=_p99(_latencies(_sent_within(watch, start - 2.0, start))) * MS_PER_S,
+        success_ratio=_success_ratio(requests),
+        capacity_per_second=sum(load.allowed.rate_by_class.values()),
+        offered_per_second=sum(load.surge.values()),
+    )
+
+
+def recovery_seconds(scenario: Scenario, watch: Watch) -> float:
+    """Return the seconds from the surge's end until all later windows are as before it."""
+    start, end = scenario.surge_at, scenario.surge_end
+    before = [
+        _sent_within(watch, start - scenario.before_s + i * RECOVERY_STEP_S, None)
+        for i in range(int((scenario.before_s - RECOVERY_WINDOW_S) / RECOVERY_STEP_S))
+    ]
+    most_s = max(_p99(_latencies(part)) for part in before) * (1.0 + RECOVERY_MARGIN)
+    least = min(_whole_part(part) for part in before) * (1.0 - RECOVERY_MARGIN)
+    last = scenario.after_s - RECOVERY_WINDOW_S - 2.0
+    recovered = last
+    for step in reversed(range(int(last / RECOVERY_STEP_S) + 1)):
+        part = _sent_within(watch, end + step * RECOVERY_STEP_S, None)
+        if _p99(_latencies(part)) > most_s or _whole_part(part) < least:
+            break
+        recovered = step * RECOVERY_STEP_S
+    return round(recovered, 3)
+
+
+def success_by_customer(scenario: Scenario, watch: Watch) -> dict[CustomerId, float]:
+    """Return the whole answers of each customer's requests of the surge."""
+    counts: dict[CustomerId, float] = {}
+    for request in _requests(watch, scenario.surge_at, scenario.surge_end):
+        counts.setdefault(request.customer, 0.0)
+        counts[request.customer] += request.answered_at is not None
+    return counts
+
+
+def _requests(watch: Watch, start: float, end: float) -> list[ClientRequest]:
+    by_id = {r.request.request_id: r.request for r in watch.results}
+    return [r for r in by_id.values() if start <= r.first_sent_at < end]
+
+
+def _sent_within(watch: Watch, start: float, end: float | None) -> list[SendResult]:
+    stop = start + RECOVERY_WINDOW_S if end is None else end
+    return [r for r in watch.results if start <= r.send.sent_at < stop]
+
+
+def _latencies(results: list[SendResult]) -> list[float]:
+    return sorted(r.ended_at - r.send.sent_at for r in results if r.kind is None)
+
+
+def _p99(values: list[float]) -> float:
+    return values[min(len(values) - 1, int(len(values) * 0.99))] if values else 0.0
+
+
+def _whole_part(results: list[SendResult]) -> float:
+    return _ratio(sum(r.kind is None for r in results), len(results))
+
+
+def _success_ratio(requests: list[ClientRequest]) -> float:
+    return _ratio(sum(r.answered_at is not None for r in requests), len(requests))
+
+
+def _ratio(part: float, whole: float) -> float:
+    return part / whole if whole else 1.0
--- /dev/null
+++ b/benchmarks/_overload_run.py
@@ -0,0 +1,202 @@
+"""Drive one run of the overload bench: usual load, a surge, and the time after it."""
+
+from random import Random
+
+import msgspec
+
+from benchmarks._overload_capacity import (
+    Allowed,
+    allowed_rates,
+    demands_of,
+    service_seconds,
+    usual_capacity,
+)
+from benchmarks._overload_gates import GATE_MAKER_BY_POLICY, RULES_BY_POLICY
+from benchmarks._overload_watch import Watch, observe, report
+from benchmarks._overload_world import Deployment, call_class_of, chain_of
+from daisywharf._ids import (
+    CallClassName,
+    CustomerId,
+    Incarnation,
+    RequestId,
+    ServiceName,
+    TargetId,
+    VmId,
+)
+from daisywharf._topology import Address, Target
+from daisywharf._virtual._chain import apply_actions
+from daisywharf._virtual._clients import ClientRequest, ClientRules, Clients, send_request
+from daisywharf._virtual._loop import call_later, run_until
+from daisywharf._virtual._targets import Fakes, add_target
+
+TICK_S = 0.01
+USUAL_LOAD = 0.6
+MAX_CRITICAL_GROWTH = 3.0
+WARM_UP_S = 2.0
+
+
+class Scenario(msgspec.Struct, frozen=True):
+    """State one run; times are in seconds."""
+
+    deployment: Deployment
+    policy: str = "daisywharf"
+    seed: int = 1
+    surge: float = 4.0
+    depth: int = 3
+    client_retries: int = 2
+    heed: float = 0.5
+    slow_service: ServiceName | None = None
+    slow_factor: float = 1.0
+    slow_after_s: float = 0.0
+    failing: float = 0.0
+    greedy: float = 1.0
+    customers: int = 6
+    before_s: float = 3.0
+    surge_s: float = 4.0
+    after_s: float = 6.0
+
+    @property
+    def surge_at(self) -> float:
+        """Return when the surge starts."""
+        return WARM_UP_S + self.before_s
+
+    @property
+    def surge_end(self) -> float:
+        """Return when the surge ends."""
+        return self.surge_at + self.surge_s
+
+
+class Load(msgspec.Struct, frozen=True):
+    """State the offered rates by class, and what capacity allows in the surge."""
+
+    usual: dict[CallClassName, float]
+    surge: dict[CallClassName, float]
+    allowed: Allowed
+
+
+def load_of(scenario: Scenario) -> Load:
+    """Return the rates of a scenario."""
+    demands = demands_of(scenario.deployment, scenario.depth, {})
+    capacity = usual_capacity(scenario.deployment, demands)
+    usual = {d.shape.name: capacity * USUAL_LOAD * d.shape.part for d in demands}
+    growth = min(scenario.surge / USUAL_LOAD, MAX_CRITICAL_GROWTH)
+    critical = {d.shape.name for d in demands if d.shape.importance == 0}
+    surge = {name: usual[name] * growth for name in critical}
+    rest = capacity * scenario.surge - sum(surge.values())
+    rest_parts = sum(d.shape.part for d in demands if d.shape.name not in critical)
+    for demand in demands:
+        if demand.shape.name not in critical:
+            surge[demand.shape.name] = rest * demand.shape.part / rest_parts
+    slowing = {}
+    if scenario.slow_service is not None:
+        slowing[scenario.slow_service] = scenario.slow_factor
+    slowed = demands_of(scenario.deployment, scenario.depth, slowing)
+    return Load(usual, surge, allowed_rates(scenario.deployment, slowed, surge))
+
+
+def run(scenario: Scenario) -> Watch:
+    """Run a scenario to its end and return what was seen."""
+    fakes = _make_fakes(scenario)
+    watch = Watch()
+    fakes.observe = lambda target, action, call: observe(watch, fakes, target, action, call)
+    rules = ClientRules(scenario.client_retries, scenario.heed)
+    clients = Clients(
+        fakes, rules, Random(f"{scenario.seed}-clients"), lambda result: report(watch, result)
+    )
+    load = load_of(scenario)
+    for shape in scenario.deployment.shapes:
+        _start_arrivals(scenario, load, clients, shape.name)
+    _start_ticks(fakes)
+    _plan_slowing(scenario, fakes)
+    run_until(fakes.loop, scenario.surge_end + scenario.after_s)
+    watch.first_calls = fakes.first_calls
+    watch.retried_calls = fakes.retried_calls
+    return watch
+
+
+def _make_fakes(scenario: Scenario) -> Fakes:
+    deployment = scenario.deployment
+    fakes = Fakes(
+        rng=Random(f"{scenario.seed}-targets"),
+        delays=deployment.delays,
+        rules=RULES_BY_POLICY[scenario.policy],
+        service_s=service_seconds(deployment, scenario.depth),
+    )
+    fakes.failing_part = scenario.failing
+    make_gate = GATE_MAKER_BY_POLICY[scenario.policy]
+    for size in deployment.sizes:
+        for number in range(size.targets):
+            name = f"{size.service}-{number}"
+            target = Target(
+                target_id=TargetId(name),
+                service=size.service,
+                vm=VmId(name),
+                zone=deployment.zones[number % len(deployment.zones)],
+                incarnation=Incarnation(1),
+                address=Address("127.0.0.1", 0),
+                slots=size.slots,
+                connections=size.connections,
+            )
+            add_target(fakes, target, make_gate(size.slots, size.service))
+    return fakes
+
+
+def _start_arrivals(scenario: Scenario, load: Load, clients: Clients, name: CallClassName) -> None:
+    deployment = scenario.deployment
+    shape = next(shape for shape in deployment.shapes if shape.name == name)
+    chain = chain_of(shape, scenario.depth)
+    call_class = call_class_of(shape, scenario.depth)
+    rng = Random(f"{scenario.seed}-{name}")
+    loop = clients.fakes.loop
+    end = scenario.surge_end + scenario.after_s
+
+    def arrive() -> None:
+        number = next(clients.numbers)
+        request = ClientRequest(
+            request_id=RequestId(f"{scenario.seed}-{name}-{number}"),
+            customer=CustomerId(f"customer-{rng.randrange(scenario.customers)}"),
+            call_class=call_class,
+            chain=chain,
+            zone=rng.choice(deployment.zones),
+            first_sent_at=loop.now,
+            heeds=rng.random() < scenario.heed,
+        )
+        send_request(clients, request)
+        plan()
+
+    def plan() -> None:
+        in_surge = scenario.surge_at <= loop.now < scenario.surge_end
+        rate = (load.surge if in_surge else load.usual)[name]
+        if rate <= 0.0:
+            return
+        delay_s = rng.expovariate(rate)
+        # An arrival that would cross a change of rate is drawn anew from the change on.
+        for change in (scenario.surge_at, scenario.surge_end):
+            if loop.now < change < loop.now + delay_s:
+                call_later(loop, change - loop.now, plan)
+                return
+        if loop.now + delay_s < end:
+            call_later(loop, delay_s, arrive)
+
+    plan()
+
+
+def _start_ticks(fakes: Fakes) -> None:
+    def tick() -> None:
+        for target in fakes.target_by_id.values():
+            apply_actions(fakes, target, target.gate.tick(now=fakes.loop.now))
+        call_later(fakes.loop, TICK_S, tick)
+
+    call_later(fakes.loop, TICK_S, tick)
+
+
+def _plan_slowing(scenario: Scenario, fakes: Fakes) -> None:
+    service = scenario.slow_service
+    if service is None:
+        return
+    slowing = fakes.slowing_by_service
+    call_later(
+        fakes.loop, scenario.surge_at, lambda: slowing.update({service: scenario.slow_factor})
+    )
+    end = scenario.surge_end + scenario.slow_after_s
+    call_later(fakes.loop, end, lambda: slowing.update({service: 1.0}))
--- /dev/null
+++ b/src/daisywharf/_overload/_actions.py
@@ -0,0 +1,36 @@
+"""The actions that a gate's decisions return."""
+
+import msgspec
+
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import RequestId
+
+
+class CallId(msgspec.Struct, frozen=True):
+    """Tell apart two attempts of one request at the same gate."""
+
+    request_id: RequestId
+    attempt: int
+
+
+class Admit(msgspec.Struct, frozen=True):
+    """Start this call now."""
+
+    call_id: CallId
+
+
+class Enqueue(msgspec.Struct, frozen=True):
+    """Keep this call waiting until a later action names it."""
+
+    call_id: CallId
+
+
+class Refuse(msgspec.Struct, frozen=True):
+    """Answer this call now: it was not run."""
+
+    call_id: CallId
+    kind: ErrorKind
+    retry_after_s: float
+
+
+AdmissionAction = Admit | Enqueue | Refuse
--- /dev/null
+++ b/src/daisywharf/_overload/_expected.py
@@ -0,0 +1,54 @@
+"""How long calls are expected to take, to refuse at once those that can't finish in time."""
+
+from typing import Final
+
+import msgspec
+
+from daisywharf._ids import CallClassName
+
+EXPECTED_WEIGHT: Final = 0.1
+EXPECTED_HALF_LIFE_S: Final = 0.5
+SAFE_PART: Final = 0.7
+MAX_EXPECTED_KEYS: Final = 10_000
+
+
+class ExpectedKey(msgspec.Struct, frozen=True):
+    """Name the calls of one class at one depth."""
+
+    call_class: CallClassName
+    depth: int
+
+
+class ExpectedTime(msgspec.Struct):
+    """Hold a smoothed time in seconds, and when it was learned."""
+
+    seconds: float
+    learned_at: float
+
+
+class ExpectedTimes:
+    """Hold the expected times of the calls at one gate."""
+
+    def __init__(self) -> None:
+        self.time_by_key: dict[ExpectedKey, ExpectedTime] = {}
+
+
+def learn_time(times: ExpectedTimes, key: ExpectedKey, seconds: float, *, now: float) -> None:
+    """Blend in the time that a call took."""
+    known = times.time_by_key.get(key)
+    if known is None:
+        if len(times.time_by_key) < MAX_EXPECTED_KEYS:
+            times.time_by_key[key] = ExpectedTime(seconds, now)
+        return
+    known.seconds += (seconds - known.seconds) * EXPECTED_WEIGHT
+    known.learned_at = now
+
+
+def least_time_s(times: ExpectedTimes, key: ExpectedKey, *, now: float) -> float:
+    """Return the seconds that a call needs at least; what was learned long ago fades."""
+    known = times.time_by_key.get(key)
+    if known is None:
+        return 0.0
+    halvings: float = (now - known.learned_at) / EXPECTED_HALF_LIFE_S
+    faded: float = 0.5**halvings
+    return known.seconds * SAFE_PART * faded
--- /dev/null
+++ b/src/daisywharf/_overload/_gate.py
@@ -0,0 +1,69 @@
+"""What one gate knows of its calls in flight and waiting."""
+
+from typing import Final
+
+import msgspec
+
+from daisywharf._ids import CallClassName, ServiceName
+from daisywharf._overload._actions import CallId
+from daisywharf._overload._demand import Demand
+from daisywharf._overload._expected import ExpectedKey, ExpectedTimes
+from daisywharf._overload._level import OPEN_LEVEL
+from daisywharf._overload._queue import WaitingCall, WaitingQueue
+from daisywharf._overload._window import EntryWindow
+
+MAX_WINDOWS: Final = 256
+NO_SERVICE: Final = ServiceName("")
+
+
+class RunningCall(msgspec.Struct):
+    """Hold a call that has a slot."""
+
+    started_at: float
+    expected_key: ExpectedKey
+    window: EntryWindow | None
+
+
+class AdmissionState:
+    """Hold what one gate knows of its calls in flight and waiting."""
+
+    def __init__(self, *, slots: int, service: ServiceName = NO_SERVICE) -> None:
+        self.slots = slots
+        self.limit = float(slots)
+        self.service = service
+        self.is_draining = False
+        self.in_flight_by_id: dict[CallId, RunningCall] = {}
+        self.waiting_by_id: dict[CallId, WaitingCall] = {}
+        self.queue = WaitingQueue()
+        self.window_by_service: dict[ServiceName, EntryWindow] = {}
+        self.window_by_class: dict[CallClassName, EntryWindow] = {}
+        self.expected = ExpectedTimes()
+        self.demand = Demand()
+        self.level = OPEN_LEVEL
+        self.ticked_at = 0.0
+        self.completions = 0
+        self.completions_per_second = 0.0
+
+
+def load_of(state: AdmissionState) -> float:
+    """Return the calls running and waiting for a slot, over the limit."""
+    return (len(state.in_flight_by_id) + state.queue.size) / max(state.limit, 1.0)
+
+
+def has_slot(state: AdmissionState) -> bool:
+    """Tell whether a call may start now."""
+    return len(state.in_flight_by_id) < state.limit
+
+
+def window_of(
+    state: AdmissionState, call_class: CallClassName, service: ServiceName, *, now: float
+) -> EntryWindow | None:
+    """Return the window of a service, and let a call class follow it."""
+    window = state.window_by_service.get(service)
+    if window is None:
+        if len(state.window_by_service) >= MAX_WINDOWS:
+            return None
+        window = state.window_by_service[service] = EntryWindow(service, now=now)
+    if len(state.window_by_class) < MAX_WINDOWS or call_class in state.window_by_class:
+        state.window_by_class[call_class] = window
+    return window
--- /dev/null
+++ b/src/daisywharf/_overload/_queue.py
@@ -0,0 +1,86 @@
+"""The short queue of one service: most important first, and newest first under overload."""
+
+from collections import deque
+from collections.abc import Iterator
+
+import msgspec
+
+from daisywharf._contract import Importance
+from daisywharf._ids import CallClassName, ServiceName
+from daisywharf._overload._actions import CallId
+
+
+class WaitingCall(msgspec.Struct):
+    """Hold a call that waits; times are in seconds of the gate's clock."""
+
+    call_id: CallId
+    call_class: CallClassName
+    importance: Importance
+    sub_order: int
+    depth: int
+    deadline: float
+    arrived_at: float
+    window_service: ServiceName | None = None
+    queue: "WaitingQueue | None" = None
+
+
+class WaitingQueue:
+    """Hold waiting calls by importance, oldest first; calls that left are dropped lazily."""
+
+    def __init__(self) -> None:
+        self.calls_by_importance: list[deque[WaitingCall]] = [deque() for _ in Importance]
+        self.size = 0
+
+    def __iter__(self) -> Iterator[WaitingCall]:
+        for calls in self.calls_by_importance:
+            yield from (call for call in calls if call.queue is self)
+
+
+def push(queue: WaitingQueue, call: WaitingCall) -> None:
+    """Add a call."""
+    call.queue = queue
+    queue.calls_by_importance[call.importance].append(call)
+    queue.size += 1
+
+
+def pop_next(queue: WaitingQueue, *, newest_first: bool) -> WaitingCall | None:
+    """Take the most important call, and of these the newest or the oldest."""
+    for calls in queue.calls_by_importance:
+        while calls:
+            call = calls.pop() if newest_first else calls.popleft()
+            if call.queue is queue:
+                return _leave(queue, call)
+    return None
+
+
+def pop_worst(queue: WaitingQueue) -> WaitingCall | None:
+    """Take the least important call, and of these the one that waited longest."""
+    for calls in reversed(queue.calls_by_importance):
+        while calls:
+            call = calls.popleft()
+            if call.queue is queue:
+                return _leave(queue, call)
+    return None
+
+
+def drop(call: WaitingCall) -> None:
+    """Let a call leave its queue from any place."""
+    if call.queue is not None:
+        _leave(call.queue, call)
+
+
+def oldest_wait_s(queue: WaitingQueue, *, now: float) -> float:
+    """Return the seconds that the oldest call has waited."""
+    oldest = now
+    for calls in queue.calls_by_importance:
+        while calls and calls[0].queue is not queue:
+            calls.popleft()
+        if calls:
+            oldest = min(oldest, calls[0].arrived_at)
+    return now - oldest
+
+
+def _leave(queue: WaitingQueue, call: WaitingCall) -> WaitingCall:
+    call.queue = None
+    queue.size -= 1
+    return call
--- /dev/null
+++ b/src/daisywharf/_virtual/_chain.py
@@ -0,0 +1,257 @@
+"""Run requests down a chain of fake targets, with the retries and cancellation between them."""
+
+from collections.abc import Callable
+
+from daisywharf._context import RequestContext
+from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind
+from daisywharf._ids import TargetId
+from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
+from daisywharf._overload._level import OPEN_LEVEL, Level, merge_levels
+from daisywharf._overload._level_cache import is_refused_early, note_level
+from daisywharf._routing._retries import (
+    RetryBudget,
+    RetryRatioKey,
+    earn_retry,
+    lend,
+    may_retry,
+    spend_retry,
+    take_back,
+)
+from daisywharf._routing._router import CallOutcome, choose, record_outcome, record_start
+from daisywharf._virtual._loop import call_later
+from daisywharf._virtual._messages import Answer, ChainSend
+from daisywharf._virtual._targets import (
+    Fakes,
+    FakeTarget,
+    network_s,
+    router_for,
+    service_time_s,
+)
+
+Reply = Callable[[Answer], None]
+
+
+class ChainCall:
+    """Hold one attempt of one hop; times are in seconds."""
+
+    def __init__(
+        self,
+        send: ChainSend,
+        context: RequestContext,
+        call_id: CallId,
+        target: FakeTarget,
+        reply: Reply,
+    ) -> None:
+        self.send = send
+        self.context = context
+        self.call_id = call_id
+        self.target = target
+        self.reply = reply
+        self.started_at: float | None = None
+        self.is_over = False
+        self.budget = RetryBudget(context.retries)
+        self.below: Level | None = None
+        self.child: ChainCall | None = None
+        self.tries = 0
+        self.tried: frozenset[TargetId] = frozenset()
+
+
+def new_call(
+    fakes: Fakes, send: ChainSend, context: RequestContext, target: FakeTarget, reply: Reply
+) -> ChainCall:
+    """Make a call; its attempt number is unique, since a chain may visit a gate more than once."""
+    call_id = CallId(send.request_id, next(fakes.call_numbers))
+    return ChainCall(send, context, call_id, target, reply)
+
+
+def arrive(fakes: Fakes, call: ChainCall) -> None:
+    """Offer a call to the gate of its target."""
+    if call.is_over:
+        return
+    if call.context.depth and fakes.failing_part > fakes.rng.random():
+        call.is_over = True
+        call.reply(Answer(ErrorKind.CONNECT_FAILED, OPEN_LEVEL, call.budget.left))
+        return
+    call.target.call_by_id[call.call_id] = call
+    actions = call.target.gate.offer(call.call_id, call.context, now=fakes.loop.now)
+    apply_actions(fakes, call.target, actions)
+
+
+def apply_actions(fakes: Fakes, target: FakeTarget, actions: list[AdmissionAction]) -> None:
+    """Carry out what a gate decided."""
+    for action in actions:
+        call = target.call_by_id.get(action.call_id)
+        if not isinstance(call, ChainCall):
+            continue
+        fakes.observe(target, action, call)
+        if isinstance(action, Admit):
+            _start(fakes, call)
+        elif isinstance(action, Refuse):
+            _end(fakes, call, action.kind, action.retry_after_s)
+
+
+def cancel_call(fakes: Fakes, call: ChainCall) -> None:
+    """Stop a call whose caller gave up, and what it called."""
+    if call.is_over:
+        return
+    call.is_over = True
+    if call.child is not None:
+        _cancel_child(fakes, call, call.child)
+    if call.target.call_by_id.pop(call.call_id, None) is None:
+        return
+    actions = call.target.gate.cancel(call.call_id, now=fakes.loop.now)
+    if call.started_at is not None:
+        actions = actions + _release(fakes, call, succeeded=False)
+    apply_actions(fakes, call.target, actions)
+
+
+def _start(fakes: Fakes, call: ChainCall) -> None:
+    call.started_at = fakes.loop.now
+    service_s = service_time_s(fakes, call.target.target.service)
+    call_later(fakes.loop, service_s, lambda: _work_done(fakes, call))
+
+
+def _work_done(fakes: Fakes, call: ChainCall) -> None:
+    if call.is_over:
+        return
+    if call.context.depth + 1 >= len(call.send.chain):
+        _end(fakes, call, None, 0.0)
+        return
+    fakes.first_calls += 1
+    service = call.send.chain[call.context.depth + 1]
+    earn_retry(call.target.retry_ratio, RetryRatioKey(call.context.customer, service))
+    _call_next(fakes, call)
+
+
+def _call_next(fakes: Fakes, call: ChainCall) -> None:
+    now = fakes.loop.now
+    service = call.send.chain[call.context.depth + 1]
+    if fakes.rules.checks_deadline and call.context.deadline <= now:
+        _end(fakes, call, ErrorKind.TOO_LATE, 0.0)
+        return
+    cache = call.target.level_cache
+    if fakes.rules.refuses_early and is_refused_early(cache, service, call.context, now=now):
+        _end(fakes, call, ErrorKind.SHED, 1.0)
+        return
+    router = router_for(fakes, call.target, service)
+    chosen = choose(router, now=now, rng=fakes.rng, excluded=call.tried)
+    if chosen is None:
+        _end(fakes, call, ErrorKind.NO_TARGET, 0.0)
+        return
+    record_start(router, chosen.target_id, now=now)
+    call.tries += 1
+    call.tried |= {chosen.target_id}
+    _send_child(fakes, call, fakes.target_by_id[chosen.target_id])
+
+
+def _send_child(fakes: Fakes, call: ChainCall, target: FakeTarget) -> None:
+    sent_at = fakes.loop.now
+    delay_s = network_s(fakes, call.target.target.zone, target.target.zone)
+    lent = lend(call.budget) if fakes.rules.has_tree_budget else 0
+    context = _child_context(call.context, lent)
+
+    def answered(answer: Answer) -> None:
+        call_later(
+            fakes.loop, delay_s, lambda: _child_answered(fakes, call, child, answer, sent_at)
+        )
+
+    child = new_call(fakes, call.send, context, target, answered)
+    call.child = child
+    call_later(fakes.loop, delay_s, lambda: arrive(fakes, child))
+    timeout_s = fakes.rules.hop_timeout_s
+    if timeout_s is not None:
+        late = Answer(ErrorKind.TIMED_OUT, OPEN_LEVEL)
+        call_later(
+            fakes.loop, timeout_s, lambda: _child_answered(fakes, call, child, late, sent_at)
+        )
+
+
+def _child_context(context: RequestContext, retries: int) -> RequestContext:
+    return RequestContext(
+        request_id=context.request_id,
+        customer=context.customer,
+        call_class=context.call_class,
+        importance=context.importance,
+        deadline=context.deadline,
+        retries=retries,
+        idempotent=context.idempotent,
+        depth=context.depth + 1,
+    )
+
+
+def _child_answered(
+    fakes: Fakes, call: ChainCall, child: ChainCall, answer: Answer, sent_at: float
+) -> None:
+    if call.child is not child:
+        return
+    call.child = None
+    now = fakes.loop.now
+    service = child.target.target.service
+    router = router_for(fakes, call.target, service)
+    outcome = _outcome_of(answer.kind)
+    target_id = child.target.target.target_id
+    record_outcome(router, target_id, outcome, latency_s=now - sent_at, now=now)
+    if call.is_over:
+        return
+    take_back(call.budget, lent=child.context.retries, unspent=answer.unspent)
+    note_level(call.target.level_cache, service, answer.level, now=now)
+    call.below = merge_levels(answer.level, call.below)
+    if answer.kind is None:
+        _end(fakes, call, None, 0.0)
+    elif _takes_retry(fakes, call, answer.kind):
+        fakes.retried_calls += 1
+        call.send.retries += 1
+        _call_next(fakes, call)
+    else:
+        _end(fakes, call, answer.kind, answer.retry_after_s)
+
+
+def _outcome_of(kind: ErrorKind | None) -> CallOutcome:
+    if kind is None:
+        return CallOutcome.SUCCEEDED
+    if kind is ErrorKind.TIMED_OUT:
+        return CallOutcome.TIMED_OUT
+    return CallOutcome.REFUSED if kind is ErrorKind.SHED else CallOutcome.FAILED
+
+
+def _takes_retry(fakes: Fakes, call: ChainCall, kind: ErrorKind) -> bool:
+    rules = fakes.rules
+    key = RetryRatioKey(call.context.customer, call.send.chain[call.context.depth + 1])
+    if rules.has_tree_budget:
+        is_safe = ANSWERS_BY_KIND[kind].retryable
+        has_budget = is_safe and call.budget.left > 0
+        return has_budget and may_retry(call.target.retry_ratio, key) and spend_retry(call.budget)
+    if call.tries > rules.retries_per_hop:
+        return False
+    call.tried = frozenset()
+    return not rules.has_retry_ratio or may_retry(call.target.retry_ratio, key)
+
+
+def _end(fakes: Fakes, call: ChainCall, kind: ErrorKind | None, retry_after_s: float) -> None:
+    if call.is_over:
+        return
+    call.is_over = True
+    call.target.call_by_id.pop(call.call_id, None)
+    now = fakes.loop.now
+    # A call that was not run was never given a slot by the gate.
+    actions = [] if call.started_at is None else _release(fakes, call, succeeded=kind is None)
+    level = call.target.gate.level(now=now, below=call.below)
+    call.reply(Answer(kind, level, call.budget.left, retry_after_s))
+    apply_actions(fakes, call.target, actions)
+
+
+def _release(fakes: Fakes, call: ChainCall, *, succeeded: bool) -> list[AdmissionAction]:
+    now = fakes.loop.now
+    call.send.target_s += now - (call.started_at or now)
+    gate = call.target.gate
+    return gate.finish(call.call_id, now=now, succeeded=succeeded, below=call.below)
+
+
+def _cancel_child(fakes: Fakes, call: ChainCall, child: ChainCall) -> None:
+    call.child = None
+    now = fakes.loop.now
+    router = router_for(fakes, call.target, child.target.target.service)
+    target_id = child.target.target.target_id
+    record_outcome(router, target_id, CallOutcome.FAILED, latency_s=0.0, now=now)
+    delay_s = network_s(fakes, call.target.target.zone, child.target.target.zone)
+    call_later(fakes.loop, delay_s, lambda: cancel_call(fakes, child))
--- /dev/null
+++ b/src/daisywharf/_virtual/_clients.py
@@ -0,0 +1,132 @@
+"""Fakes of outside callers: they send, time out and send again."""
+
+from collections.abc import Callable
+from itertools import count
+from random import Random
+
+import msgspec
+
+from daisywharf._context import RequestContext
+from daisywharf._contract import CallClass
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import CustomerId, RequestId, ServiceName, ZoneName
+from daisywharf._virtual._chain import ChainCall, arrive, cancel_call, new_call
+from daisywharf._virtual._loop import call_later
+from daisywharf._virtual._messages import Answer, ChainSend
+from daisywharf._virtual._targets import Fakes
+
+BACKOFF_S = 0.05
+
+
+class ClientRules(msgspec.Struct, frozen=True):
+    """State how often clients send again, and what part of them heeds Retry-After."""
+
+    retries: int
+    heed_part: float
+
+
+class ClientRequest(msgspec.Struct):
+    """Hold one request of a client and its sends."""
+
+    request_id: RequestId
+    customer: CustomerId
+    call_class: CallClass
+    chain: tuple[ServiceName, ...]
+    zone: ZoneName
+    first_sent_at: float
+    heeds: bool
+    sends: int = 0
+    answered_at: float | None = None
+
+
+class SendResult(msgspec.Struct, frozen=True):
+    """Report the end of one send, as the client saw it."""
+
+    send: ChainSend
+    request: ClientRequest
+    kind: ErrorKind | None
+    ended_at: float
+
+
+class Clients:
+    """Hold the clients' rules and report the ends of their sends."""
+
+    def __init__(
+        self, fakes: Fakes, rules: ClientRules, rng: Random, report: Callable[[SendResult], None]
+    ) -> None:
+        self.fakes = fakes
+        self.rules = rules
+        self.rng = rng
+        self.report = report
+        self.numbers = count()
+
+
+def send_request(clients: Clients, request: ClientRequest) -> None:
+    """Send a request, the first time or again."""
+    fakes = clients.fakes
+    now = fakes.loop.now
+    request.sends += 1
+    call_class = request.call_class
+    deadline = now + call_class.deadline_ms / 1_000.0
+    send = ChainSend(
+        request.request_id,
+        request.customer,
+        call_class,
+        request.chain,
+        request.zone,
+        now,
+        deadline,
+    )
+    context = RequestContext(
+        request_id=request.request_id,
+        customer=request.customer,
+        call_class=call_class.name,
+        importance=call_class.importance,
+        deadline=deadline - fakes.delays.client_s,
+        retries=call_class.retries,
+        idempotent=call_class.idempotent,
+    )
+    ids = fakes.ids_by_service[request.chain[0]]
+    target = fakes.target_by_id[clients.rng.choice(ids)]
+
+    def answered(answer: Answer) -> None:
+        call_later(
+            fakes.loop, fakes.delays.client_s, lambda: _answered(clients, request, send, answer)
+        )
+
+    call = new_call(fakes, send, context, target, answered)
+    call_later(fakes.loop, fakes.delays.client_s, lambda: arrive(fakes, call))
+    call_later(fakes.loop, deadline - now, lambda: _timed_out(clients, request, send, call))
+
+
+def _answered(clients: Clients, request: ClientRequest, send: ChainSend, answer: Answer) -> None:
+    if send.is_over:
+        return
+    send.is_over = True
+    now = clients.fakes.loop.now
+    if answer.kind is None and request.answered_at is None:
+        request.answered_at = now
+    clients.report(SendResult(send, request, answer.kind, now))
+    if answer.kind is not None:
+        _send_again(clients, request, answer.retry_after_s)
+
+
+def _timed_out(clients: Clients, request: ClientRequest, send: ChainSend, call: ChainCall) -> None:
+    if send.is_over:
+        return
+    send.is_over = True
+    fakes = clients.fakes
+    clients.report(SendResult(send, request, ErrorKind.TIMED_OUT, fakes.loop.now))
+    if fakes.rules.cancels:
+        call_later(fakes.loop, fakes.delays.client_s, lambda: cancel_call(fakes, call))
+    _send_again(clients, request, 0.0)
+
+
+def _send_again(clients: Clients, request: ClientRequest, retry_after_s: float) -> None:
+    if request.sends > clients.rules.retries:
+        return
+    if retry_after_s > 0.0 and request.heeds:
+        delay_s = retry_after_s
+    else:
+        delay_s = BACKOFF_S * clients.rng.uniform(0.5, 1.5)
+    call_later(clients.fakes.loop, delay_s, lambda: send_request(clients, request))
--- /dev/null
+++ b/src/daisywharf/_virtual/_targets.py
@@ -0,0 +1,100 @@
+"""Fakes of targets: slots guarded by a gate, service times, and network delays."""
+
+from collections.abc import Callable
+from itertools import count
+from random import Random
+
+import msgspec
+
+from daisywharf._ids import ServiceName, TargetId, ZoneName
+from daisywharf._overload._actions import AdmissionAction
+from daisywharf._overload._level_cache import LevelCache
+from daisywharf._routing._retries import RetryRatio
+from daisywharf._routing._router import RouterState, update_targets
+from daisywharf._topology import Target
+from daisywharf._virtual._loop import VirtualLoop
+from daisywharf._virtual._messages import CallerRules, Gate
+
+FIXED_PART = 0.6
+
+
+class Delays(msgspec.Struct, frozen=True):
+    """State one-way network delays in seconds."""
+
+    within_zone_s: float
+    between_zones_s: float
+    client_s: float
+
+
+class FakeTarget:
+    """Hold one target: its gate, its calls, and its view of the services that it calls."""
+
+    def __init__(self, target: Target, gate: Gate) -> None:
+        self.target = target
+        self.gate = gate
+        self.call_by_id: dict[object, object] = {}
+        self.router_by_service: dict[ServiceName, RouterState] = {}
+        self.level_cache = LevelCache()
+        self.retry_ratio = RetryRatio()
+
+
+Observer = Callable[[FakeTarget, AdmissionAction, object], None]
+
+
+class Fakes:
+    """Hold the targets of all services under one clock."""
+
+    def __init__(
+        self,
+        *,
+        rng: Random,
+        delays: Delays,
+        rules: CallerRules,
+        service_s: dict[ServiceName, float],
+    ) -> None:
+        self.loop = VirtualLoop()
+        self.rng = rng
+        self.delays = delays
+        self.rules = rules
+        self.service_s = service_s
+        self.slowing_by_service: dict[ServiceName, float] = {}
+        self.failing_part = 0.0
+        self.target_by_id: dict[TargetId, FakeTarget] = {}
+        self.ids_by_service: dict[ServiceName, list[TargetId]] = {}
+        self.call_numbers = count()
+        self.first_calls = 0
+        self.retried_calls = 0
+        self.observe: Observer = _ignore
+
+
+def _ignore(_target: FakeTarget, _action: AdmissionAction, _call: object) -> None:
+    return
+
+
+def add_target(fakes: Fakes, target: Target, gate: Gate) -> None:
+    """Let a target serve."""
+    fakes.target_by_id[target.target_id] = FakeTarget(target, gate)
+    fakes.ids_by_service.setdefault(target.service, []).append(target.target_id)
+
+
+def router_for(fakes: Fakes, caller: FakeTarget, service: ServiceName) -> RouterState:
+    """Return a caller's view of a service's targets."""
+    router = caller.router_by_service.get(service)
+    if router is None:
+        name = str(caller.target.target_id)
+        router = RouterState(service=service, zone=caller.target.zone, caller=name)
+        targets = [fakes.target_by_id[i].target for i in fakes.ids_by_service[service]]
+        update_targets(router, targets, now=fakes.loop.now)
+        caller.router_by_service[service] = router
+    return router
+
+
+def service_time_s(fakes: Fakes, service: ServiceName) -> float:
+    """Draw the time that a call needs at a target."""
+    mean = fakes.service_s[service] * fakes.slowing_by_service.get(service, 1.0)
+    return mean * (FIXED_PART + (1.0 - FIXED_PART) * fakes.rng.expovariate(1.0))
+
+
+def network_s(fakes: Fakes, one: ZoneName, other: ZoneName) -> float:
+    """Return the delay of a message between two zones."""
+    return fakes.delays.within_zone_s if one == other else fakes.delays.between_zones_s
