Apply and delete contracts once, over lost answers and racing edits

Cause: an operator's edit can be accepted and its answer lost, and two operators can edit at once. Each write is conditional on the version that the operator started from and carries the edit's id; an unclear write is settled by reading again. Ruled out: finding one's edit only in the standing contract (an edit replaced since looks refused), and a history inside the contract (each daemon would read it). So each edit first records what it is about to replace in an object of its own kind, and a process that dies in between leaves no hole.

Known limit: a create that the platform delays past all attempts can land after another operator created and deleted the contract, since a create has no version to be conditional on.

--- /dev/null
+++ b/src/daisywharf/_contracts/_differences.py
@@ -0,0 +1,62 @@
+"""Tell how two contracts differ, field by field."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import msgspec
+
+from daisywharf._contracts._schema import WrittenClass
+
+ABSENT = "absent"
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """Show one field before and after, such as `place-order.burst`."""
+
+    path: str
+    before: str
+    after: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.before} -> {self.after}"
+
+
+def differences(
+    before: Iterable[WrittenClass], after: Iterable[WrittenClass]
+) -> tuple[Difference, ...]:
+    """Return what must change in the first classes to get the second."""
+    old_by_name = {made.name: made for made in before}
+    new_by_name = {made.name: made for made in after}
+    found: list[Difference] = []
+    for name in sorted(old_by_name.keys() | new_by_name.keys()):
+        old = _fields_of(old_by_name.get(name))
+        new = _fields_of(new_by_name.get(name))
+        found.extend(_class_differences(name, old, new))
+    return tuple(found)
+
+
+def _class_differences(
+    name: str, old: Mapping[str, Any], new: Mapping[str, Any]
+) -> Iterable[Difference]:
+    if not old or not new:
+        yield Difference(name, _summary(old), _summary(new))
+        return
+    for field, before in old.items():
+        if new[field] != before:
+            yield Difference(f"{name}.{field}", _shown(before), _shown(new[field]))
+
+
+def _fields_of(written: WrittenClass | None) -> Mapping[str, Any]:
+    return {} if written is None else msgspec.structs.asdict(written)
+
+
+def _summary(fields: Mapping[str, Any]) -> str:
+    return ", ".join(f"{field} {_shown(value)}" for field, value in fields.items()) or ABSENT
+
+
+def _shown(value: Any) -> str:
+    if isinstance(value, tuple):
+        return f"[{', '.join(value)}]"
+    if isinstance(value, bool):
+        return str(value).lower()
+    return f"{value:g}" if isinstance(value, float) else str(value)
--- /dev/null
+++ b/src/daisywharf/_contracts/_edits.py
@@ -0,0 +1,254 @@
+"""Apply and delete contracts on the platform: each edit once, and none over one not seen.
+
+Every write is conditional on the version that the operator started from and carries the edit's own
+id. So a write whose answer was lost can be sent again: it either finds its own id, or conflicts.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Final, TypeVar
+
+import msgspec
+
+from daisywharf._contract import Contract
+from daisywharf._contracts._differences import Difference, differences
+from daisywharf._contracts._files import contract_to_json
+from daisywharf._contracts._history import (
+    HistoryEntry,
+    classes_of_entry,
+    read_history,
+    readable_contract,
+    record_replaced,
+)
+from daisywharf._contracts._schema import Edit, WrittenClass, written_classes
+from daisywharf._errors import ErrorKind, PlatformError
+from daisywharf._ids import CustomerId, EditId, Version
+from daisywharf._platform._interface import ObjectKind, Platform, PlatformObject
+
+ATTEMPTS: Final = 5
+FIRST_PAUSE_S: Final = 0.2
+CONTRACT: Final = ObjectKind.CONTRACT
+NO_CONTRACT: Final = Version(0)
+
+Result = TypeVar("Result")
+
+
+class EditOutcome(Enum):
+    """Name what an accepted edit came to."""
+
+    CREATED = "created"
+    UPDATED = "updated"
+    UNCHANGED = "unchanged"
+    MADE_BEFORE = "made-before"
+    REPLACED_SINCE = "replaced-since"
+
+
+class Applied(msgspec.Struct, frozen=True):
+    """Tell the version that an edit got; with `replaced-since`, a later edit stands now."""
+
+    customer: CustomerId
+    version: Version
+    edit_id: EditId
+    outcome: EditOutcome
+
+
+class EditConflictError(PlatformError):
+    """Report that another edit stands; `theirs` and `yours` start from the same base.
+
+    Where the base isn't known, `theirs` is empty and `yours` starts from what stands now.
+    """
+
+    def __init__(
+        self,
+        customer: CustomerId,
+        *,
+        current: PlatformObject | None,
+        theirs: tuple[Difference, ...],
+        yours: tuple[Difference, ...],
+    ) -> None:
+        version = NO_CONTRACT if current is None else current.version
+        stands = "no contract" if current is None else f"version {version}"
+        message = f"contract {customer!r} was edited by another: {stands} stands now"
+        super().__init__(ErrorKind.PLATFORM_CONFLICT, message)
+        self.customer = customer
+        self.current_version = version
+        self.theirs = theirs
+        self.yours = yours
+
+
+class EditCall(msgspec.Struct, frozen=True):
+    """Hold what stays the same over the attempts of one edit; timeouts are in seconds."""
+
+    platform: Platform
+    edit_id: EditId
+    edit: Edit
+    timeout_s: float
+    pause: Callable[[float], None]
+
+
+def apply_contract(call: EditCall, contract: Contract) -> Applied:
+    """Write a contract over `contract.version`, or where it is 0 as a new one.
+
+    Raise `EditConflictError` where another version stands, and `PlatformError` where the platform
+    is unavailable (nothing was changed) or the outcome stays unknown (repeat with this edit id).
+    """
+    return _settle(call, contract.customer, lambda: _try_to_apply(call, contract))
+
+
+def _try_to_apply(call: EditCall, contract: Contract) -> Applied:
+    current = read_contract(call.platform, contract.customer, timeout_s=call.timeout_s)
+    made = _find_own_edit(call, contract.customer, current)
+    if made is not None:
+        return made
+    classes = written_classes(contract)
+    if current is not None and _classes_of(current) == classes:
+        return _applied(call, current, EditOutcome.UNCHANGED)
+    if contract.version != (NO_CONTRACT if current is None else current.version):
+        raise _conflict(call, contract, current)
+    body = contract_to_json(contract, edit=call.edit)
+    written = _read_again_after_conflict(lambda: _write(call, contract, current, body))
+    outcome = EditOutcome.CREATED if current is None else EditOutcome.UPDATED
+    return _applied(call, written, outcome)
+
+
+def _write(
+    call: EditCall, contract: Contract, current: PlatformObject | None, body: bytes
+) -> PlatformObject:
+    if current is None:
+        return call.platform.create(
+            CONTRACT, contract.customer, body, edit_id=call.edit_id, timeout_s=call.timeout_s
+        )
+    record_replaced(call.platform, current, edit_id=call.edit_id, timeout_s=call.timeout_s)
+    return call.platform.update(
+        CONTRACT,
+        contract.customer,
+        body,
+        if_version=current.version,
+        edit_id=call.edit_id,
+        timeout_s=call.timeout_s,
+    )
+
+
+def delete_contract(call: EditCall, customer: CustomerId, *, if_version: Version) -> Version:
+    """Delete a contract at a version; return the version that the platform gave the deletion.
+
+    A contract that is gone counts as deleted, at version 0: the result is what was asked.
+    """
+    return _settle(call, customer, lambda: _try_to_delete(call, customer, if_version))
+
+
+def _try_to_delete(call: EditCall, customer: CustomerId, if_version: Version) -> Version:
+    current = read_contract(call.platform, customer, timeout_s=call.timeout_s)
+    if current is None:
+        return NO_CONTRACT
+    if current.version != if_version:
+        raise EditConflictError(
+            customer,
+            current=current,
+            theirs=_changes_since(call, customer, if_version, current),
+            yours=(),
+        )
+    record_replaced(call.platform, current, edit_id=call.edit_id, timeout_s=call.timeout_s)
+    return _read_again_after_conflict(
+        lambda: call.platform.delete(
+            CONTRACT,
+            customer,
+            if_version=if_version,
+            edit_id=call.edit_id,
+            timeout_s=call.timeout_s,
+        )
+    )
+
+
+def _read_again_after_conflict(write: Callable[[], Result]) -> Result:
+    try:
+        return write()
+    except PlatformError as error:
+        if error.kind not in (ErrorKind.PLATFORM_CONFLICT, ErrorKind.PLATFORM_GONE):
+            raise
+        # Another edit came first, or a former attempt of this one took effect late: the next
+        # attempt reads which.
+        raise PlatformError(ErrorKind.PLATFORM_OUTCOME_UNKNOWN, str(error)) from error
+
+
+def read_contract(
+    platform: Platform, customer: CustomerId, *, timeout_s: float
+) -> PlatformObject | None:
+    """Read the object of a contract, or none where there is none."""
+    try:
+        return platform.get(CONTRACT, customer, timeout_s=timeout_s)
+    except PlatformError as error:
+        if error.kind is ErrorKind.PLATFORM_GONE:
+            return None
+        raise
+
+
+def _applied(call: EditCall, found: PlatformObject, outcome: EditOutcome) -> Applied:
+    return Applied(CustomerId(found.name), found.version, call.edit_id, outcome)
+
+
+def _find_own_edit(
+    call: EditCall, customer: CustomerId, current: PlatformObject | None
+) -> Applied | None:
+    if current is not None and current.edit_id == call.edit_id:
+        return _applied(call, current, EditOutcome.MADE_BEFORE)
+    history = read_history(call.platform, customer, timeout_s=call.timeout_s)
+    for entry in history.entries:
+        if entry.edit_id == call.edit_id:
+            return Applied(customer, entry.version, call.edit_id, EditOutcome.REPLACED_SINCE)
+    return None
+
+
+def _conflict(
+    call: EditCall, contract: Contract, current: PlatformObject | None
+) -> EditConflictError:
+    wanted = written_classes(contract)
+    base = _entry_at(call, contract.customer, contract.version)
+    standing = _classes_of(current)
+    if base is None:
+        return EditConflictError(
+            contract.customer, current=current, theirs=(), yours=differences(standing, wanted)
+        )
+    start = classes_of_entry(base)
+    return EditConflictError(
+        contract.customer,
+        current=current,
+        theirs=differences(start, standing),
+        yours=differences(start, wanted),
+    )
+
+
+def _changes_since(
+    call: EditCall, customer: CustomerId, version: Version, current: PlatformObject
+) -> tuple[Difference, ...]:
+    base = _entry_at(call, customer, version)
+    return () if base is None else differences(classes_of_entry(base), _classes_of(current))
+
+
+def _entry_at(call: EditCall, customer: CustomerId, version: Version) -> HistoryEntry | None:
+    history = read_history(call.platform, customer, timeout_s=call.timeout_s)
+    return next((entry for entry in history.entries if entry.version == version), None)
+
+
+def _classes_of(found: PlatformObject | None) -> tuple[WrittenClass, ...]:
+    stored = None if found is None else readable_contract(found.body)
+    return () if stored is None else stored.classes
+
+
+def _settle(call: EditCall, customer: CustomerId, attempt: Callable[[], Result]) -> Result:
+    is_unclear = False
+    for place in range(ATTEMPTS):
+        try:
+            return attempt()
+        except PlatformError as error:
+            is_unclear |= error.kind is ErrorKind.PLATFORM_OUTCOME_UNKNOWN
+            # Unavailable at first: nothing was changed. Later: a former attempt may have been made.
+            if not is_unclear or error.kind not in _TRY_AGAIN:
+                raise
+        call.pause(FIRST_PAUSE_S * 2**place)
+    message = f"edit {call.edit_id} of contract {customer!r} may or may not be made"
+    mend = f"repeat it with --edit-id {call.edit_id}"
+    raise PlatformError(ErrorKind.PLATFORM_OUTCOME_UNKNOWN, f"{message}; {mend}")
+
+
+_TRY_AGAIN: Final = (ErrorKind.PLATFORM_OUTCOME_UNKNOWN, ErrorKind.PLATFORM_UNAVAILABLE)
--- a/src/daisywharf/_contracts/_files.py
+++ b/src/daisywharf/_contracts/_files.py
@@ -22,7 +22,10 @@
 
 
 def load_contract_file(path: Path) -> Contract:
-    """Read a contract file; raise `DocumentError` (invalid contract) with each fault in it."""
+    """Read a contract file; raise `DocumentError` (invalid contract) with each fault in it.
+
+    Its version is the one that the file started from, or 0.
+    """
     written = read_file(
         path,
         WrittenContract,
@@ -30,7 +33,7 @@
         max_bytes=MAX_CONTRACT_BYTES,
         check=repeated_names,
     )
-    return contract_of(written, Version(0))
+    return contract_of(written, Version(written.version or 0))
 
 
 def load_contract(content: bytes, *, file_name: str) -> Contract:
@@ -43,7 +46,7 @@
         max_bytes=MAX_CONTRACT_BYTES,
         check=repeated_names,
     )
-    return contract_of(written, Version(0))
+    return contract_of(written, Version(written.version or 0))
 
 
 def contract_to_json(contract: Contract, *, edit: Edit = NO_EDIT) -> bytes:
--- /dev/null
+++ b/src/daisywharf/_contracts/_history.py
@@ -0,0 +1,128 @@
+"""Keep, for each customer, the contracts that later edits replaced.
+
+An edit records what it is about to replace before it replaces it. So whatever happens to the
+editing process, no replaced contract is missing, up to the number that is kept.
+"""
+
+from typing import Final
+
+import msgspec
+
+from daisywharf._contracts._files import stored_from_json
+from daisywharf._contracts._schema import StoredContract, WrittenClass
+from daisywharf._errors import ConfigurationError, ErrorKind, PlatformError
+from daisywharf._ids import CustomerId, EditId, Version
+from daisywharf._limits import MAX_BODY_BYTES
+from daisywharf._platform._interface import ObjectKind, Platform, PlatformObject
+
+HISTORY_ENTRIES: Final = 20
+ATTEMPTS: Final = 8
+
+HISTORY: Final = ObjectKind.CONTRACT_HISTORY
+
+
+class HistoryEntry(msgspec.Struct, frozen=True):
+    """Hold a contract that was replaced or deleted, and the edit that had written it.
+
+    The contract is none where the platform held one that can't be read.
+    """
+
+    version: Version
+    edit_id: EditId
+    contract: StoredContract | None
+
+
+def classes_of_entry(entry: HistoryEntry) -> tuple[WrittenClass, ...]:
+    """Return an entry's classes, or none where it can't be read."""
+    return () if entry.contract is None else entry.contract.classes
+
+
+def readable_contract(body: bytes) -> StoredContract | None:
+    """Read a stored contract, or return none where it can't be read."""
+    try:
+        return stored_from_json(body)
+    except ConfigurationError:
+        return None
+
+
+class History(msgspec.Struct, frozen=True):
+    """Hold a customer's replaced contracts, the oldest first; `is_cut` where older were dropped."""
+
+    entries: tuple[HistoryEntry, ...] = ()
+    is_cut: bool = False
+
+
+class _Kept(msgspec.Struct, frozen=True):
+    history: History
+    # None where the platform has no such object yet.
+    version: Version | None
+
+
+def read_history(platform: Platform, customer: CustomerId, *, timeout_s: float) -> History:
+    """Read a customer's history; it is empty where nothing was replaced yet."""
+    return _read(platform, customer, timeout_s).history
+
+
+def record_replaced(
+    platform: Platform, replaced: PlatformObject, *, edit_id: EditId, timeout_s: float
+) -> None:
+    """Make sure that the history has this contract; repeating it changes nothing."""
+    customer = CustomerId(replaced.name)
+    entry = HistoryEntry(replaced.version, replaced.edit_id, readable_contract(replaced.body))
+    for _ in range(ATTEMPTS):
+        kept = _read(platform, customer, timeout_s)
+        if any(known.version == entry.version for known in kept.history.entries):
+            return
+        body = _encode(kept.history, entry)
+        try:
+            if kept.version is None:
+                platform.create(HISTORY, customer, body, edit_id=edit_id, timeout_s=timeout_s)
+            else:
+                platform.update(
+                    HISTORY,
+                    customer,
+                    body,
+                    if_version=kept.version,
+                    edit_id=edit_id,
+                    timeout_s=timeout_s,
+                )
+            return
+        except PlatformError as error:
+            # All of these are settled by reading again: a change by another, a history that came
+            # or went in between, and a lost answer.
+            if error.kind not in _READ_AGAIN:
+                raise
+    message = f"history of {customer!r} changed {ATTEMPTS} times meanwhile; try again"
+    raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, message)
+
+
+_READ_AGAIN: Final = (
+    ErrorKind.PLATFORM_CONFLICT,
+    ErrorKind.PLATFORM_GONE,
+    ErrorKind.PLATFORM_OUTCOME_UNKNOWN,
+)
+
+
+def _read(platform: Platform, customer: CustomerId, timeout_s: float) -> _Kept:
+    try:
+        found = platform.get(HISTORY, customer, timeout_s=timeout_s)
+    except PlatformError as error:
+        if error.kind is ErrorKind.PLATFORM_GONE:
+            return _Kept(History(), None)
+        raise
+    try:
+        return _Kept(msgspec.json.decode(found.body, type=History), found.version)
+    except (msgspec.DecodeError, ValueError) as error:
+        message = f"history of {customer!r} can't be read: {error}; delete the object"
+        raise ConfigurationError(ErrorKind.INVALID_CONTRACT, message) from error
+
+
+def _encode(history: History, entry: HistoryEntry) -> bytes:
+    entries = sorted((*history.entries, entry), key=lambda known: known.version)
+    is_cut = history.is_cut or len(entries) > HISTORY_ENTRIES
+    entries = entries[-HISTORY_ENTRIES:]
+    body = msgspec.json.encode(History(tuple(entries), is_cut))
+    while len(body) > MAX_BODY_BYTES:
+        entries = entries[1:]
+        body = msgspec.json.encode(History(tuple(entries), True))
+    return body
--- a/src/daisywharf/_contracts/_schema.py
+++ b/src/daisywharf/_contracts/_schema.py
@@ -16,6 +16,7 @@
     MAX_NAME_CHARS,
     MAX_RATE_PER_SECOND,
     MAX_RETRIES,
+    MAX_VERSION,
 )
 
 Name = Annotated[
@@ -37,10 +38,11 @@
 
 
 class WrittenContract(Struct, frozen=True, forbid_unknown_fields=True):
-    """Hold a contract as it is written in a file."""
+    """Hold a contract as a file has it; `version` is the one that the file started from."""
 
     customer: Name
     classes: Annotated[tuple[WrittenClass, ...], Meta(min_length=1, max_length=MAX_CLASSES)]
+    version: Annotated[int, Meta(ge=1, le=MAX_VERSION)] | None = None
 
 
 class Edit(Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/daisywharf/_platform/_interface.py
+++ b/src/daisywharf/_platform/_interface.py
@@ -12,6 +12,7 @@
     """Name the kinds of objects that the system keeps on the platform."""
 
     CONTRACT = "contracts"
+    CONTRACT_HISTORY = "contract-histories"
     CONTACT = "contacts"
     CLAIM = "claims"
     DRAIN = "drains"
