--- /dev/null
+++ b/benchmarks/_fleet_measures.py
@@ -0,0 +1,212 @@
+"""What the fleet benchmark measures while the world runs."""
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from benchmarks._fleet_world import Node, World
+from daisywharf._contract import CallClass, Contract, Importance
+from daisywharf._fleet import _state as fleet
+from daisywharf._fleet._in_force import held_version
+from daisywharf._fleet._model import FleetState
+from daisywharf._ids import CallClassName, CustomerId, ServiceName, TargetId, Version, VmId
+
+CUSTOMERS = 4
+RATE_PER_S = 2_000.0
+LOAD = 1.2
+HOT_ZONE_PART = 0.6
+FOLLOWED_UNUSED = 0.1
+BROWSE = CallClassName("browse")
+ORDER = CallClassName("order")
+
+
+def contract_of(number: int) -> Contract:
+    """Return the contract of one of the customers."""
+    services = (ServiceName("catalogue"), ServiceName("orders"))
+    classes = {
+        name: CallClass(
+            name=name,
+            services=services,
+            importance=Importance.NORMAL,
+            rate_per_second=RATE_PER_S,
+            burst=100.0,
+            deadline_ms=2000,
+            idempotent=name == BROWSE,
+        )
+        for name in (BROWSE, ORDER)
+    }
+    return Contract(CustomerId(f"customer-{number}"), classes)
+
+
+class PendingEdit(msgspec.Struct):
+    """Hold an accepted edit and the nodes that don't have it yet."""
+
+    customer: CustomerId
+    version: Version
+    accepted_at: float
+    missing: set[VmId]
+
+
+class PendingDrain(msgspec.Struct):
+    """Hold a drain and the nodes that would still send work to the target."""
+
+    target_id: TargetId
+    service: ServiceName
+    asked_at: float
+    missing: set[VmId]
+
+
+class Measures:
+    """Hold samples."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.in_force_s: list[float] = []
+        self.drains_s: list[float] = []
+        self.rejoins_s: list[float] = []
+        self.edits: list[PendingEdit] = []
+        self.drains: list[PendingDrain] = []
+        self.rejoining: dict[VmId, float] = {}
+        self.reverts = 0
+        self.seen_version: dict[tuple[str, int, CustomerId], Version] = {}
+        self.everywhere_version: dict[CustomerId, Version] = {}
+        self.overshoot = 0.0
+        self.unused: list[float] = []
+        self.hot_zone = 0
+        self.moved_at: float | None = None
+        self.followed_s: float | None = None
+
+    def demand_at(self, node: Node) -> float:
+        """Return the demand for each call class at a node, in requests a second."""
+        world = self.world
+        number = int(node.vm.split("-")[1])
+        zone = number % len(world.zones)
+        zones = len(world.zones)
+        rest = (1.0 - HOT_ZONE_PART) / (zones - 1) if zones > 1 else 0.0
+        part = HOT_ZONE_PART if zone == self.hot_zone and zones > 1 else rest or 1.0
+        in_zone = len(world.nodes) // zones
+        weight = 1.0 + (number // zones) % 4
+        return RATE_PER_S * LOAD * part * weight / (in_zone * 2.5)
+
+    def note_demand(self, *, period_s: float) -> None:
+        """Let requests enter everywhere."""
+        for node, state in running(self.world.nodes):
+            mean = self.demand_at(node) * period_s
+            for number in range(CUSTOMERS):
+                for name in (BROWSE, ORDER):
+                    noise = node.rng.gauss(mean, math.sqrt(mean))
+                    customer = CustomerId(f"customer-{number}")
+                    requests = max(0, round(noise))
+                    fleet.note_demand(state, customer, name, requests=requests, now=self.world.now)
+
+    def sample_shares(self, *, is_counted: bool) -> None:
+        """Add up the shares of one call class of each customer."""
+        now = self.world.now
+        nodes = list(running(self.world.nodes))
+        worst_unused = 0.0
+        for number in range(CUSTOMERS):
+            customer = CustomerId(f"customer-{number}")
+            shares = [fleet.share_of(state, customer, BROWSE, now=now) for _, state in nodes]
+            self.overshoot = max(self.overshoot, sum(shares) - 1.0)
+            used = sum(
+                min(self.demand_at(node), share * RATE_PER_S)
+                for (node, _), share in zip(nodes, shares, strict=True)
+            )
+            wanted = min(RATE_PER_S, sum(self.demand_at(node) for node, _ in nodes))
+            unused = 1.0 - used / wanted
+            worst_unused = max(worst_unused, unused)
+            if is_counted:
+                self.unused.append(unused)
+        if self.moved_at is None or self.followed_s is not None:
+            return
+        if now > self.moved_at + 1.0 and worst_unused <= FOLLOWED_UNUSED:
+            self.followed_s = now - self.moved_at
+
+    def note_edit(self, customer: CustomerId, version: Version) -> None:
+        """Begin to wait for an edit to be in force."""
+        missing = {node.vm for node, _ in running(self.world.nodes)}
+        self.edits.append(PendingEdit(customer, version, self.world.now, missing))
+
+    def note_drain(self, target_id: TargetId, service: ServiceName, zone: str) -> None:
+        """Begin to wait for a drain to be known in its zone."""
+        missing = {node.vm for node, _ in running(self.world.nodes) if node.zone == zone}
+        self.drains.append(PendingDrain(target_id, service, self.world.now, missing))
+
+    def restart_clock(self, zone: str) -> None:
+        """Count from now for a zone that can be reached again."""
+        for edit in self.edits:
+            edit.accepted_at = self.world.now
+
+    def poll(self) -> None:
+        """Look which waits have ended."""
+        node_by_vm = {node.vm: node for node in self.world.nodes}
+        for edit in self.edits:
+            self._poll_edit(edit, node_by_vm)
+        self.edits = [edit for edit in self.edits if edit.missing]
+        for drain in self.drains:
+            self._poll_drain(drain, node_by_vm)
+        self.drains = [drain for drain in self.drains if drain.missing]
+        self._poll_rejoins(node_by_vm)
+
+    def _poll_edit(self, edit: PendingEdit, node_by_vm: dict[VmId, Node]) -> None:
+        world = self.world
+        for vm in list(edit.missing):
+            node = node_by_vm[vm]
+            if node.state is None:
+                edit.missing.discard(vm)
+            elif held_version(node.state, edit.customer) >= edit.version:
+                edit.missing.discard(vm)
+                since = max(edit.accepted_at, node.started_at)
+                self.in_force_s.append(world.now - since)
+        if not edit.missing:
+            known = self.everywhere_version.get(edit.customer, Version(0))
+            self.everywhere_version[edit.customer] = max(known, edit.version)
+
+    def _poll_drain(self, drain: PendingDrain, node_by_vm: dict[VmId, Node]) -> None:
+        for vm in list(drain.missing):
+            state = node_by_vm[vm].state
+            targets = fleet.targets_of(state, drain.service) if state else []
+            if all(target.target_id != drain.target_id for target in targets):
+                drain.missing.discard(vm)
+                if state is not None:
+                    self.drains_s.append(self.world.now - drain.asked_at)
+
+    def _poll_rejoins(self, node_by_vm: dict[VmId, Node]) -> None:
+        for vm, since in list(self.rejoining.items()):
+            node = node_by_vm[vm]
+            if node.state is None or not fleet.is_confirmed(node.state):
+                continue
+            customer = CustomerId("customer-0")
+            if fleet.share_of(node.state, customer, BROWSE, now=self.world.now) > 0.0:
+                self.rejoins_s.append(self.world.now - since)
+                del self.rejoining[vm]
+
+    def check_reverts(self) -> None:
+        """Count versions that went back, or that a confirmed daemon had missed."""
+        for node, state in running(self.world.nodes):
+            for number in range(CUSTOMERS):
+                customer = CustomerId(f"customer-{number}")
+                version = held_version(state, customer)
+                key = (node.vm, node.generation, customer)
+                if version < self.seen_version.get(key, Version(0)):
+                    self.reverts += 1
+                self.seen_version[key] = version
+                oldest = self.everywhere_version.get(customer, Version(0))
+                if fleet.is_confirmed(state) and version < oldest:
+                    self.reverts += 1
+
+
+def running(nodes: Iterable[Node]) -> Iterable[tuple[Node, FleetState]]:
+    """Yield the nodes whose daemon runs."""
+    for node in nodes:
+        if node.state is not None:
+            yield node, node.state
+
+
+def quantile(samples: list[float], part: float) -> float:
+    """Return a quantile, 0 for no samples."""
+    if not samples:
+        return 0.0
+    ordered = sorted(samples)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
--- /dev/null
+++ b/benchmarks/_fleet_platform.py
@@ -0,0 +1,135 @@
+"""A stand-in for the platform under the virtual clock of the fleet benchmark."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from daisywharf._contract import Contract
+from daisywharf._fleet._actions import (
+    ContactsRead,
+    ContactWritten,
+    ContractsRead,
+    ListContacts,
+    ListContracts,
+    PlatformAction,
+    PlatformFailed,
+    PlatformResult,
+    WatchContracts,
+    WriteContact,
+)
+from daisywharf._fleet._messages import ContractRecord, Member
+from daisywharf._ids import CustomerId, Version
+
+ANSWER_S = 0.005
+TIMEOUT_S = 5.0
+
+Schedule = Callable[[float, Callable[[], None]], None]
+Answer = Callable[[PlatformResult], None]
+
+
+class Waiting(msgspec.Struct):
+    """Hold a watch that waits."""
+
+    action: WatchContracts
+    answer: Answer
+    is_answered: bool = False
+
+
+class StandInPlatform:
+    """Hold contracts and contacts, count calls, and fail when told to."""
+
+    def __init__(self, schedule: Schedule) -> None:
+        self.schedule = schedule
+        self.version = 0
+        self.record_by_customer: dict[CustomerId, ContractRecord] = {}
+        self.deleted_by_customer: dict[CustomerId, ContractRecord] = {}
+        self.contact_by_slot: dict[tuple[str, int], Member] = {}
+        self.waiting: list[Waiting] = []
+        self.is_down = False
+        self.reads = 0
+        self.writes = 0
+
+    def write(self, contract: Contract) -> Version:
+        """Accept a contract and answer the watches."""
+        self.version += 1
+        version = Version(self.version)
+        held = msgspec.structs.replace(contract, version=version)
+        self.record_by_customer[contract.customer] = ContractRecord(
+            contract.customer, version, held
+        )
+        self.deleted_by_customer.pop(contract.customer, None)
+        self._notify()
+        return version
+
+    def delete(self, customer: CustomerId) -> Version:
+        """Delete a contract and answer the watches."""
+        self.version += 1
+        version = Version(self.version)
+        self.record_by_customer.pop(customer, None)
+        self.deleted_by_customer[customer] = ContractRecord(customer, version, None)
+        self._notify()
+        return version
+
+    def set_down(self, is_down: bool) -> None:
+        """Begin or end an outage; an outage cuts the watches."""
+        self.is_down = is_down
+        if is_down:
+            waiting, self.waiting = self.waiting, []
+            for watch in waiting:
+                watch.is_answered = True
+                watch.answer(PlatformFailed(watch.action))
+
+    def call(self, action: PlatformAction, answer: Answer, *, is_reachable: bool) -> None:
+        """Carry out an action, and answer later."""
+        if not is_reachable:
+            self.schedule(TIMEOUT_S, lambda: answer(PlatformFailed(action)))
+            return
+        self._count(action)
+        if self.is_down:
+            self.schedule(ANSWER_S, lambda: answer(PlatformFailed(action)))
+        elif isinstance(action, WatchContracts):
+            self._watch(action, answer)
+        else:
+            result = self._result(action)
+            self.schedule(ANSWER_S, lambda: answer(result))
+
+    def _count(self, action: PlatformAction) -> None:
+        if isinstance(action, WriteContact):
+            self.writes += 1
+        else:
+            self.reads += 1
+
+    def _result(self, action: PlatformAction) -> PlatformResult:
+        if isinstance(action, ListContracts):
+            records = tuple(self.record_by_customer.values())
+            return ContractsRead(records, Version(self.version), whole=True)
+        if isinstance(action, ListContacts):
+            return ContactsRead(tuple(self.contact_by_slot.values()))
+        if isinstance(action, WriteContact):
+            self.contact_by_slot[(action.member.zone, action.slot)] = action.member
+        return ContactWritten()
+
+    def _watch(self, action: WatchContracts, answer: Answer) -> None:
+        watch = Waiting(action, answer)
+        if action.after < self.version:
+            self._answer(watch)
+            return
+        self.waiting.append(watch)
+        self.schedule(action.timeout_s, lambda: self._end(watch))
+
+    def _end(self, watch: Waiting) -> None:
+        if not watch.is_answered:
+            self.waiting.remove(watch)
+            self._answer(watch)
+
+    def _notify(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        for watch in waiting:
+            self._answer(watch)
+
+    def _answer(self, watch: Waiting) -> None:
+        watch.is_answered = True
+        known = [*self.record_by_customer.values(), *self.deleted_by_customer.values()]
+        changes = tuple(record for record in known if record.version > watch.action.after)
+        result = ContractsRead(changes, Version(self.version), whole=False)
+        self.schedule(ANSWER_S, lambda: watch.answer(result))
--- /dev/null
+++ b/src/daisywharf/_fleet/_gossip.py
@@ -0,0 +1,244 @@
+"""Spread changed records in rounds, and repair by digest what the rounds lost."""
+
+from random import Random
+from typing import Final
+
+import msgspec
+
+from daisywharf._fleet._actions import FleetAction, SendTo
+from daisywharf._fleet._choosing import (
+    SPEAKER,
+    is_chosen,
+    other_zones,
+    send,
+    send_all,
+    some_contacts,
+    some_peers,
+)
+from daisywharf._fleet._confirming import freshness_of
+from daisywharf._fleet._learning import learn
+from daisywharf._fleet._messages import (
+    Gossip,
+    Member,
+    Record,
+    RepairAsk,
+    RepairBuckets,
+    RepairRecords,
+    Scope,
+)
+from daisywharf._fleet._model import FleetState
+from daisywharf._fleet._store import Rumour, buckets_that_differ, records_in
+
+GOSSIP_PERIOD_S: Final = 0.2
+GOSSIP_FANOUT: Final = 3
+GOSSIP_BYTES_PER_S: Final = 7_000.0
+GOSSIP_BURST_BYTES: Final = 14_000.0
+GOSSIP_MESSAGE_BYTES: Final = 1_200
+REPAIR_BYTES_PER_S: Final = 4_000.0
+REPAIR_BURST_BYTES: Final = 48_000.0
+REPAIR_MESSAGE_BYTES: Final = 12_000
+COMPARE_PERIOD_S: Final = 1.0
+COMPARE_ACROSS_PERIOD_S: Final = 2.0
+JOIN_PERIOD_S: Final = 0.5
+RECONNECT_PERIOD_S: Final = 10.0
+CROSS_CONTACTS: Final = 2
+
+
+def tick_gossip(state: FleetState, *, now: float, rng: Random) -> list[FleetAction]:
+    """Send the rounds that are due."""
+    times = state.gossip
+    actions: list[FleetAction] = []
+    if now - times.round_at >= GOSSIP_PERIOD_S:
+        _refill(state, now - times.round_at)
+        times.round_at = now
+        actions.extend(_spread_in_zone(state, rng))
+    if state.cross_rumour_by_key:
+        actions.extend(_spread_to_zones(state, rng))
+    period_s = COMPARE_PERIOD_S if state.is_joined else JOIN_PERIOD_S
+    if now - times.compared_at >= period_s:
+        times.compared_at = now
+        actions.extend(_compare_in_zone(state, rng))
+    if now - times.compared_across_at >= COMPARE_ACROSS_PERIOD_S:
+        times.compared_across_at = now
+        actions.extend(_compare_across(state, rng))
+    period_s = RECONNECT_PERIOD_S if state.is_joined else JOIN_PERIOD_S
+    if now - times.reconnected_at >= period_s:
+        times.reconnected_at = now
+        actions.extend(_reconnect(state, rng))
+    return actions
+
+
+def _refill(state: FleetState, elapsed_s: float) -> None:
+    times = state.gossip
+    elapsed_s = min(elapsed_s, 10.0)
+    gained = elapsed_s * GOSSIP_BYTES_PER_S
+    times.tokens_bytes = min(GOSSIP_BURST_BYTES, times.tokens_bytes + gained)
+    gained = elapsed_s * REPAIR_BYTES_PER_S
+    times.repair_tokens_bytes = min(REPAIR_BURST_BYTES, times.repair_tokens_bytes + gained)
+
+
+def _spread_in_zone(state: FleetState, rng: Random) -> list[FleetAction]:
+    members = some_peers(state, GOSSIP_FANOUT, rng)
+    limit_bytes = min(GOSSIP_MESSAGE_BYTES, state.gossip.tokens_bytes / GOSSIP_FANOUT)
+    if not members or limit_bytes <= 0:
+        return []
+    records = _take_rumours(state, limit_bytes=limit_bytes, copies=len(members))
+    if not records:
+        return []
+    return send_all(members, Gossip(state.me, records))
+
+
+def _take_rumours(state: FleetState, *, limit_bytes: float, copies: int) -> tuple[Record, ...]:
+    """Take the least spread records, always one at least, and pay for them."""
+    rumours = _rumours_by_need(state)
+    records: list[Record] = []
+    used_bytes = 0
+    for rumour in rumours:
+        if records and used_bytes + rumour.size_bytes > limit_bytes:
+            continue
+        used_bytes += rumour.size_bytes
+        records.append(rumour.record)
+        rumour.copies_left -= copies
+    _drop_spread(state)
+    state.gossip.tokens_bytes -= used_bytes * copies
+    return tuple(records)
+
+
+def _rumours_by_need(state: FleetState) -> list[Rumour]:
+    stores = state.store_by_scope.values()
+    rumours = [rumour for store in stores for rumour in store.rumour_by_key.values()]
+    return sorted(rumours, key=lambda rumour: -rumour.copies_left)
+
+
+def _drop_spread(state: FleetState) -> None:
+    for store in state.store_by_scope.values():
+        spread = [key for key, rumour in store.rumour_by_key.items() if rumour.copies_left <= 0]
+        for key in spread:
+            del store.rumour_by_key[key]
+
+
+def _spread_to_zones(state: FleetState, rng: Random) -> list[FleetAction]:
+    scope_by_key = state.cross_rumour_by_key
+    state.cross_rumour_by_key = {}
+    if not is_chosen(state, SPEAKER):
+        return []
+    records: list[Record] = []
+    for key, scope in scope_by_key.items():
+        record = state.store_by_scope[Scope(scope)].record_by_key.get(key)
+        if record is not None:
+            records.append(record)
+    message = Gossip(state.me, tuple(records))
+    actions: list[FleetAction] = []
+    for zone in other_zones(state):
+        actions.extend(send_all(some_contacts(state, zone, CROSS_CONTACTS, rng), message))
+    return actions
+
+
+def _ask(state: FleetState, scope: Scope) -> RepairAsk:
+    digest = state.store_by_scope[scope].digest
+    return RepairAsk(state.me, scope, digest, freshness_of(state, now=state.now))
+
+
+def _compare_in_zone(state: FleetState, rng: Random) -> list[FleetAction]:
+    actions: list[FleetAction] = []
+    for scope in Scope:
+        actions.extend(send_all(some_peers(state, 1, rng), _ask(state, scope)))
+    return actions
+
+
+def _compare_across(state: FleetState, rng: Random) -> list[FleetAction]:
+    zones = other_zones(state)
+    if not zones or not (is_chosen(state, SPEAKER) or not state.is_joined):
+        return []
+    members = some_contacts(state, rng.choice(zones), 1, rng)
+    return _compare_with(state, members)
+
+
+def _compare_with(state: FleetState, members: list[Member]) -> list[FleetAction]:
+    scopes = (Scope.SUMMARIES, Scope.CONTRACTS)
+    return [send(member, _ask(state, scope)) for member in members for scope in scopes]
+
+
+def _reconnect(state: FleetState, rng: Random) -> list[FleetAction]:
+    """Compare with a seed, which may know what the known peers don't."""
+    if not state.seeds:
+        return []
+    seed = rng.choice(state.seeds)
+    actions: list[FleetAction] = [SendTo(seed, _ask(state, scope)) for scope in Scope]
+    own = state.member_record(state.me.vm)
+    if own is not None:
+        actions.append(SendTo(seed, Gossip(state.me, (own,))))
+    return actions
+
+
+def answer_compare(state: FleetState, message: RepairAsk, *, now: float) -> list[FleetAction]:
+    """Give the digests of the buckets if a scope differs."""
+    if message.scope is Scope.ZONE and message.sender.zone != state.me.zone:
+        return []
+    store = state.store_by_scope[message.scope]
+    if store.digest == message.digest or state.gossip.repair_tokens_bytes <= 0:
+        return []
+    digests = tuple(store.digest_by_bucket)
+    answer = RepairBuckets(state.me, message.scope, digests, freshness_of(state, now=now))
+    return [send(message.sender, answer)]
+
+
+def answer_buckets(
+    state: FleetState, message: RepairBuckets, *, now: float, rng: Random
+) -> list[FleetAction]:
+    """Give the records of the buckets that differ, and ask for the peer's."""
+    store = state.store_by_scope[message.scope]
+    differing = buckets_that_differ(store, message.bucket_digests)
+    if not differing:
+        return []
+    rng.shuffle(differing)
+    return _give_records(state, message.sender, message.scope, differing, tuple(differing))
+
+
+def _give_records(
+    state: FleetState,
+    receiver: Member,
+    scope: Scope,
+    buckets: list[int],
+    wanted: tuple[int, ...],
+) -> list[FleetAction]:
+    tokens_bytes = state.gossip.repair_tokens_bytes
+    limit_bytes = int(min(REPAIR_MESSAGE_BYTES, max(tokens_bytes, 0)))
+    store = state.store_by_scope[scope]
+    records = records_in(store, buckets, limit_bytes=limit_bytes) if limit_bytes else []
+    used_bytes = sum(len(msgspec.msgpack.encode(record)) for record in records)
+    state.gossip.repair_tokens_bytes -= used_bytes
+    if not records and not wanted:
+        return []
+    message = RepairRecords(state.me, scope, tuple(records), wanted)
+    return [send(receiver, message)]
+
+
+def take_repair(
+    state: FleetState, message: RepairRecords, *, now: float, rng: Random
+) -> list[FleetAction]:
+    """Take the records, and give back this daemon's newer ones."""
+    if message.scope is Scope.ZONE and message.sender.zone != state.me.zone:
+        return []
+    if message.sender.zone == state.me.zone or not message.wanted:
+        state.is_joined = True
+    actions = take_records(state, message.sender, message.records, now=now)
+    if message.wanted:
+        buckets = list(message.wanted)
+        rng.shuffle(buckets)
+        actions.extend(_give_records(state, message.sender, message.scope, buckets, ()))
+    return actions
+
+
+def take_records(
+    state: FleetState, sender: Member, records: tuple[Record, ...], *, now: float
+) -> list[FleetAction]:
+    """Learn records; send back those that are held in a newer form."""
+    newer: list[Record] = []
+    for record in records:
+        held = learn(state, record, now=now)
+        if held is not None:
+            newer.append(held)
+    if not newer:
+        return []
+    return [send(sender, Gossip(state.me, tuple(newer)))]
--- /dev/null
+++ b/src/daisywharf/_fleet/_learning.py
@@ -0,0 +1,92 @@
+"""Take records from peers: the newer one wins, whatever the order in which they come."""
+
+from typing import Final
+
+from daisywharf._fleet._membership import learn_member
+from daisywharf._fleet._messages import (
+    ContractRecord,
+    DemandRecord,
+    MemberRecord,
+    Record,
+    Scope,
+    ServiceSummary,
+    ZoneContacts,
+    ZoneDemand,
+)
+from daisywharf._fleet._model import FleetState
+from daisywharf._fleet._store import heard_again, is_newer, put
+
+CONTRACT_COPIES: Final = 8
+SUMMARY_COPIES: Final = 5
+DEMAND_COPIES: Final = 4
+
+
+def learn(state: FleetState, record: Record, *, now: float) -> Record | None:
+    """Take a record from a peer; return the held one if that is newer."""
+    if isinstance(record, MemberRecord):
+        return learn_member(state, record, now=now)
+    if isinstance(record, DemandRecord):
+        return _learn_demand(state, record)
+    if isinstance(record, ContractRecord):
+        return _keep_newer(state, Scope.CONTRACTS, record, copies=CONTRACT_COPIES)
+    return learn_summary(state, record, now=now)
+
+
+def learn_summary(
+    state: FleetState, record: ZoneContacts | ZoneDemand | ServiceSummary, *, now: float
+) -> Record | None:
+    """Take a summary of a zone."""
+    if isinstance(record, ZoneDemand) and _is_news(state, record):
+        state.shares.heard_at_by_zone[record.zone] = now
+    return _keep_newer(state, Scope.SUMMARIES, record, copies=SUMMARY_COPIES)
+
+
+def _is_news(state: FleetState, record: ZoneDemand) -> bool:
+    return is_newer(state.store_by_scope[Scope.SUMMARIES], record)
+
+
+def _learn_demand(state: FleetState, record: DemandRecord) -> Record | None:
+    member = state.member_record(record.vm)
+    if member is None or member.is_terminal or record.vm == state.me.vm:
+        return None
+    if member.member.incarnation != record.incarnation:
+        return None
+    return _keep_newer(state, Scope.ZONE, record, copies=DEMAND_COPIES)
+
+
+def _keep_newer(state: FleetState, scope: Scope, record: Record, *, copies: int) -> Record | None:
+    store = state.store_by_scope[scope]
+    if is_newer(store, record):
+        put(store, record, copies=copies)
+        _spread_across(state, scope, record)
+        return None
+    held = store.record_by_key[record.key]
+    if held.order == record.order:
+        heard_again(store, record)
+        return None
+    return held
+
+
+def learn_contract(state: FleetState, record: ContractRecord) -> None:
+    """Take a contract from the platform."""
+    _keep_newer(state, Scope.CONTRACTS, record, copies=CONTRACT_COPIES)
+
+
+def publish(
+    state: FleetState,
+    scope: Scope,
+    record: DemandRecord | ZoneContacts | ZoneDemand | ServiceSummary,
+) -> None:
+    """Hold and spread a record that this daemon made."""
+    copies = DEMAND_COPIES if isinstance(record, DemandRecord) else SUMMARY_COPIES
+    put(state.store_by_scope[scope], record, copies=copies)
+    _spread_across(state, scope, record)
+
+
+def _spread_across(state: FleetState, scope: Scope, record: Record) -> None:
+    """Mark contracts, and what sums up this zone, for the other zones."""
+    is_own = isinstance(record, ZoneContacts | ZoneDemand | ServiceSummary) and (
+        record.zone == state.me.zone
+    )
+    if scope is Scope.CONTRACTS or is_own:
+        state.cross_rumour_by_key[record.key] = int(scope)
--- /dev/null
+++ b/src/daisywharf/_fleet/_membership.py
@@ -0,0 +1,261 @@
+"""Know which daemons of the zone live: probes, suspicion before death, incarnations."""
+
+from random import Random
+from typing import Final
+
+from daisywharf._fleet._actions import FleetAction
+from daisywharf._fleet._choosing import peers, send, send_all, some_peers
+from daisywharf._fleet._confirming import freshness_of
+from daisywharf._fleet._messages import (
+    Gossip,
+    IndirectProbe,
+    Member,
+    MemberRecord,
+    Probe,
+    ProbeAnswer,
+    Record,
+    Scope,
+    Status,
+)
+from daisywharf._fleet._model import FleetState, PendingProbe
+from daisywharf._fleet._store import drop, heard_again, put
+from daisywharf._ids import Incarnation, VmId
+from daisywharf._topology import TargetState
+
+PROBE_PERIOD_S: Final = 1.0
+INDIRECT_AFTER_S: Final = 0.4
+INDIRECT_PROBES: Final = 3
+SUSPICION_S: Final = 5.0
+ENDED_KEPT_S: Final = 600.0
+MEMBER_COPIES: Final = 8
+
+
+def publish_self(state: FleetState) -> None:
+    """Spread a new record of this daemon and its targets."""
+    state.sequence += 1
+    status = Status.LEFT if state.has_left else Status.ALIVE
+    targets = tuple(own.target for own in state.own_target_by_id.values())
+    record = MemberRecord(state.me, state.sequence, status, targets)
+    put(state.store_by_scope[Scope.ZONE], record, copies=MEMBER_COPIES)
+    state.view.is_stale = True
+
+
+def reincarnate(state: FleetState, incarnation: int) -> None:
+    """Go on under a new incarnation of at least the one given."""
+    me = state.me
+    number = Incarnation(max(incarnation, me.incarnation + 1))
+    state.me = Member(me.vm, me.zone, number, me.address)
+    state.shares.published = None
+    drop(state.store_by_scope[Scope.ZONE], f"d {me.vm}")
+    publish_self(state)
+
+
+def learn_member(state: FleetState, record: MemberRecord, *, now: float) -> Record | None:
+    """Take a record of a daemon of this zone; return the held one if that is newer."""
+    member = record.member
+    if member.zone != state.me.zone:
+        return None
+    if member.vm == state.me.vm:
+        _hear_of_self(state, record)
+        return state.member_record(member.vm) if record.member != state.me else None
+    held = state.member_record(member.vm)
+    if held is None and record.is_terminal:
+        return None
+    if held is None or record.order > held.order:
+        _replace(state, held, record, now=now)
+        return None
+    if held.order == record.order:
+        heard_again(state.store_by_scope[Scope.ZONE], record)
+        return None
+    return held
+
+
+def _replace(
+    state: FleetState, held: MemberRecord | None, record: MemberRecord, *, now: float
+) -> None:
+    store = state.store_by_scope[Scope.ZONE]
+    vm = record.member.vm
+    put(store, record, copies=MEMBER_COPIES)
+    is_same = held is not None and held.member == record.member
+    if not is_same or record.is_terminal:
+        drop(store, f"d {vm}")
+        state.view.is_stale = True
+    _note_status(state, record, now=now)
+    if held is not None and held.is_terminal != record.is_terminal:
+        state.view.is_stale = True
+
+
+def _note_status(state: FleetState, record: MemberRecord, *, now: float) -> None:
+    vm = record.member.vm
+    if record.status == Status.SUSPECT:
+        state.probing.suspect_since_by_vm.setdefault(vm, now)
+    else:
+        state.probing.suspect_since_by_vm.pop(vm, None)
+    if record.is_terminal:
+        state.probing.ended_at_by_vm.setdefault(vm, now)
+    else:
+        state.probing.ended_at_by_vm.pop(vm, None)
+
+
+def _hear_of_self(state: FleetState, record: MemberRecord) -> None:
+    _take_drains(state, record)
+    if state.has_left:
+        return
+    heard = record.member
+    if heard.incarnation > state.me.incarnation:
+        reincarnate(state, heard.incarnation + 1)
+    elif heard.incarnation == state.me.incarnation:
+        _defend(state, record)
+
+
+def _defend(state: FleetState, record: MemberRecord) -> None:
+    is_foreign = record.member.address != state.me.address
+    if record.is_terminal or is_foreign:
+        reincarnate(state, record.member.incarnation + 1)
+    elif (record.sequence, record.status) > (state.sequence, Status.ALIVE):
+        state.sequence = max(state.sequence, record.sequence)
+        publish_self(state)
+
+
+def _take_drains(state: FleetState, record: MemberRecord) -> None:
+    """Keep drains that this VM's former daemon had taken."""
+    for target in record.targets:
+        if target.state is TargetState.DRAINING:
+            known = state.drained_by_id.get(target.target_id, Incarnation(-1))
+            state.drained_by_id[target.target_id] = max(known, target.incarnation)
+
+
+def tick_membership(state: FleetState, *, now: float, rng: Random) -> list[FleetAction]:
+    """Probe the next peer, and end the suspicions that nobody refuted."""
+    _end_suspicions(state, now=now)
+    _forget_ended(state, now=now)
+    pending = state.probing.pending
+    actions: list[FleetAction] = []
+    if pending and not pending.is_indirect and now - pending.sent_at >= INDIRECT_AFTER_S:
+        actions.extend(_probe_indirectly(state, pending, rng))
+    if now - state.probing.started_at >= PROBE_PERIOD_S:
+        if pending:
+            actions.extend(_suspect(state, pending.subject, now=now))
+        actions.extend(_probe_next(state, now=now, rng=rng))
+    return actions
+
+
+def _probe_next(state: FleetState, *, now: float, rng: Random) -> list[FleetAction]:
+    probing = state.probing
+    probing.started_at = now
+    probing.pending = None
+    while probing.order:
+        record = state.member_record(probing.order.pop())
+        if record is not None and not record.is_terminal:
+            return [_start_probe(state, record.member, now=now)]
+    probing.order = [member.vm for member in peers(state)]
+    rng.shuffle(probing.order)
+    if not probing.order:
+        return []
+    subject = state.member_record(probing.order.pop())
+    return [_start_probe(state, subject.member, now=now)] if subject else []
+
+
+def _start_probe(state: FleetState, subject: Member, *, now: float) -> FleetAction:
+    probing = state.probing
+    probing.last_id += 1
+    probing.pending = PendingProbe(subject, probing.last_id, now)
+    return send(subject, Probe(state.me, probing.last_id, freshness_of(state, now=now)))
+
+
+def _probe_indirectly(state: FleetState, pending: PendingProbe, rng: Random) -> list[FleetAction]:
+    pending.is_indirect = True
+    helpers = some_peers(state, INDIRECT_PROBES + 1, rng)
+    helpers = [member for member in helpers if member.vm != pending.subject.vm]
+    message = IndirectProbe(state.me, pending.probe_id, pending.subject)
+    probe = Probe(state.me, pending.probe_id, freshness_of(state, now=state.now))
+    return [
+        send(pending.subject, probe),
+        *send_all(helpers[:INDIRECT_PROBES], message),
+    ]
+
+
+def _suspect(state: FleetState, subject: Member, *, now: float) -> list[FleetAction]:
+    record = state.member_record(subject.vm)
+    if record is None or record.member != subject or record.status != Status.ALIVE:
+        return []
+    suspicion = MemberRecord(record.member, record.sequence, Status.SUSPECT, record.targets)
+    _replace(state, record, suspicion, now=now)
+    return [send(subject, Gossip(state.me, (suspicion,)))]
+
+
+def _end_suspicions(state: FleetState, *, now: float) -> None:
+    for vm, since in list(state.probing.suspect_since_by_vm.items()):
+        record = state.member_record(vm)
+        if record is None or record.status != Status.SUSPECT:
+            del state.probing.suspect_since_by_vm[vm]
+        elif now - since >= SUSPICION_S:
+            _replace(state, record, _ended(record, Status.DEAD), now=now)
+
+
+def _ended(record: MemberRecord, status: Status) -> MemberRecord:
+    return MemberRecord(record.member, record.sequence, status)
+
+
+def _forget_ended(state: FleetState, *, now: float) -> None:
+    ended_at_by_vm = state.probing.ended_at_by_vm
+    for vm in [vm for vm, at in ended_at_by_vm.items() if now - at >= ENDED_KEPT_S]:
+        del ended_at_by_vm[vm]
+        drop(state.store_by_scope[Scope.ZONE], f"m {vm}")
+
+
+def tell_ended(state: FleetState, sender: Member) -> list[FleetAction]:
+    """Tell a daemon that is held as ended that it must take a new incarnation."""
+    record = state.member_record(sender.vm)
+    if record is None or not record.is_terminal:
+        return []
+    if record.member.incarnation < sender.incarnation:
+        return []
+    return [send(sender, Gossip(state.me, (record,)))]
+
+
+def answer_probe(state: FleetState, message: Probe, *, now: float) -> list[FleetAction]:
+    """Show that this daemon lives."""
+    freshness = freshness_of(state, now=now)
+    answer = ProbeAnswer(
+        state.me, message.probe_id, freshness, subject=state.me, origin=message.origin
+    )
+    return [send(message.sender, answer)]
+
+
+def probe_for(state: FleetState, message: IndirectProbe, *, now: float) -> list[FleetAction]:
+    """Probe a daemon for a peer that gets no answer."""
+    freshness = freshness_of(state, now=now)
+    probe = Probe(state.me, message.probe_id, freshness, origin=message.sender)
+    return [send(message.subject, probe)]
+
+
+def take_answer(state: FleetState, message: ProbeAnswer, *, now: float) -> list[FleetAction]:
+    """End a probe, or hand the answer on to the daemon that wants to know."""
+    origin = message.origin
+    if origin is not None and origin.vm != state.me.vm:
+        answer = ProbeAnswer(
+            state.me, message.probe_id, freshness_of(state, now=now), message.subject, origin
+        )
+        return [send(origin, answer)]
+    pending = state.probing.pending
+    if pending is not None and _answers(message.subject, pending.subject):
+        state.probing.pending = None
+    return []
+
+
+def _answers(subject: Member, probed: Member) -> bool:
+    return subject.vm == probed.vm and subject.incarnation >= probed.incarnation
+
+
+def suspects(state: FleetState) -> list[VmId]:
+    """Return the daemons that are suspected of having ended."""
+    return sorted(state.probing.suspect_since_by_vm)
+
+
+def restart_suspicions(state: FleetState, *, now: float) -> None:
+    """Give each suspected daemon its whole time again, after this one was paused."""
+    for vm in state.probing.suspect_since_by_vm:
+        state.probing.suspect_since_by_vm[vm] = now
+    state.probing.pending = None
+    state.probing.started_at = now
--- /dev/null
+++ b/src/daisywharf/_fleet/_model.py
@@ -0,0 +1,237 @@
+"""The data that one daemon holds of the fleet."""
+
+from collections import deque
+from collections.abc import Iterable
+
+import msgspec
+
+from daisywharf._fleet._actions import PlatformAction
+from daisywharf._fleet._messages import (
+    DemandRecord,
+    Member,
+    MemberRecord,
+    Scope,
+    Status,
+    ZoneDemand,
+)
+from daisywharf._fleet._store import Store
+from daisywharf._ids import (
+    CallClassName,
+    CustomerId,
+    Incarnation,
+    TargetId,
+    Version,
+    VmId,
+    ZoneName,
+)
+from daisywharf._topology import Address, Target
+
+NEVER = float("-inf")
+
+
+class RateKey(msgspec.Struct, frozen=True, array_like=True):
+    """Name one customer's call class."""
+
+    customer: CustomerId
+    call_class: CallClassName
+
+
+class OwnTarget(msgspec.Struct):
+    """Hold a target of this VM and when it last announced itself."""
+
+    target: Target
+    renewed_at: float
+
+
+class PendingProbe(msgspec.Struct):
+    """Hold the probe that waits for an answer."""
+
+    subject: Member
+    probe_id: int
+    sent_at: float
+    is_indirect: bool = False
+
+
+class Probing:
+    """Hold what the failure detector remembers."""
+
+    def __init__(self) -> None:
+        self.order: list[VmId] = []
+        self.pending: PendingProbe | None = None
+        self.last_id = 0
+        self.started_at = NEVER
+        self.suspect_since_by_vm: dict[VmId, float] = {}
+        self.ended_at_by_vm: dict[VmId, float] = {}
+
+
+class View:
+    """Hold what is derived from the membership until it changes."""
+
+    def __init__(self) -> None:
+        self.is_stale = True
+        self.peers: list[Member] = []
+        self.chosen_by_role: dict[str, tuple[VmId, ...]] = {}
+
+
+class GossipTimes:
+    """Hold the byte budget and the times of the last rounds."""
+
+    def __init__(self) -> None:
+        self.tokens_bytes = 0.0
+        self.repair_tokens_bytes = 0.0
+        self.round_at = NEVER
+        self.compared_at = NEVER
+        self.compared_across_at = NEVER
+        self.reconnected_at = NEVER
+
+
+class Outstanding(msgspec.Struct):
+    """Hold an action that the platform hasn't answered."""
+
+    action: PlatformAction
+    started_at: float
+
+
+class PlatformTask(msgspec.Struct):
+    """Hold one kind of work with the platform, its failures in a row and its next try."""
+
+    outstanding: Outstanding | None = None
+    failures: int = 0
+    next_at: float = NEVER
+
+
+class Watching:
+    """Hold what this daemon does at the platform."""
+
+    def __init__(self) -> None:
+        self.contracts = PlatformTask()
+        self.contacts = PlatformTask()
+        self.contact_write = PlatformTask()
+        self.version: Version | None = None
+        self.slot: int | None = None
+        self.slot_since = NEVER
+        self.written_slot: int | None = None
+        self.helped_at = NEVER
+
+
+class Agreement(msgspec.Struct, frozen=True):
+    """Hold when a daemon with a confirmed copy last showed the same contracts."""
+
+    at: float
+    zone: ZoneName
+
+
+class Confirming:
+    """Hold the evidence that this daemon's contracts are current."""
+
+    def __init__(self) -> None:
+        self.platform_at = NEVER
+        self.agreement_by_vm: dict[VmId, Agreement] = {}
+        self.is_settled = False
+
+
+class WeightSample(msgspec.Struct, frozen=True):
+    """Hold weights in force from a time on."""
+
+    at: float
+    weight_by_key: dict[RateKey, float]
+
+
+class ShareState:
+    """Hold demand, its history, and the shares worked out from it."""
+
+    def __init__(self) -> None:
+        self.count_by_key: dict[RateKey, int] = {}
+        self.rate_by_key: dict[RateKey, float] = {}
+        self.rated_at: float | None = None
+        self.published: DemandRecord | None = None
+        self.own_samples: deque[WeightSample] = deque()
+        self.zone_samples: deque[WeightSample] = deque()
+        self.fraction_samples: deque[WeightSample] = deque()
+        self.reserved_by_zone: dict[ZoneName, dict[RateKey, float]] = {}
+        self.heard_at_by_zone: dict[ZoneName, float] = {}
+        self.zone_demand_by_zone: dict[ZoneName, ZoneDemand] = {}
+        self.share_by_key: dict[RateKey, float] = {}
+        self.worked_at = NEVER
+        self.allowed_from = NEVER
+
+
+class PendingDrain(msgspec.Struct):
+    """Hold a drain that the target's daemon hasn't answered."""
+
+    until: float
+    next_at: float
+
+
+class InForceWatch(msgspec.Struct):
+    """Hold the answers on one customer's contract while somebody waits for it."""
+
+    until: float
+    asked_at: float = NEVER
+    is_wanted_here: bool = False
+    version: Version = Version(0)
+    version_by_member: dict[Member, Version] = {}
+    count_by_zone: dict[ZoneName, "ZoneCount"] = {}
+
+
+class ZoneCount(msgspec.Struct, frozen=True):
+    """Hold what a zone said of itself."""
+
+    version: Version
+    daemons_known: int
+    daemons_confirmed: int
+    heard_at: float
+
+
+class KnownMember(msgspec.Struct):
+    """Hold a daemon of another zone and when it was last heard."""
+
+    member: Member
+    heard_at: float
+
+
+class FleetState:
+    """Hold one daemon's view of members, targets, contracts and demand.
+
+    `zones` names the zones that the settings expect, so that a share isn't taken before
+    they were heard.
+    """
+
+    def __init__(
+        self, *, me: Member, seeds: Iterable[Address], zones: Iterable[ZoneName] = ()
+    ) -> None:
+        self.me = me
+        self.seeds = tuple(seed for seed in seeds if seed != me.address)
+        self.zones = tuple(zones)
+        self.sequence = 0
+        self.now = NEVER
+        self.started_at: float | None = None
+        self.has_left = False
+        self.is_joined = False
+        self.store_by_scope = {scope: Store() for scope in Scope}
+        self.cross_rumour_by_key: dict[str, int] = {}
+        self.own_target_by_id: dict[TargetId, OwnTarget] = {}
+        self.drained_by_id: dict[TargetId, Incarnation] = {}
+        self.pending_drain_by_id: dict[TargetId, PendingDrain] = {}
+        self.in_force_by_customer: dict[CustomerId, InForceWatch] = {}
+        self.known_by_zone: dict[ZoneName, dict[VmId, KnownMember]] = {}
+        self.probing = Probing()
+        self.view = View()
+        self.gossip = GossipTimes()
+        self.watching = Watching()
+        self.confirming = Confirming()
+        self.shares = ShareState()
+
+    def member_record(self, vm: VmId) -> MemberRecord | None:
+        """Return what is held of a daemon of this zone."""
+        record = self.store_by_scope[Scope.ZONE].record_by_key.get(f"m {vm}")
+        return record if isinstance(record, MemberRecord) else None
+
+    def member_records(self) -> list[MemberRecord]:
+        """Return the daemons of this zone that haven't ended, this one included."""
+        records = self.store_by_scope[Scope.ZONE].record_by_key.values()
+        return [
+            record
+            for record in records
+            if isinstance(record, MemberRecord) and record.status < Status.LEFT
+        ]
--- /dev/null
+++ b/src/daisywharf/_fleet/_shares.py
@@ -0,0 +1,272 @@
+"""Divide each customer's rate over zones and daemons by demand, without a counter.
+
+A weight that has grown counts for its own daemon only after a hold, while the others count
+it as soon as they hear it. So the sum of the shares stays within the rate as long as a
+record spreads within the hold.
+"""
+
+import math
+from collections import deque
+from typing import Final
+
+from daisywharf._fleet._learning import learn_summary, publish
+from daisywharf._fleet._messages import (
+    ContractRecord,
+    DemandEntry,
+    DemandRecord,
+    Scope,
+    ZoneDemand,
+)
+from daisywharf._fleet._model import NEVER, FleetState, RateKey, WeightSample
+from daisywharf._ids import CallClassName, CustomerId, ZoneName
+
+RATING_PERIOD_S: Final = 1.0
+RATING_TIME_CONSTANT_S: Final = 4.0
+WORK_PERIOD_S: Final = 0.5
+CHANGE_RATIO: Final = 0.25
+FLOOR_PART: Final = 0.05
+HOLD_IN_ZONE_S: Final = 3.0
+HOLD_ACROSS_S: Final = 6.0
+FRACTION_HOLD_S: Final = 3.0
+ZONE_STALE_AFTER_S: Final = 5.0
+
+Weights = dict[RateKey, float]
+
+
+def note_demand(
+    state: FleetState, customer: CustomerId, call_class: CallClassName, *, requests: int
+) -> None:
+    """Count requests that entered here since the last note, admitted or not."""
+    count_by_key = state.shares.count_by_key
+    key = RateKey(customer, call_class)
+    count_by_key[key] = count_by_key.get(key, 0) + requests
+
+
+def share_of(state: FleetState, customer: CustomerId, call_class: CallClassName) -> float:
+    """Return the part (0 to 1) of the contract's rate that this daemon may admit."""
+    return state.shares.share_by_key.get(RateKey(customer, call_class), 0.0)
+
+
+def restart_shares(state: FleetState, *, now: float) -> None:
+    """Give up all shares, after a start or a pause, until demand has been heard again."""
+    shares = state.shares
+    shares.share_by_key.clear()
+    shares.own_samples.clear()
+    shares.zone_samples.clear()
+    shares.fraction_samples.clear()
+    shares.count_by_key.clear()
+    shares.rated_at = now
+    shares.allowed_from = now + HOLD_ACROSS_S
+
+
+def tick_shares(state: FleetState, *, now: float) -> None:
+    """Measure demand, publish its changes, and work out the shares."""
+    shares = state.shares
+    if shares.rated_at is None:
+        restart_shares(state, now=now)
+    elif now - shares.rated_at >= RATING_PERIOD_S:
+        _rate(state, elapsed_s=now - shares.rated_at)
+        shares.rated_at = now
+        _publish_demand(state, now=now)
+    if now - shares.worked_at >= WORK_PERIOD_S:
+        shares.worked_at = now
+        _work_out(state, now=now)
+
+
+def _rate(state: FleetState, *, elapsed_s: float) -> None:
+    shares = state.shares
+    part = 1.0 - math.exp(-elapsed_s / RATING_TIME_CONSTANT_S)
+    for key in shares.count_by_key.keys() | shares.rate_by_key.keys():
+        seen = shares.count_by_key.get(key, 0) / elapsed_s
+        rate = shares.rate_by_key.get(key, 0.0)
+        shares.rate_by_key[key] = rate + part * (seen - rate)
+    shares.count_by_key.clear()
+
+
+def all_zones(state: FleetState) -> set[ZoneName]:
+    """Return the zones that divide the rates: expected or heard of."""
+    zones = {state.me.zone, *state.zones}
+    for record in state.store_by_scope[Scope.SUMMARIES].record_by_key.values():
+        if isinstance(record, ZoneDemand):
+            zones.add(record.zone)
+    return zones
+
+
+def _zone_floors(state: FleetState) -> Weights:
+    """Return the least weight of any zone for each call class in a contract."""
+    zone_count = len(all_zones(state))
+    floors: Weights = {}
+    for record in state.store_by_scope[Scope.CONTRACTS].record_by_key.values():
+        if not isinstance(record, ContractRecord) or record.contract is None:
+            continue
+        for name, call_class in record.contract.classes_by_name.items():
+            key = RateKey(record.customer, name)
+            floors[key] = FLOOR_PART * call_class.rate_per_second / zone_count
+    return floors
+
+
+def _publish_demand(state: FleetState, *, now: float) -> None:
+    shares = state.shares
+    count = max(1, len(state.view.peers) + 1)
+    floors = _zone_floors(state)
+    weights = {
+        key: rate
+        for key, rate in shares.rate_by_key.items()
+        if key in floors and rate > floors[key] / count
+    }
+    known = shares.published
+    published = (
+        {_key_of(entry): entry.requests_per_second for entry in known.entries} if known else {}
+    )
+    if known is not None and not _differs(weights, published):
+        return
+    entries = tuple(
+        DemandEntry(key.customer, key.call_class, _rounded(rate))
+        for key, rate in sorted(weights.items(), key=lambda item: -item[1])
+    )
+    sequence = known.sequence + 1 if known else 1
+    record = DemandRecord(state.me.vm, state.me.incarnation, sequence, entries)
+    shares.published = record
+    publish(state, Scope.ZONE, record)
+    _add_sample(shares.own_samples, now, weights, hold_s=HOLD_IN_ZONE_S)
+
+
+def _rounded(rate: float) -> float:
+    return float(f"{rate:.3g}")
+
+
+def _key_of(entry: DemandEntry) -> RateKey:
+    return RateKey(entry.customer, entry.call_class)
+
+
+def _differs(weights: Weights, published: Weights) -> bool:
+    if weights.keys() != published.keys():
+        return True
+    return any(
+        abs(weights[key] - published[key]) > CHANGE_RATIO * published[key] for key in weights
+    )
+
+
+def _add_sample(
+    samples: deque[WeightSample], now: float, weights: Weights, *, hold_s: float
+) -> None:
+    samples.append(WeightSample(now, weights))
+    while len(samples) > 1 and samples[1].at <= now - hold_s:
+        samples.popleft()
+
+
+def _least(
+    samples: deque[WeightSample], key: RateKey, *, now: float, hold_s: float, floor: float
+) -> float:
+    """Return the least weight in force during the hold, but at least the floor."""
+    while len(samples) > 1 and samples[1].at <= now - hold_s:
+        samples.popleft()
+    least = min((sample.weight_by_key.get(key, 0.0) for sample in samples), default=0.0)
+    return max(least, floor)
+
+
+def _zone_weights(state: FleetState, floors: Weights, count: int, *, with_own: bool) -> Weights:
+    """Return the sum of the weights of this zone's daemons, floors included."""
+    counted = count if with_own else count - 1
+    sums = {key: floor / count * counted for key, floor in floors.items()}
+    for record in state.store_by_scope[Scope.ZONE].record_by_key.values():
+        if not isinstance(record, DemandRecord):
+            continue
+        if record.vm == state.me.vm and not with_own:
+            continue
+        for entry in record.entries:
+            key = _key_of(entry)
+            if key in sums:
+                sums[key] += max(0.0, entry.requests_per_second - floors[key] / count)
+    return sums
+
+
+def zone_demand_entries(state: FleetState) -> tuple[DemandEntry, ...]:
+    """Return this zone's demand, for a speaker to publish."""
+    count = len(state.view.peers) + 1
+    sums = _zone_weights(state, _zone_floors(state), count, with_own=True)
+    return tuple(
+        DemandEntry(key.customer, key.call_class, _rounded(weight))
+        for key, weight in sorted(sums.items(), key=lambda item: -item[1])
+    )
+
+
+def publish_zone_demand(state: FleetState, *, sequence: int, now: float) -> None:
+    """Spread this zone's demand; it also shows other zones that this one can be heard."""
+    entries = zone_demand_entries(state)
+    record = ZoneDemand(state.me.zone, sequence, state.me.vm, entries)
+    learn_summary(state, record, now=now)
+
+
+def _work_out(state: FleetState, *, now: float) -> None:
+    shares = state.shares
+    floors = _zone_floors(state)
+    fraction_by_key = _zone_fractions(state, floors, now=now)
+    _add_sample(shares.fraction_samples, now, fraction_by_key, hold_s=FRACTION_HOLD_S)
+    if now < shares.allowed_from:
+        shares.share_by_key = {}
+        return
+    count = len(state.view.peers) + 1
+    others = _zone_weights(state, floors, count, with_own=False)
+    share_by_key: Weights = {}
+    for key, zone_floor in floors.items():
+        own = _least(
+            shares.own_samples,
+            key,
+            now=now,
+            hold_s=HOLD_IN_ZONE_S,
+            floor=zone_floor / count,
+        )
+        fraction = _least(shares.fraction_samples, key, now=now, hold_s=FRACTION_HOLD_S, floor=0.0)
+        share_by_key[key] = fraction * own / (own + others[key])
+    shares.share_by_key = share_by_key
+
+
+def _zone_fractions(state: FleetState, floors: Weights, *, now: float) -> Weights:
+    """Return this zone's part of each rate.
+
+    A zone that isn't heard keeps the part that it had; only the rest is divided.
+    """
+    shares = state.shares
+    weights_by_zone = _weights_by_zone(state)
+    _note_own_zone(state, weights_by_zone.get(state.me.zone), now=now)
+    others = all_zones(state) - {state.me.zone}
+    fresh = {zone for zone in others if _is_fresh(state, zone, now=now)}
+    fractions: Weights = {}
+    for key, floor in floors.items():
+        kept = sum(_reserved(state, zone, key) for zone in others - fresh)
+        own = _least(shares.zone_samples, key, now=now, hold_s=HOLD_ACROSS_S, floor=floor)
+        weight_by_zone = {
+            zone: max(floor, weights_by_zone.get(zone, {}).get(key, 0.0)) for zone in fresh
+        }
+        total = own + sum(weight_by_zone.values())
+        rest = max(0.0, 1.0 - kept)
+        for zone, weight in weight_by_zone.items():
+            shares.reserved_by_zone.setdefault(zone, {})[key] = rest * weight / total
+        fractions[key] = rest * own / total
+    return fractions
+
+
+def _weights_by_zone(state: FleetState) -> dict[ZoneName, Weights]:
+    weights_by_zone: dict[ZoneName, Weights] = {}
+    for record in state.store_by_scope[Scope.SUMMARIES].record_by_key.values():
+        if isinstance(record, ZoneDemand):
+            weights_by_zone[record.zone] = {
+                _key_of(entry): entry.requests_per_second for entry in record.entries
+            }
+    return weights_by_zone
+
+
+def _note_own_zone(state: FleetState, weights: Weights | None, *, now: float) -> None:
+    samples = state.shares.zone_samples
+    if weights is not None and (not samples or samples[-1].weight_by_key != weights):
+        _add_sample(samples, now, weights, hold_s=HOLD_ACROSS_S)
+
+
+def _is_fresh(state: FleetState, zone: ZoneName, *, now: float) -> bool:
+    return now - state.shares.heard_at_by_zone.get(zone, NEVER) <= ZONE_STALE_AFTER_S
+
+
+def _reserved(state: FleetState, zone: ZoneName, key: RateKey) -> float:
+    equal = 1.0 / len(all_zones(state))
+    return state.shares.reserved_by_zone.get(zone, {}).get(key, equal)
--- a/src/daisywharf/_fleet/_state.py
+++ b/src/daisywharf/_fleet/_state.py
@@ -1,188 +1,263 @@
 """The fleet as one daemon sees it, and what it does about it."""
 
-from collections.abc import Iterable
 from random import Random
-
-import msgspec
+from typing import Final
 
 from daisywharf._contract import Contract
-from daisywharf._fleet._messages import ContractRecord, FleetMessage, Member, Sync
-from daisywharf._ids import (
-    CallClassName,
-    CustomerId,
-    ServiceName,
-    TargetId,
-    Version,
-    VmId,
-    ZoneName,
+from daisywharf._fleet import _shares, _targets
+from daisywharf._fleet._actions import (
+    ContactsRead,
+    ContactWritten,
+    ContractsRead,
+    FleetAction,
+    ListContacts,
+    ListContracts,
+    PlatformFailed,
+    PlatformResult,
+    SendTo,
+    WatchContracts,
+    WriteContact,
 )
-from daisywharf._topology import Address, Target
-
-SYNC_PERIOD_S = 0.5
-
-
-class SendTo(msgspec.Struct, frozen=True):
-    """Send a message to a daemon; `vm` is none where only a seed address is known."""
-
-    address: Address
-    message: FleetMessage
-    vm: VmId | None = None
-
-
-class ListContracts(msgspec.Struct, frozen=True):
-    """Read all contracts from the platform."""
-
-
-class WatchContracts(msgspec.Struct, frozen=True):
-    """Wait at the platform for contracts that changed after a version."""
-
-    after: Version
-
-
-class ListContacts(msgspec.Struct, frozen=True):
-    """Read the contacts of all zones from the platform."""
-
-
-class WriteContact(msgspec.Struct, frozen=True):
-    """Write this daemon's contact at the platform."""
-
-    member: Member
-
-
-FleetAction = SendTo | ListContracts | WatchContracts | ListContacts | WriteContact
-
-
-class ContractsRead(msgspec.Struct, frozen=True):
-    """Report contracts that the platform gave; `whole` tells a listing from changes."""
-
-    records: tuple[ContractRecord, ...]
-    version: Version
-    whole: bool
-
-
-class ContactsRead(msgspec.Struct, frozen=True):
-    """Report the contacts that the platform holds."""
-
-    members: tuple[Member, ...]
-
-
-class PlatformFailed(msgspec.Struct, frozen=True):
-    """Report an action on the platform that failed."""
-
-    action: ListContracts | WatchContracts | ListContacts | WriteContact
-    is_gone: bool = False
-
-
-class ContactWritten(msgspec.Struct, frozen=True):
-    """Report that this daemon's contact was written."""
-
-
-PlatformResult = ContractsRead | ContactsRead | PlatformFailed | ContactWritten
-
-
-class FleetState:
-    """Hold one daemon's view of members, targets and contracts."""
-
-    def __init__(self, *, me: Member, seeds: Iterable[Address]) -> None:
-        self.me = me
-        self.seeds = tuple(seeds)
-        self.member_by_vm: dict[VmId, Member] = {me.vm: me}
-        self.target_by_id: dict[TargetId, Target] = {}
-        self.record_by_customer: dict[CustomerId, ContractRecord] = {}
-        self.synced_at = float("-inf")
-        self.is_listing = False
-        self.watched_version: Version | None = None
+from daisywharf._fleet._choosing import note_other_zone, other_zones, send_all, some_peers
+from daisywharf._fleet._confirming import CopyState, copy_state, take_freshness, unsettle
+from daisywharf._fleet._gossip import (
+    answer_buckets,
+    answer_compare,
+    take_records,
+    take_repair,
+    tick_gossip,
+)
+from daisywharf._fleet._in_force import (
+    ZoneInForce,
+    answer_in_force,
+    in_force,
+    take_in_force,
+    tick_in_force,
+)
+from daisywharf._fleet._membership import (
+    answer_probe,
+    probe_for,
+    publish_self,
+    reincarnate,
+    restart_suspicions,
+    take_answer,
+    tell_ended,
+    tick_membership,
+)
+from daisywharf._fleet._messages import (
+    ContractRecord,
+    DrainAnswer,
+    DrainRequest,
+    FleetMessage,
+    Gossip,
+    IndirectProbe,
+    InForceAnswer,
+    InForceAsk,
+    Probe,
+    ProbeAnswer,
+    RepairAsk,
+    RepairBuckets,
+    RepairRecords,
+    Scope,
+)
+from daisywharf._fleet._model import FleetState
+from daisywharf._fleet._status import FleetStatus, status
+from daisywharf._fleet._summaries import tick_summaries
+from daisywharf._fleet._targets import request_drain, targets_of
+from daisywharf._fleet._watching import delay_first_look, platform_answered, tick_watching
+from daisywharf._ids import CallClassName, CustomerId, TargetId, ZoneName
+from daisywharf._topology import Target
+
+STALL_S: Final = 1.0
+PAUSE_S: Final = 3.0
+JOIN_WAIT_S: Final = 5.0
+GOODBYE_COPIES: Final = 8
+
+__all__ = [
+    "ContactWritten",
+    "ContactsRead",
+    "ContractsRead",
+    "CopyState",
+    "FleetAction",
+    "FleetState",
+    "FleetStatus",
+    "ListContacts",
+    "ListContracts",
+    "PlatformFailed",
+    "PlatformResult",
+    "SendTo",
+    "WatchContracts",
+    "WriteContact",
+    "ZoneInForce",
+    "announce",
+    "contracts_by_customer",
+    "in_force",
+    "is_confirmed",
+    "leave",
+    "note_demand",
+    "platform_answered",
+    "receive",
+    "request_drain",
+    "share_of",
+    "status",
+    "targets_of",
+    "tick",
+    "withdraw",
+    "zones_of",
+]
 
 
 def announce(state: FleetState, target: Target, *, now: float) -> list[FleetAction]:
     """Take a target's announcement or its renewal; spread a changed one soon."""
-    state.target_by_id[target.target_id] = target
+    _targets.announce(state, target, now=now)
     return []
 
 
 def withdraw(state: FleetState, target_id: TargetId, *, now: float) -> list[FleetAction]:
     """Let a target leave; it receives no new work once this has spread."""
-    state.target_by_id.pop(target_id, None)
+    _targets.withdraw(state, target_id)
     return []
 
 
 def receive(
     state: FleetState, message: FleetMessage, *, now: float, rng: Random
 ) -> list[FleetAction]:
-    """Merge what a peer says."""
-    for member in (message.sender, *message.members):
-        state.member_by_vm[member.vm] = member
-    for target in message.targets:
-        if target.vm != state.me.vm:
-            state.target_by_id[target.target_id] = target
-    _merge(state, message.contracts)
+    """Take a message from a peer."""
+    sender = message.sender
+    if sender.vm == state.me.vm and sender.incarnation == state.me.incarnation:
+        return []
+    actions: list[FleetAction] = []
+    if sender.zone == state.me.zone:
+        actions.extend(tell_ended(state, sender))
+    else:
+        note_other_zone(state, sender, now=now)
+    if isinstance(message, Probe | ProbeAnswer | RepairAsk | RepairBuckets):
+        take_freshness(state, sender, message.freshness, now=now)
+    actions.extend(_take(state, message, now=now, rng=rng))
+    return actions
+
+
+def _take(
+    state: FleetState, message: FleetMessage, *, now: float, rng: Random
+) -> list[FleetAction]:
+    match message:
+        case Probe():
+            return answer_probe(state, message, now=now)
+        case ProbeAnswer():
+            return take_answer(state, message, now=now)
+        case IndirectProbe():
+            return probe_for(state, message, now=now)
+        case Gossip():
+            return take_records(state, message.sender, message.records, now=now)
+        case RepairAsk() | RepairBuckets() | RepairRecords():
+            return _take_repair(state, message, now=now, rng=rng)
+        case _:
+            return _take_question(state, message, now=now)
+
+
+def _take_repair(
+    state: FleetState,
+    message: RepairAsk | RepairBuckets | RepairRecords,
+    *,
+    now: float,
+    rng: Random,
+) -> list[FleetAction]:
+    if isinstance(message, RepairAsk):
+        return answer_compare(state, message, now=now)
+    if isinstance(message, RepairBuckets):
+        return answer_buckets(state, message, now=now, rng=rng)
+    return take_repair(state, message, now=now, rng=rng)
+
+
+def _take_question(state: FleetState, message: FleetMessage, *, now: float) -> list[FleetAction]:
+    if isinstance(message, DrainRequest):
+        return _targets.take_drain(state, message)
+    if isinstance(message, DrainAnswer):
+        _targets.take_drain_answer(state, message)
+    if isinstance(message, InForceAsk):
+        return answer_in_force(state, message, now=now)
+    if isinstance(message, InForceAnswer):
+        take_in_force(state, message, now=now)
     return []
 
 
 def tick(state: FleetState, *, now: float, rng: Random) -> list[FleetAction]:
     """Do what time asks for; call every 100 ms."""
-    actions: list[FleetAction] = []
-    if not state.is_listing and state.watched_version is None:
-        state.is_listing = True
-        actions.append(ListContracts())
-    if now - state.synced_at >= SYNC_PERIOD_S:
-        state.synced_at = now
-        actions.extend(_sync(state))
+    if state.has_left:
+        return []
+    if state.started_at is None:
+        _start(state, now=now, rng=rng)
+    else:
+        _notice_pause(state, now=now)
+    state.now = now
+    if state.started_at is not None and now - state.started_at >= JOIN_WAIT_S:
+        state.is_joined = True
+    actions = _targets.tick_targets(state, now=now, rng=rng)
+    actions.extend(tick_membership(state, now=now, rng=rng))
+    tick_summaries(state, now=now)
+    _shares.tick_shares(state, now=now)
+    actions.extend(tick_gossip(state, now=now, rng=rng))
+    actions.extend(tick_watching(state, now=now, rng=rng))
+    actions.extend(tick_in_force(state, now=now, rng=rng))
     return actions
 
 
-def _sync(state: FleetState) -> list[FleetAction]:
-    message = Sync(
-        sender=state.me,
-        members=tuple(state.member_by_vm.values()),
-        targets=tuple(state.target_by_id.values()),
-        contracts=tuple(state.record_by_customer.values()),
-    )
-    peers = {member.address: member.vm for member in state.member_by_vm.values()}
-    for seed in state.seeds:
-        peers.setdefault(seed, VmId(""))
-    peers.pop(state.me.address, None)
-    return [SendTo(address, message, vm or None) for address, vm in peers.items()]
+def _start(state: FleetState, *, now: float, rng: Random) -> None:
+    state.started_at = now
+    delay_first_look(state, now=now, rng=rng)
+    publish_self(state)
 
 
-def platform_answered(
-    state: FleetState, result: PlatformResult, *, now: float, rng: Random
-) -> list[FleetAction]:
-    """Take the result of an action on the platform."""
-    if isinstance(result, PlatformFailed):
-        state.is_listing = False
-        state.watched_version = None
-    if isinstance(result, ContractsRead):
-        _merge(state, result.records)
-        state.watched_version = result.version
-        return [WatchContracts(result.version)]
-    return []
+def _notice_pause(state: FleetState, *, now: float) -> None:
+    """Trust nothing that a pause has made old."""
+    gap_s = now - state.now
+    if gap_s >= STALL_S:
+        restart_suspicions(state, now=now)
+    if gap_s >= PAUSE_S:
+        state.started_at = now
+        state.is_joined = False
+        unsettle(state)
+        _shares.restart_shares(state, now=now)
+        state.shares.heard_at_by_zone.clear()
+        for own in state.own_target_by_id.values():
+            own.renewed_at = now
+        reincarnate(state, state.me.incarnation + 1)
 
 
 def leave(state: FleetState, *, now: float) -> list[FleetAction]:
     """Tell peers that this daemon and its targets go."""
-    return []
+    state.has_left = True
+    state.own_target_by_id.clear()
+    publish_self(state)
+    own = state.member_record(state.me.vm)
+    if own is None:
+        return []
+    peers = some_peers(state, GOODBYE_COPIES, Random(state.me.vm))
+    return send_all(peers, Gossip(state.me, (own,)))
 
 
 def contracts_by_customer(state: FleetState) -> dict[CustomerId, Contract]:
     """Return the contracts in force here."""
+    records = state.store_by_scope[Scope.CONTRACTS].record_by_key.values()
     return {
-        customer: record.contract
-        for customer, record in state.record_by_customer.items()
-        if record.contract is not None
+        record.customer: record.contract
+        for record in records
+        if isinstance(record, ContractRecord) and record.contract is not None
     }
 
 
-def targets_of(state: FleetState, service: ServiceName) -> list[Target]:
-    """Return the targets of a service that may be called from here."""
-    return [target for target in state.target_by_id.values() if target.service == service]
+def is_confirmed(state: FleetState) -> bool:
+    """Tell whether this daemon can confirm its contracts, by the platform or by peers."""
+    return copy_state(state, now=state.now) is not CopyState.UNCONFIRMED
 
 
 def share_of(
     state: FleetState, customer: CustomerId, call_class: CallClassName, *, now: float
 ) -> float:
     """Return the part (0 to 1) of the contract's rate that this daemon's entry may admit."""
-    return 1.0
+    if now - state.now >= PAUSE_S:
+        return 0.0
+    return _shares.share_of(state, customer, call_class)
 
 
 def note_demand(
@@ -194,15 +269,9 @@
     now: float,
 ) -> None:
     """Count requests that entered here since the last note, admitted or not."""
-
-
-def _merge(state: FleetState, records: Iterable[ContractRecord]) -> None:
-    for record in records:
-        known = state.record_by_customer.get(record.customer)
-        if known is None or record.version > known.version:
-            state.record_by_customer[record.customer] = record
+    _shares.note_demand(state, customer, call_class, requests=requests)
 
 
 def zones_of(state: FleetState) -> set[ZoneName]:
     """Return the zones that this daemon has heard of."""
-    return {member.zone for member in state.member_by_vm.values()}
+    return {state.me.zone, *other_zones(state)}
--- /dev/null
+++ b/src/daisywharf/_fleet/_store.py
@@ -0,0 +1,114 @@
+"""Versioned records with digests, and those of them that are still to be spread."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import Final
+
+import msgspec
+
+from daisywharf._codec import encode
+from daisywharf._fleet._messages import MemberRecord, Record
+
+BUCKET_COUNT: Final = 64
+DIGEST_BYTES: Final = 4
+
+
+class Rumour(msgspec.Struct):
+    """Hold a changed record, its size, and how often it is still to be sent."""
+
+    record: Record
+    size_bytes: int
+    copies_left: int
+
+
+class RecordHash(msgspec.Struct, frozen=True):
+    """Place a record in a bucket and give its part of that bucket's digest."""
+
+    bucket: int
+    digest: int
+
+
+class Store:
+    """Hold the newest record of each key, digests over them, and the changed ones."""
+
+    def __init__(self) -> None:
+        self.record_by_key: dict[str, Record] = {}
+        self.hash_by_key: dict[str, RecordHash] = {}
+        self.keys_by_bucket: list[dict[str, None]] = [{} for _ in range(BUCKET_COUNT)]
+        self.digest_by_bucket = [0] * BUCKET_COUNT
+        self.digest = 0
+        self.rumour_by_key: dict[str, Rumour] = {}
+
+
+def is_newer(store: Store, record: Record) -> bool:
+    """Tell whether a record would replace the one that is held."""
+    held = store.record_by_key.get(record.key)
+    return held is None or record.order > held.order
+
+
+def put(store: Store, record: Record, *, copies: int) -> None:
+    """Hold a record in place of an older one and spread it `copies` times."""
+    key = record.key
+    _remove_hash(store, key)
+    store.record_by_key[key] = record
+    if not (isinstance(record, MemberRecord) and record.is_terminal):
+        _add_hash(store, key, record)
+    if copies > 0:
+        store.rumour_by_key[key] = Rumour(record, len(encode(record)), copies)
+    else:
+        store.rumour_by_key.pop(key, None)
+
+
+def drop(store: Store, key: str) -> None:
+    """Forget a record."""
+    _remove_hash(store, key)
+    store.record_by_key.pop(key, None)
+    store.rumour_by_key.pop(key, None)
+
+
+def heard_again(store: Store, record: Record) -> None:
+    """Spread a record once less: a peer knows it already."""
+    rumour = store.rumour_by_key.get(record.key)
+    if rumour is not None and rumour.record.order == record.order:
+        rumour.copies_left -= 1
+        if rumour.copies_left <= 0:
+            del store.rumour_by_key[record.key]
+
+
+def buckets_that_differ(store: Store, bucket_digests: Iterable[int]) -> list[int]:
+    """Return the numbers of the buckets whose digests aren't the given ones."""
+    pairs = zip(store.digest_by_bucket, bucket_digests, strict=False)
+    return [number for number, (own, other) in enumerate(pairs) if own != other]
+
+
+def records_in(store: Store, buckets: Iterable[int], *, limit_bytes: int) -> list[Record]:
+    """Return the records of some buckets, up to a size."""
+    records: list[Record] = []
+    used_bytes = 0
+    for bucket in buckets:
+        for key in store.keys_by_bucket[bucket]:
+            record = store.record_by_key[key]
+            used_bytes += len(encode(record))
+            if used_bytes > limit_bytes and records:
+                return records
+            records.append(record)
+    return records
+
+
+def _add_hash(store: Store, key: str, record: Record) -> None:
+    bucket = blake2b(key.encode(), digest_size=1).digest()[0] % BUCKET_COUNT
+    content = f"{key} {record.order}".encode()
+    digest = int.from_bytes(blake2b(content, digest_size=DIGEST_BYTES).digest(), "big")
+    store.hash_by_key[key] = RecordHash(bucket, digest)
+    store.keys_by_bucket[bucket][key] = None
+    store.digest_by_bucket[bucket] ^= digest
+    store.digest ^= digest
+
+
+def _remove_hash(store: Store, key: str) -> None:
+    known = store.hash_by_key.pop(key, None)
+    if known is None:
+        return
+    del store.keys_by_bucket[known.bucket][key]
+    store.digest_by_bucket[known.bucket] ^= known.digest
+    store.digest ^= known.digest
--- /dev/null
+++ b/src/daisywharf/_fleet/_targets.py
@@ -0,0 +1,136 @@
+"""Take the announcements of this VM's targets, and drain targets of the zone."""
+
+from random import Random
+from typing import Final
+
+import msgspec
+
+from daisywharf._fleet._actions import FleetAction
+from daisywharf._fleet._choosing import other_zones, send, some_contacts
+from daisywharf._fleet._membership import publish_self
+from daisywharf._fleet._messages import (
+    DrainAnswer,
+    DrainRequest,
+    Member,
+    Scope,
+    ServiceSummary,
+)
+from daisywharf._fleet._model import FleetState, OwnTarget, PendingDrain
+from daisywharf._ids import ServiceName, TargetId
+from daisywharf._topology import Target, TargetState
+
+ANNOUNCEMENT_PERIOD_S: Final = 2.0
+ANNOUNCEMENT_LIFETIME_S: Final = 7.0
+DRAIN_RETRY_S: Final = 0.4
+DRAIN_TRIED_FOR_S: Final = 10.0
+
+
+def announce(state: FleetState, target: Target, *, now: float) -> None:
+    """Take an announcement; one that changes nothing is a renewal and isn't spread."""
+    drained = state.drained_by_id.get(target.target_id)
+    if drained is not None and target.incarnation > drained:
+        del state.drained_by_id[target.target_id]
+    elif drained is not None:
+        target = msgspec.structs.replace(target, state=TargetState.DRAINING)
+    known = state.own_target_by_id.get(target.target_id)
+    if known is not None and known.target.incarnation > target.incarnation:
+        return
+    state.own_target_by_id[target.target_id] = OwnTarget(target, now)
+    if known is None or known.target != target:
+        publish_self(state)
+
+
+def withdraw(state: FleetState, target_id: TargetId) -> None:
+    """Let a target leave."""
+    if state.own_target_by_id.pop(target_id, None) is not None:
+        publish_self(state)
+
+
+def tick_targets(state: FleetState, *, now: float, rng: Random) -> list[FleetAction]:
+    """Withdraw targets that no longer renew, and repeat drains that weren't answered."""
+    expired = [
+        target_id
+        for target_id, own in state.own_target_by_id.items()
+        if now - own.renewed_at > ANNOUNCEMENT_LIFETIME_S
+    ]
+    for target_id in expired:
+        withdraw(state, target_id)
+    actions: list[FleetAction] = []
+    for target_id, pending in list(state.pending_drain_by_id.items()):
+        if now >= pending.until:
+            del state.pending_drain_by_id[target_id]
+        elif now >= pending.next_at:
+            pending.next_at = now + DRAIN_RETRY_S
+            actions.extend(_send_drain(state, target_id, rng))
+    return actions
+
+
+def request_drain(state: FleetState, target_id: TargetId, *, now: float) -> list[FleetAction]:
+    """Have a target drained, wherever it is."""
+    if drain_own(state, target_id):
+        return []
+    state.pending_drain_by_id[target_id] = PendingDrain(now + DRAIN_TRIED_FOR_S, now)
+    owner = owner_of(state, target_id)
+    return [send(owner, DrainRequest(state.me, target_id))] if owner else []
+
+
+def drain_own(state: FleetState, target_id: TargetId) -> bool:
+    """Mark a target of this VM as draining; tell whether there is one."""
+    own = state.own_target_by_id.get(target_id)
+    if own is None:
+        return False
+    state.drained_by_id[target_id] = own.target.incarnation
+    if own.target.state is not TargetState.DRAINING:
+        own.target = msgspec.structs.replace(own.target, state=TargetState.DRAINING)
+        publish_self(state)
+    return True
+
+
+def owner_of(state: FleetState, target_id: TargetId) -> Member | None:
+    """Return the daemon of this zone whose VM has a target."""
+    for record in state.member_records():
+        if any(target.target_id == target_id for target in record.targets):
+            return record.member
+    return None
+
+
+def _send_drain(state: FleetState, target_id: TargetId, rng: Random) -> list[FleetAction]:
+    owner = owner_of(state, target_id)
+    if owner is not None:
+        return [send(owner, DrainRequest(state.me, target_id))]
+    actions: list[FleetAction] = []
+    for zone in other_zones(state):
+        for member in some_contacts(state, zone, 1, rng):
+            actions.append(send(member, DrainRequest(state.me, target_id)))
+    return actions
+
+
+def take_drain(state: FleetState, message: DrainRequest) -> list[FleetAction]:
+    """Drain a target of this VM, or hand the request to its daemon."""
+    if drain_own(state, message.target_id):
+        return [send(message.sender, DrainAnswer(state.me, message.target_id))]
+    owner = owner_of(state, message.target_id)
+    if owner is None or owner.vm == state.me.vm or message.is_forwarded:
+        return []
+    return [send(owner, DrainRequest(message.sender, message.target_id, is_forwarded=True))]
+
+
+def take_drain_answer(state: FleetState, message: DrainAnswer) -> None:
+    """Stop repeating a drain."""
+    state.pending_drain_by_id.pop(message.target_id, None)
+
+
+def targets_of(state: FleetState, service: ServiceName) -> list[Target]:
+    """Return targets that may be called: this zone's, and contacts in others."""
+    targets = [
+        target
+        for record in state.member_records()
+        for target in record.targets
+        if target.service == service and target.state is not TargetState.DRAINING
+    ]
+    for summary in state.store_by_scope[Scope.SUMMARIES].record_by_key.values():
+        if not isinstance(summary, ServiceSummary) or summary.zone == state.me.zone:
+            continue
+        if summary.service == service:
+            targets.extend(summary.contacts)
+    return targets
--- /dev/null
+++ b/src/daisywharf/_fleet/_watching.py
@@ -0,0 +1,220 @@
+"""Watch the platform from a few daemons of each zone, and write a few contacts there."""
+
+from collections.abc import Iterable
+from random import Random
+from typing import Final
+
+from daisywharf._fleet._actions import (
+    WATCH_TIMEOUT_S,
+    ContactsRead,
+    ContractsRead,
+    FleetAction,
+    ListContacts,
+    ListContracts,
+    PlatformAction,
+    PlatformFailed,
+    PlatformResult,
+    WatchContracts,
+    WriteContact,
+)
+from daisywharf._fleet._choosing import (
+    CONTACT,
+    WATCHER,
+    chosen_for,
+    is_chosen,
+    note_other_zone,
+    peers,
+    send,
+)
+from daisywharf._fleet._confirming import CopyState, copy_state, platform_spoke
+from daisywharf._fleet._learning import learn_contract
+from daisywharf._fleet._messages import ContractRecord, Gossip, Scope
+from daisywharf._fleet._model import FleetState, Outstanding, PlatformTask
+
+FIRST_LOOK_AFTER_S: Final = 2.0
+FIRST_LOOK_SPREAD_S: Final = 2.0
+ANSWER_WITHIN_S: Final = 10.0
+READ_BACKOFF_S: Final = 0.5
+READ_BACKOFF_MAX_S: Final = 4.0
+WRITE_BACKOFF_S: Final = 2.0
+WRITE_BACKOFF_MAX_S: Final = 120.0
+CONTACTS_PERIOD_S: Final = 60.0
+CONTACT_STABLE_S: Final = 5.0
+CONTACT_RENEWAL_S: Final = 900.0
+HELP_PERIOD_S: Final = 5.0
+
+
+def tick_watching(state: FleetState, *, now: float, rng: Random) -> list[FleetAction]:
+    """Start what is due at the platform."""
+    if state.started_at is None:
+        return []
+    uptime_s = now - state.started_at
+    if uptime_s < FIRST_LOOK_AFTER_S:
+        return []
+    actions: list[FleetAction] = []
+    actions.extend(_tick_contracts(state, now=now, rng=rng))
+    actions.extend(_tick_contacts(state, now=now, rng=rng))
+    actions.extend(_tick_contact_write(state, now=now, rng=rng))
+    return actions
+
+
+def delay_first_look(state: FleetState, *, now: float, rng: Random) -> None:
+    """Spread the first reads of daemons that start together."""
+    delay_s = FIRST_LOOK_AFTER_S + rng.random() * FIRST_LOOK_SPREAD_S
+    state.watching.contracts.next_at = now + delay_s
+    state.watching.contacts.next_at = now + delay_s
+    state.watching.helped_at = now + delay_s
+
+
+def _begin(task: PlatformTask, action: PlatformAction, *, now: float) -> list[FleetAction]:
+    task.outstanding = Outstanding(action, now)
+    return [action]
+
+
+def _is_free(task: PlatformTask, *, now: float, rng: Random, base_s: float, max_s: float) -> bool:
+    """Tell whether a task may start; count one whose answer never came as failed."""
+    waiting = task.outstanding
+    if waiting is not None:
+        limit_s = ANSWER_WITHIN_S
+        if isinstance(waiting.action, WatchContracts):
+            limit_s += WATCH_TIMEOUT_S
+        if now - waiting.started_at < limit_s:
+            return False
+        _back_off(task, now=now, rng=rng, base_s=base_s, max_s=max_s)
+    return now >= task.next_at
+
+
+def _back_off(task: PlatformTask, *, now: float, rng: Random, base_s: float, max_s: float) -> None:
+    task.outstanding = None
+    longest_s = min(max_s, base_s * 2.0 ** min(task.failures, 16))
+    task.failures += 1
+    task.next_at = now + longest_s * (0.5 + 0.5 * rng.random())
+
+
+def _tick_contracts(state: FleetState, *, now: float, rng: Random) -> list[FleetAction]:
+    watching = state.watching
+    task = watching.contracts
+    is_watcher = is_chosen(state, WATCHER)
+    if not is_watcher and task.outstanding is None:
+        watching.version = None
+    if not is_watcher and not _must_help(state, now=now, rng=rng):
+        return []
+    if not _is_free(task, now=now, rng=rng, base_s=READ_BACKOFF_S, max_s=READ_BACKOFF_MAX_S):
+        return []
+    if watching.version is None:
+        return _begin(task, ListContracts(), now=now)
+    return _begin(task, WatchContracts(watching.version), now=now)
+
+
+def _must_help(state: FleetState, *, now: float, rng: Random) -> bool:
+    """Let about one daemon of the zone read for itself while nobody confirms the copy."""
+    watching = state.watching
+    if now - watching.helped_at < HELP_PERIOD_S:
+        return False
+    watching.helped_at = now
+    if copy_state(state, now=now) is CopyState.CONFIRMED:
+        return False
+    return rng.random() < 1.0 / (len(peers(state)) + 1)
+
+
+def _tick_contacts(state: FleetState, *, now: float, rng: Random) -> list[FleetAction]:
+    task = state.watching.contacts
+    if state.is_joined and not is_chosen(state, WATCHER):
+        return []
+    if not _is_free(task, now=now, rng=rng, base_s=READ_BACKOFF_S, max_s=WRITE_BACKOFF_MAX_S):
+        return []
+    return _begin(task, ListContacts(), now=now)
+
+
+def _tick_contact_write(state: FleetState, *, now: float, rng: Random) -> list[FleetAction]:
+    watching = state.watching
+    task = watching.contact_write
+    chosen = chosen_for(state, CONTACT)
+    slot = chosen.index(state.me.vm) if state.me.vm in chosen else None
+    if slot != watching.slot:
+        watching.slot = slot
+        watching.slot_since = now
+        watching.written_slot = None
+        if not task.failures:
+            task.next_at = now + CONTACT_STABLE_S * (1.0 + rng.random())
+    if slot is None or now - watching.slot_since < CONTACT_STABLE_S:
+        return []
+    if not _is_free(task, now=now, rng=rng, base_s=WRITE_BACKOFF_S, max_s=WRITE_BACKOFF_MAX_S):
+        return []
+    return _begin(task, WriteContact(state.me, slot), now=now)
+
+
+def platform_answered(
+    state: FleetState, result: PlatformResult, *, now: float, rng: Random
+) -> list[FleetAction]:
+    """Take the result of an action on the platform."""
+    if isinstance(result, PlatformFailed):
+        _take_failure(state, result, now=now, rng=rng)
+        return []
+    if isinstance(result, ContractsRead):
+        return _take_contracts(state, result, now=now, rng=rng)
+    if isinstance(result, ContactsRead):
+        _finish(state.watching.contacts, now + CONTACTS_PERIOD_S * (0.5 + rng.random()))
+        return _take_contacts(state, result, now=now)
+    state.watching.written_slot = state.watching.slot
+    renewal_s = CONTACT_RENEWAL_S * (1.0 + 0.5 * rng.random())
+    _finish(state.watching.contact_write, now + renewal_s)
+    return []
+
+
+def _finish(task: PlatformTask, next_at: float) -> None:
+    task.outstanding = None
+    task.failures = 0
+    task.next_at = next_at
+
+
+def _take_failure(state: FleetState, result: PlatformFailed, *, now: float, rng: Random) -> None:
+    watching = state.watching
+    action = result.action
+    if isinstance(action, WriteContact):
+        task, base_s, max_s = watching.contact_write, WRITE_BACKOFF_S, WRITE_BACKOFF_MAX_S
+    elif isinstance(action, ListContacts):
+        task, base_s, max_s = watching.contacts, READ_BACKOFF_S, WRITE_BACKOFF_MAX_S
+    else:
+        task, base_s, max_s = watching.contracts, READ_BACKOFF_S, READ_BACKOFF_MAX_S
+        if result.is_gone:
+            watching.version = None
+    if task.outstanding is not None and task.outstanding.action == action:
+        _back_off(task, now=now, rng=rng, base_s=base_s, max_s=max_s)
+
+
+def _take_contracts(
+    state: FleetState, result: ContractsRead, *, now: float, rng: Random
+) -> list[FleetAction]:
+    watching = state.watching
+    if result.whole:
+        _bury_missing(state, result.records, result)
+    for record in result.records:
+        learn_contract(state, record)
+    watching.version = max(watching.version or result.version, result.version)
+    platform_spoke(state, now=now)
+    _finish(watching.contracts, now)
+    return _tick_contracts(state, now=now, rng=rng) if is_chosen(state, WATCHER) else []
+
+
+def _bury_missing(
+    state: FleetState, listed: Iterable[ContractRecord], result: ContractsRead
+) -> None:
+    """Hold as deleted what a listing that is at least as new doesn't have."""
+    customers = {record.customer for record in listed}
+    for held in list(state.store_by_scope[Scope.CONTRACTS].record_by_key.values()):
+        if not isinstance(held, ContractRecord) or held.contract is None:
+            continue
+        if held.customer not in customers and held.version <= result.version:
+            learn_contract(state, ContractRecord(held.customer, result.version, None))
+
+
+def _take_contacts(state: FleetState, result: ContactsRead, *, now: float) -> list[FleetAction]:
+    own = state.member_record(state.me.vm)
+    actions: list[FleetAction] = []
+    for member in result.members:
+        note_other_zone(state, member, now=now)
+        is_peer = member.zone == state.me.zone and member.vm != state.me.vm
+        if is_peer and own is not None and state.member_record(member.vm) is None:
+            actions.append(send(member, Gossip(state.me, (own,))))
+    return actions
