Join through unknown contacts, and write demand in few bytes

Ruled out: the byte budget (tokens were unspent). Change: compare with published contacts that aren't known, and with two seeds every 5 s; demand as hash and logarithm.

--- /dev/null
+++ b/src/daisywharf/_fleet/_demand.py
@@ -0,0 +1,44 @@
+"""Write demand in few bytes: a hash for the call class, a logarithm for the rate."""
+
+import math
+from collections.abc import Iterable
+from functools import lru_cache
+from hashlib import blake2b
+from typing import Final
+
+from daisywharf._fleet._messages import DemandEntry, RateId
+from daisywharf._ids import CallClassName, CustomerId
+
+LEVEL_RATIO: Final = 1.1
+RATE_ID_BYTES: Final = 4
+
+Weights = dict[RateId, float]
+
+
+@lru_cache(maxsize=65_536)
+def rate_id(customer: CustomerId, call_class: CallClassName) -> RateId:
+    """Return the short name of a customer's call class."""
+    name = f"{customer} {call_class}".encode()
+    return RateId(int.from_bytes(blake2b(name, digest_size=RATE_ID_BYTES).digest(), "big"))
+
+
+def entries_of(weights: Weights) -> tuple[DemandEntry, ...]:
+    """Write weights in requests a second; the heaviest come first."""
+    ordered = sorted(weights.items(), key=lambda item: -item[1])
+    return tuple(DemandEntry(rate, level_of(weight)) for rate, weight in ordered)
+
+
+def level_of(weight: float) -> int:
+    """Return the step of the logarithmic scale that is nearest to a weight."""
+    return round(math.log(max(weight, 1e-6)) / math.log(LEVEL_RATIO))
+
+
+@lru_cache(maxsize=1_024)
+def weight_of(level: int) -> float:
+    """Return the weight of a step."""
+    return float(LEVEL_RATIO**level)
+
+
+def weights_of(entries: Iterable[DemandEntry]) -> Weights:
+    """Read weights in requests a second."""
+    return {entry.rate_id: weight_of(entry.level) for entry in entries}
--- a/src/daisywharf/_fleet/_gossip.py
+++ b/src/daisywharf/_fleet/_gossip.py
@@ -18,6 +18,8 @@
 from daisywharf._fleet._confirming import freshness_of
 from daisywharf._fleet._learning import learn
 from daisywharf._fleet._messages import (
+    DemandRecord,
+    FleetMessage,
     Gossip,
     Member,
     Record,
@@ -25,6 +27,7 @@
     RepairBuckets,
     RepairRecords,
     Scope,
+    ZoneContacts,
 )
 from daisywharf._fleet._model import FleetState
 from daisywharf._fleet._store import Rumour, buckets_that_differ, records_in
@@ -33,6 +36,7 @@
 GOSSIP_FANOUT: Final = 3
 GOSSIP_BYTES_PER_S: Final = 7_000.0
 GOSSIP_BURST_BYTES: Final = 14_000.0
+GOSSIP_RESERVE_BYTES: Final = 4_000.0
 GOSSIP_MESSAGE_BYTES: Final = 1_200
 REPAIR_BYTES_PER_S: Final = 4_000.0
 REPAIR_BURST_BYTES: Final = 48_000.0
@@ -40,7 +44,8 @@
 COMPARE_PERIOD_S: Final = 1.0
 COMPARE_ACROSS_PERIOD_S: Final = 2.0
 JOIN_PERIOD_S: Final = 0.5
-RECONNECT_PERIOD_S: Final = 10.0
+RECONNECT_PERIOD_S: Final = 5.0
+RECONNECT_SEEDS: Final = 2
 CROSS_CONTACTS: Final = 2
 
 
@@ -91,11 +96,14 @@
 def _take_rumours(state: FleetState, *, limit_bytes: float, copies: int) -> tuple[Record, ...]:
     """Take the least spread records, always one at least, and pay for them."""
     rumours = _rumours_by_need(state)
+    is_short = state.gossip.tokens_bytes < GOSSIP_RESERVE_BYTES
     records: list[Record] = []
     used_bytes = 0
     for rumour in rumours:
         if records and used_bytes + rumour.size_bytes > limit_bytes:
             continue
+        if is_short and isinstance(rumour.record, DemandRecord):
+            break
         used_bytes += rumour.size_bytes
         records.append(rumour.record)
         rumour.copies_left -= copies
@@ -107,7 +115,12 @@
 def _rumours_by_need(state: FleetState) -> list[Rumour]:
     stores = state.store_by_scope.values()
     rumours = [rumour for store in stores for rumour in store.rumour_by_key.values()]
-    return sorted(rumours, key=lambda rumour: -rumour.copies_left)
+    return sorted(rumours, key=_need)
+
+
+def _need(rumour: Rumour) -> tuple[bool, int]:
+    """Order demand after the rest, and the least spread first."""
+    return (isinstance(rumour.record, DemandRecord), -rumour.copies_left)
 
 
 def _drop_spread(state: FleetState) -> None:
@@ -160,15 +173,30 @@
 
 
 def _reconnect(state: FleetState, rng: Random) -> list[FleetAction]:
-    """Compare with a seed, which may know what the known peers don't."""
-    if not state.seeds:
-        return []
-    seed = rng.choice(state.seeds)
-    actions: list[FleetAction] = [SendTo(seed, _ask(state, scope)) for scope in Scope]
+    """Compare with daemons that may know what the known peers don't."""
     own = state.member_record(state.me.vm)
-    if own is not None:
-        actions.append(SendTo(seed, Gossip(state.me, (own,))))
-    return actions
+    if own is None:
+        return []
+    messages: list[FleetMessage] = [Gossip(state.me, (own,))]
+    messages.extend(_ask(state, scope) for scope in Scope)
+    strangers = _unknown_contacts(state)
+    if strangers:
+        member = rng.choice(strangers)
+        return [send(member, message) for message in messages]
+    seeds = rng.sample(state.seeds, min(RECONNECT_SEEDS, len(state.seeds)))
+    return [SendTo(seed, message) for seed in seeds for message in messages]
+
+
+def _unknown_contacts(state: FleetState) -> list[Member]:
+    """Return this zone's published contacts that aren't known as peers."""
+    record = state.store_by_scope[Scope.SUMMARIES].record_by_key.get(f"k {state.me.zone}")
+    if not isinstance(record, ZoneContacts):
+        return []
+    return [
+        member
+        for member in record.members
+        if member.vm != state.me.vm and state.member_record(member.vm) is None
+    ]
 
 
 def answer_compare(state: FleetState, message: RepairAsk, *, now: float) -> list[FleetAction]:
--- a/src/daisywharf/_fleet/_messages.py
+++ b/src/daisywharf/_fleet/_messages.py
@@ -1,12 +1,12 @@
 """The messages and records that daemons of the fleet send each other."""
 
 from enum import IntEnum
+from typing import NewType
 
 import msgspec
 
 from daisywharf._contract import Contract
 from daisywharf._ids import (
-    CallClassName,
     CustomerId,
     Incarnation,
     ServiceName,
@@ -69,12 +69,14 @@
         return (self.member.incarnation, end, 0 if end else self.sequence, self.status)
 
 
+RateId = NewType("RateId", int)
+
+
 class DemandEntry(msgspec.Struct, frozen=True, array_like=True):
-    """Hold the demand for a call class in requests a second."""
+    """Hold the demand for a customer's call class, on a logarithmic scale."""
 
-    customer: CustomerId
-    call_class: CallClassName
-    requests_per_second: float
+    rate_id: RateId
+    level: int
 
 
 class DemandRecord(msgspec.Struct, frozen=True, array_like=True, tag="d"):
--- a/src/daisywharf/_fleet/_model.py
+++ b/src/daisywharf/_fleet/_model.py
@@ -10,13 +10,13 @@
     DemandRecord,
     Member,
     MemberRecord,
+    RateId,
     Scope,
     Status,
     ZoneDemand,
 )
 from daisywharf._fleet._store import Store
 from daisywharf._ids import (
-    CallClassName,
     CustomerId,
     Incarnation,
     TargetId,
@@ -29,13 +29,6 @@
 NEVER = float("-inf")
 
 
-class RateKey(msgspec.Struct, frozen=True, array_like=True):
-    """Name one customer's call class."""
-
-    customer: CustomerId
-    call_class: CallClassName
-
-
 class OwnTarget(msgspec.Struct):
     """Hold a target of this VM and when it last announced itself."""
 
@@ -134,26 +127,27 @@
     """Hold weights in force from a time on."""
 
     at: float
-    weight_by_key: dict[RateKey, float]
+    weight_by_id: dict[RateId, float]
 
 
 class ShareState:
     """Hold demand, its history, and the shares worked out from it."""
 
     def __init__(self) -> None:
-        self.count_by_key: dict[RateKey, int] = {}
-        self.rate_by_key: dict[RateKey, float] = {}
+        self.count_by_id: dict[RateId, int] = {}
+        self.rate_by_id: dict[RateId, float] = {}
         self.rated_at: float | None = None
         self.published: DemandRecord | None = None
         self.own_samples: deque[WeightSample] = deque()
         self.zone_samples: deque[WeightSample] = deque()
         self.fraction_samples: deque[WeightSample] = deque()
-        self.reserved_by_zone: dict[ZoneName, dict[RateKey, float]] = {}
+        self.reserved_by_zone: dict[ZoneName, dict[RateId, float]] = {}
         self.heard_at_by_zone: dict[ZoneName, float] = {}
         self.zone_demand_by_zone: dict[ZoneName, ZoneDemand] = {}
-        self.share_by_key: dict[RateKey, float] = {}
+        self.share_by_id: dict[RateId, float] = {}
         self.worked_at = NEVER
         self.allowed_from = NEVER
+        self.published_at = NEVER
 
 
 class PendingDrain(msgspec.Struct):
--- a/src/daisywharf/_fleet/_shares.py
+++ b/src/daisywharf/_fleet/_shares.py
@@ -9,19 +9,23 @@
 from collections import deque
 from typing import Final
 
+from daisywharf._fleet._demand import Weights, entries_of, rate_id, weights_of
 from daisywharf._fleet._learning import learn_summary, publish
 from daisywharf._fleet._messages import (
     ContractRecord,
     DemandEntry,
     DemandRecord,
+    RateId,
     Scope,
     ZoneDemand,
 )
-from daisywharf._fleet._model import NEVER, FleetState, RateKey, WeightSample
+from daisywharf._fleet._model import NEVER, FleetState, WeightSample
 from daisywharf._ids import CallClassName, CustomerId, ZoneName
 
 RATING_PERIOD_S: Final = 1.0
 RATING_TIME_CONSTANT_S: Final = 4.0
+PUBLISH_PERIOD_S: Final = 1.5
+PUBLISH_PERIOD_PER_DAEMON_S: Final = 0.02
 WORK_PERIOD_S: Final = 0.5
 CHANGE_RATIO: Final = 0.25
 FLOOR_PART: Final = 0.05
@@ -30,31 +34,29 @@
 FRACTION_HOLD_S: Final = 3.0
 ZONE_STALE_AFTER_S: Final = 5.0
 
-Weights = dict[RateKey, float]
-
 
 def note_demand(
     state: FleetState, customer: CustomerId, call_class: CallClassName, *, requests: int
 ) -> None:
     """Count requests that entered here since the last note, admitted or not."""
-    count_by_key = state.shares.count_by_key
-    key = RateKey(customer, call_class)
-    count_by_key[key] = count_by_key.get(key, 0) + requests
+    count_by_id = state.shares.count_by_id
+    key = rate_id(customer, call_class)
+    count_by_id[key] = count_by_id.get(key, 0) + requests
 
 
 def share_of(state: FleetState, customer: CustomerId, call_class: CallClassName) -> float:
     """Return the part (0 to 1) of the contract's rate that this daemon may admit."""
-    return state.shares.share_by_key.get(RateKey(customer, call_class), 0.0)
+    return state.shares.share_by_id.get(rate_id(customer, call_class), 0.0)
 
 
 def restart_shares(state: FleetState, *, now: float) -> None:
     """Give up all shares, after a start or a pause, until demand has been heard again."""
     shares = state.shares
-    shares.share_by_key.clear()
+    shares.share_by_id.clear()
     shares.own_samples.clear()
     shares.zone_samples.clear()
     shares.fraction_samples.clear()
-    shares.count_by_key.clear()
+    shares.count_by_id.clear()
     shares.rated_at = now
     shares.allowed_from = now + HOLD_ACROSS_S
 
@@ -76,11 +78,11 @@
 def _rate(state: FleetState, *, elapsed_s: float) -> None:
     shares = state.shares
     part = 1.0 - math.exp(-elapsed_s / RATING_TIME_CONSTANT_S)
-    for key in shares.count_by_key.keys() | shares.rate_by_key.keys():
-        seen = shares.count_by_key.get(key, 0) / elapsed_s
-        rate = shares.rate_by_key.get(key, 0.0)
-        shares.rate_by_key[key] = rate + part * (seen - rate)
-    shares.count_by_key.clear()
+    for key in shares.count_by_id.keys() | shares.rate_by_id.keys():
+        seen = shares.count_by_id.get(key, 0) / elapsed_s
+        rate = shares.rate_by_id.get(key, 0.0)
+        shares.rate_by_id[key] = rate + part * (seen - rate)
+    shares.count_by_id.clear()
 
 
 def all_zones(state: FleetState) -> set[ZoneName]:
@@ -100,43 +102,32 @@
         if not isinstance(record, ContractRecord) or record.contract is None:
             continue
         for name, call_class in record.contract.classes_by_name.items():
-            key = RateKey(record.customer, name)
-            floors[key] = FLOOR_PART * call_class.rate_per_second / zone_count
+            floor = FLOOR_PART * call_class.rate_per_second / zone_count
+            floors[rate_id(record.customer, name)] = floor
     return floors
 
 
 def _publish_demand(state: FleetState, *, now: float) -> None:
     shares = state.shares
-    count = max(1, len(state.view.peers) + 1)
+    count = len(state.view.peers) + 1
+    if now - shares.published_at < PUBLISH_PERIOD_S + count * PUBLISH_PERIOD_PER_DAEMON_S:
+        return
     floors = _zone_floors(state)
     weights = {
         key: rate
-        for key, rate in shares.rate_by_key.items()
+        for key, rate in shares.rate_by_id.items()
         if key in floors and rate > floors[key] / count
     }
     known = shares.published
-    published = (
-        {_key_of(entry): entry.requests_per_second for entry in known.entries} if known else {}
-    )
-    if known is not None and not _differs(weights, published):
+    if known is not None and not _differs(weights, weights_of(known.entries)):
         return
-    entries = tuple(
-        DemandEntry(key.customer, key.call_class, _rounded(rate))
-        for key, rate in sorted(weights.items(), key=lambda item: -item[1])
-    )
     sequence = known.sequence + 1 if known else 1
+    entries = entries_of(weights)
     record = DemandRecord(state.me.vm, state.me.incarnation, sequence, entries)
     shares.published = record
+    shares.published_at = now
     publish(state, Scope.ZONE, record)
-    _add_sample(shares.own_samples, now, weights, hold_s=HOLD_IN_ZONE_S)
-
-
-def _rounded(rate: float) -> float:
-    return float(f"{rate:.3g}")
-
-
-def _key_of(entry: DemandEntry) -> RateKey:
-    return RateKey(entry.customer, entry.call_class)
+    _add_sample(shares.own_samples, now, weights_of(entries), hold_s=HOLD_IN_ZONE_S)
 
 
 def _differs(weights: Weights, published: Weights) -> bool:
@@ -156,12 +147,12 @@
 
 
 def _least(
-    samples: deque[WeightSample], key: RateKey, *, now: float, hold_s: float, floor: float
+    samples: deque[WeightSample], key: RateId, *, now: float, hold_s: float, floor: float
 ) -> float:
     """Return the least weight in force during the hold, but at least the floor."""
     while len(samples) > 1 and samples[1].at <= now - hold_s:
         samples.popleft()
-    least = min((sample.weight_by_key.get(key, 0.0) for sample in samples), default=0.0)
+    least = min((sample.weight_by_id.get(key, 0.0) for sample in samples), default=0.0)
     return max(least, floor)
 
 
@@ -174,21 +165,16 @@
             continue
         if record.vm == state.me.vm and not with_own:
             continue
-        for entry in record.entries:
-            key = _key_of(entry)
+        for key, weight in weights_of(record.entries).items():
             if key in sums:
-                sums[key] += max(0.0, entry.requests_per_second - floors[key] / count)
+                sums[key] += max(0.0, weight - floors[key] / count)
     return sums
 
 
 def zone_demand_entries(state: FleetState) -> tuple[DemandEntry, ...]:
     """Return this zone's demand, for a speaker to publish."""
     count = len(state.view.peers) + 1
-    sums = _zone_weights(state, _zone_floors(state), count, with_own=True)
-    return tuple(
-        DemandEntry(key.customer, key.call_class, _rounded(weight))
-        for key, weight in sorted(sums.items(), key=lambda item: -item[1])
-    )
+    return entries_of(_zone_weights(state, _zone_floors(state), count, with_own=True))
 
 
 def publish_zone_demand(state: FleetState, *, sequence: int, now: float) -> None:
@@ -201,14 +187,14 @@
 def _work_out(state: FleetState, *, now: float) -> None:
     shares = state.shares
     floors = _zone_floors(state)
-    fraction_by_key = _zone_fractions(state, floors, now=now)
-    _add_sample(shares.fraction_samples, now, fraction_by_key, hold_s=FRACTION_HOLD_S)
+    fraction_by_id = _zone_fractions(state, floors, now=now)
+    _add_sample(shares.fraction_samples, now, fraction_by_id, hold_s=FRACTION_HOLD_S)
     if now < shares.allowed_from:
-        shares.share_by_key = {}
+        shares.share_by_id = {}
         return
     count = len(state.view.peers) + 1
     others = _zone_weights(state, floors, count, with_own=False)
-    share_by_key: Weights = {}
+    share_by_id: Weights = {}
     for key, zone_floor in floors.items():
         own = _least(
             shares.own_samples,
@@ -218,8 +204,8 @@
             floor=zone_floor / count,
         )
         fraction = _least(shares.fraction_samples, key, now=now, hold_s=FRACTION_HOLD_S, floor=0.0)
-        share_by_key[key] = fraction * own / (own + others[key])
-    shares.share_by_key = share_by_key
+        share_by_id[key] = fraction * own / (own + others[key])
+    shares.share_by_id = share_by_id
 
 
 def _zone_fractions(state: FleetState, floors: Weights, *, now: float) -> Weights:
@@ -251,15 +237,13 @@
     weights_by_zone: dict[ZoneName, Weights] = {}
     for record in state.store_by_scope[Scope.SUMMARIES].record_by_key.values():
         if isinstance(record, ZoneDemand):
-            weights_by_zone[record.zone] = {
-                _key_of(entry): entry.requests_per_second for entry in record.entries
-            }
+            weights_by_zone[record.zone] = weights_of(record.entries)
     return weights_by_zone
 
 
 def _note_own_zone(state: FleetState, weights: Weights | None, *, now: float) -> None:
     samples = state.shares.zone_samples
-    if weights is not None and (not samples or samples[-1].weight_by_key != weights):
+    if weights is not None and (not samples or samples[-1].weight_by_id != weights):
         _add_sample(samples, now, weights, hold_s=HOLD_ACROSS_S)
 
 
@@ -267,6 +251,6 @@
     return now - state.shares.heard_at_by_zone.get(zone, NEVER) <= ZONE_STALE_AFTER_S
 
 
-def _reserved(state: FleetState, zone: ZoneName, key: RateKey) -> float:
+def _reserved(state: FleetState, zone: ZoneName, key: RateId) -> float:
     equal = 1.0 / len(all_zones(state))
     return state.shares.reserved_by_zone.get(zone, {}).get(key, equal)
