--- a/benchmarks/_fleet_measures.py
+++ b/benchmarks/_fleet_measures.py
@@ -104,6 +104,8 @@
         """Add up the shares of one call class of each customer."""
         now = self.world.now
         nodes = list(running(self.world.nodes))
+        if not nodes:
+            return
         worst_unused = 0.0
         for number in range(CUSTOMERS):
             customer = CustomerId(f"customer-{number}")
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -29,6 +29,7 @@
 POLL_S = 0.05
 EDIT_PERIOD_S = 3.0
 DRAIN_PERIOD_S = 4.0
+SETTLED_S = 10.0
 SHARE_PERIOD_S = 0.5
 FALSE_DEATH_HOUR_S = 3600.0
 
@@ -135,7 +136,14 @@
     def _drain(self) -> None:
         if self.world.now > END_S - DRAIN_PERIOD_S:
             return
-        nodes = list(running(self.world.nodes))
+        now = self.world.now
+        nodes = [
+            (node, state)
+            for node, state in running(self.world.nodes)
+            if now - node.started_at >= SETTLED_S
+        ]
+        if not nodes:
+            return
         asked, state = self.world.rng.choice(nodes)
         in_zone = [node for node, _ in nodes if node.zone == asked.zone and node.target]
         target = self.world.rng.choice(in_zone).target
--- a/src/daisywharf/_fleet/_watching.py
+++ b/src/daisywharf/_fleet/_watching.py
@@ -33,7 +33,7 @@
 
 FIRST_LOOK_AFTER_S: Final = 2.0
 FIRST_LOOK_SPREAD_S: Final = 2.0
-ANSWER_WITHIN_S: Final = 10.0
+ANSWER_WITHIN_S: Final = 15.0
 READ_BACKOFF_S: Final = 0.5
 READ_BACKOFF_MAX_S: Final = 4.0
 WRITE_BACKOFF_S: Final = 2.0
