Check settings as contracts are checked

A daemon's settings stopped at the first fault and named no line. They are now read by the same walk, with bounds on each field; a faulty key is never shown.

--- a/src/daisywharf/_documents/_reader.py
+++ b/src/daisywharf/_documents/_reader.py
@@ -19,6 +19,7 @@
 from daisywharf._errors import ErrorKind
 
 MAX_FAULTS: Final = 100
+HIDDEN: Final = "not shown"
 
 DocumentT = TypeVar("DocumentT")
 # YAML's own values (dict, list, scalar), with what was faulty left out.
@@ -48,8 +49,12 @@
     kind: ErrorKind,
     max_bytes: int,
     check: Check = no_check,
+    secret_fields: frozenset[str] = frozenset(),
 ) -> DocumentT:
-    """Read a file; raise `DocumentError` of this kind with each fault in it."""
+    """Read a file; raise `DocumentError` of this kind with each fault in it.
+
+    Faults don't show the values of `secret_fields`.
+    """
     try:
         with path.open("rb") as file:
             content = file.read(max_bytes + 1)
@@ -63,6 +68,7 @@
         kind=kind,
         max_bytes=max_bytes,
         check=check,
+        secret_fields=secret_fields,
     )
 
 
@@ -74,13 +80,17 @@
     kind: ErrorKind,
     max_bytes: int,
     check: Check = no_check,
+    secret_fields: frozenset[str] = frozenset(),
 ) -> DocumentT:
-    """Read a document; raise `DocumentError` of this kind with each fault in it."""
+    """Read a document; raise `DocumentError` of this kind with each fault in it.
+
+    Faults don't show the values of `secret_fields`.
+    """
     if len(content) > max_bytes:
         mend = f"write at most {max_bytes} bytes"
         fault = Fault(file_name, 0, "the document", f"{len(content)} bytes or more", mend)
         raise DocumentError(kind, [fault])
-    walk = _Walk(file_name)
+    walk = _Walk(file_name, secret_fields)
     try:
         node = yaml.compose(content, Loader=_PlainLoader)
         plain = walk.read(node, inspect.type_info(document_type), ())
@@ -107,7 +117,8 @@
 class _Walk:
     """Hold the faults found so far and the line of each path."""
 
-    def __init__(self, file_name: str) -> None:
+    def __init__(self, file_name: str, secret_fields: frozenset[str]) -> None:
+        self.secret_fields = secret_fields
         self.file_name = file_name
         self.faults: list[Fault] = []
         self.line_by_path: dict[DocumentPath, int] = {(): 1}
@@ -118,6 +129,7 @@
         while known not in self.line_by_path:
             known = known[:-1]
         line = self.line_by_path[known]
+        shown = HIDDEN if self.secret_fields.intersection(path) else shown
         self.faults.append(Fault(self.file_name, line, path_text(path), shown, mend))
 
     def read(self, node: yaml.Node | None, info: inspect.Type, path: DocumentPath) -> PlainValue:
--- a/src/daisywharf/_settings.py
+++ b/src/daisywharf/_settings.py
@@ -1,56 +1,104 @@
 """Settings of a daemon, read from YAML and checked."""
 
+from collections.abc import Iterable
+from ipaddress import ip_address
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Annotated, Any, Final, Literal
 
 import msgspec
+from msgspec import Meta
 
-from daisywharf._errors import ConfigurationError, ErrorKind
+from daisywharf._errors import ErrorKind
 from daisywharf._ids import VmId, ZoneName
-from daisywharf._limits import MAX_SETTINGS_BYTES
+from daisywharf._limits import MAX_NAME_CHARS, MAX_SETTINGS_BYTES
 from daisywharf._topology import Address
 
+if TYPE_CHECKING:
+    from daisywharf._documents._faults import DocumentPath
+    from daisywharf._documents._reader import Problem
+
+MAX_PORT: Final = 65_535
+MAX_HTTP_THREADS: Final = 1_024
+MAX_PEERS: Final = 256
+MAX_KEYS: Final = 16
+MAX_TEXT_CHARS: Final = 1_024
+
+NAME_META: Final = Meta(
+    min_length=1, max_length=MAX_NAME_CHARS, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*\Z"
+)
+
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Say how events are written."""
 
-    format: str = "plain"
-    level: str = "INFO"
+    format: Literal["plain", "json"] = "plain"
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
 class TraceSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Say where spans go: a file of JSON lines."""
 
-    file: str
+    file: Annotated[str, Meta(min_length=1, max_length=MAX_TEXT_CHARS)]
 
 
 class DaemonSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Hold one daemon's settings; a port of 0 lets the kernel choose."""
 
-    vm: VmId
-    zone: ZoneName
+    vm: Annotated[VmId, NAME_META]
+    zone: Annotated[ZoneName, NAME_META]
     links: Address
     http: Address
-    peers: tuple[Address, ...] = ()
-    platform: str | None = None
-    keys: tuple[str, ...] = ()
-    http_threads: int = 16
+    peers: Annotated[tuple[Address, ...], Meta(max_length=MAX_PEERS)] = ()
+    platform: Annotated[str, Meta(pattern="^https?://", max_length=MAX_TEXT_CHARS)] | None = None
+    keys: Annotated[
+        tuple[Annotated[str, Meta(min_length=1, max_length=MAX_TEXT_CHARS)], ...],
+        Meta(max_length=MAX_KEYS),
+    ] = ()
+    http_threads: Annotated[int, Meta(ge=1, le=MAX_HTTP_THREADS)] = 16
     log: LogSettings = LogSettings()
     traces: TraceSettings | None = None
 
 
 def load_settings(path: Path) -> DaemonSettings:
-    """Read a settings file; raise `ConfigurationError` (invalid settings) naming the fault."""
-    import yaml
-
-    if path.stat().st_size > MAX_SETTINGS_BYTES:
-        raise _invalid(path, f"the file is over {MAX_SETTINGS_BYTES} bytes")
+    """Read a settings file; raise `DocumentError` (invalid settings) with each fault in it."""
+    # The check imports YAML, which a process that embeds the library never needs.
+    from daisywharf._documents._reader import read_file
+
+    return read_file(
+        path,
+        DaemonSettings,
+        kind=ErrorKind.INVALID_SETTINGS,
+        max_bytes=MAX_SETTINGS_BYTES,
+        check=_faulty_addresses,
+        secret_fields=frozenset({"keys"}),
+    )
+
+
+def _faulty_addresses(plain: Any) -> "Iterable[Problem]":
+    if not isinstance(plain, dict):
+        return
+    for name in ("links", "http"):
+        yield from _address_problems((name,), plain.get(name), least_port=0)
+    for place, peer in enumerate(plain.get("peers") or ()):
+        yield from _address_problems(("peers", place), peer, least_port=1)
+
+
+def _address_problems(path: "DocumentPath", plain: Any, *, least_port: int) -> "Iterable[Problem]":
+    from daisywharf._documents._reader import Problem
+
+    if not isinstance(plain, dict):
+        return
+    host = plain.get("host")
+    if host is not None and not _is_ip_number(host):
+        yield Problem((*path, "host"), host, "write an IP number, such as 10.0.0.5")
+    port = plain.get("port")
+    if port is not None and not least_port <= port <= MAX_PORT:
+        yield Problem((*path, "port"), port, f"write a port from {least_port} to {MAX_PORT}")
+
+
+def _is_ip_number(host: str) -> bool:
     try:
-        document: Any = yaml.safe_load(path.read_text(encoding="utf-8"))
-        return msgspec.convert(document, DaemonSettings)
-    except (yaml.YAMLError, msgspec.ValidationError, UnicodeDecodeError) as error:
-        raise _invalid(path, str(error)) from error
-
-
-def _invalid(path: Path, fault: str) -> ConfigurationError:
-    return ConfigurationError(ErrorKind.INVALID_SETTINGS, f"{path}: {fault}")
+        ip_address(host)
+    except ValueError:
+        return False
+    return True
