--- a/benchmarks/_overload_gates.py
+++ b/benchmarks/_overload_gates.py
@@ -35,6 +35,14 @@
         """Take the end of a call."""
         return admission.finish(self.state, call_id, now=now, succeeded=succeeded, below=below)
 
+    def suspend(self, call_id: CallId, *, now: float) -> list[AdmissionAction]:
+        """Take that a call waits for one below it."""
+        return admission.suspend(self.state, call_id, now=now)
+
+    def resume(self, call_id: CallId, *, now: float) -> None:
+        """Take that a call goes on."""
+        admission.resume(self.state, call_id, now=now)
+
     def cancel(self, call_id: CallId, *, now: float) -> list[AdmissionAction]:
         """Drop a waiting call."""
         return admission.cancel(self.state, call_id, now=now)
@@ -73,6 +81,13 @@
     def finish(
         self, call_id: CallId, *, now: float, succeeded: bool, below: Level | None
     ) -> list[AdmissionAction]:
+        """Give the slot to the call that waited longest."""
+        return self.suspend(call_id, now=now)
+
+    def resume(self, call_id: CallId, *, now: float) -> None:
+        """Let a call go on without a slot."""
+
+    def suspend(self, call_id: CallId, *, now: float) -> list[AdmissionAction]:
         """Give the slot to the call that waited longest."""
         self.running.discard(call_id)
         while self.waiting and len(self.running) < self.limit:
--- a/benchmarks/_overload_run.py
+++ b/benchmarks/_overload_run.py
@@ -50,6 +50,7 @@
     slow_after_s: float = 0.0
     failing: float = 0.0
     greedy: float = 1.0
+    holds: bool = False
     customers: int = 6
     before_s: float = 3.0
     surge_s: float = 4.0
@@ -76,7 +77,7 @@
 
 def load_of(scenario: Scenario) -> Load:
     """Return the rates of a scenario."""
-    demands = demands_of(scenario.deployment, scenario.depth, {})
+    demands = demands_of(scenario.deployment, scenario.depth, {}, holds=scenario.holds)
     capacity = usual_capacity(scenario.deployment, demands)
     usual = {d.shape.name: capacity * USUAL_LOAD * d.shape.part for d in demands}
     growth = min(scenario.surge / USUAL_LOAD, MAX_CRITICAL_GROWTH)
@@ -90,7 +91,7 @@
     slowing = {}
     if scenario.slow_service is not None:
         slowing[scenario.slow_service] = scenario.slow_factor
-    slowed = demands_of(scenario.deployment, scenario.depth, slowing)
+    slowed = demands_of(scenario.deployment, scenario.depth, slowing, holds=scenario.holds)
     return Load(usual, surge, allowed_rates(scenario.deployment, slowed, surge))
 
 
@@ -119,7 +120,9 @@
     fakes = Fakes(
         rng=Random(f"{scenario.seed}-targets"),
         delays=deployment.delays,
-        rules=RULES_BY_POLICY[scenario.policy],
+        rules=msgspec.structs.replace(
+            RULES_BY_POLICY[scenario.policy], suspends=not scenario.holds
+        ),
         service_s=service_seconds(deployment, scenario.depth),
     )
     fakes.failing_part = scenario.failing
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -30,6 +30,7 @@
         slow_after_s=options.slow_after,
         failing=options.failing,
         greedy=options.greedy,
+        holds=options.hold,
         surge_s=options.surge_seconds,
     )
     figures = figures_of(scenario, load_of(scenario), run(scenario))
@@ -58,5 +59,6 @@
     parser.add_argument("--slow-after", type=float, default=0.0)
     parser.add_argument("--failing", type=float, default=0.0)
     parser.add_argument("--greedy", type=float, default=1.0)
+    parser.add_argument("--hold", action="store_true")
     parser.add_argument("--json", action="store_true")
     return parser
--- a/src/daisywharf/_overload/_admission.py
+++ b/src/daisywharf/_overload/_admission.py
@@ -77,6 +77,7 @@
 ) -> list[AdmissionAction]:
     """Give a finished call's slot to one that waits; `below` is the level its own calls heard."""
     running = state.in_flight_by_id.pop(call_id, None)
+    running = running or state.suspended_by_id.pop(call_id, None)
     if running is None:
         return []
     residence_s = now - running.started_at
@@ -90,6 +91,22 @@
     return _start_waiting(state, now=now)
 
 
+def suspend(state: AdmissionState, call_id: CallId, *, now: float) -> list[AdmissionAction]:
+    """Lend out the slot of a call that waits for a call below it."""
+    running = state.in_flight_by_id.pop(call_id, None)
+    if running is None:
+        return []
+    state.suspended_by_id[call_id] = running
+    return _start_waiting(state, now=now)
+
+
+def resume(state: AdmissionState, call_id: CallId, *, now: float) -> None:
+    """Let a suspended call go on at once, above the limit if need be: its work is mostly done."""
+    running = state.suspended_by_id.pop(call_id, None)
+    if running is not None:
+        state.in_flight_by_id[call_id] = running
+
+
 def cancel(state: AdmissionState, call_id: CallId, *, now: float) -> list[AdmissionAction]:
     """Drop a waiting call whose caller gave up; one in flight goes on until `finish`."""
     call = state.waiting_by_id.pop(call_id, None)
@@ -252,7 +269,9 @@
     "current_level",
     "finish",
     "offer",
+    "resume",
     "retry_after_s",
     "start_draining",
+    "suspend",
     "tick",
 ]
--- a/src/daisywharf/_overload/_gate.py
+++ b/src/daisywharf/_overload/_gate.py
@@ -33,6 +33,7 @@
         self.service = service
         self.is_draining = False
         self.in_flight_by_id: dict[CallId, RunningCall] = {}
+        self.suspended_by_id: dict[CallId, RunningCall] = {}
         self.waiting_by_id: dict[CallId, WaitingCall] = {}
         self.queue = WaitingQueue()
         self.window_by_service: dict[ServiceName, EntryWindow] = {}
--- a/src/daisywharf/_virtual/_chain.py
+++ b/src/daisywharf/_virtual/_chain.py
@@ -49,6 +49,7 @@
         self.reply = reply
         self.started_at: float | None = None
         self.is_over = False
+        self.is_suspended = False
         self.budget = RetryBudget(context.retries)
         self.below: Level | None = None
         self.child: ChainCall | None = None
@@ -120,6 +121,12 @@
     fakes.first_calls += 1
     service = call.send.chain[call.context.depth + 1]
     earn_retry(call.target.retry_ratio, RetryRatioKey(call.context.customer, service))
+    call.send.target_s += fakes.loop.now - (call.started_at or 0.0)
+    call.started_at = fakes.loop.now
+    if fakes.rules.suspends:
+        actions = call.target.gate.suspend(call.call_id, now=fakes.loop.now)
+        call.is_suspended = True
+        apply_actions(fakes, call.target, actions)
     _call_next(fakes, call)
 
 
@@ -242,7 +249,8 @@
 
 def _release(fakes: Fakes, call: ChainCall, *, succeeded: bool) -> list[AdmissionAction]:
     now = fakes.loop.now
-    call.send.target_s += now - (call.started_at or now)
+    if not call.is_suspended:
+        call.send.target_s += now - (call.started_at or now)
     gate = call.target.gate
     return gate.finish(call.call_id, now=now, succeeded=succeeded, below=call.below)
 
--- a/src/daisywharf/_virtual/_clients.py
+++ b/src/daisywharf/_virtual/_clients.py
@@ -13,7 +13,7 @@
 from daisywharf._virtual._chain import ChainCall, arrive, cancel_call, new_call
 from daisywharf._virtual._loop import call_later
 from daisywharf._virtual._messages import Answer, ChainSend
-from daisywharf._virtual._targets import Fakes
+from daisywharf._virtual._targets import Fakes, entries_in
 
 BACKOFF_S = 0.05
 
@@ -86,8 +86,7 @@
         retries=call_class.retries,
         idempotent=call_class.idempotent,
     )
-    ids = fakes.ids_by_service[request.chain[0]]
-    target = fakes.target_by_id[clients.rng.choice(ids)]
+    target = clients.rng.choice(entries_in(fakes, request.chain[0], request.zone))
 
     def answered(answer: Answer) -> None:
         call_later(
--- a/src/daisywharf/_virtual/_messages.py
+++ b/src/daisywharf/_virtual/_messages.py
@@ -25,6 +25,12 @@
     ) -> list[AdmissionAction]:
         """Take the end of a call."""
 
+    def suspend(self, call_id: CallId, *, now: float) -> list[AdmissionAction]:
+        """Take that a call waits for one below it."""
+
+    def resume(self, call_id: CallId, *, now: float) -> None:
+        """Take that a call goes on."""
+
     def cancel(self, call_id: CallId, *, now: float) -> list[AdmissionAction]:
         """Drop a waiting call."""
 
@@ -45,6 +51,7 @@
     cancels: bool = False
     checks_deadline: bool = False
     refuses_early: bool = False
+    suspends: bool = True
 
 
 class Answer(msgspec.Struct, frozen=True):
--- a/src/daisywharf/_virtual/_targets.py
+++ b/src/daisywharf/_virtual/_targets.py
@@ -98,3 +98,9 @@
 def network_s(fakes: Fakes, one: ZoneName, other: ZoneName) -> float:
     """Return the delay of a message between two zones."""
     return fakes.delays.within_zone_s if one == other else fakes.delays.between_zones_s
+
+
+def entries_in(fakes: Fakes, service: ServiceName, zone: ZoneName) -> list[FakeTarget]:
+    """Return a service's targets in a zone, or all where the zone has none."""
+    everywhere = [fakes.target_by_id[target_id] for target_id in fakes.ids_by_service[service]]
+    return [entry for entry in everywhere if entry.target.zone == zone] or everywhere
