Shed by one level that the loaded service sets for all its entries

Entries now report what they refuse on the calls that they let in; the loaded service works out one level from the whole demand, its own rate and its load, and sends it back on answers.

--- a/src/daisywharf/_context.py
+++ b/src/daisywharf/_context.py
@@ -18,8 +18,19 @@
 SUB_ORDERS: Final = 65_536
 
 
+class Refusals(msgspec.Struct, frozen=True):
+    """Count, by importance, the requests that an entry refused for load, and from which level."""
+
+    counts: tuple[int, ...]
+    importance: int
+    sub_order: int
+
+
 class RequestContext(msgspec.Struct, frozen=True):
-    """Describe one call of a request; `deadline` is in seconds of the holder's own clock."""
+    """Describe one call of a request; `deadline` is in seconds of the holder's own clock.
+
+    `refusals` are those of the entry since the last request that it let in.
+    """
 
     request_id: RequestId
     customer: CustomerId
@@ -31,6 +42,7 @@
     depth: int = 0
     key: IdempotencyKey | None = None
     traceparent: str | None = None
+    refusals: Refusals | None = None
 
     @property
     def sub_order(self) -> int:
--- a/src/daisywharf/_overload/_actions.py
+++ b/src/daisywharf/_overload/_actions.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from daisywharf._context import Refusals
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import RequestId
 
@@ -14,9 +15,10 @@
 
 
 class Admit(msgspec.Struct, frozen=True):
-    """Start this call now."""
+    """Start this call now; its calls below carry `refusals` in their context."""
 
     call_id: CallId
+    refusals: Refusals | None = None
 
 
 class Enqueue(msgspec.Struct, frozen=True):
--- a/src/daisywharf/_overload/_admission.py
+++ b/src/daisywharf/_overload/_admission.py
@@ -12,7 +12,7 @@
     RunningCall,
     has_slot,
     load_of,
-    window_of,
+    window_for,
 )
 from daisywharf._overload._level import Level, merge_levels
 from daisywharf._overload._queue import (
@@ -24,20 +24,23 @@
     pop_worst,
     push,
 )
+from daisywharf._overload._shedding import move_level, note_call, note_done
 from daisywharf._overload._window import (
-    MAX_ENTRY_WAIT_S,
     EntryWindow,
     adjust,
     has_room,
     note_end,
-    note_load,
+    note_level_below,
     refuses,
+    take_refusals,
 )
 
 OVERLOAD_WAIT_S: Final = 0.05
+TICK_PERIOD_S: Final = 0.01
 LEAST_RETRY_AFTER_S: Final = 1.0
 RETRY_AFTER_SPREAD_S: Final = 2.0
 DRAINING_RETRY_AFTER_S: Final = 0.1
+MAX_QUEUE_PART: Final = 3.0
 ATTEMPT_STRIDE: Final = 40_503
 
 
@@ -51,6 +54,7 @@
     if context.deadline - now <= least_time_s(state.expected, key, now=now):
         return [Refuse(call_id, ErrorKind.TOO_LATE, 0.0)]
     sub_order = context.sub_order
+    due = _tick_if_due(state, now=now)
     call = WaitingCall(
         call_id,
         context.call_class,
@@ -63,8 +67,9 @@
     window = state.window_by_class.get(context.call_class) if context.depth == 0 else None
     if window is not None:
         call.window_service = window.service
-        return _offer_to_window(state, window, call, now=now)
-    return _offer_slot(state, call, None, now=now)
+        return due + _offer_to_window(state, window, call, now=now)
+    note_call(state.shedding, call.importance, sub_order, context.refusals)
+    return due + _offer_slot(state, call, None, now=now)
 
 
 def finish(
@@ -80,12 +85,14 @@
     running = running or state.suspended_by_id.pop(call_id, None)
     if running is None:
         return []
+    _count_done(state, running)
     residence_s = now - running.started_at
     if succeeded:
-        state.completions += 1
         learn_time(state.expected, running.expected_key, residence_s, now=now)
     if running.expected_key.depth == 0:
         _note_path(state, running, answer_level(state, now=now, below=below), now=now)
+    elif below is not None and below.service in state.window_by_service:
+        note_level_below(state.window_by_service[below.service], below, now=now)
     if running.window is not None:
         note_end(running.window, residence_s, succeeded=succeeded)
     return _start_waiting(state, now=now)
@@ -96,6 +103,7 @@
     running = state.in_flight_by_id.pop(call_id, None)
     if running is None:
         return []
+    _count_done(state, running)
     state.suspended_by_id[call_id] = running
     return _start_waiting(state, now=now)
 
@@ -118,13 +126,22 @@
 def tick(state: AdmissionState, *, now: float) -> list[AdmissionAction]:
     """Refuse waiting calls that can no longer finish in time; call at least every 10 ms."""
     actions: list[AdmissionAction] = []
+    state.ticked_at = now
+    move_level(
+        state.shedding,
+        load=load_of(state),
+        running=len(state.in_flight_by_id),
+        limit=state.limit,
+        now=now,
+    )
+    for window in state.window_by_service.values():
+        adjust(window, now=now)
     for call in list(state.waiting_by_id.values()):
         kind = _reason_to_leave(state, call, now=now)
         if kind is not None:
             _remove(state, call)
+            _count_refused(state, call)
             actions.append(_refusal(call, kind))
-    for window in state.window_by_service.values():
-        adjust(window, now=now)
     actions.extend(_start_waiting(state, now=now))
     return actions
 
@@ -140,7 +157,8 @@
 
 def current_level(state: AdmissionState, *, now: float) -> Level:
     """Return the level to send back on answers."""
-    return Level(state.level.importance, state.level.sub_order, load_of(state), state.service)
+    level = state.shedding.level
+    return Level(level.importance, level.sub_order, load_of(state), state.service)
 
 
 def answer_level(state: AdmissionState, *, now: float, below: Level | None = None) -> Level:
@@ -149,9 +167,9 @@
 
 
 def _note_path(state: AdmissionState, running: RunningCall, level: Level, *, now: float) -> None:
-    window = window_of(state, running.expected_key.call_class, level.service, now=now)
+    window = window_for(state, running.expected_key.call_class, level, now=now)
     if window is not None:
-        note_load(window, level.load, now=now)
+        note_level_below(window, level, now=now)
 
 
 def _offer_to_window(
@@ -159,6 +177,7 @@
 ) -> list[AdmissionAction]:
     note_arrival(window.demand, call.importance, call.sub_order)
     if refuses(window, call.importance, call.sub_order):
+        window.refused[call.importance] += 1
         return [_refusal(call, ErrorKind.SHED)]
     if has_room(window) and not window.queue.size:
         return _offer_slot(state, call, window, now=now)
@@ -169,18 +188,22 @@
     state: AdmissionState, call: WaitingCall, window: EntryWindow | None, *, now: float
 ) -> list[AdmissionAction]:
     if has_slot(state) and not state.queue.size:
-        _start(state, call, window, now=now)
-        return [Admit(call.call_id)]
+        return [_start(state, call, window, now=now)]
     return _wait(state, state.queue, call, now=now)
 
 
 def _start(
     state: AdmissionState, call: WaitingCall, window: EntryWindow | None, *, now: float
-) -> None:
+) -> Admit:
     key = ExpectedKey(call.call_class, call.depth)
     state.in_flight_by_id[call.call_id] = RunningCall(now, key, window)
-    if window is not None:
-        window.in_flight += 1
+    if window is None:
+        return Admit(call.call_id)
+    window.in_flight += 1
+    refusals = take_refusals(window)
+    # The entry's own level follows the same demand as the levels further down.
+    note_call(state.shedding, call.importance, call.sub_order, refusals)
+    return Admit(call.call_id, refusals)
 
 
 def _wait(
@@ -188,13 +211,15 @@
 ) -> list[AdmissionAction]:
     push(queue, call)
     state.waiting_by_id[call.call_id] = call
-    if queue.size <= state.limit:
+    if queue.size <= state.limit * MAX_QUEUE_PART:
         return [Enqueue(call.call_id)]
     worst = pop_worst(queue)
     if worst is None or worst is call:
         state.waiting_by_id.pop(call.call_id)
+        _count_refused(state, call)
         return [_refusal(call, ErrorKind.SHED)]
     state.waiting_by_id.pop(worst.call_id)
+    _count_refused(state, worst)
     return [Enqueue(call.call_id), _refusal(worst, ErrorKind.SHED)]
 
 
@@ -220,8 +245,7 @@
     if call.deadline - now <= least_time_s(state.expected, key, now=now):
         return [_refusal(call, ErrorKind.TOO_LATE)]
     window = _window_of_call(state, call)
-    _start(state, call, window, now=now)
-    return [Admit(call.call_id)]
+    return [_start(state, call, window, now=now)]
 
 
 def _reason_to_leave(state: AdmissionState, call: WaitingCall, *, now: float) -> ErrorKind | None:
@@ -229,7 +253,7 @@
     if call.deadline - now <= least_time_s(state.expected, key, now=now):
         return ErrorKind.TOO_LATE
     window = _window_of_call(state, call)
-    if window is None or now - call.arrived_at <= MAX_ENTRY_WAIT_S:
+    if window is None:
         return None
     return ErrorKind.SHED if refuses(window, call.importance, call.sub_order) else None
 
@@ -245,6 +269,22 @@
     return state.window_by_service[call.window_service]
 
 
+def _count_refused(state: AdmissionState, call: WaitingCall) -> None:
+    window = _window_of_call(state, call)
+    if window is not None:
+        window.refused[call.importance] += 1
+
+
+def _tick_if_due(state: AdmissionState, *, now: float) -> list[AdmissionAction]:
+    return tick(state, now=now) if now - state.ticked_at >= TICK_PERIOD_S else []
+
+
+def _count_done(state: AdmissionState, running: RunningCall) -> None:
+    if not running.is_counted:
+        running.is_counted = True
+        note_done(state.shedding)
+
+
 def _refusal(call: WaitingCall, kind: ErrorKind) -> Refuse:
     if kind is ErrorKind.TOO_LATE:
         return Refuse(call.call_id, kind, 0.0)
--- a/src/daisywharf/_overload/_demand.py
+++ b/src/daisywharf/_overload/_demand.py
@@ -2,20 +2,21 @@
 
 from typing import Final
 
-from daisywharf._context import SUB_ORDERS
+from daisywharf._context import SUB_ORDERS, Refusals
 from daisywharf._contract import Importance
 from daisywharf._overload._level import OPEN_LEVEL, Level
 
-BINS_PER_IMPORTANCE: Final = 32
+BINS_PER_IMPORTANCE: Final = 16
 SUB_ORDERS_PER_BIN: Final = SUB_ORDERS // BINS_PER_IMPORTANCE
-DEMAND_MEMORY_S: Final = 0.2
+BINS: Final = BINS_PER_IMPORTANCE * len(Importance)
+DEMAND_MEMORY_S: Final = 0.25
 
 
 class Demand:
-    """Hold decaying counts of arrivals by bins of (importance, sub-order)."""
+    """Hold decaying counts of calls by bins of (importance, sub-order)."""
 
     def __init__(self) -> None:
-        self.count_by_bin = [0.0] * (len(Importance) * BINS_PER_IMPORTANCE)
+        self.count_by_bin = [0.0] * BINS
 
 
 def note_arrival(demand: Demand, importance: Importance, sub_order: int) -> None:
@@ -23,8 +24,22 @@
     demand.count_by_bin[importance * BINS_PER_IMPORTANCE + sub_order // SUB_ORDERS_PER_BIN] += 1.0
 
 
+def note_refusals(demand: Demand, refusals: Refusals) -> None:
+    """Count calls that an entry refused, spread over what its level refuses."""
+    for importance, count in enumerate(refusals.counts[: len(Importance)]):
+        if count <= 0:
+            continue
+        first = 0
+        if importance == refusals.importance:
+            first = min(BINS_PER_IMPORTANCE - 1, refusals.sub_order // SUB_ORDERS_PER_BIN)
+        share = count / (BINS_PER_IMPORTANCE - first)
+        start = importance * BINS_PER_IMPORTANCE
+        for index in range(start + first, start + BINS_PER_IMPORTANCE):
+            demand.count_by_bin[index] += share
+
+
 def fade(demand: Demand, elapsed_s: float) -> None:
-    """Let old arrivals weigh less."""
+    """Let old calls weigh less."""
     kept = max(0.0, 1.0 - elapsed_s / DEMAND_MEMORY_S)
     demand.count_by_bin = [count * kept for count in demand.count_by_bin]
 
--- a/src/daisywharf/_overload/_gate.py
+++ b/src/daisywharf/_overload/_gate.py
@@ -6,10 +6,10 @@
 
 from daisywharf._ids import CallClassName, ServiceName
 from daisywharf._overload._actions import CallId
-from daisywharf._overload._demand import Demand
 from daisywharf._overload._expected import ExpectedKey, ExpectedTimes
-from daisywharf._overload._level import OPEN_LEVEL
+from daisywharf._overload._level import Level
 from daisywharf._overload._queue import WaitingCall, WaitingQueue
+from daisywharf._overload._shedding import BUSY_LOAD, Shedding
 from daisywharf._overload._window import EntryWindow
 
 MAX_WINDOWS: Final = 256
@@ -22,6 +22,7 @@
     started_at: float
     expected_key: ExpectedKey
     window: EntryWindow | None
+    is_counted: bool = False
 
 
 class AdmissionState:
@@ -39,11 +40,8 @@
         self.window_by_service: dict[ServiceName, EntryWindow] = {}
         self.window_by_class: dict[CallClassName, EntryWindow] = {}
         self.expected = ExpectedTimes()
-        self.demand = Demand()
-        self.level = OPEN_LEVEL
-        self.ticked_at = 0.0
-        self.completions = 0
-        self.completions_per_second = 0.0
+        self.shedding = Shedding()
+        self.ticked_at = float("-inf")
 
 
 def load_of(state: AdmissionState) -> float:
@@ -56,15 +54,25 @@
     return len(state.in_flight_by_id) < state.limit
 
 
-def window_of(
-    state: AdmissionState, call_class: CallClassName, service: ServiceName, *, now: float
+def window_for(
+    state: AdmissionState, call_class: CallClassName, level: Level, *, now: float
 ) -> EntryWindow | None:
-    """Return the window of a service, and let a call class follow it."""
+    """Return the window that a call class follows; another service that is busy takes it over."""
+    present = state.window_by_class.get(call_class)
+    if present is not None and (present.service == level.service or level.load < BUSY_LOAD):
+        return present
+    if present is not None and level.load < present.load:
+        return present
+    window = _window_of(state, level.service, now=now)
+    if window is not None and len(state.window_by_class) < MAX_WINDOWS:
+        state.window_by_class[call_class] = window
+    return window
+
+
+def _window_of(state: AdmissionState, service: ServiceName, *, now: float) -> EntryWindow | None:
     window = state.window_by_service.get(service)
     if window is None:
         if len(state.window_by_service) >= MAX_WINDOWS:
             return None
         window = state.window_by_service[service] = EntryWindow(service, now=now)
-    if len(state.window_by_class) < MAX_WINDOWS or call_class in state.window_by_class:
-        state.window_by_class[call_class] = window
     return window
--- a/src/daisywharf/_overload/_level_cache.py
+++ b/src/daisywharf/_overload/_level_cache.py
@@ -31,6 +31,8 @@
 def is_refused_early(
     cache: LevelCache, service: ServiceName, context: RequestContext, *, now: float
 ) -> bool:
-    """Tell whether a service would refuse this call anyway."""
+    """Tell whether a service would refuse this request anyway; one let in already goes on."""
+    if context.depth > 0:
+        return False
     level = kept_level(cache, service, now=now)
     return level.refuses(context.importance, context.sub_order)
--- a/src/daisywharf/_overload/_window.py
+++ b/src/daisywharf/_overload/_window.py
@@ -1,24 +1,33 @@
-"""The window of an entry: how many requests it keeps in flight through one loaded service."""
+"""The window of an entry: what it lets through to one loaded service."""
 
 from typing import Final
 
+from daisywharf._context import SUB_ORDERS, Refusals
 from daisywharf._contract import Importance
 from daisywharf._ids import ServiceName
 from daisywharf._overload._demand import Demand, fade, level_for_rate
 from daisywharf._overload._level import OPEN_LEVEL, Level
-from daisywharf._overload._queue import WaitingQueue, oldest_wait_s
-
-# The load that a window aims at, by the importance of the first calls that it refuses. The
-# steps between them make entries give up less important work first, without talking together.
-AIM_BY_IMPORTANCE: Final = (1.30, 1.14, 1.09, 1.04, 1.04)
+from daisywharf._overload._queue import WaitingQueue
+from daisywharf._overload._shedding import BOUND_STAY_S, step_level
+
+# The window holds back what comes before the loaded service's level can be heard. Once that
+# service sheds, its level is in charge, and the window is to bind only where that fails.
+AIM_LOAD: Final = 1.0
+SHEDDING_AIM_LOAD: Final = 1.8
+OPEN_MARGIN: Final = 0.05
 LOAD_MEMORY_S: Final = 0.1
 LOAD_LIFETIME_S: Final = 1.0
+LEVEL_LIFETIME_S: Final = 0.5
+FADE_PER_S: Final = 0.5
 RATE_MEMORY_S: Final = 0.2
-LEVEL_SLACK: Final = 1.15
-MAX_ENTRY_WAIT_S: Final = 0.02
+WANTED_WAIT_S: Final = 0.005
+ROOM_PERIOD_S: Final = 0.1
+EXCESS_PART: Final = 0.3
+GAIN: Final = 0.5
 MIN_WINDOW: Final = 1.0
-MAX_STEP: Final = 1.25
+MAX_STEP: Final = 2.0
 MIN_STEP: Final = 0.7
+IDLE_STEP: Final = 0.93
 
 
 class EntryWindow:
@@ -27,7 +36,8 @@
     def __init__(self, service: ServiceName, *, now: float) -> None:
         self.service = service
         self.load = 0.0
-        self.load_heard_at = now
+        self.heard_key = float(OPEN_LEVEL.importance)
+        self.heard_at = now
         self.in_flight = 0
         self.mean_in_flight = 0.0
         self.size = float("inf")
@@ -39,14 +49,17 @@
         self.queue = WaitingQueue()
         self.demand = Demand()
         self.level = OPEN_LEVEL
+        self.stays_until = now
+        self.refused = [0] * len(Importance)
 
 
-def note_load(window: EntryWindow, load: float, *, now: float) -> None:
-    """Blend in a load that came back on an answer."""
-    elapsed = now - window.load_heard_at
-    weight = max(0.05, min(1.0, elapsed / LOAD_MEMORY_S))
-    window.load += (load - window.load) * weight
-    window.load_heard_at = now
+def note_level_below(window: EntryWindow, level: Level, *, now: float) -> None:
+    """Blend in the load and the level that came back on an answer."""
+    weight = max(0.05, min(1.0, (now - window.heard_at) / LOAD_MEMORY_S))
+    key = level.importance + level.sub_order / SUB_ORDERS
+    window.load += (level.load - window.load) * weight
+    window.heard_key += (key - window.heard_key) * weight
+    window.heard_at = now
 
 
 def has_room(window: EntryWindow) -> bool:
@@ -54,6 +67,16 @@
     return window.in_flight < window.size
 
 
+def take_refusals(window: EntryWindow) -> Refusals | None:
+    """Return the requests refused since the last time, or none where there were none."""
+    if not any(window.refused):
+        return None
+    level = window.level
+    refusals = Refusals(tuple(window.refused), level.importance, level.sub_order)
+    window.refused = [0] * len(Importance)
+    return refusals
+
+
 def note_end(window: EntryWindow, residence_s: float, *, succeeded: bool) -> None:
     """Count a request that left."""
     window.in_flight -= 1
@@ -64,12 +87,12 @@
 
 def adjust(window: EntryWindow, *, now: float) -> None:
     """Move the window towards the load that it aims at, and the level with it."""
-    elapsed = now - window.ticked_at
-    if elapsed <= 0.0:
+    elapsed_s = now - window.ticked_at
+    if elapsed_s <= 0.0:
         return
     window.ticked_at = now
-    _average(window, elapsed)
-    fade(window.demand, elapsed)
+    _average(window, elapsed_s)
+    fade(window.demand, elapsed_s)
     if now - window.changed_at >= window.residence_s * 0.5:
         window.changed_at = now
         _resize(window, now=now)
@@ -85,40 +108,51 @@
 
 
 def _resize(window: EntryWindow, *, now: float) -> None:
-    if now - window.load_heard_at > LOAD_LIFETIME_S:
+    if now - window.heard_at > LOAD_LIFETIME_S:
         # Nothing was heard for long: let requests through to learn the load anew.
         window.size = max(window.size, MIN_WINDOW) * MAX_STEP
         return
-    aim = AIM_BY_IMPORTANCE[window.level.importance]
-    step = aim / max(window.load, 0.01)
+    step = _step(window)
     base = max(window.mean_in_flight, MIN_WINDOW)
     if window.size == float("inf"):
         window.size = base * step
-        return
-    lowest = window.size * MIN_STEP
-    if window.in_flight >= window.size * 0.9 or window.queue.size:
-        bounded = min(MAX_STEP, max(MIN_STEP, step))
-        window.size = max(MIN_WINDOW, window.size * (1.0 + (bounded - 1.0) * 0.5))
-        return
-    window.size = max(MIN_WINDOW, lowest, base * step)
+    elif window.in_flight >= window.size * 0.9 or window.queue.size:
+        window.size = max(MIN_WINDOW, window.size * (1.0 + (step - 1.0) * GAIN))
+    else:
+        window.size = max(MIN_WINDOW, window.size * IDLE_STEP, base * step)
+
+
+def _step(window: EntryWindow) -> float:
+    is_open = window.heard_key >= OPEN_LEVEL.importance - OPEN_MARGIN
+    aim = AIM_LOAD if is_open else SHEDDING_AIM_LOAD
+    if window.load <= aim:
+        return min(MAX_STEP, aim / max(window.load, 0.01))
+    # Above capacity all that is too much waits at the one service, so that its load moves
+    # several times as much as the requests in flight do.
+    return max(MIN_STEP, 1.0 - (window.load - aim) * EXCESS_PART)
 
 
 def _set_level(window: EntryWindow, *, now: float) -> None:
-    is_full = window.in_flight >= window.size * 0.9
-    waited_s = oldest_wait_s(window.queue, now=now)
-    if not is_full and not waited_s:
-        window.level = OPEN_LEVEL
-        return
-    room = max(0.0, window.size - window.in_flight)
-    rate = window.completions_per_second * LEVEL_SLACK + room / RATE_MEMORY_S
-    window.level = level_for_rate(window.demand, rate)
+    rate = window.completions_per_second
+    wanted_queue = rate * WANTED_WAIT_S
+    room = window.size - window.in_flight + wanted_queue - window.queue.size
+    wanted = level_for_rate(window.demand, max(0.0, rate + room / ROOM_PERIOD_S))
+    wanted = min(wanted, _heard_level(window, now=now))
+    if now >= window.stays_until:
+        window.level = step_level(window.level, wanted)
+        if window.level.sub_order == 0:
+            window.stays_until = now + BOUND_STAY_S
+
+
+def _heard_level(window: EntryWindow, *, now: float) -> Level:
+    age_s = now - window.heard_at
+    faded = window.heard_key + max(0.0, age_s - LEVEL_LIFETIME_S) * FADE_PER_S
+    importance = int(faded)
+    if importance >= OPEN_LEVEL.importance:
+        return OPEN_LEVEL
+    return Level(importance, int((faded - importance) * SUB_ORDERS))
 
 
 def refuses(window: EntryWindow, importance: Importance, sub_order: int) -> bool:
     """Tell whether a request is refused at once."""
     return window.level.refuses(importance, sub_order)
-
-
-def level_of(window: EntryWindow) -> Level:
-    """Return the level of the window."""
-    return window.level
--- a/src/daisywharf/_virtual/_chain.py
+++ b/src/daisywharf/_virtual/_chain.py
@@ -2,12 +2,11 @@
 
 from collections.abc import Callable
 
-from daisywharf._context import RequestContext
+from daisywharf._context import Refusals, RequestContext
 from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind
 from daisywharf._ids import TargetId
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
 from daisywharf._overload._level import OPEN_LEVEL, Level, merge_levels
-from daisywharf._overload._level_cache import is_refused_early, note_level
 from daisywharf._routing._retries import (
     RetryBudget,
     RetryRatioKey,
@@ -53,6 +52,7 @@
         self.budget = RetryBudget(context.retries)
         self.below: Level | None = None
         self.child: ChainCall | None = None
+        self.refusals: Refusals | None = None
         self.tries = 0
         self.tried: frozenset[TargetId] = frozenset()
 
@@ -86,6 +86,7 @@
             continue
         fakes.observe(target, action, call)
         if isinstance(action, Admit):
+            call.refusals = action.refusals or call.context.refusals
             _start(fakes, call)
         elif isinstance(action, Refuse):
             _end(fakes, call, action.kind, action.retry_after_s)
@@ -136,10 +137,6 @@
     if fakes.rules.checks_deadline and call.context.deadline <= now:
         _end(fakes, call, ErrorKind.TOO_LATE, 0.0)
         return
-    cache = call.target.level_cache
-    if fakes.rules.refuses_early and is_refused_early(cache, service, call.context, now=now):
-        _end(fakes, call, ErrorKind.SHED, 1.0)
-        return
     router = router_for(fakes, call.target, service)
     chosen = choose(router, now=now, rng=fakes.rng, excluded=call.tried)
     if chosen is None:
@@ -155,7 +152,7 @@
     sent_at = fakes.loop.now
     delay_s = network_s(fakes, call.target.target.zone, target.target.zone)
     lent = lend(call.budget) if fakes.rules.has_tree_budget else 0
-    context = _child_context(call.context, lent)
+    context = _child_context(call, lent)
 
     def answered(answer: Answer) -> None:
         call_later(
@@ -173,7 +170,8 @@
         )
 
 
-def _child_context(context: RequestContext, retries: int) -> RequestContext:
+def _child_context(call: ChainCall, retries: int) -> RequestContext:
+    context = call.context
     return RequestContext(
         request_id=context.request_id,
         customer=context.customer,
@@ -183,6 +181,7 @@
         retries=retries,
         idempotent=context.idempotent,
         depth=context.depth + 1,
+        refusals=call.refusals,
     )
 
 
@@ -201,7 +200,6 @@
     if call.is_over:
         return
     take_back(call.budget, lent=child.context.retries, unspent=answer.unspent)
-    note_level(call.target.level_cache, service, answer.level, now=now)
     call.below = merge_levels(answer.level, call.below)
     if answer.kind is None:
         _end(fakes, call, None, 0.0)
--- a/src/daisywharf/_virtual/_messages.py
+++ b/src/daisywharf/_virtual/_messages.py
@@ -50,7 +50,6 @@
     has_retry_ratio: bool = False
     cancels: bool = False
     checks_deadline: bool = False
-    refuses_early: bool = False
     suspends: bool = True
 
 
--- a/src/daisywharf/_virtual/_targets.py
+++ b/src/daisywharf/_virtual/_targets.py
@@ -8,7 +8,6 @@
 
 from daisywharf._ids import ServiceName, TargetId, ZoneName
 from daisywharf._overload._actions import AdmissionAction
-from daisywharf._overload._level_cache import LevelCache
 from daisywharf._routing._retries import RetryRatio
 from daisywharf._routing._router import RouterState, update_targets
 from daisywharf._topology import Target
@@ -34,7 +33,6 @@
         self.gate = gate
         self.call_by_id: dict[object, object] = {}
         self.router_by_service: dict[ServiceName, RouterState] = {}
-        self.level_cache = LevelCache()
         self.retry_ratio = RetryRatio()
 
 
