--- a/src/daisywharf/_overload/_admission.py
+++ b/src/daisywharf/_overload/_admission.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from daisywharf._context import SUB_ORDERS, RequestContext
+from daisywharf._context import RequestContext
 from daisywharf._errors import ErrorKind
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Enqueue, Refuse
 from daisywharf._overload._demand import note_arrival
@@ -24,6 +24,7 @@
     pop_worst,
     push,
 )
+from daisywharf._overload._returns import plan_return
 from daisywharf._overload._shedding import move_level, note_call, note_done
 from daisywharf._overload._window import (
     EntryWindow,
@@ -37,11 +38,8 @@
 
 OVERLOAD_WAIT_S: Final = 0.05
 TICK_PERIOD_S: Final = 0.01
-LEAST_RETRY_AFTER_S: Final = 1.0
-RETRY_AFTER_SPREAD_S: Final = 2.0
 DRAINING_RETRY_AFTER_S: Final = 0.1
 MAX_QUEUE_PART: Final = 3.0
-ATTEMPT_STRIDE: Final = 40_503
 
 
 def offer(
@@ -141,7 +139,7 @@
         if kind is not None:
             _remove(state, call)
             _count_refused(state, call)
-            actions.append(_refusal(call, kind))
+            actions.append(_refusal(state, call, kind, now=now))
     actions.extend(_start_waiting(state, now=now))
     return actions
 
@@ -178,7 +176,7 @@
     note_arrival(window.demand, call.importance, call.sub_order)
     if refuses(window, call.importance, call.sub_order):
         window.refused[call.importance] += 1
-        return [_refusal(call, ErrorKind.SHED)]
+        return [_refusal(state, call, ErrorKind.SHED, now=now)]
     if has_room(window) and not window.queue.size:
         return _offer_slot(state, call, window, now=now)
     return _wait(state, window.queue, call, now=now)
@@ -217,10 +215,10 @@
     if worst is None or worst is call:
         state.waiting_by_id.pop(call.call_id)
         _count_refused(state, call)
-        return [_refusal(call, ErrorKind.SHED)]
+        return [_refusal(state, call, ErrorKind.SHED, now=now)]
     state.waiting_by_id.pop(worst.call_id)
     _count_refused(state, worst)
-    return [Enqueue(call.call_id), _refusal(worst, ErrorKind.SHED)]
+    return [Enqueue(call.call_id), _refusal(state, worst, ErrorKind.SHED, now=now)]
 
 
 def _start_waiting(state: AdmissionState, *, now: float) -> list[AdmissionAction]:
@@ -243,7 +241,7 @@
     del state.waiting_by_id[call.call_id]
     key = ExpectedKey(call.call_class, call.depth)
     if call.deadline - now <= least_time_s(state.expected, key, now=now):
-        return [_refusal(call, ErrorKind.TOO_LATE)]
+        return [_refusal(state, call, ErrorKind.TOO_LATE, now=now)]
     window = _window_of_call(state, call)
     return [_start(state, call, window, now=now)]
 
@@ -285,16 +283,17 @@
         note_done(state.shedding)
 
 
-def _refusal(call: WaitingCall, kind: ErrorKind) -> Refuse:
+def _refusal(state: AdmissionState, call: WaitingCall, kind: ErrorKind, *, now: float) -> Refuse:
     if kind is ErrorKind.TOO_LATE:
         return Refuse(call.call_id, kind, 0.0)
-    return Refuse(call.call_id, kind, retry_after_s(call.sub_order, call.call_id.attempt))
-
-
-def retry_after_s(sub_order: int, attempt: int) -> float:
-    """Return when to come back: spread over some seconds, and another time for each attempt."""
-    place = (sub_order + attempt * ATTEMPT_STRIDE) % SUB_ORDERS
-    return LEAST_RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * place / SUB_ORDERS
+    retry_after_s = plan_return(
+        state.returns,
+        rate_per_second=state.shedding.completions_per_second,
+        sub_order=call.sub_order,
+        attempt=call.call_id.attempt,
+        now=now,
+    )
+    return Refuse(call.call_id, kind, retry_after_s)
 
 
 __all__ = [
@@ -310,7 +309,6 @@
     "finish",
     "offer",
     "resume",
-    "retry_after_s",
     "start_draining",
     "suspend",
     "tick",
--- a/src/daisywharf/_overload/_shedding.py
+++ b/src/daisywharf/_overload/_shedding.py
@@ -8,6 +8,7 @@
 from daisywharf._overload._level import OPEN_LEVEL, Level
 
 AIM_LOAD: Final = 1.05
+MAX_CUT_PART: Final = 0.35
 LEAST_USED: Final = 0.2
 CORRECTION_PERIOD_S: Final = 0.5
 RATE_MEMORY_S: Final = 0.25
@@ -63,6 +64,7 @@
     used = min(1.0, max(LEAST_USED, shedding.used))
     capacity = shedding.completions_per_second / used
     correction = (AIM_LOAD - shedding.load) * limit / CORRECTION_PERIOD_S
+    correction = max(correction, -MAX_CUT_PART * capacity)
     fitting_rate = max(0.0, capacity + correction)
     wanted = level_for_rate(shedding.demand, fitting_rate)
     if now >= shedding.stays_until:
--- a/src/daisywharf/_overload/_window.py
+++ b/src/daisywharf/_overload/_window.py
@@ -13,7 +13,8 @@
 # The window holds back what comes before the loaded service's level can be heard. Once that
 # service sheds, its level is in charge, and the window is to bind only where that fails.
 AIM_LOAD: Final = 1.0
-SHEDDING_AIM_LOAD: Final = 1.8
+SHEDDING_ROOM: Final = 2.0
+EASY_LOAD: Final = 1.2
 OPEN_MARGIN: Final = 0.05
 LOAD_MEMORY_S: Final = 0.1
 LOAD_LIFETIME_S: Final = 1.0
@@ -112,8 +113,13 @@
         # Nothing was heard for long: let requests through to learn the load anew.
         window.size = max(window.size, MIN_WINDOW) * MAX_STEP
         return
-    step = _step(window)
     base = max(window.mean_in_flight, MIN_WINDOW)
+    if window.heard_key < OPEN_LEVEL.importance - OPEN_MARGIN:
+        # The loaded service's own level is in charge, and the window makes way for it.
+        if window.load <= EASY_LOAD:
+            window.size = max(window.size, base * SHEDDING_ROOM)
+        return
+    step = _step(window)
     if window.size == float("inf"):
         window.size = base * step
     elif window.in_flight >= window.size * 0.9 or window.queue.size:
@@ -123,13 +129,11 @@
 
 
 def _step(window: EntryWindow) -> float:
-    is_open = window.heard_key >= OPEN_LEVEL.importance - OPEN_MARGIN
-    aim = AIM_LOAD if is_open else SHEDDING_AIM_LOAD
-    if window.load <= aim:
-        return min(MAX_STEP, aim / max(window.load, 0.01))
+    if window.load <= AIM_LOAD:
+        return min(MAX_STEP, AIM_LOAD / max(window.load, 0.01))
     # Above capacity all that is too much waits at the one service, so that its load moves
     # several times as much as the requests in flight do.
-    return max(MIN_STEP, 1.0 - (window.load - aim) * EXCESS_PART)
+    return max(MIN_STEP, 1.0 - (window.load - AIM_LOAD) * EXCESS_PART)
 
 
 def _set_level(window: EntryWindow, *, now: float) -> None:
