--- a/benchmarks/_overload_figures.py
+++ b/benchmarks/_overload_figures.py
@@ -21,6 +21,7 @@
     important_success_ratio: float
     important_fits: bool
     priority_inversions: int
+    priority_inversions_with_calls_below: int
     recovery_seconds: float
     attempts_per_request: float
     max_retries_in_one_tree: int
@@ -36,7 +37,7 @@
 def figures_of(scenario: Scenario, load: Load, watch: Watch) -> Figures:
     """Work out the figures of a run."""
     start, end = scenario.surge_at, scenario.surge_end
-    whole = [r for r in watch.results if r.kind is None and start <= r.ended_at < end]
+    whole = [r for r in watch.results if r.kind is None and start <= r.send.sent_at < end]
     allowed = sum(load.allowed.rate_by_class.values()) * scenario.surge_s
     requests = _requests(watch, start, end)
     important = [r for r in requests if r.call_class.importance is Importance.CRITICAL]
@@ -48,6 +49,7 @@
         important_success_ratio=_success_ratio(important),
         important_fits=load.allowed.important_fits,
         priority_inversions=watch.inversions,
+        priority_inversions_with_calls_below=watch.inversions_with_calls_below,
         recovery_seconds=recovery_seconds(scenario, watch),
         attempts_per_request=_ratio(watch.first_calls + watch.retried_calls, watch.first_calls),
         max_retries_in_one_tree=max((r.send.retries for r in watch.results), default=0),
--- a/benchmarks/_overload_watch.py
+++ b/benchmarks/_overload_watch.py
@@ -14,9 +14,10 @@
 
 
 class GateTimes(msgspec.Struct):
-    """Hold when a gate last admitted and last refused for load, by importance."""
+    """Hold when a gate last let in and last refused for load, by importance; and entries alone."""
 
-    admitted_at: list[float]
+    let_in_at: list[float]
+    entry_let_in_at: list[float]
     refused_at: list[float]
 
 
@@ -29,6 +30,7 @@
         self.enqueued_at: dict[int, float] = {}
         self.refused_wait_s: list[float] = []
         self.inversions = 0
+        self.inversions_with_calls_below = 0
         self.first_calls = 0
         self.retried_calls = 0
         self.refusals_by_depth: dict[int, int] = {}
@@ -50,21 +52,48 @@
         watch.enqueued_at[call.call_id.attempt] = now
         return
     waited_since = watch.enqueued_at.pop(call.call_id.attempt, now)
-    times = watch.times_by_target.get(target.target.target_id)
-    if times is None:
-        never = [float("-inf")] * len(Importance)
-        times = watch.times_by_target[target.target.target_id] = GateTimes(never, list(never))
-    importance = call.context.importance
     if isinstance(action, Admit):
-        watch.inversions += any(_is_near(at, now) for at in times.refused_at[:importance])
-        times.admitted_at[importance] = now
+        _note_let_in(watch, target, call, now)
     elif isinstance(action, Refuse):
         depth = call.context.depth
         watch.refusals_by_depth[depth] = watch.refusals_by_depth.get(depth, 0) + 1
         watch.refused_wait_s.append(now - waited_since)
         if action.kind is ErrorKind.SHED:
-            watch.inversions += any(_is_near(at, now) for at in times.admitted_at[importance + 1 :])
-            times.refused_at[importance] = now
+            _note_refused(watch, target, call, now)
+
+
+def _note_let_in(watch: Watch, target: FakeTarget, call: ChainCall, now: float) -> None:
+    times = _times_of(watch, target)
+    importance = call.context.importance
+    is_inverted = any(_is_near(at, now) for at in times.refused_at[:importance])
+    watch.inversions_with_calls_below += is_inverted
+    times.let_in_at[importance] = now
+    if call.context.depth == 0:
+        watch.inversions += is_inverted
+        times.entry_let_in_at[importance] = now
+
+
+def _note_refused(watch: Watch, target: FakeTarget, call: ChainCall, now: float) -> None:
+    times = _times_of(watch, target)
+    importance = call.context.importance
+    # A call of a request that was let in elsewhere goes on: it is no new work. But where such
+    # a call is refused, no less important one may run.
+    is_entry = call.context.depth == 0
+    compared = times.entry_let_in_at if is_entry else times.let_in_at
+    watch.inversions += any(_is_near(at, now) for at in compared[importance + 1 :])
+    inverted = any(_is_near(at, now) for at in times.let_in_at[importance + 1 :])
+    watch.inversions_with_calls_below += inverted
+    times.refused_at[importance] = now
+
+
+def _times_of(watch: Watch, target: FakeTarget) -> GateTimes:
+    target_id = target.target.target_id
+    times = watch.times_by_target.get(target_id)
+    if times is None:
+        never = [float("-inf")] * len(Importance)
+        times = GateTimes(never, list(never), list(never))
+        watch.times_by_target[target_id] = times
+    return times
 
 
 def _is_near(earlier: float, now: float) -> bool:
--- a/src/daisywharf/_overload/_admission.py
+++ b/src/daisywharf/_overload/_admission.py
@@ -5,7 +5,6 @@
 from daisywharf._context import RequestContext
 from daisywharf._errors import ErrorKind
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Enqueue, Refuse
-from daisywharf._overload._demand import note_arrival
 from daisywharf._overload._expected import ExpectedKey, learn_time, least_time_s
 from daisywharf._overload._gate import (
     AdmissionState,
@@ -32,6 +31,7 @@
     has_room,
     note_end,
     note_level_below,
+    note_request,
     refuses,
     take_refusals,
 )
@@ -155,7 +155,7 @@
 
 def current_level(state: AdmissionState, *, now: float) -> Level:
     """Return the level to send back on answers."""
-    level = state.shedding.level
+    level = state.shedding.track.level
     return Level(level.importance, level.sub_order, load_of(state), state.service)
 
 
@@ -173,9 +173,9 @@
 def _offer_to_window(
     state: AdmissionState, window: EntryWindow, call: WaitingCall, *, now: float
 ) -> list[AdmissionAction]:
-    note_arrival(window.demand, call.importance, call.sub_order)
-    if refuses(window, call.importance, call.sub_order):
-        window.refused[call.importance] += 1
+    is_refused = refuses(window, call.importance, call.sub_order)
+    note_request(window, call.importance, call.sub_order, is_refused=is_refused)
+    if is_refused:
         return [_refusal(state, call, ErrorKind.SHED, now=now)]
     if has_room(window) and not window.queue.size:
         return _offer_slot(state, call, window, now=now)
--- /dev/null
+++ b/src/daisywharf/_overload/_track.py
@@ -0,0 +1,48 @@
+"""A level that moves in steps, and the lowest that it was of late."""
+
+from typing import Final
+
+from daisywharf._overload._level import OPEN_LEVEL, Level
+
+BOUND_STAY_S: Final = 0.02
+SETTLING_S: Final = 0.2
+
+
+class LevelTrack:
+    """Hold a level and its recent lowest values; times are in seconds."""
+
+    def __init__(self, *, now: float) -> None:
+        self.level = OPEN_LEVEL
+        self.stays_until = now
+        self.lowest = OPEN_LEVEL
+        self.lowest_before = OPEN_LEVEL
+        self.lowest_since = now
+
+
+def move_towards(track: LevelTrack, wanted: Level, *, now: float) -> None:
+    """Move to a level, but stop for a while at each bound of an importance, so that no two mix."""
+    if now < track.stays_until:
+        return
+    track.level = _step(track.level, wanted)
+    if track.level.sub_order == 0:
+        track.stays_until = now + BOUND_STAY_S
+
+
+def settled_level(track: LevelTrack, *, now: float) -> Level:
+    """Return the lowest level of the last `SETTLING_S` to twice that."""
+    if now - track.lowest_since >= SETTLING_S:
+        track.lowest_before = track.lowest
+        track.lowest = track.level
+        track.lowest_since = now
+    track.lowest = min(track.lowest, track.level)
+    return min(track.lowest, track.lowest_before)
+
+
+def _step(present: Level, wanted: Level) -> Level:
+    if wanted.importance < present.importance:
+        if present.sub_order > 0:
+            return Level(present.importance, 0)
+        return max(wanted, Level(present.importance - 1, 0))
+    if wanted.importance > present.importance:
+        return Level(present.importance + 1, 0)
+    return wanted
--- a/src/daisywharf/_overload/_window.py
+++ b/src/daisywharf/_overload/_window.py
@@ -5,10 +5,17 @@
 from daisywharf._context import SUB_ORDERS, Refusals
 from daisywharf._contract import Importance
 from daisywharf._ids import ServiceName
-from daisywharf._overload._demand import Demand, fade, level_for_rate
+from daisywharf._overload._demand import (
+    Demand,
+    fade,
+    learn_repeats,
+    level_for_rate,
+    note_let_in,
+    note_refused,
+)
 from daisywharf._overload._level import OPEN_LEVEL, Level
 from daisywharf._overload._queue import WaitingQueue
-from daisywharf._overload._shedding import BOUND_STAY_S, step_level
+from daisywharf._overload._track import LevelTrack, move_towards, settled_level
 
 # The window holds back what comes before the loaded service's level can be heard. Once that
 # service sheds, its level is in charge, and the window is to bind only where that fails.
@@ -24,6 +31,8 @@
 WANTED_WAIT_S: Final = 0.005
 ROOM_PERIOD_S: Final = 0.1
 EXCESS_PART: Final = 0.3
+BINDING_PART: Final = 0.9
+LEAST_WINDOW_LEVEL: Final = Level(Importance.HIGH, 0)
 GAIN: Final = 0.5
 MIN_WINDOW: Final = 1.0
 MAX_STEP: Final = 2.0
@@ -49,8 +58,7 @@
         self.ticked_at = now
         self.queue = WaitingQueue()
         self.demand = Demand()
-        self.level = OPEN_LEVEL
-        self.stays_until = now
+        self.track = LevelTrack(now=now)
         self.refused = [0] * len(Importance)
 
 
@@ -72,7 +80,7 @@
     """Return the requests refused since the last time, or none where there were none."""
     if not any(window.refused):
         return None
-    level = window.level
+    level = window.track.level
     refusals = Refusals(tuple(window.refused), level.importance, level.sub_order)
     window.refused = [0] * len(Importance)
     return refusals
@@ -122,7 +130,7 @@
     step = _step(window)
     if window.size == float("inf"):
         window.size = base * step
-    elif window.in_flight >= window.size * 0.9 or window.queue.size:
+    elif window.in_flight >= window.size * BINDING_PART or window.queue.size:
         window.size = max(MIN_WINDOW, window.size * (1.0 + (step - 1.0) * GAIN))
     else:
         window.size = max(MIN_WINDOW, window.size * IDLE_STEP, base * step)
@@ -137,15 +145,21 @@
 
 
 def _set_level(window: EntryWindow, *, now: float) -> None:
+    learn_repeats(window.demand, settled_level(window.track, now=now))
+    wanted = _heard_level(window, now=now)
+    is_binding = window.in_flight >= window.size * BINDING_PART or window.queue.size > 0
+    if wanted == OPEN_LEVEL or is_binding:
+        wanted = min(wanted, _window_level(window))
+    move_towards(window.track, wanted, now=now)
+
+
+def _window_level(window: EntryWindow) -> Level:
     rate = window.completions_per_second
     wanted_queue = rate * WANTED_WAIT_S
     room = window.size - window.in_flight + wanted_queue - window.queue.size
-    wanted = level_for_rate(window.demand, max(0.0, rate + room / ROOM_PERIOD_S))
-    wanted = min(wanted, _heard_level(window, now=now))
-    if now >= window.stays_until:
-        window.level = step_level(window.level, wanted)
-        if window.level.sub_order == 0:
-            window.stays_until = now + BOUND_STAY_S
+    fitting_rate = max(0.0, rate + room / ROOM_PERIOD_S)
+    # Critical requests are refused only where the loaded service itself says so.
+    return max(level_for_rate(window.demand, fitting_rate), LEAST_WINDOW_LEVEL)
 
 
 def _heard_level(window: EntryWindow, *, now: float) -> Level:
@@ -159,4 +173,15 @@
 
 def refuses(window: EntryWindow, importance: Importance, sub_order: int) -> bool:
     """Tell whether a request is refused at once."""
-    return window.level.refuses(importance, sub_order)
+    return window.track.level.refuses(importance, sub_order)
+
+
+def note_request(
+    window: EntryWindow, importance: Importance, sub_order: int, *, is_refused: bool
+) -> None:
+    """Count a request that came, let in or not."""
+    if not is_refused:
+        note_let_in(window.demand, importance, sub_order)
+        return
+    note_refused(window.demand, importance, sub_order)
+    window.refused[importance] += 1
