Count a daemon as joined only through a joined peer, and shorten the holds of shares

Ruled out: quantised weights. Change: a daemon that starts goes on asking seeds until a joined peer answers or 5 s are over.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -26,6 +26,8 @@
 HEALED_S = 50.0
 MOVE_S = 30.0
 END_S = 70.0
+MOVE_BEFORE_CUT_S = 1.0
+MOVE_AFTER_CUT_S = 5.0
 POLL_S = 0.05
 EDIT_PERIOD_S = 3.0
 DRAIN_PERIOD_S = 4.0
@@ -156,6 +158,9 @@
         self.measures.hot_zone = 1 % len(self.world.zones)
         self.measures.moved_at = self.world.now
 
+    def _move_to(self, zone: int) -> None:
+        self.measures.hot_zone = zone
+
     def _begin_fault(self) -> None:
         world = self.world
         last_zone = world.zones[-1]
@@ -163,7 +168,12 @@
             world.platform.set_down(True)
         if self.fault is Fault.ZONE_CUT:
             world.platform_cut_zones.add(last_zone)
-            world.schedule((HEALED_S - FAULT_S) / 2, lambda: world.cut_zones.add(last_zone))
+            cut_after_s = (HEALED_S - FAULT_S) / 2
+            world.schedule(cut_after_s, lambda: world.cut_zones.add(last_zone))
+            # Demand moves into the zone just before the cut, and away from it during the cut.
+            last = len(world.zones) - 1
+            world.schedule(cut_after_s - MOVE_BEFORE_CUT_S, lambda: self._move_to(last))
+            world.schedule(cut_after_s + MOVE_AFTER_CUT_S, lambda: self._move_to(0))
         for node in world.nodes:
             is_replaced = self.fault is Fault.ZONE_REPLACED and node.zone == last_zone
             if is_replaced or self.fault is Fault.ALL_RESTART:
--- a/src/daisywharf/_fleet/_confirming.py
+++ b/src/daisywharf/_fleet/_confirming.py
@@ -25,7 +25,7 @@
     at = state.confirming.platform_at
     age_s = None if at == NEVER else round(max(0.0, now - at), 1)
     digest = state.store_by_scope[Scope.CONTRACTS].digest
-    return Freshness(digest, age_s, state.confirming.is_settled)
+    return Freshness(digest, age_s, state.confirming.is_settled, state.is_joined)
 
 
 def take_freshness(state: FleetState, sender: Member, freshness: Freshness, *, now: float) -> None:
--- a/src/daisywharf/_fleet/_gossip.py
+++ b/src/daisywharf/_fleet/_gossip.py
@@ -41,10 +41,12 @@
 REPAIR_BYTES_PER_S: Final = 4_000.0
 REPAIR_BURST_BYTES: Final = 48_000.0
 REPAIR_MESSAGE_BYTES: Final = 12_000
+BUCKETS_MESSAGE_BYTES: Final = 400
 COMPARE_PERIOD_S: Final = 1.0
 COMPARE_ACROSS_PERIOD_S: Final = 2.0
 JOIN_PERIOD_S: Final = 0.5
 RECONNECT_PERIOD_S: Final = 5.0
+REJOIN_PERIOD_S: Final = 1.0
 RECONNECT_SEEDS: Final = 2
 CROSS_CONTACTS: Final = 2
 
@@ -66,7 +68,7 @@
     if now - times.compared_across_at >= COMPARE_ACROSS_PERIOD_S:
         times.compared_across_at = now
         actions.extend(_compare_across(state, rng))
-    period_s = RECONNECT_PERIOD_S if state.is_joined else JOIN_PERIOD_S
+    period_s = RECONNECT_PERIOD_S if state.is_joined else REJOIN_PERIOD_S
     if now - times.reconnected_at >= period_s:
         times.reconnected_at = now
         actions.extend(_reconnect(state, rng))
@@ -207,6 +209,7 @@
     if store.digest == message.digest or state.gossip.repair_tokens_bytes <= 0:
         return []
     digests = tuple(store.digest_by_bucket)
+    state.gossip.repair_tokens_bytes -= BUCKETS_MESSAGE_BYTES
     answer = RepairBuckets(state.me, message.scope, digests, freshness_of(state, now=now))
     return [send(message.sender, answer)]
 
@@ -248,8 +251,6 @@
     """Take the records, and give back this daemon's newer ones."""
     if message.scope is Scope.ZONE and message.sender.zone != state.me.zone:
         return []
-    if message.sender.zone == state.me.zone or not message.wanted:
-        state.is_joined = True
     actions = take_records(state, message.sender, message.records, now=now)
     if message.wanted:
         buckets = list(message.wanted)
--- a/src/daisywharf/_fleet/_messages.py
+++ b/src/daisywharf/_fleet/_messages.py
@@ -182,12 +182,14 @@
 class Freshness(msgspec.Struct, frozen=True, array_like=True):
     """Tell how old a daemon's word from the platform is, for the contracts of one digest.
 
-    `age_s` is none where no word is known; `is_settled` tells that the copy was confirmed.
+    `age_s` is none where no word is known; `is_settled` tells that the copy was confirmed,
+    `is_joined` that the sender has had time to learn its zone's members.
     """
 
     digest: int
     age_s: float | None
     is_settled: bool
+    is_joined: bool
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag="probe"):
--- a/src/daisywharf/_fleet/_shares.py
+++ b/src/daisywharf/_fleet/_shares.py
@@ -23,16 +23,17 @@
 from daisywharf._ids import CallClassName, CustomerId, ZoneName
 
 RATING_PERIOD_S: Final = 1.0
-RATING_TIME_CONSTANT_S: Final = 4.0
-PUBLISH_PERIOD_S: Final = 1.5
+RATING_TIME_CONSTANT_S: Final = 2.0
+PUBLISH_PERIOD_S: Final = 1.0
 PUBLISH_PERIOD_PER_DAEMON_S: Final = 0.02
 WORK_PERIOD_S: Final = 0.5
 CHANGE_RATIO: Final = 0.25
 FLOOR_PART: Final = 0.05
-HOLD_IN_ZONE_S: Final = 3.0
-HOLD_ACROSS_S: Final = 6.0
-FRACTION_HOLD_S: Final = 3.0
-ZONE_STALE_AFTER_S: Final = 5.0
+HOLD_IN_ZONE_S: Final = 2.0
+HOLD_ACROSS_S: Final = 4.0
+START_HOLD_S: Final = 6.0
+FRACTION_HOLD_S: Final = 0.5
+ZONE_STALE_AFTER_S: Final = 4.0
 
 
 def note_demand(
@@ -58,7 +59,7 @@
     shares.fraction_samples.clear()
     shares.count_by_id.clear()
     shares.rated_at = now
-    shares.allowed_from = now + HOLD_ACROSS_S
+    shares.allowed_from = now + START_HOLD_S
 
 
 def tick_shares(state: FleetState, *, now: float) -> None:
--- a/src/daisywharf/_fleet/_state.py
+++ b/src/daisywharf/_fleet/_state.py
@@ -70,6 +70,7 @@
 
 STALL_S: Final = 1.0
 PAUSE_S: Final = 3.0
+LEARN_S: Final = 1.5
 JOIN_WAIT_S: Final = 5.0
 GOODBYE_COPIES: Final = 8
 
@@ -133,10 +134,20 @@
         note_other_zone(state, sender, now=now)
     if isinstance(message, Probe | ProbeAnswer | RepairAsk | RepairBuckets):
         take_freshness(state, sender, message.freshness, now=now)
+        _join_through(state, message, now=now)
     actions.extend(_take(state, message, now=now, rng=rng))
     return actions
 
 
+def _join_through(
+    state: FleetState, message: Probe | ProbeAnswer | RepairAsk | RepairBuckets, *, now: float
+) -> None:
+    """Count as joined after some time with a peer that has joined."""
+    is_peer = message.sender.zone == state.me.zone and message.freshness.is_joined
+    if is_peer and state.started_at is not None and now - state.started_at >= LEARN_S:
+        state.is_joined = True
+
+
 def _take(
     state: FleetState, message: FleetMessage, *, now: float, rng: Random
 ) -> list[FleetAction]:
