Add the operators' command line

Contracts (check, apply, list, get, diff, history, delete), targets, status, settings and orders, with JSON, documented exit codes, an example in each help and tab completion.

The stand-in can now lose the answers to writes only, so that a lost answer to an edit is provoked without failing the read before it.

--- /dev/null
+++ b/src/daisywharf/_cli/contract_edits.py
@@ -0,0 +1,181 @@
+"""The commands that change contracts."""
+
+import os
+import time
+import uuid
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from daisywharf._cli.contract_files import ContractFile, load_all
+from daisywharf._cli.daemon_client import DaemonClient
+from daisywharf._cli.exit_codes import ExitCode
+from daisywharf._cli.in_force import Progress, wait_until_in_force
+from daisywharf._cli.options import (
+    AsJson,
+    Customer,
+    OptionalDaemonUrl,
+    PlatformUrl,
+    TimeoutS,
+    platform_at,
+)
+from daisywharf._cli.output import print_json, print_progress
+from daisywharf._contracts._differences import Difference
+from daisywharf._contracts._edits import (
+    Applied,
+    EditCall,
+    EditConflictError,
+    apply_contract,
+    delete_contract,
+)
+from daisywharf._contracts._schema import Edit
+from daisywharf._ids import CustomerId, EditId, Version
+
+MAX_OPERATOR_CHARS = 64
+
+app = typer.Typer()
+
+Files = Annotated[list[Path], typer.Argument(help="contract files, or directories of *.yaml")]
+Operator = Annotated[str, typer.Option(envvar="USER", help="who edits, for the history")]
+GivenEditId = Annotated[
+    str, typer.Option("--edit-id", help="id of a former edit whose outcome is unknown")
+]
+
+
+class ApplyReport(msgspec.Struct, frozen=True):
+    """Tell what one edit came to; `progress` is none where nothing was waited for."""
+
+    applied: Applied
+    progress: Progress | None
+
+
+class DeleteReport(msgspec.Struct, frozen=True):
+    """Tell the version of a deletion; 0 where it was found gone."""
+
+    customer: CustomerId
+    version: Version
+
+
+@app.command(epilog="Example: daisywharf contract apply contracts/karri-ridge --wait 20")
+def apply(
+    *,
+    files: Files,
+    platform: PlatformUrl,
+    if_version: Annotated[
+        int | None, typer.Option(min=1, help="version to replace, in place of the file's")
+    ] = None,
+    wait_s: Annotated[
+        float, typer.Option("--wait", min=0, help="seconds to wait until it is in force")
+    ] = 0,
+    daemon: OptionalDaemonUrl = "",
+    edit_id: GivenEditId = "",
+    operator: Operator = "",
+    as_json: AsJson = False,
+    timeout_s: TimeoutS = 5,
+) -> None:
+    """Apply contract files: all are checked first, and each is an edit of its own."""
+    loaded = load_all(files)
+    if if_version and len(loaded) != 1:
+        raise typer.BadParameter(f"--if-version is for one file; {len(loaded)} are named")
+    if wait_s and not daemon:
+        raise typer.BadParameter("--wait asks a daemon; name one with --daemon")
+    first_id = edit_id or uuid.uuid4().hex
+    reports: list[ApplyReport] = []
+    try:
+        for file in loaded:
+            call = _call(platform, f"{first_id}.{file.contract.customer}", operator, timeout_s)
+            applied = _apply_one(call, file, if_version)
+            print_progress(_applied_text(applied))
+            reports.append(ApplyReport(applied, None))
+    finally:
+        # What was applied before a failure stays applied, and is told.
+        if as_json and (not wait_s or len(reports) < len(loaded)):
+            print_json(reports)
+    if wait_s:
+        _wait_for(reports, daemon, wait_s, as_json=as_json)
+
+
+@app.command(epilog="Example: daisywharf contract delete builders --if-version 17")
+def delete(
+    *,
+    customer: Customer,
+    platform: PlatformUrl,
+    if_version: Annotated[int, typer.Option(min=1, help="version to delete")],
+    operator: Operator = "",
+    as_json: AsJson = False,
+    timeout_s: TimeoutS = 5,
+) -> None:
+    """Delete a contract, whose customer may then ask for nothing."""
+    call = _call(platform, uuid.uuid4().hex, operator, timeout_s)
+    name = CustomerId(customer)
+    try:
+        version = delete_contract(call, name, if_version=Version(if_version))
+    except EditConflictError as error:
+        _show_conflict(error)
+        raise
+    if as_json:
+        print_json(DeleteReport(name, version))
+        return
+    typer.echo(f"{customer}: deleted at version {version}")
+
+
+def _call(platform: str, edit_id: str, operator: str, timeout_s: float) -> EditCall:
+    name = (operator or os.environ.get("LOGNAME", ""))[:MAX_OPERATOR_CHARS]
+    edit = Edit(operator=name, edited_at_s=time.time())
+    return EditCall(platform_at(platform), EditId(edit_id), edit, timeout_s, time.sleep)
+
+
+def _apply_one(call: EditCall, file: ContractFile, if_version: int | None) -> Applied:
+    contract = file.contract
+    if if_version:
+        contract = msgspec.structs.replace(contract, version=if_version)
+    try:
+        return apply_contract(call, contract)
+    except EditConflictError as error:
+        _show_conflict(error)
+        raise
+
+
+def _show_conflict(error: EditConflictError) -> None:
+    _show_differences("they changed", error.theirs)
+    _show_differences("you change", error.yours)
+    if error.current_version:
+        print_progress(f"to replace it, repeat with --if-version {error.current_version}")
+    else:
+        print_progress("to create it, take the version line out of the file")
+
+
+def _show_differences(title: str, found: tuple[Difference, ...]) -> None:
+    for difference in found:
+        print_progress(f"  {title} {difference}")
+
+
+def _applied_text(applied: Applied) -> str:
+    outcome = applied.outcome.value.replace("-", " ")
+    return f"{applied.customer}: {outcome} at version {applied.version}, edit {applied.edit_id}"
+
+
+def _wait_for(reports: list[ApplyReport], daemon: str, wait_s: float, *, as_json: bool) -> None:
+    deadline = time.monotonic() + wait_s
+    client = DaemonClient(daemon, timeout_s=min(wait_s, 5.0))
+    waited: list[ApplyReport] = []
+    for report in reports:
+        applied = report.applied
+        progress = wait_until_in_force(
+            client.status,
+            applied.customer,
+            applied.version,
+            wait_s=deadline - time.monotonic(),
+            tell=print_progress,
+        )
+        waited.append(ApplyReport(applied, progress))
+        for zone in progress.unreachable:
+            print_progress(
+                f"{applied.customer}: zone {zone} can't be reached; in force there later"
+            )
+    if as_json:
+        print_json(waited)
+    if not all(report.progress and report.progress.is_in_force for report in waited):
+        raise typer.Exit(ExitCode.NOT_IN_FORCE)
--- /dev/null
+++ b/src/daisywharf/_cli/contract_files.py
@@ -0,0 +1,52 @@
+"""Gather the contract files that a command names."""
+
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+from daisywharf._contract import Contract
+from daisywharf._contracts import load_contract_file
+from daisywharf._documents._faults import DocumentError, Fault
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import CustomerId
+
+
+class ContractFile(msgspec.Struct, frozen=True):
+    """Hold a contract and the file that it came from."""
+
+    path: Path
+    contract: Contract
+
+
+def load_all(paths: Iterable[Path]) -> list[ContractFile]:
+    """Read files, and the `*.yaml` of directories; raise `DocumentError` with all their faults."""
+    loaded: list[ContractFile] = []
+    faults: list[Fault] = []
+    for path in _files_of(paths):
+        try:
+            loaded.append(ContractFile(path, load_contract_file(path)))
+        except DocumentError as error:
+            faults.extend(error.faults)
+    faults.extend(_repeated_customers(loaded))
+    if faults:
+        raise DocumentError(ErrorKind.INVALID_CONTRACT, faults)
+    return loaded
+
+
+def _files_of(paths: Iterable[Path]) -> Iterable[Path]:
+    for path in paths:
+        if path.is_dir():
+            yield from sorted(path.glob("*.yaml"))
+        else:
+            yield path
+
+
+def _repeated_customers(files: Iterable[ContractFile]) -> Iterable[Fault]:
+    path_by_customer: dict[CustomerId, Path] = {}
+    for file in files:
+        customer = file.contract.customer
+        if customer in path_by_customer:
+            mend = f"{path_by_customer[customer]} has this customer too; name each once"
+            yield Fault(str(file.path), 0, "customer", repr(customer), mend)
+        path_by_customer.setdefault(customer, file.path)
--- /dev/null
+++ b/src/daisywharf/_cli/in_force.py
@@ -0,0 +1,87 @@
+"""Wait until a contract's version is in force, and tell how far it is in each zone."""
+
+import time
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from daisywharf._cli.daemon_client import DaemonView, ZoneInForce
+from daisywharf._errors import RequestError
+from daisywharf._ids import CustomerId, Version, ZoneName
+
+POLL_PERIOD_S: Final = 0.5
+
+
+class Progress(msgspec.Struct, frozen=True):
+    """Tell how far a version is; `zones` is empty until the daemon has heard of it."""
+
+    customer: CustomerId
+    version: Version
+    zones: tuple[ZoneInForce, ...]
+    is_in_force: bool
+    unreachable: tuple[ZoneName, ...]
+
+    def __str__(self) -> str:
+        if not self.zones:
+            return f"{self.customer} version {self.version}: not heard of yet"
+        zones = ", ".join(_zone_text(zone) for zone in self.zones)
+        return f"{self.customer} version {self.version}: {zones}"
+
+
+def progress_of(view: DaemonView | None, customer: CustomerId, version: Version) -> Progress:
+    """Read from a daemon's view how far a version, or a later one, is."""
+    zones: tuple[ZoneInForce, ...] = ()
+    for held in () if view is None else view.in_force:
+        if held.customer == customer and held.version >= version:
+            zones = held.zones
+    return Progress(
+        customer=customer,
+        version=version,
+        zones=zones,
+        is_in_force=bool(zones) and all(_is_whole(zone) for zone in zones),
+        unreachable=tuple(zone.zone for zone in zones if not zone.is_reachable),
+    )
+
+
+def wait_until_in_force(
+    read_view: Callable[[], DaemonView],
+    customer: CustomerId,
+    version: Version,
+    *,
+    wait_s: float,
+    tell: Callable[[str], None],
+    clock: Callable[[], float] = time.monotonic,
+    pause: Callable[[float], None] = time.sleep,
+) -> Progress:
+    """Poll a daemon until the version is in force everywhere or `wait_s` has passed."""
+    deadline = clock() + wait_s
+    told = ""
+    while True:
+        progress = progress_of(_view_or_none(read_view, tell), customer, version)
+        if str(progress) != told:
+            told = str(progress)
+            tell(told)
+        if progress.is_in_force or clock() >= deadline:
+            return progress
+        pause(POLL_PERIOD_S)
+
+
+def _view_or_none(
+    read_view: Callable[[], DaemonView], tell: Callable[[str], None]
+) -> DaemonView | None:
+    try:
+        return read_view()
+    except RequestError as error:
+        tell(str(error))
+        return None
+
+
+def _is_whole(zone: ZoneInForce) -> bool:
+    return zone.is_reachable and zone.confirmed >= zone.daemons
+
+
+def _zone_text(zone: ZoneInForce) -> str:
+    if not zone.is_reachable:
+        return f"{zone.zone} can't be reached"
+    return f"{zone.zone} {zone.confirmed} of {zone.daemons}"
--- a/src/daisywharf/_cli/operators.py
+++ b/src/daisywharf/_cli/operators.py
@@ -1,8 +1,36 @@
 """Assemble the operators' commands."""
 
+import sys
+
 import typer
 
-app = typer.Typer(name="daisywharf", no_args_is_help=True)
+from daisywharf._cli import contract_edits, contract_reads, settings, status, target
+from daisywharf._cli.app import MODULE_BY_PLAIN_COMMAND
+from daisywharf._cli.exit_codes import code_for
+from daisywharf._errors import DaisywharfError
+
+HELP_BY_PLAIN_COMMAND = {
+    "daemon": "Run the daemon of a VM.",
+    "demo": "Show a surge and its end in one process.",
+    "platform-standin": "Serve an object API in memory, for trials.",
+    "replay": "Replay a recorded trace against stated outcomes.",
+    "target-standin": "Run a target that stands in for a service, for trials.",
+}
+
+app = typer.Typer(
+    name="daisywharf",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+)
+contracts = typer.Typer(no_args_is_help=True, help="Check, apply and read contracts.")
+contracts.registered_commands += contract_reads.app.registered_commands
+contracts.registered_commands += contract_edits.app.registered_commands
+app.add_typer(contracts, name="contract")
+app.add_typer(target.app, name="target", help="List and drain targets.")
+app.add_typer(settings.app, name="settings")
+app.command(epilog="Example: daisywharf status --json")(status.status)
+app.command(epilog="Example: daisywharf order counter-7-2041")(status.order)
 
 
 @app.callback()
@@ -12,4 +40,22 @@
 
 def main(arguments: list[str]) -> int:
     """Run one command and return its exit code."""
-    return int(app(arguments, standalone_mode=False) or 0)
+    try:
+        app(args=arguments, prog_name="daisywharf")
+    except SystemExit as end:
+        return int(end.code or 0)
+    except DaisywharfError as error:
+        print(error, file=sys.stderr)
+        return int(code_for(error.kind))
+    return 0
+
+
+def _list_plain_command(name: str) -> None:
+    # `app.run` starts these before typer is imported; here they are for help and completion.
+    @app.command(name, help=HELP_BY_PLAIN_COMMAND[name])
+    def plain_command() -> None:
+        pass
+
+
+for _name in MODULE_BY_PLAIN_COMMAND:
+    _list_plain_command(_name)
--- /dev/null
+++ b/src/daisywharf/_cli/status.py
@@ -0,0 +1,38 @@
+"""The commands that show a daemon's state and an order's outcome."""
+
+from typing import Annotated
+
+import typer
+
+from daisywharf._cli.daemon_client import DaemonClient, ZoneInForce
+from daisywharf._cli.options import AsJson, DaemonUrl, TimeoutS
+from daisywharf._cli.output import print_json, print_table
+
+
+def status(daemon: DaemonUrl, as_json: AsJson = False, timeout_s: TimeoutS = 5) -> None:
+    """Show a daemon and the contracts in force in each zone that it hears from."""
+    view = DaemonClient(daemon, timeout_s=timeout_s).status()
+    if as_json:
+        print_json(view)
+        return
+    copy = "confirmed" if view.is_confirmed else "not confirmed yet"
+    typer.echo(f"{view.vm} in {view.zone}: its copy of the contracts is {copy}")
+    rows = [
+        (held.customer, held.version, zone.zone, _confirmed_text(zone))
+        for held in view.in_force
+        for zone in held.zones
+    ]
+    print_table(("CUSTOMER", "VERSION", "ZONE", "CONFIRMED"), rows)
+
+
+def order(
+    key: Annotated[str, typer.Argument(help="idempotency key of the order or booking")],
+    daemon: DaemonUrl,
+    timeout_s: TimeoutS = 5,
+) -> None:
+    """Show as JSON what is known of an order or booking."""
+    print_json(DaemonClient(daemon, timeout_s=timeout_s).order(key))
+
+
+def _confirmed_text(zone: ZoneInForce) -> str:
+    return f"{zone.confirmed} of {zone.daemons}" if zone.is_reachable else "can't be reached"
--- a/src/daisywharf/_contracts/_edits.py
+++ b/src/daisywharf/_contracts/_edits.py
@@ -132,8 +132,12 @@
 def delete_contract(call: EditCall, customer: CustomerId, *, if_version: Version) -> Version:
     """Delete a contract at a version; return the version that the platform gave the deletion.
 
-    A contract that is gone counts as deleted, at version 0: the result is what was asked.
+    Raise `PlatformError` (gone) where there is none. One that is gone after a lost answer counts as
+    deleted, at version 0: the result is what was asked.
     """
+    if read_contract(call.platform, customer, timeout_s=call.timeout_s) is None:
+        message = f"there is no contract {customer!r}; `contract list` names all"
+        raise PlatformError(ErrorKind.PLATFORM_GONE, message)
     return _settle(call, customer, lambda: _try_to_delete(call, customer, if_version))
 
 
--- a/src/daisywharf/_platform/_faults.py
+++ b/src/daisywharf/_platform/_faults.py
@@ -46,11 +46,15 @@
 
 
 class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Switch faults: each call is refused (`down`), delayed, lost after its effect, or capped."""
+    """Switch faults: each call is refused (`down`), delayed, lost after its effect, or capped.
+
+    `lose_answers` counts the next calls of any verb, `lose_write_answers` the next writes.
+    """
 
     down: bool = False
     slow_s: float = 0.0
     lose_answers: int = 0
+    lose_write_answers: int = 0
     watches: WatchFault = WatchFault.NONE
     calls_per_second: int | None = None
 
@@ -75,6 +79,7 @@
         self._lock = threading.Condition()
         self._faults = Faults()
         self._answers_to_lose = 0
+        self._write_answers_to_lose = 0
         self._window_started_at = clock()
         self._calls_in_window = 0
         self._calls_by_verb = dict.fromkeys(Verb, 0)
@@ -85,6 +90,7 @@
         with self._lock:
             self._faults = faults
             self._answers_to_lose = faults.lose_answers
+            self._write_answers_to_lose = faults.lose_write_answers
             self._lock.notify_all()
 
     def counts(self) -> Counts:
@@ -152,7 +158,7 @@
     def _run(self, verb: Verb, call: Callable[[], Result]) -> Result:
         self._arrive(verb)
         result = call()
-        if self._loses_answer():
+        if self._loses_answer(verb):
             unknown = ErrorKind.PLATFORM_OUTCOME_UNKNOWN
             kind = unknown if verb in WRITES else ErrorKind.PLATFORM_UNAVAILABLE
             raise AnswerLostError(kind, f"the answer to a {verb.value} was lost; read again")
@@ -184,11 +190,15 @@
         message = f"more than {cap} calls a second; call less often"
         return PlatformError(unavailable, message, retry_after_s=RATE_WINDOW_S)
 
-    def _loses_answer(self) -> bool:
+    def _loses_answer(self, verb: Verb) -> bool:
         with self._lock:
-            is_lost = self._answers_to_lose > 0
-            self._answers_to_lose -= is_lost
-            return is_lost
+            if self._answers_to_lose > 0:
+                self._answers_to_lose -= 1
+                return True
+            if verb in WRITES and self._write_answers_to_lose > 0:
+                self._write_answers_to_lose -= 1
+                return True
+            return False
 
     def _check_watch(self, timeout_s: float) -> None:
         with self._lock:
