Log numbered events, with their catalogue

Each event is bounded to 20 at once and 2 a second, and texts are cut and escaped, so that a peer can neither fill nor forge the log.

--- /dev/null
+++ b/src/daisywharf/_signals/_events.py
@@ -0,0 +1,128 @@
+"""The numbered events that processes log; docs/EVENTS.md is their catalogue."""
+
+from enum import Enum
+from typing import Final
+
+import msgspec
+
+MAX_FIELD_CHARS: Final = 300
+
+FieldValue = str | int | float | bool
+
+
+class EventLevel(Enum):
+    """Name how much an event matters to an operator."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+    ERROR = "ERROR"
+
+
+class EventForm(msgspec.Struct, frozen=True):
+    """Hold an event's number, its level, and its message with the names of its fields."""
+
+    number: int
+    level: EventLevel
+    template: str
+
+
+class Event(Enum):
+    """Name each event; numbers are never reused for another meaning."""
+
+    DAEMON_STARTED = EventForm(
+        101,
+        EventLevel.INFO,
+        "daemon of {vm} in zone {zone} serves: HTTP {http}, links {links}",
+    )
+    DAEMON_STOPPING = EventForm(
+        102, EventLevel.INFO, "daemon of {vm} stops, {in_flight} calls in flight"
+    )
+    DAEMON_STOPPED = EventForm(
+        103, EventLevel.INFO, "daemon of {vm} has stopped, {cut_off} calls cut off"
+    )
+    CLOCK_GAP = EventForm(
+        104, EventLevel.WARNING, "process was paused for {gap_s} s; views are stale until refreshed"
+    )
+    UNEXPECTED_ERROR = EventForm(105, EventLevel.ERROR, "{part} failed unexpectedly: {error}")
+
+    TARGET_ANNOUNCED = EventForm(
+        201, EventLevel.INFO, "target {target} of {service} announced itself with {slots} slots"
+    )
+    TARGET_DRAINING = EventForm(
+        202, EventLevel.INFO, "target {target} drains and receives no new work"
+    )
+    TARGET_LEFT = EventForm(203, EventLevel.INFO, "target {target} has left")
+    TARGET_LAPSED = EventForm(
+        204, EventLevel.WARNING, "target {target} stopped renewing its announcement"
+    )
+    ANNOUNCEMENT_REFUSED = EventForm(205, EventLevel.WARNING, "announcement refused: {error}")
+
+    CONTRACT_IN_FORCE = EventForm(
+        301, EventLevel.INFO, "contract {customer} is in force here at version {version}"
+    )
+    CONTRACT_DELETED = EventForm(
+        302, EventLevel.INFO, "contract {customer} is deleted at version {version}"
+    )
+    CONTRACT_UNREADABLE = EventForm(
+        303,
+        EventLevel.ERROR,
+        "contract {customer} at version {version} can't be read, the former stays: {error}",
+    )
+    COPY_CONFIRMED = EventForm(
+        304, EventLevel.INFO, "the copy of the contracts is confirmed at version {version}"
+    )
+
+    PLATFORM_UNAVAILABLE = EventForm(
+        401, EventLevel.WARNING, "platform can't be reached, serving goes on: {error}"
+    )
+    PLATFORM_BACK = EventForm(402, EventLevel.INFO, "platform is back after {outage_s} s")
+    WATCH_GONE = EventForm(
+        403, EventLevel.INFO, "watch after version {version} is gone; contracts are listed again"
+    )
+
+    LINK_OPENED = EventForm(501, EventLevel.DEBUG, "link to {peer} is open")
+    LINK_CLOSED = EventForm(502, EventLevel.DEBUG, "link to {peer} is closed: {error}")
+    LINK_SILENT = EventForm(
+        503, EventLevel.WARNING, "link to {peer} went silent; a new connection replaces it"
+    )
+    PEER_REFUSED = EventForm(504, EventLevel.WARNING, "peer at {peer} was refused: {error}")
+    BAD_FRAME = EventForm(505, EventLevel.WARNING, "frame from {peer} was dropped: {error}")
+    DAEMON_SUSPECTED = EventForm(506, EventLevel.WARNING, "daemon of {vm} doesn't answer")
+    DAEMON_LOST = EventForm(507, EventLevel.WARNING, "daemon of {vm} counts as gone")
+    ZONE_UNREACHABLE = EventForm(508, EventLevel.ERROR, "zone {zone} can't be reached")
+    ZONE_BACK = EventForm(509, EventLevel.INFO, "zone {zone} can be reached again")
+
+    SHEDDING_STARTED = EventForm(
+        601, EventLevel.WARNING, "target {target} refuses calls from level {level} on"
+    )
+    SHEDDING_ENDED = EventForm(
+        602, EventLevel.INFO, "target {target} refuses nothing after {shedding_s} s"
+    )
+    OUTCOME_UNKNOWN = EventForm(
+        603, EventLevel.ERROR, "outcome of {key} at target {target} is unknown: {error}"
+    )
+
+    @property
+    def label(self) -> str:
+        """Return the event's name as logs write it."""
+        return self.name.lower().replace("_", "-")
+
+
+class _Missing(dict[str, FieldValue]):
+    def __missing__(self, name: str) -> str:
+        return "?"
+
+
+def message_of(event: Event, fields: dict[str, FieldValue]) -> str:
+    """Fill an event's message; a field that is missing shows as `?`."""
+    shown = _Missing({name: clean_field(value) for name, value in fields.items()})
+    return event.value.template.format_map(shown)
+
+
+def clean_field(value: FieldValue) -> FieldValue:
+    """Cut a long text, and escape what could pass for another line of the log."""
+    if not isinstance(value, str):
+        return value
+    cut = value[:MAX_FIELD_CHARS]
+    return cut if cut.isprintable() else cut.encode("unicode_escape").decode("ascii")
--- /dev/null
+++ b/src/daisywharf/_signals/_log.py
@@ -0,0 +1,127 @@
+"""Write events through loguru; a process that doesn't configure them never imports it."""
+
+import sys
+import threading
+import time
+from collections.abc import Callable
+from typing import Any, Final, TextIO
+
+import msgspec
+
+from daisywharf._signals._events import Event, FieldValue, clean_field, message_of
+
+BURST: Final = 20
+REFILL_PER_S: Final = 2.0
+
+Write = Callable[[Event, dict[str, FieldValue]], None]
+
+
+class EventAllowance(msgspec.Struct):
+    """Hold how many events of one kind may still be written, and how many were left out."""
+
+    left: float
+    refilled_at: float
+    left_out: int = 0
+
+
+class EventLimiter:
+    """Hold the allowance of each event, so that a hostile peer can't fill the log."""
+
+    def __init__(self) -> None:
+        self.allowance_by_event: dict[Event, EventAllowance] = {}
+
+
+def admit_event(state: EventLimiter, event: Event, *, now: float) -> int | None:
+    """Return how many of this event were left out before it, or none where it is left out too."""
+    allowance = state.allowance_by_event.get(event)
+    if allowance is None:
+        allowance = state.allowance_by_event[event] = EventAllowance(float(BURST), now)
+    gained = max(0.0, now - allowance.refilled_at) * REFILL_PER_S
+    allowance.left = min(float(BURST), allowance.left + gained)
+    allowance.refilled_at = now
+    if allowance.left < 1.0:
+        allowance.left_out += 1
+        return None
+    allowance.left -= 1.0
+    left_out, allowance.left_out = allowance.left_out, 0
+    return left_out
+
+
+class _Log:
+    """Hold where events go; at first nowhere."""
+
+    def __init__(self) -> None:
+        self.limiter = EventLimiter()
+        self.lock = threading.Lock()
+        self.write: Write | None = None
+
+
+_log: Final = _Log()
+
+
+def log_event(event: Event, **fields: FieldValue) -> None:
+    """Log an event with its fields, unless too many of its kind came lately."""
+    if _log.write is None:
+        return
+    with _log.lock:
+        left_out = admit_event(_log.limiter, event, now=time.monotonic())
+    if left_out is None:
+        return
+    if left_out:
+        fields["left_out"] = left_out
+    _log.write(event, fields)
+
+
+def configure_events(
+    *,
+    is_json: bool,
+    level: str,
+    stream: TextIO | None = None,
+    context: dict[str, str] | None = None,
+) -> None:
+    """Write events of this level and above to a stream (standard error), one on a line.
+
+    `context` goes with each event: the VM and its zone, say.
+    """
+    from loguru import logger
+
+    logger.remove()
+    logger.add(
+        stream or sys.stderr,
+        level=level,
+        format=_json_line if is_json else _plain_line,
+        colorize=False,
+        backtrace=False,
+        diagnose=False,
+    )
+    always = dict(context or {})
+
+    def write(event: Event, fields: dict[str, FieldValue]) -> None:
+        whole = always | fields
+        message = message_of(event, whole)
+        bound = logger.bind(event=event, fields=whole)
+        bound.log(event.value.level.value, "{}", message)
+
+    _log.limiter = EventLimiter()
+    _log.write = write
+
+
+def _json_line(record: Any) -> str:
+    event = record["extra"]["event"]
+    line = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "number": event.value.number,
+        "event": event.label,
+        "level": event.value.level.value,
+        "message": record["message"],
+    }
+    fields = {name: clean_field(value) for name, value in record["extra"]["fields"].items()}
+    record["extra"]["line"] = msgspec.json.encode(line | {"fields": fields}).decode()
+    return "{extra[line]}\n"
+
+
+def _plain_line(record: Any) -> str:
+    record["extra"]["number"] = record["extra"]["event"].value.number
+    left_out = record["extra"]["fields"].get("left_out")
+    record["extra"]["more"] = f" ({left_out} more were left out)" if left_out else ""
+    return "{time:YYYY-MM-DDTHH:mm:ss.SSSZZ} {level: <7} {extra[number]} {message}{extra[more]}\n"
