Refuse announcements whose address is no IP number

Cause: the address's host was not checked, so that a host name, or a text with line breaks, became an address that callers connect to. Settings use the same check.

--- a/src/daisywharf/_daemon/_announcement.py
+++ b/src/daisywharf/_daemon/_announcement.py
@@ -10,7 +10,7 @@
     MAX_NAME_CHARS,
     MAX_SLOTS,
 )
-from daisywharf._topology import Address, GateHost, Target, TargetState
+from daisywharf._topology import Address, GateHost, Target, TargetState, is_ip_number
 
 
 class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -40,6 +40,7 @@
     _check_number("incarnation", announcement.incarnation, 0, 2**63 - 1)
     _check_number("slots", announcement.slots, 1, MAX_SLOTS)
     _check_number("connections", announcement.connections, 1, MAX_CONNECTIONS)
+    _check_host(announcement.address.host)
     _check_number("address.port", announcement.address.port, 1, 65_535)
     return announcement
 
@@ -73,6 +74,14 @@
     raise RequestError(ErrorKind.BAD_REQUEST, message)
 
 
+def _check_host(host: str) -> None:
+    if is_ip_number(host):
+        return
+    shown = host[:MAX_NAME_CHARS]
+    message = f"announcement: address.host is {shown!r}; use an IP number, such as 10.0.0.5"
+    raise RequestError(ErrorKind.BAD_REQUEST, message)
+
+
 def _check_number(field: str, value: int, least: int, most: int) -> None:
     if least <= value <= most:
         return
--- a/src/daisywharf/_settings.py
+++ b/src/daisywharf/_settings.py
@@ -1,7 +1,6 @@
 """Settings of a daemon, read from YAML and checked."""
 
 from collections.abc import Iterable
-from ipaddress import ip_address
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any, Final, Literal
 
@@ -11,7 +10,7 @@
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import VmId, ZoneName
 from daisywharf._limits import MAX_NAME_CHARS, MAX_SETTINGS_BYTES
-from daisywharf._topology import Address
+from daisywharf._topology import Address, is_ip_number
 
 if TYPE_CHECKING:
     from daisywharf._documents._faults import DocumentPath
@@ -89,16 +88,8 @@
     if not isinstance(plain, dict):
         return
     host = plain.get("host")
-    if host is not None and not _is_ip_number(host):
+    if host is not None and not is_ip_number(host):
         yield Problem((*path, "host"), host, "write an IP number, such as 10.0.0.5")
     port = plain.get("port")
     if port is not None and not least_port <= port <= MAX_PORT:
         yield Problem((*path, "port"), port, f"write a port from {least_port} to {MAX_PORT}")
-
-
-def _is_ip_number(host: str) -> bool:
-    try:
-        ip_address(host)
-    except ValueError:
-        return False
-    return True
--- a/src/daisywharf/_topology.py
+++ b/src/daisywharf/_topology.py
@@ -1,6 +1,7 @@
 """What the fleet knows of one target."""
 
 from enum import Enum
+from ipaddress import ip_address
 
 import msgspec
 
@@ -32,6 +33,15 @@
         return f"{self.host}:{self.port}"
 
 
+def is_ip_number(host: str) -> bool:
+    """Tell whether a host is given by its IP number: processes look no names up."""
+    try:
+        ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 class Target(msgspec.Struct, frozen=True):
     """Describe a target as it announced itself; `address` and `path_prefix` name its gate."""
 
