Ask a daemon for one customer's spread at a time

A daemon counts who holds a version only while somebody waits for that customer, so the command line names it in the query: the count costs messages.

--- a/src/daisywharf/_cli/contract_edits.py
+++ b/src/daisywharf/_cli/contract_edits.py
@@ -3,6 +3,7 @@
 import os
 import time
 import uuid
+from functools import partial
 from pathlib import Path
 from typing import Annotated
 
@@ -164,7 +165,7 @@
     for report in reports:
         applied = report.applied
         progress = wait_until_in_force(
-            client.status,
+            partial(client.status, applied.customer),
             applied.customer,
             applied.version,
             wait_s=deadline - time.monotonic(),
--- a/src/daisywharf/_cli/daemon_client.py
+++ b/src/daisywharf/_cli/daemon_client.py
@@ -50,9 +50,10 @@
         self._timeout_s = timeout_s
         self._pool = urllib3.PoolManager(retries=False)
 
-    def status(self) -> DaemonView:
-        """Read the daemon's status."""
-        return _read(self._call("GET", "/status"), DaemonView)
+    def status(self, customer: CustomerId | None = None) -> DaemonView:
+        """Read the daemon's status; a daemon counts zones for the customer that is asked for."""
+        query = "" if customer is None else f"?customer={quote(customer, safe='')}"
+        return _read(self._call("GET", f"/status{query}"), DaemonView)
 
     def targets(self) -> list[Target]:
         """Read the targets that the daemon knows."""
--- a/src/daisywharf/_cli/operators.py
+++ b/src/daisywharf/_cli/operators.py
@@ -29,7 +29,7 @@
 app.add_typer(contracts, name="contract")
 app.add_typer(target.app, name="target", help="List and drain targets.")
 app.add_typer(settings.app, name="settings")
-app.command(epilog="Example: daisywharf status --json")(status.status)
+app.command(epilog="Example: daisywharf status --customer builders")(status.status)
 app.command(epilog="Example: daisywharf order counter-7-2041")(status.order)
 
 
--- a/src/daisywharf/_cli/status.py
+++ b/src/daisywharf/_cli/status.py
@@ -4,23 +4,28 @@
 
 import typer
 
-from daisywharf._cli.daemon_client import DaemonClient, ZoneInForce
+from daisywharf._cli.daemon_client import ContractInForce, DaemonClient, ZoneInForce
 from daisywharf._cli.options import AsJson, DaemonUrl, TimeoutS
 from daisywharf._cli.output import print_json, print_table
+from daisywharf._ids import CustomerId
 
 
-def status(daemon: DaemonUrl, as_json: AsJson = False, timeout_s: TimeoutS = 5) -> None:
-    """Show a daemon and the contracts in force in each zone that it hears from."""
-    view = DaemonClient(daemon, timeout_s=timeout_s).status()
+def status(
+    daemon: DaemonUrl,
+    customer: Annotated[str, typer.Option(help="count its daemons in each zone")] = "",
+    as_json: AsJson = False,
+    timeout_s: TimeoutS = 5,
+) -> None:
+    """Show a daemon and the contracts that it holds; with a customer, in which zones too."""
+    named = CustomerId(customer) if customer else None
+    view = DaemonClient(daemon, timeout_s=timeout_s).status(named)
     if as_json:
         print_json(view)
         return
     copy = "confirmed" if view.is_confirmed else "not confirmed yet"
     typer.echo(f"{view.vm} in {view.zone}: its copy of the contracts is {copy}")
     rows = [
-        (held.customer, held.version, zone.zone, _confirmed_text(zone))
-        for held in view.in_force
-        for zone in held.zones
+        row for held in view.in_force if customer in ("", held.customer) for row in _rows_of(held)
     ]
     print_table(("CUSTOMER", "VERSION", "ZONE", "CONFIRMED"), rows)
 
@@ -34,5 +39,11 @@
     print_json(DaemonClient(daemon, timeout_s=timeout_s).order(key))
 
 
+def _rows_of(held: ContractInForce) -> list[tuple[object, ...]]:
+    if not held.zones:
+        return [(held.customer, held.version, "-", "-")]
+    return [(held.customer, held.version, zone.zone, _confirmed_text(zone)) for zone in held.zones]
+
+
 def _confirmed_text(zone: ZoneInForce) -> str:
     return f"{zone.confirmed} of {zone.daemons}" if zone.is_reachable else "can't be reached"
--- a/src/daisywharf/_contracts/_edits.py
+++ b/src/daisywharf/_contracts/_edits.py
@@ -68,7 +68,7 @@
     ) -> None:
         version = NO_CONTRACT if current is None else current.version
         stands = "no contract" if current is None else f"version {version}"
-        message = f"contract {customer!r} was edited by another: {stands} stands now"
+        message = f"contract {customer!r}: {stands} stands, and this edit doesn't start from it"
         super().__init__(ErrorKind.PLATFORM_CONFLICT, message)
         self.customer = customer
         self.current_version = version
--- a/tests/test_cli_contract.py
+++ b/tests/test_cli_contract.py
@@ -133,7 +133,10 @@
     zones: list[tuple[str, int, int, bool]],
     code: ExitCode,
 ) -> None:
-    with running_daemon({"GET /status": status_answer(1, *zones)}) as (_, url):
+    with running_daemon({"GET /status?customer=counter-staff": status_answer(1, *zones)}) as (
+        _,
+        url,
+    ):
         apply = ("contract", "apply", str(ONE), "--wait", "0.1", "--daemon", url)
         assert run_command(*apply) == code
     told = capsys.readouterr().err
--- a/tests/test_cli_daemon.py
+++ b/tests/test_cli_daemon.py
@@ -28,8 +28,10 @@
 
 def test_status_shows_versions_by_zone(capsys: pytest.CaptureFixture[str]) -> None:
     zones = (("perth-1", 2, 2, True), ("perth-2", 3, 1, True), ("perth-3", 3, 0, False))
-    with running_daemon({"GET /status": status_answer(5, *zones)}) as (_, url):
-        assert run_command("status", "--daemon", url) == ExitCode.OK
+    answers = {"GET /status?customer=counter-staff": status_answer(5, *zones)}
+    with running_daemon(answers) as (_, url):
+        status = ("status", "--daemon", url, "--customer", "counter-staff")
+        assert run_command(*status) == ExitCode.OK
     shown = capsys.readouterr().out
     assert "vm-1 in perth-1" in shown
     assert re.search(r"counter-staff +5 +perth-2 +1 of 3", shown)
