Show the fleet in status, drain targets, and share rates by demand in the path

Cause: the command line asks a daemon for in-force counts, drains and health, and shares of a customer's rate were worked out but not applied. Change: status per customer, drain to the target's own gate, demand counted at each entry and reported by libraries, share and a least burst of 4 requests in the rate check, /healthz says starting until shares are there. Found: a new daemon has no share for 6 s and refused all; the demonstration now waits for it.

--- a/src/daisywharf/_call/_caller.py
+++ b/src/daisywharf/_call/_caller.py
@@ -6,10 +6,11 @@
 from typing import Final
 
 from daisywharf._call._attempts import call_with_retries
+from daisywharf._call._demand import DemandCounter
 from daisywharf._call._exchange import CallReply, CallRequest
 from daisywharf._call._parties import CallerState, Clock, SendCall
 from daisywharf._call._scope import Scope, current_scope
-from daisywharf._call._snapshot import SnapshotHolder, call_class_of
+from daisywharf._call._snapshot import SnapshotHolder, call_class_of, share_in
 from daisywharf._context import RequestContext
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import CallClassName, CustomerId, IdempotencyKey, RequestId, ServiceName
@@ -18,6 +19,10 @@
 
 MS_PER_S: Final = 1_000.0
 SHED_RETRY_AFTER_S: Final = 1.0
+# Shares follow demand within seconds, so a longer wait would outlast its cause.
+MAX_RATE_WAIT_S: Final = 5.0
+# An entry with a small share, or none yet, still takes a few requests at once.
+MIN_BURST: Final = 4.0
 
 
 class Caller:
@@ -34,6 +39,7 @@
     ) -> None:
         self._state = CallerState(holder, caller=name, clock=clock, rng=rng or Random(), send=send)
         self._rates = RateState()
+        self.demand = DemandCounter()
 
     def call(
         self,
@@ -95,20 +101,24 @@
         call_class = call_class_of(
             snapshot, bucket.customer, bucket.call_class, ServiceName(service)
         )
+        share = share_in(snapshot, bucket.customer, bucket.call_class)
+        self.demand.count(bucket)
         with self._state.lock:
             wait_s = take_token(
                 self._rates,
                 bucket,
-                rate_per_second=call_class.rate_per_second,
-                burst=call_class.burst,
+                rate_per_second=call_class.rate_per_second * share,
+                burst=max(call_class.burst * share, min(call_class.burst, MIN_BURST)),
                 now=now,
             )
         if wait_s > 0:
             message = (
                 f"customer {customer!r} is beyond {call_class.rate_per_second:g} requests/s "
-                f"of class {name!r}"
+                f"of class {name!r}, of which {share:.1%} may enter here"
+            )
+            raise RequestError(
+                ErrorKind.RATE_EXCEEDED, message, retry_after_s=min(wait_s, MAX_RATE_WAIT_S)
             )
-            raise RequestError(ErrorKind.RATE_EXCEEDED, message, retry_after_s=wait_s)
         return RequestContext(
             request_id=RequestId(token_hex(12)),
             customer=bucket.customer,
--- /dev/null
+++ b/src/daisywharf/_call/_demand.py
@@ -0,0 +1,37 @@
+"""Count the requests that enter, so that a customer's rate can be shared by demand."""
+
+import threading
+
+import msgspec
+
+from daisywharf._ids import CallClassName, CustomerId
+from daisywharf._overload._rates import BucketKey
+
+
+class Demand(msgspec.Struct, frozen=True):
+    """Count one call class's requests since the last report, admitted or not."""
+
+    customer: CustomerId
+    call_class: CallClassName
+    requests: int
+
+
+class DemandCounter:
+    """Hold the counts since the last report."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._requests_by_key: dict[BucketKey, int] = {}
+
+    def count(self, key: BucketKey) -> None:
+        """Count one request."""
+        with self._lock:
+            self._requests_by_key[key] = self._requests_by_key.get(key, 0) + 1
+
+    def take(self) -> tuple[Demand, ...]:
+        """Return the counts and start again from none."""
+        with self._lock:
+            taken, self._requests_by_key = self._requests_by_key, {}
+        return tuple(
+            Demand(key.customer, key.call_class, requests) for key, requests in taken.items()
+        )
--- a/src/daisywharf/_call/_snapshot.py
+++ b/src/daisywharf/_call/_snapshot.py
@@ -8,23 +8,18 @@
 from daisywharf._topology import Target
 
 
-class Share(msgspec.Struct, frozen=True):
-    """Give the part (0 to 1) of a contract's rate that may enter at this VM."""
-
-    customer: CustomerId
-    call_class: CallClassName
-    fraction: float
-
-
 class Snapshot(msgspec.Struct, frozen=True, tag="snapshot"):
-    """Hold what a daemon hands to the callers on its VM; it is replaced whole."""
+    """Hold what a daemon hands to the callers on its VM; it is replaced whole.
+
+    A share is the part (0 to 1) of a contract's rate that may enter here.
+    """
 
     vm: VmId
     zone: ZoneName
     sequence: int
     contract_by_customer: dict[CustomerId, Contract] = {}
     targets_by_service: dict[ServiceName, tuple[Target, ...]] = {}
-    shares: tuple[Share, ...] = ()
+    share_by_class_by_customer: dict[CustomerId, dict[CallClassName, float]] = {}
 
 
 class SnapshotHolder:
@@ -50,3 +45,16 @@
         )
         raise RequestError(ErrorKind.NOT_IN_CONTRACT, message)
     return call_class
+
+
+def share_in(snapshot: Snapshot, customer: CustomerId, name: CallClassName) -> float:
+    """Return the part of a class's rate that may enter here; none was told means all."""
+    return snapshot.share_by_class_by_customer.get(customer, {}).get(name, 1.0)
+
+
+def is_ready(snapshot: Snapshot) -> bool:
+    """Tell whether each contract's rate may enter here: a new daemon has no share at first."""
+    shares = snapshot.share_by_class_by_customer
+    return bool(shares) and all(
+        share > 0.0 for share_by_class in shares.values() for share in share_by_class.values()
+    )
--- a/src/daisywharf/_cli/demo.py
+++ b/src/daisywharf/_cli/demo.py
@@ -15,7 +15,7 @@
     Stream("counter-staff", "check-stock", "stock", 15),
     Stream("builders", "browse-catalogue", "catalogue", 30),
 )
-PHASES: Final = (Phase("calm", 3.0, 1.0), Phase("surge", 5.0, 8.0), Phase("after", 3.0, 1.0))
+PHASES: Final = (Phase("calm", 2.0, 1.0), Phase("surge", 4.0, 8.0), Phase("after", 2.0, 1.0))
 SURGING: Final = frozenset({"browse-catalogue"})
 
 
--- a/src/daisywharf/_daemon/_daemon.py
+++ b/src/daisywharf/_daemon/_daemon.py
@@ -11,7 +11,7 @@
 from daisywharf._call._snapshot import Snapshot, SnapshotHolder
 from daisywharf._daemon._fleet_actor import FleetActor
 from daisywharf._daemon._forwarding import HostedGates
-from daisywharf._daemon._frames import Fleet, Subscribe
+from daisywharf._daemon._frames import DemandReport, Fleet, Subscribe
 from daisywharf._daemon._http import http_app
 from daisywharf._daemon._in_flight import InFlight
 from daisywharf._daemon._links import Link, Links
@@ -105,11 +105,16 @@
         return hosted + self.entered.count
 
     def _tick(self) -> None:
+        demands = self.caller.demand.take()
+        if demands:
+            self.running.fleet.note_demand.defer(demands)
         self.running.fleet.tick.defer()
 
     def _take_frame(self, link: Link, frame: Any) -> None:
         if isinstance(frame, Fleet):
             self.running.fleet.receive.defer(frame.message)
+        elif isinstance(frame, DemandReport):
+            self.running.fleet.note_demand.defer(frame.demands)
         elif isinstance(frame, Subscribe):
             subscribe(self.subscriptions, self.links, link, frame, self.holder.current)
 
--- a/src/daisywharf/_daemon/_fleet_actor.py
+++ b/src/daisywharf/_daemon/_fleet_actor.py
@@ -3,18 +3,39 @@
 import time
 from collections.abc import Callable, Iterable
 from random import Random
+from typing import Final
 
 import msgspec
 import pykka
 
-from daisywharf._call._snapshot import Share, Snapshot, SnapshotHolder
+from daisywharf._call._demand import Demand
+from daisywharf._call._snapshot import Snapshot, SnapshotHolder
 from daisywharf._fleet import _state as fleet
 from daisywharf._fleet._messages import FleetMessage
-from daisywharf._fleet._services import services_of
-from daisywharf._fleet._state import FleetAction, FleetState, PlatformResult, SendTo
-from daisywharf._ids import CallClassName, CustomerId, TargetId
+from daisywharf._fleet._services import ViewDigest, targets_by_service, view_digest
+from daisywharf._fleet._state import (
+    FleetAction,
+    FleetState,
+    FleetStatus,
+    PlatformResult,
+    SendTo,
+    ZoneInForce,
+)
+from daisywharf._fleet._targets import is_drained, knows_target
+from daisywharf._ids import CustomerId, TargetId
 from daisywharf._topology import Target
 
+SHARES_PERIOD_S: Final = 1.0
+SHARE_DIGITS: Final = 4
+
+
+class FleetView(msgspec.Struct, frozen=True):
+    """Hold what the actor tells of the fleet."""
+
+    status: FleetStatus
+    is_confirmed: bool
+    zones: tuple[ZoneInForce, ...]
+
 
 class FleetActor(pykka.ThreadingActor):
     """Run the fleet's decisions one at a time and hand out snapshots."""
@@ -38,6 +59,8 @@
         self._ask_platform = ask_platform
         self._on_snapshot = on_snapshot
         self._rng = rng
+        self._handed_digest: ViewDigest | None = None
+        self._handed_at = float("-inf")
 
     def tick(self) -> None:
         """Do what time asks for."""
@@ -50,11 +73,12 @@
         now = time.monotonic()
         self._do(fleet.receive(self._state, message, now=now, rng=self._rng))
 
-    def announce(self, target: Target) -> None:
-        """Take a target's announcement."""
+    def announce(self, target: Target) -> bool:
+        """Take a target's announcement; tell whether an operator has drained it."""
         now = time.monotonic()
         self._do(fleet.announce(self._state, target, now=now))
         self._hand_out(now)
+        return is_drained(self._state, target)
 
     def withdraw(self, target_id: TargetId) -> None:
         """Let a target leave."""
@@ -71,10 +95,34 @@
         """Tell peers that this daemon goes."""
         self._do(fleet.leave(self._state, now=time.monotonic()))
 
-    def note_demand(self, customer: CustomerId, call_class: CallClassName, requests: int) -> None:
-        """Count requests that entered."""
+    def request_drain(self, target_id: TargetId) -> bool:
+        """Have a target drained wherever it is; tell whether any such target is known."""
+        now = time.monotonic()
+        self._do(fleet.request_drain(self._state, target_id, now=now))
+        self._hand_out(now)
+        return knows_target(self._state, target_id)
+
+    def note_demand(self, demands: Iterable[Demand]) -> None:
+        """Count requests that entered on this VM."""
+        now = time.monotonic()
+        for demand in demands:
+            fleet.note_demand(
+                self._state,
+                demand.customer,
+                demand.call_class,
+                requests=demand.requests,
+                now=now,
+            )
+
+    def view(self, customer: CustomerId | None) -> FleetView:
+        """Describe the fleet, and how far one customer's contract is in force."""
         now = time.monotonic()
-        fleet.note_demand(self._state, customer, call_class, requests=requests, now=now)
+        zones = () if customer is None else fleet.in_force(self._state, customer, now=now)
+        return FleetView(
+            status=fleet.status(self._state, now),
+            is_confirmed=fleet.is_confirmed(self._state),
+            zones=zones,
+        )
 
     def _do(self, actions: Iterable[FleetAction]) -> None:
         for action in actions:
@@ -84,28 +132,33 @@
                 self._ask_platform(action)
 
     def _hand_out(self, now: float) -> None:
-        snapshot = _snapshot(self._state, self._holder.current.sequence, now)
-        if snapshot == self._holder.current:
+        digest = view_digest(self._state)
+        if digest == self._handed_digest and now - self._handed_at < SHARES_PERIOD_S:
             return
-        numbered = msgspec.structs.replace(snapshot, sequence=snapshot.sequence + 1)
+        self._handed_digest = digest
+        self._handed_at = now
+        current = self._holder.current
+        snapshot = _snapshot(self._state, current.sequence, now)
+        if snapshot == current:
+            return
+        numbered = msgspec.structs.replace(snapshot, sequence=current.sequence + 1)
         self._holder.current = numbered
         self._on_snapshot(numbered)
 
 
 def _snapshot(state: FleetState, sequence: int, now: float) -> Snapshot:
     contract_by_customer = fleet.contracts_by_customer(state)
-    shares = tuple(
-        Share(customer, name, fleet.share_of(state, customer, name, now=now))
-        for customer, contract in sorted(contract_by_customer.items())
-        for name in contract.classes_by_name
-    )
     return Snapshot(
         vm=state.me.vm,
         zone=state.me.zone,
         sequence=sequence,
         contract_by_customer=contract_by_customer,
-        targets_by_service={
-            service: tuple(fleet.targets_of(state, service)) for service in services_of(state)
+        targets_by_service=targets_by_service(state),
+        share_by_class_by_customer={
+            customer: {
+                name: round(fleet.share_of(state, customer, name, now=now), SHARE_DIGITS)
+                for name in contract.classes_by_name
+            }
+            for customer, contract in contract_by_customer.items()
         },
-        shares=shares,
     )
--- a/src/daisywharf/_daemon/_frames.py
+++ b/src/daisywharf/_daemon/_frames.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from daisywharf._call._demand import Demand
 from daisywharf._call._snapshot import Snapshot
 from daisywharf._fleet._messages import FleetMessage, Member
 from daisywharf._ids import ServiceName
@@ -51,4 +52,20 @@
     services: tuple[ServiceName, ...] = ()
 
 
-Frame = Challenge | Hello | Welcome | Heartbeat | HeartbeatEcho | Fleet | Subscribe | Snapshot
+class DemandReport(msgspec.Struct, frozen=True, tag="demand"):
+    """Report the requests that entered through a library since its last report."""
+
+    demands: tuple[Demand, ...]
+
+
+Frame = (
+    Challenge
+    | Hello
+    | Welcome
+    | Heartbeat
+    | HeartbeatEcho
+    | Fleet
+    | Subscribe
+    | Snapshot
+    | DemandReport
+)
--- a/src/daisywharf/_daemon/_platform_actor.py
+++ b/src/daisywharf/_daemon/_platform_actor.py
@@ -8,6 +8,7 @@
 
 from daisywharf._contracts import contract_from_json
 from daisywharf._errors import DaisywharfError, ErrorKind, PlatformError
+from daisywharf._fleet._actions import PlatformAction
 from daisywharf._fleet._messages import ContractRecord, Member
 from daisywharf._fleet._state import (
     ContactsRead,
@@ -24,9 +25,6 @@
 from daisywharf._platform._interface import ObjectKind, Platform, PlatformObject
 
 CALL_TIMEOUT_S: Final = 6.0
-WATCH_TIMEOUT_S: Final = 20.0
-
-PlatformAction = ListContracts | WatchContracts | ListContacts | WriteContact
 
 
 class PlatformActor(pykka.ThreadingActor):
@@ -54,7 +52,9 @@
         records = [_record(CustomerId(item.name), item.version, item) for item in listing.objects]
         return ContractsRead(_readable(records), listing.version, whole=True)
     if isinstance(action, WatchContracts):
-        changes = platform.watch(ObjectKind.CONTRACT, after=action.after, timeout_s=WATCH_TIMEOUT_S)
+        changes = platform.watch(
+            ObjectKind.CONTRACT, after=action.after, timeout_s=action.timeout_s
+        )
         records = [
             _record(CustomerId(change.name), change.version, change.object)
             for change in changes.changes
@@ -63,7 +63,7 @@
     if isinstance(action, ListContacts):
         contacts = platform.list(ObjectKind.CONTACT, timeout_s=CALL_TIMEOUT_S)
         return ContactsRead(_members(contacts.objects))
-    return _write_contact(platform, action.member)
+    return _write_contact(platform, action)
 
 
 def _readable(records: list[ContractRecord | None]) -> tuple[ContractRecord, ...]:
@@ -92,10 +92,11 @@
     return tuple(members)
 
 
-def _write_contact(platform: Platform, member: Member) -> PlatformResult:
+def _write_contact(platform: Platform, action: WriteContact) -> PlatformResult:
+    member = action.member
     body = msgspec.json.encode(member)
     edit_id = EditId(f"{member.vm}-{member.incarnation}")
-    name = f"{member.zone}.{member.vm}"
+    name = f"{member.zone}.{action.slot}"
     try:
         present = platform.get(ObjectKind.CONTACT, name, timeout_s=CALL_TIMEOUT_S)
     except PlatformError as error:
--- a/src/daisywharf/_daemon/_routes.py
+++ b/src/daisywharf/_daemon/_routes.py
@@ -1,16 +1,29 @@
 """The routes of a daemon's HTTP, for callers, targets and operators."""
 
 from typing import TYPE_CHECKING, Final
+from urllib.parse import parse_qs
 
 from daisywharf._call._exchange import CallReply
+from daisywharf._call._snapshot import is_ready
 from daisywharf._call._wsgi import Environ, body_of
 from daisywharf._daemon._announcement import read_announcement, target_from
 from daisywharf._daemon._entry import ENTRY_PREFIX, enter_call
+from daisywharf._daemon._fleet_actor import FleetView
 from daisywharf._daemon._forwarding import host_gate
 from daisywharf._daemon._http import Routes, json_reply
-from daisywharf._daemon._status import AnnouncementTaken, DaemonStatus, LinkStatus
+from daisywharf._daemon._links import LinkCounts
+from daisywharf._daemon._status import (
+    AnnouncementTaken,
+    ContractInForce,
+    DaemonStatus,
+    DrainTaken,
+    Health,
+    HealthState,
+    LinkStatus,
+    ZoneCount,
+)
 from daisywharf._errors import ErrorKind, RequestError
-from daisywharf._ids import TargetId
+from daisywharf._ids import CustomerId, TargetId
 from daisywharf._topology import GateHost, Target
 
 if TYPE_CHECKING:
@@ -28,36 +41,84 @@
     routes = Routes(find_gate=daemon.gates.gate_by_id.get)
     routes.route_by_path["POST /announce"] = lambda environ: _announce(daemon, environ)
     routes.route_by_path["POST /withdraw"] = lambda environ: _withdraw(daemon, environ)
-    routes.route_by_path["GET /healthz"] = lambda environ: json_reply({"status": "serving"})
-    routes.route_by_path["GET /status"] = lambda environ: json_reply(status_of(daemon))
+    routes.route_by_path["GET /healthz"] = lambda environ: _health(daemon)
+    routes.route_by_path["GET /status"] = lambda environ: _status(daemon, environ)
     routes.route_by_path["GET /targets"] = lambda environ: json_reply(_targets(daemon))
+    routes.route_by_prefix[TARGETS_PREFIX] = lambda environ: _drain(daemon, environ)
     routes.route_by_prefix[ENTRY_PREFIX] = lambda environ: _enter(daemon, environ)
     return routes
 
 
-def status_of(daemon: "Daemon") -> DaemonStatus:
-    """Describe a daemon for operators."""
-    counts = daemon.links.counts
+def status_of(daemon: "Daemon", customer: CustomerId | None = None) -> DaemonStatus:
+    """Describe a daemon; zones are counted for the customer that is asked for."""
+    view: FleetView = daemon.running.fleet.view(customer).get(timeout=ASK_TIMEOUT_S)
     snapshot = daemon.holder.current
-    member = daemon.running.member
     return DaemonStatus(
         vm=snapshot.vm,
         zone=snapshot.zone,
-        incarnation=member.incarnation,
+        incarnation=daemon.running.member.incarnation,
         is_draining=daemon.is_draining,
-        targets=tuple(target.target_id for target in _targets(daemon)),
-        links=LinkStatus(
-            frames_in=counts.frames_in,
-            frames_out=counts.frames_out,
-            bytes_in=counts.bytes_in,
-            bytes_out=counts.bytes_out,
-            refused_peers=counts.refused_peers,
-            bad_frames=counts.bad_frames,
-            silent_links=counts.silent_links,
+        is_confirmed=view.is_confirmed,
+        in_force=tuple(
+            ContractInForce(name, contract.version, _zone_counts(view) if name == customer else ())
+            for name, contract in sorted(snapshot.contract_by_customer.items())
         ),
+        target_count=len(_targets(daemon)),
+        snapshot_sequence=snapshot.sequence,
+        links=_link_status(daemon.links.counts),
+        fleet=view.status,
     )
 
 
+def _zone_counts(view: FleetView) -> tuple[ZoneCount, ...]:
+    return tuple(
+        ZoneCount(zone.zone, zone.daemons_known, zone.daemons_confirmed, zone.is_reachable)
+        for zone in view.zones
+    )
+
+
+def _link_status(counts: LinkCounts) -> LinkStatus:
+    return LinkStatus(
+        frames_in=counts.frames_in,
+        frames_out=counts.frames_out,
+        bytes_in=counts.bytes_in,
+        bytes_out=counts.bytes_out,
+        refused_peers=counts.refused_peers,
+        bad_frames=counts.bad_frames,
+        silent_links=counts.silent_links,
+    )
+
+
+def _health(daemon: "Daemon") -> CallReply:
+    if daemon.is_draining:
+        return json_reply(Health(HealthState.DRAINING), status=503)
+    if not is_ready(daemon.holder.current):
+        return json_reply(Health(HealthState.STARTING), status=503)
+    return json_reply(Health(HealthState.SERVING))
+
+
+def _status(daemon: "Daemon", environ: Environ) -> CallReply:
+    query = parse_qs(environ.get("QUERY_STRING", ""))
+    customer = query.get("customer")
+    return json_reply(status_of(daemon, CustomerId(customer[0]) if customer else None))
+
+
+def _drain(daemon: "Daemon", environ: Environ) -> CallReply:
+    path = environ["PATH_INFO"]
+    target_id = TargetId(path.removeprefix(TARGETS_PREFIX).removesuffix(DRAIN_SUFFIX))
+    if not path.endswith(DRAIN_SUFFIX) or environ["REQUEST_METHOD"] != "POST":
+        message = f"nothing answers {path}; drain by POST /targets/ID/drain"
+        raise RequestError(ErrorKind.BAD_REQUEST, message)
+    gate = daemon.gates.gate_by_id.get(target_id)
+    if gate is not None:
+        gate.drain()
+    is_known = daemon.running.fleet.request_drain(target_id).get(timeout=ASK_TIMEOUT_S)
+    if not is_known:
+        message = f"no target {target_id!r} is known here; see `daisywharf target list`"
+        raise RequestError(ErrorKind.NO_TARGET, message)
+    return json_reply(DrainTaken(target_id))
+
+
 def _targets(daemon: "Daemon") -> list[Target]:
     by_service = daemon.holder.current.targets_by_service
     return [target for targets in by_service.values() for target in targets]
@@ -77,8 +138,11 @@
     target = target_from(announcement, vm=settings.vm, zone=settings.zone, http=daemon.http.address)
     if target.gate is GateHost.DAEMON:
         host_gate(daemon.gates, target, local=announcement.address)
-    daemon.running.fleet.announce(target).get(timeout=ASK_TIMEOUT_S)
-    return json_reply(AnnouncementTaken(renew_after_s=RENEW_AFTER_S))
+    is_drained = daemon.running.fleet.announce(target).get(timeout=ASK_TIMEOUT_S)
+    gate = daemon.gates.gate_by_id.get(target.target_id)
+    if is_drained and gate is not None:
+        gate.drain()
+    return json_reply(AnnouncementTaken(RENEW_AFTER_S, is_drained))
 
 
 def _withdraw(daemon: "Daemon", environ: Environ) -> CallReply:
--- a/src/daisywharf/_daemon/_status.py
+++ b/src/daisywharf/_daemon/_status.py
@@ -1,14 +1,41 @@
 """What a daemon answers to targets and operators."""
 
+from enum import Enum
+
 import msgspec
 
-from daisywharf._ids import Incarnation, TargetId, VmId, ZoneName
+from daisywharf._fleet._state import FleetStatus
+from daisywharf._ids import CustomerId, Incarnation, TargetId, Version, VmId, ZoneName
 
 
 class AnnouncementTaken(msgspec.Struct, frozen=True):
-    """Tell a target in how many seconds to announce itself again; 0 once it has left."""
+    """Tell a target in how many seconds to announce itself again; 0 once it has left.
+
+    `is_drained` tells that an operator wants the target to take no new work.
+    """
 
     renew_after_s: float
+    is_drained: bool = False
+
+
+class HealthState(Enum):
+    """Name what a daemon's entry does: wait for its shares, serve, or refuse."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+
+
+class Health(msgspec.Struct, frozen=True):
+    """Tell whether requests may enter here."""
+
+    status: HealthState
+
+
+class DrainTaken(msgspec.Struct, frozen=True):
+    """Tell that a target's drain travels to its VM."""
+
+    target_id: TargetId
 
 
 class LinkStatus(msgspec.Struct, frozen=True):
@@ -23,12 +50,33 @@
     silent_links: int
 
 
+class ZoneCount(msgspec.Struct, frozen=True):
+    """Tell in one zone how many daemons are known and how many confirmed a version."""
+
+    zone: ZoneName
+    daemons: int
+    confirmed: int
+    is_reachable: bool
+
+
+class ContractInForce(msgspec.Struct, frozen=True):
+    """Tell the version of a customer's contract here, and how far it has spread."""
+
+    customer: CustomerId
+    version: Version
+    zones: tuple[ZoneCount, ...] = ()
+
+
 class DaemonStatus(msgspec.Struct, frozen=True):
-    """Describe one daemon."""
+    """Describe one daemon; `is_confirmed` tells whether its contracts are known to be current."""
 
     vm: VmId
     zone: ZoneName
     incarnation: Incarnation
     is_draining: bool
-    targets: tuple[TargetId, ...]
+    is_confirmed: bool
+    in_force: tuple[ContractInForce, ...]
+    target_count: int
+    snapshot_sequence: int
     links: LinkStatus
+    fleet: FleetStatus
--- a/src/daisywharf/_daemon/_subscriptions.py
+++ b/src/daisywharf/_daemon/_subscriptions.py
@@ -41,5 +41,5 @@
         targets_by_service={
             service: snapshot.targets_by_service.get(service, ()) for service in services
         },
-        shares=snapshot.shares,
+        share_by_class_by_customer=snapshot.share_by_class_by_customer,
     )
--- a/src/daisywharf/_demo/_fleet.py
+++ b/src/daisywharf/_demo/_fleet.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Final
 
+from daisywharf._call._snapshot import is_ready
 from daisywharf._contracts import contract_to_json, load_contract_file
 from daisywharf._daemon._daemon import Daemon
 from daisywharf._demo._targets import stand_in_app
@@ -29,7 +30,7 @@
 WORK_S: Final = 0.03
 CONNECTIONS: Final = 64
 HTTP_THREADS: Final = 96
-READY_TIMEOUT_S: Final = 5.0
+READY_TIMEOUT_S: Final = 10.0
 
 
 class DemoFleet:
@@ -87,10 +88,11 @@
 
     def _is_ready(self) -> bool:
         snapshot = self.daemon.holder.current
-        return bool(snapshot.contract_by_customer) and all(
+        all_announced = all(
             len(snapshot.targets_by_service.get(ServiceName(service), ())) == TARGETS_PER_SERVICE
             for service in NEXT_BY_SERVICE
         )
+        return all_announced and is_ready(snapshot)
 
     def _start_target(self, service: str, name: str) -> None:
         links = self.daemon.running.member.address
--- a/src/daisywharf/_embedded/_caller.py
+++ b/src/daisywharf/_embedded/_caller.py
@@ -25,10 +25,15 @@
     ) -> None:
         """Connect to the daemon's address for links; raise `LinkError`."""
         holder = SnapshotHolder(Snapshot(VmId(""), ZoneName(""), 0))
-        wanted = tuple(ServiceName(service) for service in services)
-        self._link = DaemonLink(Address(*daemon), holder, keys=keys, services=wanted)
+        self._caller = Caller(holder, name=f"{name}@{Address(*daemon)}")
+        self._link = DaemonLink(
+            Address(*daemon),
+            holder,
+            keys=keys,
+            services=tuple(ServiceName(service) for service in services),
+            take_demands=self._caller.demand.take,
+        )
         self._link.start(wait_s=FIRST_SNAPSHOT_TIMEOUT_S)
-        self._caller = Caller(holder, name=f"{holder.current.vm}/{name}")
 
     @property
     def caller(self) -> Caller:
--- a/src/daisywharf/_embedded/_daemon_link.py
+++ b/src/daisywharf/_embedded/_daemon_link.py
@@ -2,16 +2,18 @@
 
 import secrets
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, Final
 
 from websockets.exceptions import WebSocketException
 from websockets.sync.client import ClientConnection, connect
 
+from daisywharf._call._demand import Demand
 from daisywharf._call._snapshot import Snapshot, SnapshotHolder
 from daisywharf._codec import decode, encode
 from daisywharf._daemon._frames import (
     Challenge,
+    DemandReport,
     Frame,
     Heartbeat,
     HeartbeatEcho,
@@ -45,11 +47,13 @@
         *,
         keys: Sequence[str],
         services: Sequence[ServiceName] = (),
+        take_demands: Callable[[], tuple[Demand, ...]] = tuple,
     ) -> None:
         self.address = address
         self.holder = holder
         self.key = first_key(keys)
         self.services = tuple(services)
+        self.take_demands = take_demands
         self.received = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="daemon-link", daemon=True)
@@ -100,6 +104,12 @@
                 self.received.set()
             elif isinstance(frame, Heartbeat):
                 socket.send(encode(HeartbeatEcho(frame.sequence)))
+                self._report_demand(socket)
+
+    def _report_demand(self, socket: ClientConnection) -> None:
+        demands = self.take_demands()
+        if demands:
+            socket.send(encode(DemandReport(demands)))
 
 
 def _receive(socket: ClientConnection, frame_type: Any) -> Any:
--- a/src/daisywharf/_embedded/_target.py
+++ b/src/daisywharf/_embedded/_target.py
@@ -92,7 +92,9 @@
     def _renew(self) -> None:
         while not self._stopping.wait(RENEW_AFTER_S):
             try:
-                self._announcer.announce(self._announcement)
+                taken = self._announcer.announce(self._announcement)
+                if taken.is_drained:
+                    self.gate.drain()
             except DaisywharfError:
                 # The daemon is away; the next period asks again.
                 continue
--- a/src/daisywharf/_fleet/_services.py
+++ b/src/daisywharf/_fleet/_services.py
@@ -1,14 +1,34 @@
-"""List the services that a daemon knows of."""
+"""Group the targets that a daemon knows by service, and tell when they may have changed."""
+
+import msgspec
 
 from daisywharf._fleet._messages import Scope, ServiceSummary
 from daisywharf._fleet._model import FleetState
 from daisywharf._ids import ServiceName
+from daisywharf._topology import Target, TargetState
+
+
+class ViewDigest(msgspec.Struct, frozen=True):
+    """Tell views of the fleet apart without comparing them."""
+
+    digests: tuple[int, ...]
+
+
+def view_digest(state: FleetState) -> ViewDigest:
+    """Return a digest that changes with each record of members, contracts or summaries."""
+    return ViewDigest(tuple(state.store_by_scope[scope].digest for scope in Scope))
 
 
-def services_of(state: FleetState) -> set[ServiceName]:
-    """Return the services of all known targets, those of other zones included."""
-    services = {target.service for record in state.member_records() for target in record.targets}
-    for record in state.store_by_scope[Scope.SUMMARIES].record_by_key.values():
-        if isinstance(record, ServiceSummary):
-            services.add(record.service)
-    return services
+def targets_by_service(state: FleetState) -> dict[ServiceName, tuple[Target, ...]]:
+    """Return all targets that may be called: this zone's, and contacts in others."""
+    by_service: dict[ServiceName, list[Target]] = {}
+    for record in state.member_records():
+        for target in record.targets:
+            by_service.setdefault(target.service, []).append(target)
+    for summary in state.store_by_scope[Scope.SUMMARIES].record_by_key.values():
+        if isinstance(summary, ServiceSummary) and summary.zone != state.me.zone:
+            by_service.setdefault(summary.service, []).extend(summary.contacts)
+    return {
+        service: tuple(target for target in targets if target.state is not TargetState.DRAINING)
+        for service, targets in by_service.items()
+    }
--- a/src/daisywharf/_fleet/_targets.py
+++ b/src/daisywharf/_fleet/_targets.py
@@ -134,3 +134,21 @@
         if summary.service == service:
             targets.extend(summary.contacts)
     return targets
+
+
+def knows_target(state: FleetState, target_id: TargetId) -> bool:
+    """Tell whether any known target of any zone has this id."""
+    if owner_of(state, target_id) is not None:
+        return True
+    summaries = state.store_by_scope[Scope.SUMMARIES].record_by_key.values()
+    return any(
+        target.target_id == target_id
+        for summary in summaries
+        if isinstance(summary, ServiceSummary)
+        for target in summary.contacts
+    )
+
+
+def is_drained(state: FleetState, target: Target) -> bool:
+    """Tell whether an operator has drained this incarnation of a target of this VM."""
+    return state.drained_by_id.get(target.target_id) == target.incarnation
