--- a/src/daisywharf/_fleet/_gossip.py
+++ b/src/daisywharf/_fleet/_gossip.py
@@ -18,6 +18,7 @@
 from daisywharf._fleet._confirming import freshness_of
 from daisywharf._fleet._learning import learn
 from daisywharf._fleet._messages import (
+    ZONE_SCOPES,
     DemandRecord,
     FleetMessage,
     Gossip,
@@ -203,7 +204,7 @@
 
 def answer_compare(state: FleetState, message: RepairAsk, *, now: float) -> list[FleetAction]:
     """Give the digests of the buckets if a scope differs."""
-    if message.scope is Scope.ZONE and message.sender.zone != state.me.zone:
+    if message.scope in ZONE_SCOPES and message.sender.zone != state.me.zone:
         return []
     store = state.store_by_scope[message.scope]
     if store.digest == message.digest or state.gossip.repair_tokens_bytes <= 0:
@@ -249,7 +250,7 @@
     state: FleetState, message: RepairRecords, *, now: float, rng: Random
 ) -> list[FleetAction]:
     """Take the records, and give back this daemon's newer ones."""
-    if message.scope is Scope.ZONE and message.sender.zone != state.me.zone:
+    if message.scope in ZONE_SCOPES and message.sender.zone != state.me.zone:
         return []
     actions = take_records(state, message.sender, message.records, now=now)
     if message.wanted:
--- a/src/daisywharf/_fleet/_learning.py
+++ b/src/daisywharf/_fleet/_learning.py
@@ -51,7 +51,7 @@
         return None
     if member.member.incarnation != record.incarnation:
         return None
-    return _keep_newer(state, Scope.ZONE, record, copies=DEMAND_COPIES)
+    return _keep_newer(state, Scope.DEMAND, record, copies=DEMAND_COPIES)
 
 
 def _keep_newer(state: FleetState, scope: Scope, record: Record, *, copies: int) -> Record | None:
--- a/src/daisywharf/_fleet/_membership.py
+++ b/src/daisywharf/_fleet/_membership.py
@@ -19,6 +19,7 @@
 )
 from daisywharf._fleet._model import FleetState, PendingProbe
 from daisywharf._fleet._store import drop, heard_again, put
+from daisywharf._fleet._target_records import record_of
 from daisywharf._ids import Incarnation, VmId
 from daisywharf._topology import TargetState
 
@@ -34,9 +35,9 @@
     """Spread a new record of this daemon and its targets."""
     state.sequence += 1
     status = Status.LEFT if state.has_left else Status.ALIVE
-    targets = tuple(own.target for own in state.own_target_by_id.values())
+    targets = tuple(record_of(own.target) for own in state.own_target_by_id.values())
     record = MemberRecord(state.me, state.sequence, status, targets)
-    put(state.store_by_scope[Scope.ZONE], record, copies=MEMBER_COPIES)
+    put(state.store_by_scope[Scope.MEMBERS], record, copies=MEMBER_COPIES)
     state.view.is_stale = True
 
 
@@ -46,7 +47,7 @@
     number = Incarnation(max(incarnation, me.incarnation + 1))
     state.me = Member(me.vm, me.zone, number, me.address)
     state.shares.published = None
-    drop(state.store_by_scope[Scope.ZONE], f"d {me.vm}")
+    drop(state.store_by_scope[Scope.DEMAND], f"d {me.vm}")
     publish_self(state)
 
 
@@ -65,7 +66,7 @@
         _replace(state, held, record, now=now)
         return None
     if held.order == record.order:
-        heard_again(state.store_by_scope[Scope.ZONE], record)
+        heard_again(state.store_by_scope[Scope.MEMBERS], record)
         return None
     return held
 
@@ -73,10 +74,12 @@
 def _replace(
     state: FleetState, held: MemberRecord | None, record: MemberRecord, *, now: float
 ) -> None:
-    store = state.store_by_scope[Scope.ZONE]
+    store = state.store_by_scope[Scope.MEMBERS]
     vm = record.member.vm
     put(store, record, copies=MEMBER_COPIES)
     is_same = held is not None and held.member == record.member
+    if held is None:
+        state.view.grew_at = now
     if not is_same or record.is_terminal:
         drop(store, f"d {vm}")
         state.view.is_stale = True
@@ -201,7 +204,7 @@
     ended_at_by_vm = state.probing.ended_at_by_vm
     for vm in [vm for vm, at in ended_at_by_vm.items() if now - at >= ENDED_KEPT_S]:
         del ended_at_by_vm[vm]
-        drop(state.store_by_scope[Scope.ZONE], f"m {vm}")
+        drop(state.store_by_scope[Scope.MEMBERS], f"m {vm}")
 
 
 def tell_ended(state: FleetState, sender: Member) -> list[FleetAction]:
--- a/src/daisywharf/_fleet/_messages.py
+++ b/src/daisywharf/_fleet/_messages.py
@@ -1,7 +1,7 @@
 """The messages and records that daemons of the fleet send each other."""
 
 from enum import IntEnum
-from typing import NewType
+from typing import Final, NewType
 
 import msgspec
 
@@ -15,7 +15,7 @@
     VmId,
     ZoneName,
 )
-from daisywharf._topology import Address, Target
+from daisywharf._topology import Address, GateHost, TargetState
 
 
 class Status(IntEnum):
@@ -30,9 +30,13 @@
 class Scope(IntEnum):
     """Name the sets of records that daemons keep equal among themselves."""
 
-    ZONE = 0
-    SUMMARIES = 1
-    CONTRACTS = 2
+    MEMBERS = 0
+    DEMAND = 1
+    SUMMARIES = 2
+    CONTRACTS = 3
+
+
+ZONE_SCOPES: Final = (Scope.MEMBERS, Scope.DEMAND)
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
@@ -44,13 +48,27 @@
     address: Address
 
 
+class TargetRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a target in few bytes; its daemon's record tells the VM and the zone."""
+
+    target_id: TargetId
+    service: ServiceName
+    incarnation: Incarnation
+    host: str
+    port: int
+    slots: int
+    connections: int
+    state: TargetState
+    gate: GateHost
+
+
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True, tag="m"):
     """Hold a daemon's state and targets; only the daemon itself raises `sequence`."""
 
     member: Member
     sequence: int
     status: Status
-    targets: tuple[Target, ...] = ()
+    targets: tuple[TargetRecord, ...] = ()
 
     @property
     def key(self) -> str:
@@ -154,6 +172,13 @@
         return (self.sequence, self.publisher)
 
 
+class SummaryContact(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a target of another zone and its VM."""
+
+    vm: VmId
+    target: TargetRecord
+
+
 class ServiceSummary(msgspec.Struct, frozen=True, array_like=True, tag="s"):
     """Sum up a service in a zone; `contacts` are some of its targets."""
 
@@ -163,7 +188,7 @@
     publisher: VmId
     target_count: int
     slots: int
-    contacts: tuple[Target, ...]
+    contacts: tuple[SummaryContact, ...]
 
     @property
     def key(self) -> str:
--- a/src/daisywharf/_fleet/_model.py
+++ b/src/daisywharf/_fleet/_model.py
@@ -62,6 +62,7 @@
 
     def __init__(self) -> None:
         self.is_stale = True
+        self.grew_at = NEVER
         self.peers: list[Member] = []
         self.chosen_by_role: dict[str, tuple[VmId, ...]] = {}
 
@@ -146,7 +147,8 @@
         self.zone_demand_by_zone: dict[ZoneName, ZoneDemand] = {}
         self.share_by_id: dict[RateId, float] = {}
         self.worked_at = NEVER
-        self.allowed_from = NEVER
+        self.restarted_at = NEVER
+        self.has_started = False
         self.published_at = NEVER
 
 
@@ -218,12 +220,12 @@
 
     def member_record(self, vm: VmId) -> MemberRecord | None:
         """Return what is held of a daemon of this zone."""
-        record = self.store_by_scope[Scope.ZONE].record_by_key.get(f"m {vm}")
+        record = self.store_by_scope[Scope.MEMBERS].record_by_key.get(f"m {vm}")
         return record if isinstance(record, MemberRecord) else None
 
     def member_records(self) -> list[MemberRecord]:
         """Return the daemons of this zone that haven't ended, this one included."""
-        records = self.store_by_scope[Scope.ZONE].record_by_key.values()
+        records = self.store_by_scope[Scope.MEMBERS].record_by_key.values()
         return [
             record
             for record in records
--- a/src/daisywharf/_fleet/_shares.py
+++ b/src/daisywharf/_fleet/_shares.py
@@ -9,7 +9,7 @@
 from collections import deque
 from typing import Final
 
-from daisywharf._fleet._demand import Weights, entries_of, rate_id, weights_of
+from daisywharf._fleet._demand import Weights, entries_of, rate_id, weight_of, weights_of
 from daisywharf._fleet._learning import learn_summary, publish
 from daisywharf._fleet._messages import (
     ContractRecord,
@@ -25,13 +25,15 @@
 RATING_PERIOD_S: Final = 1.0
 RATING_TIME_CONSTANT_S: Final = 2.0
 PUBLISH_PERIOD_S: Final = 1.0
-PUBLISH_PERIOD_PER_DAEMON_S: Final = 0.02
+PUBLISH_PERIOD_PER_DAEMON_S: Final = 0.04
 WORK_PERIOD_S: Final = 0.5
 CHANGE_RATIO: Final = 0.25
 FLOOR_PART: Final = 0.05
 HOLD_IN_ZONE_S: Final = 2.0
 HOLD_ACROSS_S: Final = 4.0
-START_HOLD_S: Final = 6.0
+START_HOLD_S: Final = 4.0
+START_WITHIN_S: Final = 30.0
+HOLD_PER_DAEMON_S: Final = 0.01
 FRACTION_HOLD_S: Final = 0.5
 ZONE_STALE_AFTER_S: Final = 4.0
 
@@ -59,7 +61,8 @@
     shares.fraction_samples.clear()
     shares.count_by_id.clear()
     shares.rated_at = now
-    shares.allowed_from = now + START_HOLD_S
+    shares.has_started = False
+    shares.restarted_at = now
 
 
 def tick_shares(state: FleetState, *, now: float) -> None:
@@ -127,8 +130,9 @@
     record = DemandRecord(state.me.vm, state.me.incarnation, sequence, entries)
     shares.published = record
     shares.published_at = now
-    publish(state, Scope.ZONE, record)
-    _add_sample(shares.own_samples, now, weights_of(entries), hold_s=HOLD_IN_ZONE_S)
+    publish(state, Scope.DEMAND, record)
+    hold_s = _hold_in_zone_s(count)
+    _add_sample(shares.own_samples, now, weights_of(entries), hold_s=hold_s)
 
 
 def _differs(weights: Weights, published: Weights) -> bool:
@@ -161,14 +165,16 @@
     """Return the sum of the weights of this zone's daemons, floors included."""
     counted = count if with_own else count - 1
     sums = {key: floor / count * counted for key, floor in floors.items()}
-    for record in state.store_by_scope[Scope.ZONE].record_by_key.values():
+    for record in state.store_by_scope[Scope.DEMAND].record_by_key.values():
         if not isinstance(record, DemandRecord):
             continue
         if record.vm == state.me.vm and not with_own:
             continue
-        for key, weight in weights_of(record.entries).items():
-            if key in sums:
-                sums[key] += max(0.0, weight - floors[key] / count)
+        for entry in record.entries:
+            floor = floors.get(entry.rate_id)
+            weight = weight_of(entry.level)
+            if floor is not None and weight > floor / count:
+                sums[entry.rate_id] += weight - floor / count
     return sums
 
 
@@ -190,7 +196,7 @@
     floors = _zone_floors(state)
     fraction_by_id = _zone_fractions(state, floors, now=now)
     _add_sample(shares.fraction_samples, now, fraction_by_id, hold_s=FRACTION_HOLD_S)
-    if now < shares.allowed_from:
+    if not _may_share(state, now=now):
         shares.share_by_id = {}
         return
     count = len(state.view.peers) + 1
@@ -201,7 +207,7 @@
             shares.own_samples,
             key,
             now=now,
-            hold_s=HOLD_IN_ZONE_S,
+            hold_s=_hold_in_zone_s(count),
             floor=zone_floor / count,
         )
         fraction = _least(shares.fraction_samples, key, now=now, hold_s=FRACTION_HOLD_S, floor=0.0)
@@ -209,6 +215,24 @@
     shares.share_by_id = share_by_id
 
 
+def _may_share(state: FleetState, *, now: float) -> bool:
+    """Wait after a start until the zone's daemons are known, and know this one."""
+    shares = state.shares
+    if shares.has_started:
+        return True
+    age_s = now - shares.restarted_at
+    is_growing = now - state.view.grew_at < START_HOLD_S
+    if age_s < START_HOLD_S or (is_growing and age_s < START_WITHIN_S):
+        return False
+    shares.has_started = True
+    return True
+
+
+def _hold_in_zone_s(count: int) -> float:
+    """Return a time in which demand spreads in a zone of `count` daemons."""
+    return HOLD_IN_ZONE_S + count * HOLD_PER_DAEMON_S
+
+
 def _zone_fractions(state: FleetState, floors: Weights, *, now: float) -> Weights:
     """Return this zone's part of each rate.
 
--- a/src/daisywharf/_fleet/_store.py
+++ b/src/daisywharf/_fleet/_store.py
@@ -11,14 +11,23 @@
 
 BUCKET_COUNT: Final = 64
 DIGEST_BYTES: Final = 4
+MANY_RUMOURS: Final = 20
+COPIES_OF_MANY: Final = 3
 
 
 class Rumour(msgspec.Struct):
-    """Hold a changed record, its size, and how often it is still to be sent."""
+    """Hold a changed record and how often it is still to be sent."""
 
     record: Record
-    size_bytes: int
     copies_left: int
+    _size_bytes: int = 0
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the size of the record as it is sent."""
+        if not self._size_bytes:
+            self._size_bytes = len(encode(self.record))
+        return self._size_bytes
 
 
 class RecordHash(msgspec.Struct, frozen=True):
@@ -54,11 +63,18 @@
     if not (isinstance(record, MemberRecord) and record.is_terminal):
         _add_hash(store, key, record)
     if copies > 0:
-        store.rumour_by_key[key] = Rumour(record, len(encode(record)), copies)
+        store.rumour_by_key[key] = Rumour(record, _copies(store, copies))
     else:
         store.rumour_by_key.pop(key, None)
 
 
+def _copies(store: Store, copies: int) -> int:
+    """Send fewer copies while many records wait; repair finds what was lost."""
+    if len(store.rumour_by_key) > MANY_RUMOURS:
+        return min(copies, COPIES_OF_MANY)
+    return copies
+
+
 def drop(store: Store, key: str) -> None:
     """Forget a record."""
     _remove_hash(store, key)
--- a/src/daisywharf/_fleet/_summaries.py
+++ b/src/daisywharf/_fleet/_summaries.py
@@ -5,11 +5,18 @@
 
 from daisywharf._fleet._choosing import CONTACT, SPEAKER, chosen_for
 from daisywharf._fleet._learning import publish
-from daisywharf._fleet._messages import Member, Scope, ServiceSummary, ZoneContacts, ZoneDemand
+from daisywharf._fleet._messages import (
+    Member,
+    Scope,
+    ServiceSummary,
+    SummaryContact,
+    ZoneContacts,
+    ZoneDemand,
+)
 from daisywharf._fleet._model import NEVER, FleetState
 from daisywharf._fleet._shares import publish_zone_demand
 from daisywharf._ids import ServiceName, TargetId
-from daisywharf._topology import Target, TargetState
+from daisywharf._topology import TargetState
 
 HEARTBEAT_PERIOD_S: Final = 1.5
 HEARTBEAT_STEP_S: Final = 1.0
@@ -49,15 +56,16 @@
 
 
 def _publish_services(state: FleetState) -> None:
-    targets_by_service: dict[ServiceName, list[Target]] = {}
+    contacts_by_service: dict[ServiceName, list[SummaryContact]] = {}
     for record in state.member_records():
         for target in record.targets:
             if target.state is not TargetState.DRAINING:
-                targets_by_service.setdefault(target.service, []).append(target)
+                contact = SummaryContact(record.member.vm, target)
+                contacts_by_service.setdefault(target.service, []).append(contact)
     held_by_service = _own_summaries(state)
-    for service in sorted(targets_by_service.keys() | held_by_service.keys()):
-        targets = targets_by_service.get(service, [])
-        _publish_service(state, service, targets, held_by_service.get(service))
+    for service in sorted(contacts_by_service.keys() | held_by_service.keys()):
+        contacts = contacts_by_service.get(service, [])
+        _publish_service(state, service, contacts, held_by_service.get(service))
 
 
 def _own_summaries(state: FleetState) -> dict[ServiceName, ServiceSummary]:
@@ -70,23 +78,28 @@
 
 
 def _publish_service(
-    state: FleetState, service: ServiceName, targets: list[Target], held: ServiceSummary | None
+    state: FleetState,
+    service: ServiceName,
+    found: list[SummaryContact],
+    held: ServiceSummary | None,
 ) -> None:
-    contacts = sorted(targets, key=lambda target: _rank(target.target_id))[:TARGETS_PER_SUMMARY]
+    contacts = sorted(found, key=lambda contact: _rank(contact.target.target_id))[
+        :TARGETS_PER_SUMMARY
+    ]
     summary = ServiceSummary(
         zone=state.me.zone,
         service=service,
         sequence=held.sequence + 1 if held else 1,
         publisher=state.me.vm,
-        target_count=len(targets),
-        slots=sum(target.slots for target in targets),
+        target_count=len(found),
+        slots=sum(contact.target.slots for contact in found),
         contacts=tuple(contacts),
     )
     if held is None or _content(held) != _content(summary):
         publish(state, Scope.SUMMARIES, summary)
 
 
-def _content(summary: ServiceSummary) -> tuple[int, int, tuple[Target, ...]]:
+def _content(summary: ServiceSummary) -> tuple[int, int, tuple[SummaryContact, ...]]:
     return (summary.target_count, summary.slots, summary.contacts)
 
 
--- /dev/null
+++ b/src/daisywharf/_fleet/_target_records.py
@@ -0,0 +1,50 @@
+"""Turn announced targets into records of few bytes, and back."""
+
+from functools import lru_cache
+
+from daisywharf._fleet._messages import Member, ServiceSummary, TargetRecord
+from daisywharf._ids import VmId, ZoneName
+from daisywharf._topology import Address, Target
+
+TARGETS_CACHED = 16_384
+
+
+def record_of(target: Target) -> TargetRecord:
+    """Write a target of this VM."""
+    return TargetRecord(
+        target_id=target.target_id,
+        service=target.service,
+        incarnation=target.incarnation,
+        host=target.address.host,
+        port=target.address.port,
+        slots=target.slots,
+        connections=target.connections,
+        state=target.state,
+        gate=target.gate,
+    )
+
+
+@lru_cache(maxsize=TARGETS_CACHED)
+def _target_at(record: TargetRecord, vm: VmId, zone: ZoneName) -> Target:
+    return Target(
+        target_id=record.target_id,
+        service=record.service,
+        vm=vm,
+        zone=zone,
+        incarnation=record.incarnation,
+        address=Address(record.host, record.port),
+        slots=record.slots,
+        connections=record.connections,
+        state=record.state,
+        gate=record.gate,
+    )
+
+
+def target_of(record: TargetRecord, member: Member) -> Target:
+    """Read a target of a daemon of this zone."""
+    return _target_at(record, member.vm, member.zone)
+
+
+def contacts_of(summary: ServiceSummary) -> list[Target]:
+    """Read the targets that a summary of another zone names."""
+    return [_target_at(contact.target, contact.vm, summary.zone) for contact in summary.contacts]
--- a/src/daisywharf/_fleet/_targets.py
+++ b/src/daisywharf/_fleet/_targets.py
@@ -16,6 +16,7 @@
     ServiceSummary,
 )
 from daisywharf._fleet._model import FleetState, OwnTarget, PendingDrain
+from daisywharf._fleet._target_records import contacts_of, target_of
 from daisywharf._ids import ServiceName, TargetId
 from daisywharf._topology import Target, TargetState
 
@@ -123,7 +124,7 @@
 def targets_of(state: FleetState, service: ServiceName) -> list[Target]:
     """Return targets that may be called: this zone's, and contacts in others."""
     targets = [
-        target
+        target_of(target, record.member)
         for record in state.member_records()
         for target in record.targets
         if target.service == service and target.state is not TargetState.DRAINING
@@ -132,5 +133,5 @@
         if not isinstance(summary, ServiceSummary) or summary.zone == state.me.zone:
             continue
         if summary.service == service:
-            targets.extend(summary.contacts)
+            targets.extend(contacts_of(summary))
     return targets
--- a/src/daisywharf/_fleet/_watching.py
+++ b/src/daisywharf/_fleet/_watching.py
@@ -32,7 +32,9 @@
 from daisywharf._fleet._model import FleetState, Outstanding, PlatformTask
 
 FIRST_LOOK_AFTER_S: Final = 2.0
-FIRST_LOOK_SPREAD_S: Final = 2.0
+FIRST_LOOK_SPREAD_S: Final = 1.0
+VIEW_SETTLED_AFTER_S: Final = 1.5
+VIEW_SETTLES_WITHIN_S: Final = 12.0
 ANSWER_WITHIN_S: Final = 15.0
 READ_BACKOFF_S: Final = 0.5
 READ_BACKOFF_MAX_S: Final = 4.0
@@ -48,8 +50,7 @@
     """Start what is due at the platform."""
     if state.started_at is None:
         return []
-    uptime_s = now - state.started_at
-    if uptime_s < FIRST_LOOK_AFTER_S:
+    if not _is_view_settled(state, now=now):
         return []
     actions: list[FleetAction] = []
     actions.extend(_tick_contracts(state, now=now, rng=rng))
@@ -58,6 +59,15 @@
     return actions
 
 
+def _is_view_settled(state: FleetState, *, now: float) -> bool:
+    """Tell whether this daemon can tell which daemons are to look at the platform."""
+    started_at = state.started_at
+    if started_at is None or now - started_at < FIRST_LOOK_AFTER_S:
+        return False
+    is_new = now - started_at < VIEW_SETTLES_WITHIN_S
+    return not is_new or now - state.view.grew_at >= VIEW_SETTLED_AFTER_S
+
+
 def delay_first_look(state: FleetState, *, now: float, rng: Random) -> None:
     """Spread the first reads of daemons that start together."""
     delay_s = FIRST_LOOK_AFTER_S + rng.random() * FIRST_LOOK_SPREAD_S
@@ -119,7 +129,7 @@
 
 def _tick_contacts(state: FleetState, *, now: float, rng: Random) -> list[FleetAction]:
     task = state.watching.contacts
-    if state.is_joined and not is_chosen(state, WATCHER):
+    if peers(state) and not is_chosen(state, WATCHER):
         return []
     if not _is_free(task, now=now, rng=rng, base_s=READ_BACKOFF_S, max_s=WRITE_BACKOFF_MAX_S):
         return []
