Introduce daemons that start to peers of their zone

Cause: seeds that had spent their repair bytes left a newcomer alone, and it took its zone's whole part. Ruled out: loss alone. Change: a seed names three peers whatever its budget; nobody takes a role or a share before its view has stopped growing.

--- a/src/daisywharf/_fleet/_choosing.py
+++ b/src/daisywharf/_fleet/_choosing.py
@@ -14,6 +14,9 @@
 WATCHER: Final = "watcher"
 CONTACT: Final = "contact"
 COUNT_BY_ROLE: Final = {SPEAKER: 2, WATCHER: 2, CONTACT: 3}
+ROLES_AFTER_S: Final = 2.0
+VIEW_SETTLED_AFTER_S: Final = 1.5
+VIEW_SETTLES_WITHIN_S: Final = 12.0
 MAX_KNOWN_PER_ZONE: Final = 8
 
 
@@ -49,6 +52,18 @@
     return state.me.vm in chosen_for(state, role)
 
 
+def is_view_settled(state: FleetState, *, now: float) -> bool:
+    """Tell whether this daemon knows its zone well enough to take on a role."""
+    started_at = state.started_at
+    if started_at is None or now - started_at < ROLES_AFTER_S:
+        return False
+    if now - started_at >= VIEW_SETTLES_WITHIN_S:
+        return True
+    if state.seeds and not peers(state):
+        return False
+    return now - state.view.grew_at >= VIEW_SETTLED_AFTER_S
+
+
 def peers(state: FleetState) -> list[Member]:
     """Return the other daemons of this zone that haven't ended."""
     refresh_view(state)
--- a/src/daisywharf/_fleet/_gossip.py
+++ b/src/daisywharf/_fleet/_gossip.py
@@ -22,6 +22,7 @@
     DemandRecord,
     FleetMessage,
     Gossip,
+    Introduction,
     Member,
     Record,
     RepairAsk,
@@ -48,6 +49,7 @@
 JOIN_PERIOD_S: Final = 0.5
 RECONNECT_PERIOD_S: Final = 5.0
 REJOIN_PERIOD_S: Final = 1.0
+INTRODUCED: Final = 3
 RECONNECT_SEEDS: Final = 2
 CROSS_CONTACTS: Final = 2
 
@@ -191,28 +193,50 @@
 
 
 def _unknown_contacts(state: FleetState) -> list[Member]:
-    """Return this zone's published contacts that aren't known as peers."""
+    """Return daemons of this zone that were named but aren't known as peers."""
+    members = list(state.introduced)
     record = state.store_by_scope[Scope.SUMMARIES].record_by_key.get(f"k {state.me.zone}")
-    if not isinstance(record, ZoneContacts):
-        return []
+    if isinstance(record, ZoneContacts):
+        members.extend(record.members)
     return [
         member
-        for member in record.members
+        for member in members
         if member.vm != state.me.vm and state.member_record(member.vm) is None
     ]
 
 
-def answer_compare(state: FleetState, message: RepairAsk, *, now: float) -> list[FleetAction]:
-    """Give the digests of the buckets if a scope differs."""
-    if message.scope in ZONE_SCOPES and message.sender.zone != state.me.zone:
-        return []
+def take_introduction(state: FleetState, message: Introduction) -> None:
+    """Keep the named daemons of this zone, to compare with them soon."""
+    members = [member for member in message.members if member.zone == state.me.zone]
+    state.introduced = tuple(members[:INTRODUCED])
+
+
+def _introduce(state: FleetState, newcomer: Member, rng: Random) -> list[FleetAction]:
+    if newcomer.zone == state.me.zone:
+        members = some_peers(state, INTRODUCED, rng)
+    else:
+        members = some_contacts(state, newcomer.zone, INTRODUCED, rng)
+    members = [member for member in members if member.vm != newcomer.vm]
+    return [send(newcomer, Introduction(state.me, tuple(members)))] if members else []
+
+
+def answer_compare(
+    state: FleetState, message: RepairAsk, *, now: float, rng: Random
+) -> list[FleetAction]:
+    """Give the digests of the buckets if a scope differs; introduce a newcomer."""
+    sender = message.sender
+    actions: list[FleetAction] = []
+    if message.scope is Scope.MEMBERS and not message.freshness.is_joined:
+        actions.extend(_introduce(state, sender, rng))
+    if message.scope in ZONE_SCOPES and sender.zone != state.me.zone:
+        return actions
     store = state.store_by_scope[message.scope]
     if store.digest == message.digest or state.gossip.repair_tokens_bytes <= 0:
-        return []
+        return actions
     digests = tuple(store.digest_by_bucket)
     state.gossip.repair_tokens_bytes -= BUCKETS_MESSAGE_BYTES
     answer = RepairBuckets(state.me, message.scope, digests, freshness_of(state, now=now))
-    return [send(message.sender, answer)]
+    return [*actions, send(sender, answer)]
 
 
 def answer_buckets(
--- a/src/daisywharf/_fleet/_messages.py
+++ b/src/daisywharf/_fleet/_messages.py
@@ -278,6 +278,13 @@
     wanted: tuple[int, ...]
 
 
+class Introduction(msgspec.Struct, frozen=True, array_like=True, tag="meet"):
+    """Name some daemons of the receiver's zone to a receiver that has just started."""
+
+    sender: Member
+    members: tuple[Member, ...]
+
+
 class DrainRequest(msgspec.Struct, frozen=True, array_like=True, tag="drain"):
     """Ask for a target to be drained; `is_forwarded` stops a second forward across zones."""
 
@@ -324,6 +331,7 @@
     | RepairAsk
     | RepairBuckets
     | RepairRecords
+    | Introduction
     | DrainRequest
     | DrainAnswer
     | InForceAsk
--- a/src/daisywharf/_fleet/_model.py
+++ b/src/daisywharf/_fleet/_model.py
@@ -211,6 +211,7 @@
         self.pending_drain_by_id: dict[TargetId, PendingDrain] = {}
         self.in_force_by_customer: dict[CustomerId, InForceWatch] = {}
         self.known_by_zone: dict[ZoneName, dict[VmId, KnownMember]] = {}
+        self.introduced: tuple[Member, ...] = ()
         self.probing = Probing()
         self.view = View()
         self.gossip = GossipTimes()
--- a/src/daisywharf/_fleet/_shares.py
+++ b/src/daisywharf/_fleet/_shares.py
@@ -222,6 +222,7 @@
         return True
     age_s = now - shares.restarted_at
     is_growing = now - state.view.grew_at < START_HOLD_S
+    is_growing = is_growing or (bool(state.seeds) and not state.view.peers)
     if age_s < START_HOLD_S or (is_growing and age_s < START_WITHIN_S):
         return False
     shares.has_started = True
--- a/src/daisywharf/_fleet/_state.py
+++ b/src/daisywharf/_fleet/_state.py
@@ -23,6 +23,7 @@
 from daisywharf._fleet._gossip import (
     answer_buckets,
     answer_compare,
+    take_introduction,
     take_records,
     take_repair,
     tick_gossip,
@@ -53,6 +54,7 @@
     IndirectProbe,
     InForceAnswer,
     InForceAsk,
+    Introduction,
     Probe,
     ProbeAnswer,
     RepairAsk,
@@ -174,13 +176,15 @@
     rng: Random,
 ) -> list[FleetAction]:
     if isinstance(message, RepairAsk):
-        return answer_compare(state, message, now=now)
+        return answer_compare(state, message, now=now, rng=rng)
     if isinstance(message, RepairBuckets):
         return answer_buckets(state, message, now=now, rng=rng)
     return take_repair(state, message, now=now, rng=rng)
 
 
 def _take_question(state: FleetState, message: FleetMessage, *, now: float) -> list[FleetAction]:
+    if isinstance(message, Introduction):
+        take_introduction(state, message)
     if isinstance(message, DrainRequest):
         return _targets.take_drain(state, message)
     if isinstance(message, DrainAnswer):
--- a/src/daisywharf/_fleet/_summaries.py
+++ b/src/daisywharf/_fleet/_summaries.py
@@ -3,7 +3,7 @@
 from hashlib import blake2b
 from typing import Final
 
-from daisywharf._fleet._choosing import CONTACT, SPEAKER, chosen_for
+from daisywharf._fleet._choosing import CONTACT, SPEAKER, chosen_for, is_view_settled
 from daisywharf._fleet._learning import publish
 from daisywharf._fleet._messages import (
     Member,
@@ -26,7 +26,7 @@
 def tick_summaries(state: FleetState, *, now: float) -> None:
     """Publish what changed in this zone, if this daemon speaks for it."""
     chosen = chosen_for(state, SPEAKER)
-    if state.me.vm not in chosen or not state.is_joined:
+    if state.me.vm not in chosen or not is_view_settled(state, now=now):
         return
     rank = chosen.index(state.me.vm)
     heard_at = state.shares.heard_at_by_zone.get(state.me.zone, NEVER)
--- a/src/daisywharf/_fleet/_watching.py
+++ b/src/daisywharf/_fleet/_watching.py
@@ -22,6 +22,7 @@
     WATCHER,
     chosen_for,
     is_chosen,
+    is_view_settled,
     note_other_zone,
     peers,
     send,
@@ -33,8 +34,6 @@
 
 FIRST_LOOK_AFTER_S: Final = 2.0
 FIRST_LOOK_SPREAD_S: Final = 1.0
-VIEW_SETTLED_AFTER_S: Final = 1.5
-VIEW_SETTLES_WITHIN_S: Final = 12.0
 ANSWER_WITHIN_S: Final = 15.0
 READ_BACKOFF_S: Final = 0.5
 READ_BACKOFF_MAX_S: Final = 4.0
@@ -50,7 +49,7 @@
     """Start what is due at the platform."""
     if state.started_at is None:
         return []
-    if not _is_view_settled(state, now=now):
+    if not is_view_settled(state, now=now):
         return []
     actions: list[FleetAction] = []
     actions.extend(_tick_contracts(state, now=now, rng=rng))
@@ -59,15 +58,6 @@
     return actions
 
 
-def _is_view_settled(state: FleetState, *, now: float) -> bool:
-    """Tell whether this daemon can tell which daemons are to look at the platform."""
-    started_at = state.started_at
-    if started_at is None or now - started_at < FIRST_LOOK_AFTER_S:
-        return False
-    is_new = now - started_at < VIEW_SETTLES_WITHIN_S
-    return not is_new or now - state.view.grew_at >= VIEW_SETTLED_AFTER_S
-
-
 def delay_first_look(state: FleetState, *, now: float, rng: Random) -> None:
     """Spread the first reads of daemons that start together."""
     delay_s = FIRST_LOOK_AFTER_S + rng.random() * FIRST_LOOK_SPREAD_S
