--- a/benchmarks/flat.py
+++ b/benchmarks/flat.py
@@ -5,6 +5,7 @@
 import statistics
 import time
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import msgspec
@@ -94,9 +95,7 @@
     record_start(site.router, target.target_id, now=now)
     lend(RetryBudget(context.retries))
     _pass_gate(site, context, now)
-    record_outcome(
-        site.router, target.target_id, CallOutcome.SUCCEEDED, latency_s=0.000_5, now=now
-    )
+    record_outcome(site.router, target.target_id, CallOutcome.SUCCEEDED, latency_s=0.000_5, now=now)
 
 
 def _pass_gate(site: Site, context: RequestContext, now: float) -> None:
@@ -134,7 +133,7 @@
     rounds_by_size: list[list[float]] = [[] for _ in sizes]
     for _ in range(ROUNDS):
         for index, site in enumerate(sites):
-            rounds_by_size[index].append(_seconds_of(lambda site=site: _run(site)))  # type: ignore[misc]
+            rounds_by_size[index].append(_seconds_of(partial(_run, site)))
     per_call = [[s / CALLS * US_PER_S for s in rounds] for rounds in rounds_by_size]
     least = [statistics.median(values) for values in per_call]
     return [
