--- /dev/null
+++ b/src/daisywharf/_replay/_expected.py
@@ -0,0 +1,107 @@
+"""Compare a replay with stated outcomes."""
+
+from pathlib import Path
+from typing import Annotated, Final
+
+import msgspec
+from msgspec import Meta
+
+from daisywharf._errors import ConfigurationError, ErrorKind
+from daisywharf._replay._outcomes import CallEnd, Replayed
+
+ANY: Final = "*"
+Part = Annotated[float, Meta(ge=0)]
+
+
+class Expectation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """State what part of some calls ends in an outcome; `retried` and `resent` count too.
+
+    `from_s` and `until_s` choose calls by when they came. A part is of the calls chosen.
+    """
+
+    outcome: str
+    customer: str = ANY
+    call_class: str = msgspec.field(name="class", default=ANY)
+    from_s: float = 0.0
+    until_s: float = float("inf")
+    least_part: Part = 0.0
+    most_part: Part = float("inf")
+    most_p99_ms: Part = float("inf")
+
+
+class StatedOutcomes(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold the stated outcomes of a trace."""
+
+    expect: tuple[Expectation, ...]
+    most_ran_twice: int = 0
+
+
+def read_outcomes(path: Path) -> StatedOutcomes:
+    """Read stated outcomes; raise `ConfigurationError` (bad request) with what is wrong."""
+    try:
+        stated = msgspec.json.decode(path.read_bytes(), type=StatedOutcomes)
+    except (OSError, msgspec.DecodeError, ValueError) as error:
+        message = f"{path}: stated outcomes can't be read: {error}; see docs/operating/replay.md"
+        raise ConfigurationError(ErrorKind.BAD_REQUEST, message) from error
+    known = {"whole", "retried", "resent", *(kind.value for kind in ErrorKind)}
+    for expectation in stated.expect:
+        if expectation.outcome not in known:
+            message = f"{path}: outcome {expectation.outcome!r}; name one of {sorted(known)}"
+            raise ConfigurationError(ErrorKind.BAD_REQUEST, message)
+    return stated
+
+
+def find_differences(stated: StatedOutcomes, replayed: Replayed) -> list[str]:
+    """Return a line for each stated outcome that did not come."""
+    found = []
+    for expectation in stated.expect:
+        ends = [end for end in replayed.ends if _is_chosen(expectation, end)]
+        found.extend(_differences(expectation, ends))
+    if replayed.ran_twice > stated.most_ran_twice:
+        found.append(
+            f"non-idempotent calls ran again {replayed.ran_twice} times,"
+            f" at most {stated.most_ran_twice} stated"
+        )
+    return found
+
+
+def _is_chosen(expectation: Expectation, end: CallEnd) -> bool:
+    return (
+        expectation.customer in (ANY, end.customer)
+        and expectation.call_class in (ANY, end.call_class)
+        and expectation.from_s <= end.at_s < expectation.until_s
+    )
+
+
+def _differences(expectation: Expectation, ends: list[CallEnd]) -> list[str]:
+    name = f"{expectation.customer} {expectation.call_class} {expectation.outcome}"
+    times = f"from {expectation.from_s:g} s until {expectation.until_s:g} s"
+    if not ends:
+        return [f"{name} {times}: no such calls in the trace"]
+    part = _count(expectation.outcome, ends) / len(ends)
+    found = []
+    if part < expectation.least_part:
+        found.append(f"{name} {times}: {part:.4f} of the calls, {expectation.least_part:g} stated")
+    if part > expectation.most_part:
+        found.append(
+            f"{name} {times}: {part:.4f} of the calls, at most {expectation.most_part:g} stated"
+        )
+    p99_ms = _p99_ms([end for end in ends if end.outcome == expectation.outcome])
+    if p99_ms > expectation.most_p99_ms:
+        found.append(
+            f"{name} {times}: p99 {p99_ms:.1f} ms, at most {expectation.most_p99_ms:g} stated"
+        )
+    return found
+
+
+def _count(outcome: str, ends: list[CallEnd]) -> int:
+    if outcome == "retried":
+        return sum(end.retries for end in ends)
+    if outcome == "resent":
+        return sum(end.is_resend for end in ends)
+    return sum(end.outcome == outcome for end in ends)
+
+
+def _p99_ms(ends: list[CallEnd]) -> float:
+    latencies = sorted(end.latency_s for end in ends)
+    return latencies[int(0.99 * (len(latencies) - 1))] * 1_000.0 if latencies else 0.0
--- /dev/null
+++ b/src/daisywharf/_replay/_outcomes.py
@@ -0,0 +1,80 @@
+"""What became of each call of a trace, and its summary for each customer and class."""
+
+from collections import Counter
+
+import msgspec
+
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import CallClassName, CustomerId, RequestId
+
+MS_PER_S = 1_000.0
+
+
+class CallEnd(msgspec.Struct, frozen=True):
+    """Hold the end of one call; no kind is a whole answer in time."""
+
+    request_id: RequestId
+    customer: CustomerId
+    call_class: CallClassName
+    at_s: float
+    latency_s: float
+    kind: ErrorKind | None
+    retries: int
+    is_resend: bool
+
+    @property
+    def outcome(self) -> str:
+        """Name the outcome: `whole`, or the kind of error."""
+        return "whole" if self.kind is None else self.kind.value
+
+
+class Replayed(msgspec.Struct, frozen=True):
+    """Hold all ends in order; `ran_twice` counts non-idempotent runs beyond the first."""
+
+    ends: tuple[CallEnd, ...]
+    ran_twice: int
+
+
+class GroupSummary(msgspec.Struct, frozen=True):
+    """Sum up one customer's class of calls; latencies are of whole answers."""
+
+    customer: CustomerId
+    call_class: CallClassName
+    offered: int
+    whole: int
+    refused_by_kind: dict[str, int]
+    retries: int
+    resends: int
+    p50_ms: float
+    p99_ms: float
+
+
+def summarize(ends: tuple[CallEnd, ...]) -> list[GroupSummary]:
+    """Sum up by customer and class, in the order of their names."""
+    groups = sorted({(end.customer, end.call_class) for end in ends})
+    return [
+        _summary([end for end in ends if (end.customer, end.call_class) == group])
+        for group in groups
+    ]
+
+
+def _summary(ends: list[CallEnd]) -> GroupSummary:
+    latencies = sorted(end.latency_s for end in ends if end.kind is None)
+    refused = Counter(end.outcome for end in ends if end.kind is not None)
+    return GroupSummary(
+        customer=ends[0].customer,
+        call_class=ends[0].call_class,
+        offered=len(ends),
+        whole=len(latencies),
+        refused_by_kind=dict(sorted(refused.items())),
+        retries=sum(end.retries for end in ends),
+        resends=sum(end.is_resend for end in ends),
+        p50_ms=_quantile_ms(latencies, 0.5),
+        p99_ms=_quantile_ms(latencies, 0.99),
+    )
+
+
+def _quantile_ms(values: list[float], part: float) -> float:
+    if not values:
+        return 0.0
+    return round(values[int(part * (len(values) - 1))] * MS_PER_S, 2)
--- /dev/null
+++ b/src/daisywharf/_replay/_plot.py
@@ -0,0 +1,72 @@
+"""Plot a replay over time, where the optional extra `plot` is installed."""
+
+import math
+from collections import Counter
+from pathlib import Path
+from typing import Any, Final
+
+from daisywharf._errors import ConfigurationError, ErrorKind
+from daisywharf._replay._outcomes import CallEnd, Replayed
+
+SIZE_INCHES: Final = (10.0, 8.0)
+DOTS_PER_INCH: Final = 120
+MS_PER_S: Final = 1_000.0
+
+
+def plot_replay(replayed: Replayed, path: Path) -> None:
+    """Write a PNG of offered, whole, refused and latency by second.
+
+    Raise `ConfigurationError` (invalid settings) where the plotting library is missing.
+    """
+    figure_type = _figure_type()
+    figure = figure_type(figsize=SIZE_INCHES, dpi=DOTS_PER_INCH)
+    calls, refused, latency = figure.subplots(3, 1, sharex=True)
+    ends = replayed.ends
+    seconds = list(range(math.ceil(max((end.at_s for end in ends), default=0.0)) + 1))
+    _draw_calls(calls, ends, seconds)
+    _draw_refused(refused, ends, seconds)
+    _draw_latency(latency, ends, seconds)
+    figure.savefig(path)
+
+
+def _figure_type() -> Any:
+    try:
+        from matplotlib.figure import Figure
+    except ImportError as error:
+        message = "a plot needs matplotlib; install daisywharf[plot] or leave --plot out"
+        raise ConfigurationError(ErrorKind.INVALID_SETTINGS, message) from error
+    return Figure
+
+
+def _draw_calls(axes: Any, ends: tuple[CallEnd, ...], seconds: list[int]) -> None:
+    axes.plot(seconds, _by_second(list(ends), seconds), label="offered")
+    whole = [end for end in ends if end.kind is None]
+    axes.plot(seconds, _by_second(whole, seconds), label="whole and in time")
+    axes.set_ylabel("calls a second")
+    axes.legend()
+
+
+def _draw_refused(axes: Any, ends: tuple[CallEnd, ...], seconds: list[int]) -> None:
+    for call_class in sorted({end.call_class for end in ends}):
+        refused = [e for e in ends if e.kind is not None and e.call_class == call_class]
+        axes.plot(seconds, _by_second(refused, seconds), label=call_class)
+    axes.set_ylabel("refused a second")
+    axes.legend()
+
+
+def _draw_latency(axes: Any, ends: tuple[CallEnd, ...], seconds: list[int]) -> None:
+    for part, name in ((0.5, "p50"), (0.99, "p99")):
+        axes.plot(seconds, [_latency_ms(ends, second, part) for second in seconds], label=name)
+    axes.set_ylabel("whole answers, ms")
+    axes.set_xlabel("seconds")
+    axes.legend()
+
+
+def _by_second(ends: list[CallEnd], seconds: list[int]) -> list[int]:
+    counts = Counter(int(end.at_s) for end in ends)
+    return [counts[second] for second in seconds]
+
+
+def _latency_ms(ends: tuple[CallEnd, ...], second: int, part: float) -> float:
+    latencies = sorted(e.latency_s for e in ends if e.kind is None and int(e.at_s) == second)
+    return latencies[int(part * (len(latencies) - 1))] * MS_PER_S if latencies else math.nan
--- /dev/null
+++ b/src/daisywharf/_replay/_requests.py
@@ -0,0 +1,203 @@
+"""Send one request of a trace from its entry: route, retry within the budget, end in time."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Final
+
+from daisywharf._context import RequestContext
+from daisywharf._contract import CallClass
+from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind
+from daisywharf._ids import (
+    CustomerId,
+    Incarnation,
+    RequestId,
+    ServiceName,
+    TargetId,
+    VmId,
+    ZoneName,
+)
+from daisywharf._overload._level import OPEN_LEVEL
+from daisywharf._replay._gates import RealGate
+from daisywharf._replay._trace import CallLine
+from daisywharf._routing._kinds import outcome_of
+from daisywharf._routing._retries import (
+    RetryBudget,
+    RetryRatioKey,
+    earn_retry,
+    lend,
+    may_retry,
+    spend_retry,
+    take_back,
+)
+from daisywharf._routing._router import choose, record_outcome, record_start
+from daisywharf._topology import Address, Target
+from daisywharf._virtual._chain import ChainCall, arrive, cancel_call, new_call
+from daisywharf._virtual._loop import call_later
+from daisywharf._virtual._messages import Answer, ChainSend
+from daisywharf._virtual._targets import Fakes, FakeTarget, Message, network_s, router_for
+
+MS_PER_S: Final = 1_000.0
+
+Ended = Callable[[ErrorKind | None, int], None]
+
+
+class OpenRequest:
+    """Hold a request under way; `ended` gets its kind of error, or none, and its retries."""
+
+    def __init__(self, entry: FakeTarget, send: ChainSend, retries: int, ended: Ended) -> None:
+        self.entry = entry
+        self.send = send
+        self.budget = RetryBudget(retries)
+        self.ended = ended
+        self.tried: frozenset[TargetId] = frozenset()
+        self.call: ChainCall | None = None
+        self.attempt_at = 0.0
+
+
+def make_entry(zone: ZoneName) -> FakeTarget:
+    """Make a zone's entry, which calls targets and runs nothing itself."""
+    name = f"entry@{zone}"
+    target = Target(
+        target_id=TargetId(name),
+        service=ServiceName(name),
+        vm=VmId(name),
+        zone=zone,
+        incarnation=Incarnation(1),
+        address=Address("127.0.0.1", 0),
+        slots=1,
+        connections=1,
+    )
+    return FakeTarget(target, RealGate(1, target.service))
+
+
+def send_request(
+    fakes: Fakes,
+    entry: FakeTarget,
+    line: CallLine,
+    call_class: CallClass,
+    *,
+    retries: int,
+    ended: Ended,
+) -> None:
+    """Send a request that has entered, and let it end by its deadline."""
+    now = fakes.loop.now
+    time_left_s = call_class.deadline_ms / MS_PER_S - 2 * fakes.delays.client_s
+    send = ChainSend(
+        request_id=RequestId(line.request),
+        customer=CustomerId(line.customer),
+        call_class=call_class,
+        chain=tuple(ServiceName(service) for service in line.chain),
+        zone=ZoneName(line.zone),
+        sent_at=now,
+        deadline=now + time_left_s,
+    )
+    request = OpenRequest(entry, send, retries, ended)
+    call_later(fakes.loop, time_left_s, partial(_time_out, fakes, request))
+    _attempt(fakes, request)
+
+
+def _attempt(fakes: Fakes, request: OpenRequest) -> None:
+    send = request.send
+    now = fakes.loop.now
+    if send.deadline <= now:
+        _end(request, ErrorKind.TOO_LATE)
+        return
+    router = router_for(fakes, request.entry, send.chain[0])
+    chosen = choose(router, now=now, rng=fakes.rng, excluded=request.tried)
+    if chosen is None:
+        _end(request, ErrorKind.NO_TARGET)
+        return
+    record_start(router, chosen.target_id, now=now)
+    request.tried |= {chosen.target_id}
+    request.attempt_at = now
+    _send_call(fakes, request, fakes.target_by_id[chosen.target_id])
+
+
+def _send_call(fakes: Fakes, request: OpenRequest, target: FakeTarget) -> None:
+    send = request.send
+    lent = lend(request.budget)
+    delay_s = network_s(fakes, send.zone, target.target.zone)
+
+    def answered(answer: Answer) -> None:
+        deliver = partial(_take_answer, fakes, request, call, answer)
+        fakes.carry(fakes, Message(request.entry, target, delay_s, deliver, lost=deliver))
+
+    def not_arrived() -> None:
+        call.is_over = True
+        not_run = Answer(ErrorKind.CONNECT_FAILED, OPEN_LEVEL, lent)
+        _take_answer(fakes, request, call, not_run)
+
+    call = new_call(fakes, send, _context_of(send, lent), target, answered)
+    request.call = call
+    deliver = partial(arrive, fakes, call)
+    fakes.carry(fakes, Message(request.entry, target, delay_s, deliver, lost=not_arrived))
+
+
+def _context_of(send: ChainSend, retries: int) -> RequestContext:
+    call_class = send.call_class
+    return RequestContext(
+        request_id=send.request_id,
+        customer=send.customer,
+        call_class=call_class.name,
+        importance=call_class.importance,
+        deadline=send.deadline,
+        retries=retries,
+        idempotent=call_class.idempotent,
+    )
+
+
+def _take_answer(fakes: Fakes, request: OpenRequest, call: ChainCall, answer: Answer) -> None:
+    if request.call is not call:
+        return
+    request.call = None
+    _learn(fakes, request, call, answer.kind)
+    take_back(request.budget, lent=call.context.retries, unspent=answer.unspent)
+    if answer.kind is None:
+        earn_retry(request.entry.retry_ratio, _ratio_key(request))
+        _end(request, None)
+    elif _takes_retry(request, answer.kind):
+        request.send.retries += 1
+        _attempt(fakes, request)
+    else:
+        _end(request, answer.kind)
+
+
+def _takes_retry(request: OpenRequest, kind: ErrorKind) -> bool:
+    if not ANSWERS_BY_KIND[kind].retryable or request.budget.left <= 0:
+        return False
+    is_in_ratio = may_retry(request.entry.retry_ratio, _ratio_key(request))
+    return is_in_ratio and spend_retry(request.budget)
+
+
+def _ratio_key(request: OpenRequest) -> RetryRatioKey:
+    return RetryRatioKey(request.send.customer, request.send.chain[0])
+
+
+def _learn(fakes: Fakes, request: OpenRequest, call: ChainCall, kind: ErrorKind | None) -> None:
+    now = fakes.loop.now
+    router = router_for(fakes, request.entry, request.send.chain[0])
+    record_outcome(
+        router,
+        call.target.target.target_id,
+        outcome_of(kind),
+        latency_s=now - request.attempt_at,
+        now=now,
+    )
+
+
+def _time_out(fakes: Fakes, request: OpenRequest) -> None:
+    if request.send.is_over:
+        return
+    call = request.call
+    request.call = None
+    _end(request, ErrorKind.TIMED_OUT)
+    if call is not None:
+        _learn(fakes, request, call, ErrorKind.TIMED_OUT)
+        delay_s = network_s(fakes, request.send.zone, call.target.target.zone)
+        call_later(fakes.loop, delay_s, partial(cancel_call, fakes, call))
+
+
+def _end(request: OpenRequest, kind: ErrorKind | None) -> None:
+    if not request.send.is_over:
+        request.send.is_over = True
+        request.ended(kind, request.send.retries)
--- /dev/null
+++ b/src/daisywharf/_replay/_run.py
@@ -0,0 +1,225 @@
+"""Run a trace through the real decisions under a virtual clock."""
+
+from collections import Counter
+from collections.abc import Iterable
+from functools import partial
+from random import Random
+from typing import Final
+
+from daisywharf._contract import Contract
+from daisywharf._contracts._schema import contract_of
+from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind, Ran
+from daisywharf._ids import (
+    CallClassName,
+    CustomerId,
+    Incarnation,
+    RequestId,
+    ServiceName,
+    TargetId,
+    Version,
+    VmId,
+    ZoneName,
+)
+from daisywharf._overload._actions import AdmissionAction, Admit
+from daisywharf._replay._entry import Entered, EntryState, Refused, Repeated, enter
+from daisywharf._replay._gates import RealGate
+from daisywharf._replay._outcomes import CallEnd, Replayed
+from daisywharf._replay._requests import make_entry, send_request
+from daisywharf._replay._silence import Network, carry, silence
+from daisywharf._replay._trace import CallLine, SlowLine, TargetLine, Trace
+from daisywharf._topology import Address, Target
+from daisywharf._virtual._chain import ChainCall, apply_actions
+from daisywharf._virtual._loop import call_later, run_until
+from daisywharf._virtual._messages import CallerRules
+from daisywharf._virtual._targets import Delays, Fakes, FakeTarget, add_target
+
+TICK_S: Final = 0.01
+MS_PER_S: Final = 1_000.0
+REAL_RULES: Final = CallerRules(
+    has_tree_budget=True,
+    has_retry_ratio=True,
+    cancels=True,
+    checks_deadline=True,
+    refuses_early=True,
+    marks_failure_below=True,
+)
+
+
+class Replay:
+    """Hold a replay under way."""
+
+    def __init__(self, trace: Trace, fakes: Fakes) -> None:
+        self.trace = trace
+        self.fakes = fakes
+        self.entry = EntryState()
+        self.ends: list[CallEnd] = []
+        self.runs_by_hop: Counter[tuple[RequestId, int]] = Counter()
+        self.running: set[RequestId] = set()
+        self.end_by_request: dict[RequestId, ErrorKind | None] = {}
+        self.entry_by_zone: dict[ZoneName, FakeTarget] = {}
+        self.open_calls = 0
+
+
+def replay_trace(trace: Trace, contracts: Iterable[Contract] = ()) -> Replayed:
+    """Replay all calls; `contracts` stand in for the recorded ones of their customers."""
+    replay = Replay(trace, _make_fakes(trace))
+    replay.fakes.observe = partial(_observe, replay)
+    _plan_contracts(replay, tuple(contracts))
+    network = Network()
+    replay.fakes.carry = partial(carry, network)
+    for line in trace.silences:
+        silenced = partial(silence, network, replay.fakes, TargetId(line.target))
+        call_later(replay.fakes.loop, line.at_s, silenced)
+    for slowing in trace.slowings:
+        _plan_slowing(replay.fakes, slowing)
+    for call in trace.calls:
+        call_later(replay.fakes.loop, call.at_s, partial(_enter, replay, call))
+    _plan_ticks(replay.fakes)
+    _run_to_the_end(replay)
+    ends = sorted(replay.ends, key=lambda end: (end.at_s, end.request_id))
+    ran_twice = sum(runs - 1 for runs in replay.runs_by_hop.values())
+    return Replayed(tuple(ends), ran_twice)
+
+
+def _make_fakes(trace: Trace) -> Fakes:
+    head = trace.head
+    fakes = Fakes(
+        rng=Random(f"replay-{head.seed}"),
+        delays=Delays(
+            within_zone_s=head.within_zone_ms / MS_PER_S,
+            between_zones_s=head.between_zones_ms / MS_PER_S,
+            client_s=head.client_ms / MS_PER_S,
+        ),
+        rules=REAL_RULES,
+        service_s={ServiceName(s.service): s.work_ms / MS_PER_S for s in trace.services},
+    )
+    for line in trace.targets:
+        add_target(fakes, _target_of(line), RealGate(line.slots, ServiceName(line.service)))
+    return fakes
+
+
+def _target_of(line: TargetLine) -> Target:
+    return Target(
+        target_id=TargetId(line.target),
+        service=ServiceName(line.service),
+        vm=VmId(line.target),
+        zone=ZoneName(line.zone),
+        incarnation=Incarnation(1),
+        address=Address("127.0.0.1", 0),
+        slots=line.slots,
+        connections=line.connections,
+    )
+
+
+def _plan_contracts(replay: Replay, contracts: tuple[Contract, ...]) -> None:
+    in_force = replay.entry.contract_by_customer
+    replaced = {contract.customer for contract in contracts}
+    in_force.update({contract.customer: contract for contract in contracts})
+    for line in replay.trace.contracts:
+        contract = contract_of(line.contract, Version(line.contract.version or 0))
+        if contract.customer not in replaced:
+            put = partial(in_force.__setitem__, CustomerId(contract.customer), contract)
+            call_later(replay.fakes.loop, line.at_s, put)
+
+
+def _plan_slowing(fakes: Fakes, line: SlowLine) -> None:
+    slowing = fakes.slowing_by_service
+    service = ServiceName(line.service)
+    call_later(fakes.loop, line.at_s, partial(slowing.__setitem__, service, line.factor))
+    call_later(fakes.loop, line.until_s, partial(slowing.__setitem__, service, 1.0))
+
+
+def _plan_ticks(fakes: Fakes) -> None:
+    def tick() -> None:
+        for target in fakes.target_by_id.values():
+            apply_actions(fakes, target, target.gate.tick(now=fakes.loop.now))
+        call_later(fakes.loop, TICK_S, tick)
+
+    call_later(fakes.loop, TICK_S, tick)
+
+
+def _run_to_the_end(replay: Replay) -> None:
+    last_s = max((line.at_s for line in replay.trace.calls), default=0.0)
+    run_until(replay.fakes.loop, last_s)
+    while replay.open_calls:
+        run_until(replay.fakes.loop, replay.fakes.loop.now + 1.0)
+
+
+def _observe(replay: Replay, _target: FakeTarget, action: AdmissionAction, call: object) -> None:
+    if isinstance(action, Admit) and isinstance(call, ChainCall) and not call.context.idempotent:
+        replay.runs_by_hop[call.context.request_id, call.context.depth] += 1
+
+
+def _enter(replay: Replay, line: CallLine) -> None:
+    now = replay.fakes.loop.now
+    decision = enter(replay.entry, line, now=now)
+    passed = _once(replay, line, decision) if isinstance(decision, Entered) else decision
+    if isinstance(passed, Entered):
+        _send(replay, line, passed)
+        return
+    kind = passed.kind if isinstance(passed, Refused) else None
+    _note_end(replay, line, passed.is_resend, kind, 0)
+
+
+def _send(replay: Replay, line: CallLine, entered: Entered) -> None:
+    request_id = RequestId(line.request)
+    replay.open_calls += 1
+    replay.running.add(request_id)
+
+    def ended(kind: ErrorKind | None, retries: int) -> None:
+        replay.open_calls -= 1
+        replay.running.discard(request_id)
+        if not entered.call_class.idempotent:
+            replay.end_by_request[request_id] = kind
+        _note_end(replay, line, entered.is_resend, kind, retries)
+
+    send_request(
+        replay.fakes,
+        _entry_in(replay, ZoneName(line.zone)),
+        line,
+        entered.call_class,
+        retries=entered.retries,
+        ended=ended,
+    )
+
+
+def _entry_in(replay: Replay, zone: ZoneName) -> FakeTarget:
+    entry = replay.entry_by_zone.get(zone)
+    if entry is None:
+        entry = replay.entry_by_zone[zone] = make_entry(zone)
+    return entry
+
+
+def _once(replay: Replay, line: CallLine, entered: Entered) -> Entered | Refused | Repeated:
+    # The gate that ran a non-idempotent request knows its outcome; here the replay stands for it.
+    if entered.call_class.idempotent:
+        return entered
+    request_id = RequestId(line.request)
+    if request_id in replay.running:
+        return Refused(ErrorKind.STILL_RUNNING, entered.is_resend)
+    if request_id not in replay.end_by_request:
+        return entered
+    kind = replay.end_by_request[request_id]
+    if kind is None:
+        return Repeated(entered.is_resend)
+    if ANSWERS_BY_KIND[kind].ran is Ran.NO:
+        return entered
+    return Refused(ErrorKind.OUTCOME_UNKNOWN, entered.is_resend)
+
+
+def _note_end(
+    replay: Replay, line: CallLine, is_resend: bool, kind: ErrorKind | None, retries: int
+) -> None:
+    at_entry_s = replay.fakes.loop.now - line.at_s
+    replay.ends.append(
+        CallEnd(
+            request_id=RequestId(line.request),
+            customer=CustomerId(line.customer),
+            call_class=CallClassName(line.call_class),
+            at_s=line.at_s,
+            latency_s=at_entry_s + 2 * replay.fakes.delays.client_s,
+            kind=kind,
+            retries=retries,
+            is_resend=is_resend,
+        )
+    )
--- /dev/null
+++ b/src/daisywharf/_replay/_silence.py
@@ -0,0 +1,76 @@
+"""Let links go silent, and find them by the real decisions on links."""
+
+from functools import partial
+from typing import Final
+
+import msgspec
+
+from daisywharf._ids import TargetId
+from daisywharf._outcomes._link import CloseLink, LinkState, TryNewConnection, link_tick
+from daisywharf._virtual._loop import call_later
+from daisywharf._virtual._targets import Fakes, Message
+
+LINK_TICK_S: Final = 0.1
+CONNECT_S: Final = 0.001
+
+
+class LinkKey(msgspec.Struct, frozen=True):
+    """Name the link of a caller to a target."""
+
+    caller: TargetId
+    target: TargetId
+
+
+class SilentLink:
+    """Hold a silent link and the messages that it swallowed."""
+
+    def __init__(self, *, now: float) -> None:
+        self.state = LinkState(now=now)
+        self.swallowed: list[Message] = []
+        self.is_replacing = False
+
+
+class Network:
+    """Hold the links that were used, and those that are silent."""
+
+    def __init__(self) -> None:
+        self.used: set[LinkKey] = set()
+        self.silent_by_key: dict[LinkKey, SilentLink] = {}
+
+
+def carry(network: Network, fakes: Fakes, message: Message) -> None:
+    """Deliver a message, or swallow it where its link is silent."""
+    key = LinkKey(message.caller.target.target_id, message.target.target.target_id)
+    network.used.add(key)
+    silent = network.silent_by_key.get(key)
+    if silent is None:
+        call_later(fakes.loop, message.delay_s, message.deliver)
+    else:
+        silent.swallowed.append(message)
+
+
+def silence(network: Network, fakes: Fakes, target: TargetId) -> None:
+    """Let all links that callers have open to a target go silent."""
+    for key in sorted(network.used, key=lambda key: (key.caller, key.target)):
+        if key.target == target and key not in network.silent_by_key:
+            network.silent_by_key[key] = SilentLink(now=fakes.loop.now)
+            _tick(network, fakes, key)
+
+
+def _tick(network: Network, fakes: Fakes, key: LinkKey) -> None:
+    silent = network.silent_by_key[key]
+    if silent.is_replacing:
+        return
+    actions = link_tick(silent.state, now=fakes.loop.now, calls_out=len(silent.swallowed))
+    if any(isinstance(action, CloseLink | TryNewConnection) for action in actions):
+        silent.is_replacing = True
+        delay_s = CONNECT_S + 2 * fakes.delays.between_zones_s
+        call_later(fakes.loop, delay_s, partial(_replace, network, key))
+        return
+    call_later(fakes.loop, LINK_TICK_S, partial(_tick, network, fakes, key))
+
+
+def _replace(network: Network, key: LinkKey) -> None:
+    silent = network.silent_by_key.pop(key)
+    for message in silent.swallowed:
+        message.lost()
--- a/src/daisywharf/_virtual/_chain.py
+++ b/src/daisywharf/_virtual/_chain.py
@@ -23,6 +23,7 @@
 from daisywharf._virtual._targets import (
     Fakes,
     FakeTarget,
+    Message,
     network_s,
     router_for,
     service_time_s,
@@ -158,13 +159,21 @@
     context = _child_context(call.context, lent)
 
     def answered(answer: Answer) -> None:
-        call_later(
-            fakes.loop, delay_s, lambda: _child_answered(fakes, call, child, answer, sent_at)
-        )
+        def deliver() -> None:
+            _child_answered(fakes, call, child, answer, sent_at)
+
+        # A lost answer is asked for again.
+        fakes.carry(fakes, Message(call.target, target, delay_s, deliver, lost=deliver))
+
+    def not_arrived() -> None:
+        child.is_over = True
+        not_run = Answer(ErrorKind.CONNECT_FAILED, OPEN_LEVEL, lent)
+        _child_answered(fakes, call, child, not_run, sent_at)
 
     child = new_call(fakes, call.send, context, target, answered)
     call.child = child
-    call_later(fakes.loop, delay_s, lambda: arrive(fakes, child))
+    request = Message(call.target, target, delay_s, lambda: arrive(fakes, child), lost=not_arrived)
+    fakes.carry(fakes, request)
     timeout_s = fakes.rules.hop_timeout_s
     if timeout_s is not None:
         late = Answer(ErrorKind.TIMED_OUT, OPEN_LEVEL)
@@ -243,6 +252,8 @@
     # A call that was not run was never given a slot by the gate.
     actions = [] if call.started_at is None else _release(fakes, call, succeeded=kind is None)
     level = call.target.gate.level(now=now, below=call.below)
+    if kind is not None and call.started_at is not None and fakes.rules.marks_failure_below:
+        kind = kind if call.context.idempotent else ErrorKind.TARGET_FAILED
     call.reply(Answer(kind, level, call.budget.left, retry_after_s))
     apply_actions(fakes, call.target, actions)
 
--- a/src/daisywharf/_virtual/_messages.py
+++ b/src/daisywharf/_virtual/_messages.py
@@ -42,7 +42,11 @@
 
 
 class CallerRules(msgspec.Struct, frozen=True):
-    """State how callers inside the chain time out, retry and cancel."""
+    """State how callers inside the chain time out, retry and cancel.
+
+    `marks_failure_below` lets a target that ran a non-idempotent call answer that it failed,
+    whatever the call below it answered: a refusal would say that it was not run.
+    """
 
     retries_per_hop: int = 0
     hop_timeout_s: float | None = None
@@ -52,6 +56,7 @@
     checks_deadline: bool = False
     refuses_early: bool = False
     suspends: bool = True
+    marks_failure_below: bool = False
 
 
 class Answer(msgspec.Struct, frozen=True):
--- a/src/daisywharf/_virtual/_targets.py
+++ b/src/daisywharf/_virtual/_targets.py
@@ -12,7 +12,7 @@
 from daisywharf._routing._retries import RetryRatio
 from daisywharf._routing._router import RouterState, update_targets
 from daisywharf._topology import Target
-from daisywharf._virtual._loop import VirtualLoop
+from daisywharf._virtual._loop import VirtualLoop, call_later
 from daisywharf._virtual._messages import CallerRules, Gate
 
 FIXED_PART = 0.6
@@ -41,6 +41,19 @@
 Observer = Callable[[FakeTarget, AdmissionAction, object], None]
 
 
+class Message(msgspec.Struct, frozen=True):
+    """Hold a message on its way; `lost` runs where its sender learns that it did not arrive."""
+
+    caller: FakeTarget
+    target: FakeTarget
+    delay_s: float
+    deliver: Callable[[], None]
+    lost: Callable[[], None]
+
+
+Carry = Callable[["Fakes", Message], None]
+
+
 class Fakes:
     """Hold the targets of all services under one clock."""
 
@@ -65,12 +78,17 @@
         self.first_calls = 0
         self.retried_calls = 0
         self.observe: Observer = _ignore
+        self.carry: Carry = _carry
 
 
 def _ignore(_target: FakeTarget, _action: AdmissionAction, _call: object) -> None:
     return
 
 
+def _carry(fakes: Fakes, message: Message) -> None:
+    call_later(fakes.loop, message.delay_s, message.deliver)
+
+
 def add_target(fakes: Fakes, target: Target, gate: Gate) -> None:
     """Let a target serve."""
     fakes.target_by_id[target.target_id] = FakeTarget(target, gate)
