Open a span for each hop, off by default

Cause: nothing showed where in a chain a request spent its time or was refused. Change: entry, attempt and gate run within a span; the W3C traceparent of an outside caller is checked at the entry and goes down the chain. Ruled out: OpenTelemetry's own context in the call path (an import and a lookup on each call while off); a simple processor (a slow file would hold up calls).

--- a/benchmarks/flat.py
+++ b/benchmarks/flat.py
@@ -94,9 +94,7 @@
     record_start(site.router, target.target_id, now=now)
     lend(RetryBudget(context.retries))
     _pass_gate(site, context, now)
-    record_outcome(
-        site.router, target.target_id, CallOutcome.SUCCEEDED, latency_s=0.000_5, now=now
-    )
+    record_outcome(site.router, target.target_id, CallOutcome.SUCCEEDED, latency_s=0.000_5, now=now)
 
 
 def _pass_gate(site: Site, context: RequestContext, now: float) -> None:
--- a/src/daisywharf/_call/_attempts.py
+++ b/src/daisywharf/_call/_attempts.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from msgspec.structs import replace
+
 from daisywharf._call._exchange import CallReply, CallRequest, error_in
 from daisywharf._call._hop import HOP_ANSWER, answer_from_header, hop_to
 from daisywharf._call._parties import CallerState, choose_target, note_outcome
@@ -21,6 +23,7 @@
     take_back,
 )
 from daisywharf._routing._router import CallOutcome
+from daisywharf._signals._spans import SpanRole, describe_span, in_span
 from daisywharf._topology import Target
 
 NO_TARGET_RETRY_AFTER_S: Final = 2.0
@@ -46,7 +49,7 @@
         if target is None:
             raise _no_target(request, excluded)
         try:
-            return _attempt(state, scope, request, target)
+            return _attempt_in_span(state, scope, request, target)
         except RequestError as error:
             if not _should_retry(state, scope, request, error, ratio_key):
                 raise
@@ -81,6 +84,28 @@
         return spend_retry(scope.budget)
 
 
+def _attempt_in_span(
+    state: CallerState, scope: Scope, request: CallRequest, target: Target
+) -> CallReply:
+    def run(below: str | None) -> CallReply:
+        if below == request.context.traceparent:
+            return _attempt(state, scope, request, target)
+        context = replace(request.context, traceparent=below)
+        describe_span(context, retries=scope.budget.left, now=state.clock())
+        return _attempt(state, scope, replace(request, context=context), target)
+
+    context = request.context
+    return in_span(
+        SpanRole.ATTEMPT,
+        run,
+        traceparent=context.traceparent,
+        service=request.service,
+        customer=context.customer,
+        call_class=context.call_class,
+        target=target.target_id,
+    )
+
+
 def _attempt(state: CallerState, scope: Scope, request: CallRequest, target: Target) -> CallReply:
     started = state.clock()
     ticket = None if request.context.idempotent else new_ticket(request, target, now=started)
--- a/src/daisywharf/_call/_caller.py
+++ b/src/daisywharf/_call/_caller.py
@@ -15,6 +15,8 @@
 from daisywharf._ids import CallClassName, CustomerId, IdempotencyKey, RequestId, ServiceName
 from daisywharf._overload._level_cache import is_refused_early, kept_level
 from daisywharf._overload._rates import BucketKey, RateState, take_token
+from daisywharf._signals._spans import SpanRole, describe_span, in_span
+from daisywharf._signals._traceparent import valid_traceparent
 
 MS_PER_S: Final = 1_000.0
 SHED_RETRY_AFTER_S: Final = 1.0
@@ -68,9 +70,21 @@
         traceparent: str | None = None,
     ) -> CallReply:
         """Start a new request under a customer's contract; raise `RequestError`."""
-        context = self._admit(service, customer, call_class, key, traceparent)
-        request = CallRequest(ServiceName(service), method, path, context, headers or {}, body)
-        return self._pass(Scope(context), request)
+
+        def run(below: str | None) -> CallReply:
+            context = self._admit(service, customer, call_class, key, below)
+            describe_span(context, retries=context.retries, now=self._state.clock())
+            request = CallRequest(ServiceName(service), method, path, context, headers or {}, body)
+            return self._pass(Scope(context), request)
+
+        return in_span(
+            SpanRole.ENTRY,
+            run,
+            traceparent=valid_traceparent(traceparent),
+            service=service,
+            customer=customer,
+            call_class=call_class,
+        )
 
     @property
     def retries(self) -> int:
--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -2,6 +2,8 @@
 
 import time
 
+from msgspec.structs import replace
+
 from daisywharf._call._exchange import CallReply, reply_for
 from daisywharf._call._gate_admission import (
     GateAdmission,
@@ -32,10 +34,11 @@
 from daisywharf._call._transport import RESOLVE_PATH
 from daisywharf._call._wsgi import Environ, StartResponse, WsgiApp, run_app, send_reply
 from daisywharf._errors import ErrorKind, RequestError
-from daisywharf._ids import Incarnation, TargetId
+from daisywharf._ids import Incarnation, ServiceName, TargetId
 from daisywharf._outcomes._once import OnceRecords
 from daisywharf._outcomes._ticket import Ticket
 from daisywharf._overload._admission import AdmissionState
+from daisywharf._signals._spans import SpanRole, describe_span, in_span, note_admitted
 
 
 class Gate:
@@ -48,10 +51,12 @@
         target_id: str,
         incarnation: int,
         slots: int,
+        service: str = "",
         clock: Clock = time.monotonic,
     ) -> None:
         self.target_id = TargetId(target_id)
         self.incarnation = Incarnation(incarnation)
+        self.service = ServiceName(service)
         self._app = app
         self._clock = clock
         self._admission = GateAdmission(AdmissionState(slots=slots), clock=clock)
@@ -66,7 +71,7 @@
             hop = hop_from_header(environ.get(HOP_ENVIRON_KEY))
             self._check_address(hop)
             scope = Scope(context_in(hop, now=self._clock()))
-            reply = self._answer(environ, hop, scope)
+            reply = self._answer_in_span(environ, hop, scope)
         except RequestError as error:
             reply = reply_for(error)
         return send_reply(self._marked(reply, hop, scope), start_response)
@@ -89,6 +94,23 @@
         )
         raise RequestError(ErrorKind.WRONG_INCARNATION, message)
 
+    def _answer_in_span(self, environ: Environ, hop: Hop, scope: Scope) -> CallReply:
+        def run(below: str | None) -> CallReply:
+            if below != hop.traceparent:
+                scope.context = replace(scope.context, traceparent=below)
+                describe_span(scope.context, retries=hop.retries, now=self._clock())
+            return self._answer(environ, hop, scope)
+
+        return in_span(
+            SpanRole.GATE,
+            run,
+            traceparent=hop.traceparent,
+            service=self.service,
+            customer=hop.customer,
+            call_class=hop.call_class,
+            target=self.target_id,
+        )
+
     def _answer(self, environ: Environ, hop: Hop, scope: Scope) -> CallReply:
         ticket = ticket_in(hop)
         if environ.get("PATH_INFO") == RESOLVE_PATH:
@@ -103,6 +125,7 @@
             if ticket is not None:
                 give_up_run(self._records, ticket)
             raise
+        note_admitted()
         succeeded = False
         try:
             reply = self._run(environ, scope)
--- a/src/daisywharf/_daemon/_daemon.py
+++ b/src/daisywharf/_daemon/_daemon.py
@@ -1,6 +1,7 @@
 """One daemon: its parts, how it starts, and how it stops."""
 
 import time
+from collections.abc import Callable
 from random import Random
 from typing import Any, Final
 
@@ -64,6 +65,7 @@
 
     def start(self) -> None:
         """Accept links, join the fleet and answer HTTP."""
+        self._stop_traces = _start_traces(self.settings)
         address = self.links.start(self.settings.links)
         incarnation = Incarnation(time.time_ns())
         member = Member(self.settings.vm, self.settings.zone, incarnation, address)
@@ -94,6 +96,7 @@
         for actor in self.running.actors:
             actor.stop(block=False)
         self.caller.close()
+        self._stop_traces()
 
     def _wait_for_calls(self) -> None:
         give_up_at = time.monotonic() + STOP_TIMEOUT_S
@@ -120,6 +123,15 @@
         self.running.fleet.platform_answered.defer(result)
 
 
+def _start_traces(settings: DaemonSettings) -> Callable[[], None]:
+    traces = settings.traces
+    if traces is None:
+        return lambda: None
+    from daisywharf._signals._trace_file import start_trace_file
+
+    return start_trace_file(traces.file, process=settings.vm, ratio=traces.ratio)
+
+
 def _ask(action: FleetAction, asking: pykka.ActorRef[Any], watching: pykka.ActorRef[Any]) -> None:
     # A waiting watch holds its actor, so it has one of its own.
     actor = watching if isinstance(action, WatchContracts) else asking
--- a/src/daisywharf/_daemon/_forwarding.py
+++ b/src/daisywharf/_daemon/_forwarding.py
@@ -31,6 +31,7 @@
         target_id=target.target_id,
         incarnation=target.incarnation,
         slots=target.slots,
+        service=target.service,
     )
 
 
--- a/src/daisywharf/_embedded/_target.py
+++ b/src/daisywharf/_embedded/_target.py
@@ -41,7 +41,9 @@
         port: int = 0,
     ) -> None:
         incarnation = time.time_ns()
-        self.gate = Gate(app, target_id=target_id, incarnation=incarnation, slots=slots)
+        self.gate = Gate(
+            app, target_id=target_id, incarnation=incarnation, slots=slots, service=service
+        )
         self._server = HttpServer(
             self.gate,
             address=Address(host, port),
--- a/src/daisywharf/_settings.py
+++ b/src/daisywharf/_settings.py
@@ -35,9 +35,10 @@
 
 
 class TraceSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Say where spans go: a file of JSON lines."""
+    """Say where spans go, and how large a part (0 to 1) of the traces that begin here."""
 
     file: Annotated[str, Meta(min_length=1, max_length=MAX_TEXT_CHARS)]
+    ratio: Annotated[float, Meta(ge=0, le=1)] = 1.0
 
 
 class DaemonSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/src/daisywharf/_signals/_tracing.py
@@ -0,0 +1,110 @@
+"""Make spans by OpenTelemetry; only a process that configures traces imports this module."""
+
+import threading
+import time
+from collections.abc import Callable
+from contextvars import ContextVar, Token
+from typing import Final
+
+from opentelemetry.context import Context
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import BatchSpanProcessor, SpanExporter
+from opentelemetry.sdk.trace.sampling import ParentBasedTraceIdRatio
+from opentelemetry.trace import Span, SpanKind
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+from daisywharf._signals._spans import (
+    MS_PER_S,
+    AttributeValue,
+    SpanRole,
+    SpanStart,
+    tracing,
+)
+
+MAX_WAITING_SPANS: Final = 4_096
+MAX_BATCH_SPANS: Final = 512
+BATCH_PERIOD_MS: Final = 500
+STOP_TIMEOUT_S: Final = 2.0
+TRACEPARENT: Final = "traceparent"
+
+_KINDS: Final = {
+    SpanRole.ENTRY: SpanKind.SERVER,
+    SpanRole.ATTEMPT: SpanKind.CLIENT,
+    SpanRole.GATE: SpanKind.SERVER,
+}
+_PROPAGATOR: Final = TraceContextTextMapPropagator()
+_current: ContextVar["SdkSpan | None"] = ContextVar("daisywharf_span", default=None)
+
+
+class SdkSpan:
+    """Hold an open span of the SDK and the span that was open around it."""
+
+    def __init__(self, span: Span) -> None:
+        self.span = span
+        context = span.get_span_context()
+        self.traceparent = (
+            f"00-{context.trace_id:032x}-{context.span_id:016x}-{context.trace_flags:02x}"
+        )
+        self._started_at = time.monotonic()
+        self._token: Token[SdkSpan | None] = _current.set(self)
+
+    def set(self, attributes: dict[str, AttributeValue]) -> None:
+        """Add attributes."""
+        self.span.set_attributes(attributes)
+
+    def note_admitted(self) -> None:
+        """Add the time since the start as the wait for a slot."""
+        waited_ms = round((time.monotonic() - self._started_at) * MS_PER_S, 3)
+        self.span.set_attribute("daisywharf.queue_wait_ms", waited_ms)
+
+    def end(self) -> None:
+        """End the span and make the one around it current."""
+        _current.reset(self._token)
+        self.span.end()
+
+
+def start_tracing(
+    exporter: SpanExporter, *, process: str, ratio: float = 1.0
+) -> Callable[[], None]:
+    """Open spans from now on; return how to write out the rest and stop.
+
+    `ratio` (0 to 1) of the traces that begin here are written; a caller's own choice goes before.
+    """
+    provider = TracerProvider(
+        resource=Resource({"service.name": process}),
+        sampler=ParentBasedTraceIdRatio(ratio),
+        shutdown_on_exit=False,
+    )
+    # Spans that a slow exporter doesn't take in time are dropped; calls never wait for it.
+    processor = BatchSpanProcessor(
+        exporter,
+        max_queue_size=MAX_WAITING_SPANS,
+        max_export_batch_size=MAX_BATCH_SPANS,
+        schedule_delay_millis=BATCH_PERIOD_MS,
+    )
+    provider.add_span_processor(processor)
+    tracer = provider.get_tracer("daisywharf")
+
+    def open_span(start: SpanStart) -> SdkSpan:
+        carrier = {} if start.traceparent is None else {TRACEPARENT: start.traceparent}
+        span = tracer.start_span(
+            f"{start.role.value} {start.attributes['daisywharf.service']}",
+            _PROPAGATOR.extract(carrier, Context()),
+            _KINDS[start.role],
+            {"daisywharf.role": start.role.value, **start.attributes},
+        )
+        return SdkSpan(span)
+
+    tracing.current = _current.get
+    tracing.open = open_span
+
+    def stop() -> None:
+        if tracing.open is open_span:
+            tracing.open = None
+        # The SDK waits long for an exporter that hangs; a process that stops doesn't.
+        stopping = threading.Thread(target=provider.shutdown, name="stop-traces", daemon=True)
+        stopping.start()
+        stopping.join(timeout=STOP_TIMEOUT_S)
+
+    return stop
