--- a/src/daisywharf/_cli/target_standin.py
+++ b/src/daisywharf/_cli/target_standin.py
@@ -3,6 +3,7 @@
 import argparse
 import signal
 import threading
+from collections.abc import Callable
 from pathlib import Path
 
 from daisywharf._demo._targets import stand_in_app
@@ -17,6 +18,7 @@
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
+    stop_traces = _start_traces(options.traces, process=options.id)
     http, links = _address(options.daemon_http), _address(options.daemon_links)
     embedded = EmbeddedCaller(
         daemon=(links.host, links.port), name=options.id, keys=options.key, services=options.next
@@ -42,6 +44,7 @@
     stopped.wait()
     server.stop()
     embedded.close()
+    stop_traces()
     return 0
 
 
@@ -61,10 +64,19 @@
     parser.add_argument("--slots", type=int, default=8, help="calls at a time")
     parser.add_argument("--connections", type=int, default=64, help="connections at a time")
     parser.add_argument("--work-ms", type=float, default=5.0, help="sleep of each call")
+    parser.add_argument("--traces", type=Path, help="write spans to this file")
     parser.add_argument("--ready-file", type=Path, help="write the address here once serving")
     return parser
 
 
+def _start_traces(path: Path | None, *, process: str) -> Callable[[], None]:
+    if path is None:
+        return lambda: None
+    from daisywharf._signals._trace_file import start_trace_file
+
+    return start_trace_file(str(path), process=process)
+
+
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
