Lay the outcomes' state: tickets, records, claims, resolution, links, stopping

Cause: at most once, "not run" and whole answers need one tested state behind the shells. Tickets now carry an absolute expiry: seconds left stand still while a message is held up, and a copy that comes after the record was dropped would run again.

--- /dev/null
+++ b/src/daisywharf/_outcomes/_keys.py
@@ -0,0 +1,96 @@
+"""Keys that a caller can repeat: its own, and minted ones that name their target themselves.
+
+A minted key reads `dw1.<expiry in ms>.<incarnation>.<target>.<random>.<checksum>`. Whoever holds
+the fleet's secret can tell from it alone where it may run, so that a repeat needs no store.
+"""
+
+import hashlib
+import hmac
+from random import Random
+from typing import Final
+
+import msgspec
+
+from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._ids import CustomerId, IdempotencyKey, Incarnation, TargetId
+from daisywharf._limits import MAX_HEADER_VALUE_CHARS
+from daisywharf._outcomes._ticket import (
+    CALLER_KEY_PREFIX,
+    CLOCK_BOUND_S,
+    KEY_LIFETIME_S,
+    KEY_RANDOM_BITS,
+    Ticket,
+)
+
+MINTED_KEY_PREFIX: Final = "dw1."
+CHECKSUM_BYTES: Final = 16
+NAME_BYTES: Final = 16
+MIN_SECRET_BYTES: Final = 16
+CLAIM_KEPT_S: Final = 86_400.0
+MS_PER_S: Final = 1_000
+
+
+class KeyMint(msgspec.Struct, frozen=True):
+    """Name the customer and the target incarnation that a minted key is for."""
+
+    customer: CustomerId
+    target_id: TargetId
+    incarnation: Incarnation
+
+
+def mint_key(mint: KeyMint, *, secret: bytes, now: float, rng: Random) -> IdempotencyKey:
+    """Mint a key that one incarnation may run until `KEY_LIFETIME_S` after `now`."""
+    expires_ms = int((now + KEY_LIFETIME_S) * MS_PER_S)
+    random_part = f"{rng.getrandbits(KEY_RANDOM_BITS):032x}"
+    stem = f"{MINTED_KEY_PREFIX}{expires_ms}.{mint.incarnation}.{mint.target_id}.{random_part}"
+    key = f"{stem}.{_checksum(stem, mint.customer, secret)}"
+    if len(key) > MAX_HEADER_VALUE_CHARS:
+        message = f"target id {mint.target_id!r} is too long for a key; shorten it"
+        raise RequestError(ErrorKind.BAD_REQUEST, message)
+    return IdempotencyKey(key)
+
+
+def is_minted(key: IdempotencyKey) -> bool:
+    """Tell a minted key from a caller's own."""
+    return key.startswith(MINTED_KEY_PREFIX)
+
+
+def ticket_of_minted_key(key: IdempotencyKey, *, customer: CustomerId, secret: bytes) -> Ticket:
+    """Read a minted key; raise `RequestError` (bad request) where its checksum is wrong."""
+    stem, _, checksum = key.rpartition(".")
+    expected = _checksum(stem, customer, secret)
+    if not is_minted(key) or not hmac.compare_digest(checksum.encode(), expected.encode()):
+        message = f"key {key[:80]!r} was not minted for customer {customer!r}; ask for a new one"
+        raise RequestError(ErrorKind.BAD_REQUEST, message)
+    _, expires_ms, incarnation, rest = stem.split(".", 3)
+    target_id, _, _ = rest.rpartition(".")
+    return Ticket(
+        scoped_key(customer, key),
+        TargetId(target_id),
+        Incarnation(int(incarnation)),
+        int(expires_ms) / MS_PER_S,
+    )
+
+
+def scoped_key(customer: CustomerId, key: IdempotencyKey) -> IdempotencyKey:
+    """Return the key by which gates and claims know it: no two customers share one."""
+    text = f"{len(customer)}:{customer}{key}"
+    digest = hashlib.blake2b(text.encode(), digest_size=NAME_BYTES).hexdigest()
+    return IdempotencyKey(CALLER_KEY_PREFIX + digest)
+
+
+def is_key_too_old(*, minted_at: float, now: float) -> bool:
+    """Tell whether the claim of a key that its caller minted then may be deleted already.
+
+    Both times are in seconds since 1970. The clocks of three processes come into it, and an
+    entry that is stopped after this check can use the claim until its ticket expires.
+    """
+    return now - minted_at > CLAIM_KEPT_S - KEY_LIFETIME_S - 3 * CLOCK_BOUND_S
+
+
+def _checksum(stem: str, customer: CustomerId, secret: bytes) -> str:
+    if len(secret) < MIN_SECRET_BYTES:
+        message = f"the fleet's secret has {len(secret)} bytes; give at least {MIN_SECRET_BYTES}"
+        raise RequestError(ErrorKind.INVALID_SETTINGS, message)
+    text = f"{len(customer)}:{customer}{stem}".encode()
+    return hashlib.blake2b(text, key=secret[:64], digest_size=CHECKSUM_BYTES).hexdigest()
--- a/src/daisywharf/_outcomes/_link.py
+++ b/src/daisywharf/_outcomes/_link.py
@@ -1,9 +1,18 @@
-"""Tell a silent link from a slow peer by heartbeats and progress."""
+"""Tell a silent link from a slow peer by heartbeats and progress.
+
+A peer echoes each heartbeat whatever its calls do, so a slow target is not taken for a dead link.
+Only the echo counts: frames that the peer sends of its own prove one direction alone.
+"""
+
+from typing import Final
 
 import msgspec
 
-HEARTBEAT_PERIOD_S = 0.5
-SILENCE_LIMIT_S = 1.5
+from daisywharf._outcomes._pause import PAUSE_LIMIT_S
+
+HEARTBEAT_PERIOD_S: Final = 0.3
+PROBE_AFTER_S: Final = 0.8
+SILENCE_LIMIT_S: Final = 1.5
 
 
 class SendHeartbeat(msgspec.Struct, frozen=True):
@@ -30,20 +39,50 @@
         self.opened_at = now
         self.heard_at = now
         self.beat_at = now
+        self.ticked_at = now
         self.sequence = 0
+        self.is_probing = False
+        self.is_closed = False
 
 
-def note_frame(state: LinkState, *, now: float) -> None:
-    """Note that any whole frame came in."""
+def note_frame(state: LinkState, *, now: float, is_reply: bool = True) -> None:
+    """Note a whole frame; `is_reply` tells an echo or an answer from what the peer began."""
+    if not is_reply or state.is_closed:
+        return
     state.heard_at = now
+    state.is_probing = False
+
+
+def note_probe_answered(state: LinkState, *, now: float) -> list[LinkAction]:
+    """Note that the peer answered on the second connection while this link is silent."""
+    if state.is_closed or not state.is_probing:
+        return []
+    return _close(state)
 
 
 def link_tick(state: LinkState, *, now: float, calls_out: int) -> list[LinkAction]:
     """Decide what a link needs now; call at least every 100 ms."""
-    if now - state.heard_at > SILENCE_LIMIT_S:
-        return [CloseLink()]
-    if now - state.beat_at < HEARTBEAT_PERIOD_S:
+    if state.is_closed:
         return []
-    state.beat_at = now
-    state.sequence += 1
-    return [SendHeartbeat(state.sequence)]
+    if now - state.ticked_at > PAUSE_LIMIT_S:
+        # This process was stopped: the silence says nothing about the peer, so ask afresh.
+        state.heard_at = now
+        state.beat_at = now - HEARTBEAT_PERIOD_S
+    state.ticked_at = now
+    silence_s = now - state.heard_at
+    if silence_s > SILENCE_LIMIT_S:
+        return _close(state)
+    actions: list[LinkAction] = []
+    if now - state.beat_at >= HEARTBEAT_PERIOD_S:
+        state.beat_at = now
+        state.sequence += 1
+        actions.append(SendHeartbeat(state.sequence))
+    if calls_out and silence_s > PROBE_AFTER_S and not state.is_probing:
+        state.is_probing = True
+        actions.append(TryNewConnection())
+    return actions
+
+
+def _close(state: LinkState) -> list[LinkAction]:
+    state.is_closed = True
+    return [CloseLink()]
--- a/src/daisywharf/_outcomes/_once.py
+++ b/src/daisywharf/_outcomes/_once.py
@@ -1,10 +1,24 @@
-"""Remember at a gate what ran under which ticket."""
+"""Remember at a gate what ran under which ticket.
+
+`now` is in seconds since 1970 by the gate's own clock. Both the right to run and the dropping of
+a record compare one ticket's expiry with that one clock, which never goes back here: a run can't
+repeat however far the clocks of a gate and of an entry are apart.
+"""
+
+from enum import Enum
+from heapq import heappop, heappush
+from typing import Final
 
 import msgspec
 
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import IdempotencyKey, Incarnation, TargetId
-from daisywharf._outcomes._ticket import Ticket
+from daisywharf._outcomes._ticket import CLOCK_BOUND_S, MAX_TICKET_LIFETIME_S, Ticket, TicketKind
+
+RECORD_BYTES: Final = 640
+RESERVED_ANSWER_BYTES: Final = 4_096
+HEADER_BYTES: Final = 128
+LATE_ANSWER_KEPT_S: Final = 10.0
 
 
 class StoredAnswer(msgspec.Struct, frozen=True):
@@ -34,8 +48,30 @@
 OnceDecision = RunNow | RepeatAnswer | RefuseRun
 
 
+class RecordState(Enum):
+    """Name what became of a key."""
+
+    RUNNING = "running"
+    DONE = "done"
+    BURNT = "burnt"
+
+
+class OnceRecord(msgspec.Struct):
+    """Hold one key's outcome; `kept_bytes` is what it counts against the bound."""
+
+    state: RecordState
+    expires_at: float
+    kept_bytes: int
+    digest: bytes = b""
+    answer: StoredAnswer | None = None
+
+
 class OnceRecords:
-    """Hold the records of one gate's incarnation; `max_bytes` bounds their answers."""
+    """Hold the records of one gate's incarnation; `max_bytes` bounds what new ones may take.
+
+    An answer larger than `RESERVED_ANSWER_BYTES` is kept all the same, so the records can pass
+    the bound by what the calls in flight answer; they then take no new key until they shrink.
+    """
 
     def __init__(
         self, *, target_id: TargetId, incarnation: Incarnation, max_bytes: int = 4_194_304
@@ -43,42 +79,140 @@
         self.target_id = target_id
         self.incarnation = incarnation
         self.max_bytes = max_bytes
-        self.answer_by_key: dict[IdempotencyKey, StoredAnswer | None] = {}
+        self.kept_bytes = 0
+        self.clock = float("-inf")
+        self.burnt_until_by_kind: dict[TicketKind, float] = {}
+        self.record_by_key: dict[IdempotencyKey, OnceRecord] = {}
+        self.expiries: list[tuple[float, IdempotencyKey]] = []
 
 
-def begin(records: OnceRecords, ticket: Ticket, *, now: float) -> OnceDecision:
-    """Decide whether a call under this ticket may run."""
+def begin(records: OnceRecords, ticket: Ticket, *, now: float, digest: bytes = b"") -> OnceDecision:
+    """Decide whether a call under this ticket may run.
+
+    `digest` names the request's content: a key that comes with another content is refused.
+    """
+    now = _advance(records, now)
     if (ticket.target_id, ticket.incarnation) != (records.target_id, records.incarnation):
         return RefuseRun(ErrorKind.WRONG_INCARNATION)
-    if ticket.seconds_left <= 0:
-        return RefuseRun(ErrorKind.TICKET_EXPIRED)
-    if ticket.key not in records.answer_by_key:
-        records.answer_by_key[ticket.key] = None
-        return RunNow()
-    answer = records.answer_by_key[ticket.key]
-    return RefuseRun(ErrorKind.STILL_RUNNING) if answer is None else RepeatAnswer(answer)
+    record = records.record_by_key.get(ticket.key)
+    if record is not None:
+        return _repeat(record, digest)
+    refusal = _refusal_of_new(records, ticket, now=now)
+    if refusal is not None:
+        return RefuseRun(refusal)
+    kept_bytes = RECORD_BYTES + RESERVED_ANSWER_BYTES
+    if records.kept_bytes + kept_bytes > records.max_bytes:
+        _burn_without_record(records, ticket)
+        return RefuseRun(ErrorKind.RECORDS_FULL)
+    record = OnceRecord(RecordState.RUNNING, ticket.expires_at, kept_bytes, digest)
+    _add(records, ticket.key, record)
+    return RunNow()
 
 
 def complete(
     records: OnceRecords, key: IdempotencyKey, answer: StoredAnswer, *, now: float
 ) -> None:
     """Keep the answer of a run that ended."""
-    records.answer_by_key[key] = answer
+    now = _advance(records, now)
+    record = records.record_by_key.get(key)
+    if record is None or record.state is not RecordState.RUNNING:
+        return
+    record.state = RecordState.DONE
+    record.answer = answer
+    _resize(records, record, RECORD_BYTES + _bytes_of(answer))
+    record.expires_at = max(record.expires_at, now + LATE_ANSWER_KEPT_S)
+    heappush(records.expiries, (record.expires_at, key))
 
 
 def release(records: OnceRecords, key: IdempotencyKey, *, now: float) -> None:
-    """Forget a key whose call was refused before it was run."""
-    records.answer_by_key.pop(key, None)
+    """Burn a key whose call was refused before it was run: "not run" stays true."""
+    _advance(records, now)
+    record = records.record_by_key.get(key)
+    if record is None or record.state is not RecordState.RUNNING:
+        return
+    record.state = RecordState.BURNT
+    _resize(records, record, RECORD_BYTES)
+    heappush(records.expiries, (record.expires_at, key))
 
 
 def resolve(records: OnceRecords, ticket: Ticket, *, now: float) -> OnceDecision:
     """Tell the outcome of a ticket; one that was not run is burnt and will never run."""
-    decision = begin(records, ticket, now=now)
-    if isinstance(decision, RunNow):
-        records.answer_by_key.pop(ticket.key)
-        return RefuseRun(ErrorKind.TICKET_BURNT)
-    return decision
+    now = _advance(records, now)
+    if (ticket.target_id, ticket.incarnation) != (records.target_id, records.incarnation):
+        return RefuseRun(ErrorKind.WRONG_INCARNATION)
+    record = records.record_by_key.get(ticket.key)
+    if record is not None:
+        return _repeat(record, record.digest)
+    refusal = _refusal_of_new(records, ticket, now=now)
+    if refusal is not None:
+        return RefuseRun(refusal)
+    if records.kept_bytes + RECORD_BYTES > records.max_bytes:
+        _burn_without_record(records, ticket)
+    else:
+        record = OnceRecord(RecordState.BURNT, ticket.expires_at, RECORD_BYTES)
+        _add(records, ticket.key, record)
+        heappush(records.expiries, (ticket.expires_at, ticket.key))
+    return RefuseRun(ErrorKind.TICKET_BURNT)
 
 
 def tick(records: OnceRecords, *, now: float) -> None:
-    """Drop records whose ticket has expired."""
+    """Drop records whose ticket has expired; a running call's record stays until it ends."""
+    now = _advance(records, now)
+    while records.expiries and records.expiries[0][0] <= now:
+        _, key = heappop(records.expiries)
+        record = records.record_by_key.get(key)
+        if record is not None and _is_lapsed(record, now=now):
+            records.kept_bytes -= record.kept_bytes
+            del records.record_by_key[key]
+
+
+def _advance(records: OnceRecords, now: float) -> float:
+    # A clock that is set back must not give an expired ticket its right again.
+    records.clock = max(records.clock, now)
+    return records.clock
+
+
+def _is_lapsed(record: OnceRecord, *, now: float) -> bool:
+    return record.state is not RecordState.RUNNING and record.expires_at <= now
+
+
+def _refusal_of_new(records: OnceRecords, ticket: Ticket, *, now: float) -> ErrorKind | None:
+    if ticket.expires_at <= now:
+        return ErrorKind.TICKET_EXPIRED
+    if ticket.expires_at <= records.burnt_until_by_kind.get(ticket.kind, float("-inf")):
+        return ErrorKind.TICKET_BURNT
+    if ticket.expires_at > now + MAX_TICKET_LIFETIME_S + CLOCK_BOUND_S:
+        return ErrorKind.BAD_REQUEST
+    return None
+
+
+def _repeat(record: OnceRecord, digest: bytes) -> OnceDecision:
+    if record.state is RecordState.BURNT:
+        return RefuseRun(ErrorKind.TICKET_BURNT)
+    if digest != record.digest:
+        return RefuseRun(ErrorKind.BAD_REQUEST)
+    if record.answer is None:
+        return RefuseRun(ErrorKind.STILL_RUNNING)
+    return RepeatAnswer(record.answer)
+
+
+def _burn_without_record(records: OnceRecords, ticket: Ticket) -> None:
+    # One mark burns every unseen ticket that expires no later, at no cost in memory. Tickets of
+    # one kind live about equally long, so those minted after this one pass.
+    burnt_until = records.burnt_until_by_kind.get(ticket.kind, float("-inf"))
+    records.burnt_until_by_kind[ticket.kind] = max(burnt_until, ticket.expires_at)
+
+
+def _add(records: OnceRecords, key: IdempotencyKey, record: OnceRecord) -> None:
+    records.record_by_key[key] = record
+    records.kept_bytes += record.kept_bytes
+
+
+def _resize(records: OnceRecords, record: OnceRecord, kept_bytes: int) -> None:
+    records.kept_bytes += kept_bytes - record.kept_bytes
+    record.kept_bytes = kept_bytes
+
+
+def _bytes_of(answer: StoredAnswer) -> int:
+    headers = sum(len(name) + len(value) + HEADER_BYTES for name, value in answer.headers)
+    return len(answer.body) + headers
--- /dev/null
+++ b/src/daisywharf/_outcomes/_resolution.py
@@ -0,0 +1,295 @@
+"""Bring one call to one end at its caller, whatever becomes of its link.
+
+A non-idempotent call is written once. When its answer is lost, the same gate is asked for the
+outcome over a new connection until the deadline; nothing is written again elsewhere unless the
+gate said that the call was not run and never will be.
+"""
+
+from enum import Enum
+from typing import Final
+
+import msgspec
+
+from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind, Ran
+from daisywharf._ids import Incarnation, RequestId, TargetId
+from daisywharf._outcomes._once import OnceDecision, RefuseRun, RepeatAnswer, RunNow, StoredAnswer
+from daisywharf._outcomes._ticket import Ticket, TicketKind
+
+RESOLVE_POLL_S: Final = 0.1
+RESOLVE_RETRY_S: Final = 0.2
+
+
+class CallPlan(msgspec.Struct, frozen=True):
+    """Describe one attempt of a call; an idempotent one has no ticket.
+
+    `is_first_use` tells that no copy under the ticket's key can have been sent before.
+    """
+
+    request_id: RequestId
+    target_id: TargetId
+    incarnation: Incarnation
+    ticket: Ticket | None = None
+    is_first_use: bool = True
+
+
+class CallSent(msgspec.Struct, frozen=True):
+    """Report that the call is about to be written to its link."""
+
+
+class ConnectFailed(msgspec.Struct, frozen=True):
+    """Report that no connection was made: nothing was written."""
+
+
+class LinkBroke(msgspec.Struct, frozen=True):
+    """Report that the link broke, or was closed as silent, while or after writing."""
+
+
+class AnswerArrived(msgspec.Struct, frozen=True):
+    """Report an answer frame; `body_bytes` is the length that its sender stated."""
+
+    request_id: RequestId
+    incarnation: Incarnation
+    answer: StoredAnswer
+    body_bytes: int
+
+
+class RefusalArrived(msgspec.Struct, frozen=True):
+    """Report that the gate refused the call before running it."""
+
+    request_id: RequestId
+    incarnation: Incarnation
+    kind: ErrorKind
+
+
+class Resolved(msgspec.Struct, frozen=True):
+    """Report what the gate said of the ticket on a new connection."""
+
+    ticket: Ticket
+    decision: OnceDecision
+    body_bytes: int = 0
+
+
+class ResolveFailed(msgspec.Struct, frozen=True):
+    """Report that the gate could not be asked, or that its word was lost."""
+
+
+class IncarnationGone(msgspec.Struct, frozen=True):
+    """Report that the target's process is known to have ended or restarted."""
+
+
+class DeadlinePassed(msgspec.Struct, frozen=True):
+    """Report that the call's deadline passed."""
+
+
+class CallerGone(msgspec.Struct, frozen=True):
+    """Report that the caller gave up."""
+
+
+CallEvent = (
+    CallSent
+    | ConnectFailed
+    | LinkBroke
+    | AnswerArrived
+    | RefusalArrived
+    | Resolved
+    | ResolveFailed
+    | IncarnationGone
+    | DeadlinePassed
+    | CallerGone
+)
+
+
+class Resolve(msgspec.Struct, frozen=True):
+    """Ask the ticket's gate for the outcome over a new connection, `after_s` from now."""
+
+    ticket: Ticket
+    after_s: float
+
+
+class Deliver(msgspec.Struct, frozen=True):
+    """Give the caller this whole answer."""
+
+    answer: StoredAnswer
+
+
+class Fail(msgspec.Struct, frozen=True):
+    """Give the caller an error; its kind tells whether the call was run."""
+
+    kind: ErrorKind
+
+
+class RetryElsewhere(msgspec.Struct, frozen=True):
+    """Start a new attempt at another target if the retry budget allows; else fail as said."""
+
+    otherwise: ErrorKind
+
+
+class CancelCall(msgspec.Struct, frozen=True):
+    """Tell the target that nobody waits for the answer."""
+
+
+CallAction = Resolve | Deliver | Fail | RetryElsewhere | CancelCall
+
+
+class CallPhase(Enum):
+    """Name how far one attempt has come."""
+
+    WAITING = "waiting"
+    RESOLVING = "resolving"
+    ENDED = "ended"
+
+
+class ResolutionState:
+    """Hold one attempt until its single end."""
+
+    def __init__(self, plan: CallPlan) -> None:
+        self.plan = plan
+        self.phase = CallPhase.WAITING
+        self.is_sent = False
+        self.is_running = False
+
+
+def resolution_step(state: ResolutionState, event: CallEvent) -> list[CallAction]:
+    """Decide what an event means; an attempt that ended takes no further event."""
+    if state.phase is CallPhase.ENDED:
+        return []
+    match event:
+        case CallSent():
+            state.is_sent = True
+            return []
+        case AnswerArrived():
+            return _answered(state, event)
+        case RefusalArrived():
+            return _refused(state, event)
+        case Resolved():
+            return _resolved(state, event)
+        case _:
+            return _without_answer(state, event)
+
+
+def _without_answer(state: ResolutionState, event: CallEvent) -> list[CallAction]:
+    match event:
+        case ConnectFailed():
+            return _connect_failed(state)
+        case LinkBroke():
+            return _start_resolving(state, ErrorKind.CONNECT_FAILED)
+        case ResolveFailed():
+            state.is_running = False
+            return _ask_again(state, RESOLVE_RETRY_S)
+        case IncarnationGone():
+            return _gone(state)
+        case DeadlinePassed():
+            return _deadline_passed(state)
+    state.phase = CallPhase.ENDED
+    return [CancelCall()] if state.is_sent else []
+
+
+def _answered(state: ResolutionState, event: AnswerArrived) -> list[CallAction]:
+    if not _is_mine(state, event.request_id, event.incarnation):
+        return []
+    if len(event.answer.body) != event.body_bytes:
+        return _start_resolving(state, ErrorKind.CUT_ANSWER)
+    return _end(state, Deliver(event.answer))
+
+
+def _refused(state: ResolutionState, event: RefusalArrived) -> list[CallAction]:
+    is_successor = event.kind is ErrorKind.WRONG_INCARNATION
+    incarnation = state.plan.incarnation if is_successor else event.incarnation
+    if not _is_mine(state, event.request_id, incarnation):
+        return []
+    if event.kind is ErrorKind.STILL_RUNNING:
+        return _start_resolving(state, event.kind)
+    return _not_run(state, event.kind)
+
+
+def _resolved(state: ResolutionState, event: Resolved) -> list[CallAction]:
+    if event.ticket != state.plan.ticket or state.phase is not CallPhase.RESOLVING:
+        return []
+    match event.decision:
+        case RepeatAnswer(answer):
+            if len(answer.body) != event.body_bytes:
+                return _ask_again(state, RESOLVE_RETRY_S)
+            return _end(state, Deliver(answer))
+        case RefuseRun(ErrorKind.STILL_RUNNING):
+            state.is_running = True
+            return _ask_again(state, RESOLVE_POLL_S)
+        case RefuseRun(ErrorKind.TICKET_BURNT):
+            return _not_run(state, ErrorKind.TICKET_BURNT)
+        case RefuseRun() | RunNow():
+            return _end(state, Fail(ErrorKind.OUTCOME_UNKNOWN))
+
+
+def _not_run(state: ResolutionState, kind: ErrorKind) -> list[CallAction]:
+    ticket = state.plan.ticket
+    answer = ANSWERS_BY_KIND[kind]
+    if ticket is None:
+        return _end(state, RetryElsewhere(kind) if answer.retryable else Fail(kind))
+    if answer.ran is not Ran.NO:
+        return _end(state, Fail(kind if answer.ran is Ran.YES else ErrorKind.OUTCOME_UNKNOWN))
+    if ticket.kind is TicketKind.SINGLE_USE:
+        if kind is ErrorKind.TICKET_BURNT:
+            # The caller never saw the ticket, so its end is told as what led to it.
+            return _end(state, RetryElsewhere(ErrorKind.CONNECT_FAILED))
+        return _end(state, RetryElsewhere(kind) if answer.retryable else Fail(kind))
+    if kind is ErrorKind.WRONG_INCARNATION and not state.plan.is_first_use:
+        # An earlier copy may have run at the incarnation that the key names.
+        return _end(state, Fail(ErrorKind.OUTCOME_UNKNOWN))
+    return _end(state, Fail(kind))
+
+
+def _connect_failed(state: ResolutionState) -> list[CallAction]:
+    if state.is_sent:
+        return _start_resolving(state, ErrorKind.CONNECT_FAILED)
+    ticket = state.plan.ticket
+    if ticket is None or ticket.kind is TicketKind.SINGLE_USE:
+        return _end(state, RetryElsewhere(ErrorKind.CONNECT_FAILED))
+    return _end(state, Fail(_unsent_kind(state, ErrorKind.CONNECT_FAILED)))
+
+
+def _start_resolving(state: ResolutionState, kind: ErrorKind) -> list[CallAction]:
+    ticket = state.plan.ticket
+    if ticket is None:
+        return _end(state, RetryElsewhere(kind))
+    if not state.is_sent:
+        return _connect_failed(state)
+    if state.phase is CallPhase.RESOLVING:
+        return []
+    state.phase = CallPhase.RESOLVING
+    return [Resolve(ticket, 0.0)]
+
+
+def _ask_again(state: ResolutionState, after_s: float) -> list[CallAction]:
+    ticket = state.plan.ticket
+    if ticket is None or state.phase is not CallPhase.RESOLVING:
+        return []
+    return [Resolve(ticket, after_s)]
+
+
+def _gone(state: ResolutionState) -> list[CallAction]:
+    if not state.is_sent:
+        return _connect_failed(state)
+    if state.plan.ticket is None:
+        return _end(state, RetryElsewhere(ErrorKind.CONNECT_FAILED))
+    return _end(state, Fail(ErrorKind.OUTCOME_UNKNOWN))
+
+
+def _deadline_passed(state: ResolutionState) -> list[CallAction]:
+    if not state.is_sent:
+        return _end(state, Fail(_unsent_kind(state, ErrorKind.TOO_LATE)))
+    is_lost = state.phase is CallPhase.RESOLVING and not state.is_running
+    return _end(state, Fail(ErrorKind.OUTCOME_UNKNOWN if is_lost else ErrorKind.TIMED_OUT))
+
+
+def _unsent_kind(state: ResolutionState, kind: ErrorKind) -> ErrorKind:
+    # A key's earlier attempt may have run, though this one wrote nothing.
+    return kind if state.plan.is_first_use else ErrorKind.OUTCOME_UNKNOWN
+
+
+def _end(state: ResolutionState, action: CallAction) -> list[CallAction]:
+    state.phase = CallPhase.ENDED
+    return [action]
+
+
+def _is_mine(state: ResolutionState, request_id: RequestId, incarnation: Incarnation) -> bool:
+    plan = state.plan
+    return (request_id, incarnation) == (plan.request_id, plan.incarnation)
--- /dev/null
+++ b/src/daisywharf/_outcomes/_stopping.py
@@ -0,0 +1,106 @@
+"""Stop a gate without cutting off a call: refuse, finish, hand back, leave."""
+
+from enum import Enum
+from typing import Final
+
+import msgspec
+
+from daisywharf._errors import ErrorKind
+from daisywharf._overload._admission import CallId
+
+LINGER_S: Final = 3.0
+FINISH_GRACE_S: Final = 5.0
+
+
+class StoppingPhase(Enum):
+    """Name the phases of a gate's life."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    LEFT = "left"
+
+
+class Withdraw(msgspec.Struct, frozen=True):
+    """Tell the fleet that this target takes no new work."""
+
+
+class HandBack(msgspec.Struct, frozen=True):
+    """Answer a queued call now: it was not run."""
+
+    call_id: CallId
+    kind: ErrorKind
+
+
+class LeaveFleet(msgspec.Struct, frozen=True):
+    """Tell the fleet that this process goes, close its links and exit with status 0."""
+
+
+StoppingAction = Withdraw | HandBack | LeaveFleet
+
+
+class StoppingState:
+    """Hold the calls of one gate until they are answered."""
+
+    def __init__(self, *, linger_s: float = LINGER_S) -> None:
+        self.linger_s = linger_s
+        self.phase = StoppingPhase.SERVING
+        self.deadline_by_queued: dict[CallId, float] = {}
+        self.deadline_by_running: dict[CallId, float] = {}
+        self.order_answered_at = float("-inf")
+
+
+def take_call(state: StoppingState, call_id: CallId, *, deadline: float) -> ErrorKind | None:
+    """Take a call that arrives, or return why it is refused; it was not run then."""
+    if state.phase is not StoppingPhase.SERVING:
+        return ErrorKind.DRAINING
+    state.deadline_by_queued[call_id] = deadline
+    return None
+
+
+def start_call(state: StoppingState, call_id: CallId, *, now: float) -> ErrorKind | None:
+    """Let a queued call run, or return why it must not; ask right before the run."""
+    deadline = state.deadline_by_queued.pop(call_id, None)
+    if deadline is None:
+        return ErrorKind.DRAINING
+    if deadline <= now:
+        return ErrorKind.TOO_LATE
+    state.deadline_by_running[call_id] = deadline
+    return None
+
+
+def drop_call(state: StoppingState, call_id: CallId) -> None:
+    """Forget a queued call that was answered without a run."""
+    state.deadline_by_queued.pop(call_id, None)
+
+
+def call_answered(state: StoppingState, call_id: CallId, *, now: float, is_order: bool) -> None:
+    """Note that a call's whole answer was written to its link."""
+    state.deadline_by_running.pop(call_id, None)
+    if is_order:
+        state.order_answered_at = now
+
+
+def start_stopping(state: StoppingState, *, now: float) -> list[StoppingAction]:
+    """Stop taking calls and hand back those that wait; a second request changes nothing."""
+    if state.phase is not StoppingPhase.SERVING:
+        return []
+    state.phase = StoppingPhase.DRAINING
+    actions: list[StoppingAction] = [Withdraw()]
+    actions.extend(HandBack(call_id, ErrorKind.DRAINING) for call_id in state.deadline_by_queued)
+    state.deadline_by_queued.clear()
+    return actions
+
+
+def stopping_tick(state: StoppingState, *, now: float) -> list[StoppingAction]:
+    """Leave once nothing is in flight; call every 100 ms.
+
+    The gate lingers after an order's answer, so that a caller whose link lost it can ask again.
+    """
+    if state.phase is not StoppingPhase.DRAINING:
+        return []
+    if any(now < deadline + FINISH_GRACE_S for deadline in state.deadline_by_running.values()):
+        return []
+    if now < state.order_answered_at + state.linger_s:
+        return []
+    state.phase = StoppingPhase.LEFT
+    return [LeaveFleet()]
--- a/src/daisywharf/_outcomes/_ticket.py
+++ b/src/daisywharf/_outcomes/_ticket.py
@@ -1,34 +1,72 @@
 """The ticket that names the one target incarnation that may run a non-idempotent call."""
 
+import math
+from enum import Enum
+from random import Random
+from typing import Final
+
 import msgspec
 
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import IdempotencyKey, Incarnation, TargetId
 
+CLOCK_BOUND_S: Final = 2.0
+TICKET_GRACE_S: Final = 10.0
+KEY_LIFETIME_S: Final = 600.0
+MAX_TICKET_LIFETIME_S: Final = 3_600.0
+KEY_RANDOM_BITS: Final = 128
+CALLER_KEY_PREFIX: Final = "k."
+
+
+class TicketKind(Enum):
+    """Tell a ticket that only its entry knows from one of a key that a caller can repeat."""
+
+    SINGLE_USE = "single-use"
+    CALLER_KEY = "caller-key"
+
 
 class Ticket(msgspec.Struct, frozen=True):
-    """Name a key, the incarnation that may run it, and the seconds until it expires."""
+    """Name a key, the incarnation that may run it, and when it expires.
+
+    `expires_at` is in seconds since 1970. A time left instead would stand still while a message
+    or a process is held up, and a late copy would outlive the gate's record of the first run.
+    """
 
     key: IdempotencyKey
     target_id: TargetId
     incarnation: Incarnation
-    seconds_left: float
+    expires_at: float
+
+    @property
+    def kind(self) -> TicketKind:
+        """Return who can send this ticket again."""
+        is_caller_key = self.key.startswith(CALLER_KEY_PREFIX)
+        return TicketKind.CALLER_KEY if is_caller_key else TicketKind.SINGLE_USE
 
     def to_header(self) -> str:
         """Write the ticket as a header value."""
-        return f"{self.target_id};{self.incarnation};{self.seconds_left:.3f};{self.key}"
+        return f"{self.target_id};{self.incarnation};{self.expires_at:.3f};{self.key}"
+
+
+def mint_ticket(
+    target_id: TargetId, incarnation: Incarnation, *, deadline: float, rng: Random
+) -> Ticket:
+    """Mint a ticket for one call; `deadline` is in seconds since 1970."""
+    key = IdempotencyKey(f"{rng.getrandbits(KEY_RANDOM_BITS):032x}")
+    expires_at = deadline + 2 * CLOCK_BOUND_S + TICKET_GRACE_S
+    return Ticket(key, target_id, incarnation, round(expires_at, 3))
 
 
 def ticket_from_header(text: str) -> Ticket:
     """Read a ticket; raise `RequestError` (bad request) on a malformed one."""
     try:
-        target_id, incarnation, seconds_left, key = text.split(";", 3)
+        target_id, incarnation, expires_at_text, key = text.split(";", 3)
+        expires_at = float(expires_at_text)
+        if not math.isfinite(expires_at) or not key:
+            raise ValueError(text)
         return Ticket(
-            IdempotencyKey(key),
-            TargetId(target_id),
-            Incarnation(int(incarnation)),
-            float(seconds_left),
+            IdempotencyKey(key), TargetId(target_id), Incarnation(int(incarnation)), expires_at
         )
     except ValueError as error:
-        message = f"ticket {text[:80]!r} is malformed; send target;incarnation;seconds;key"
+        message = f"ticket {text[:80]!r} is malformed; send target;incarnation;expiry;key"
         raise RequestError(ErrorKind.BAD_REQUEST, message) from error
--- /dev/null
+++ b/tests/builders_outcomes.py
@@ -0,0 +1,168 @@
+"""Builders of orders, gates and a network that loses, repeats and reorders."""
+
+from collections import Counter
+from random import Random
+
+import msgspec
+
+from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind, Ran
+from daisywharf._ids import IdempotencyKey, Incarnation, RequestId, TargetId
+from daisywharf._outcomes import _once, _resolution
+from daisywharf._outcomes._once import OnceRecords, RefuseRun, RepeatAnswer, RunNow, StoredAnswer
+from daisywharf._outcomes._resolution import CallPlan, ResolutionState
+from daisywharf._outcomes._ticket import Ticket, mint_ticket
+
+TARGETS = (TargetId("orders-1"), TargetId("orders-2"))
+START = 1_800_000_000.0
+DEADLINE_S = 2.0
+ATTEMPTS = 3
+
+
+def answer_of(order: int) -> StoredAnswer:
+    """Build the only right answer to an order."""
+    return StoredAnswer(200, (), f"answer to order {order}".encode())
+
+
+def ticket(key: str = "a", *, expires_in: float = 10.0, incarnation: int = 1) -> Ticket:
+    """Build a ticket for the first target."""
+    return Ticket(IdempotencyKey(key), TARGETS[0], Incarnation(incarnation), START + expires_in)
+
+
+class Gate:
+    """Hold one target's gate: its clock's offset, its records and what it runs."""
+
+    def __init__(self, target_id: TargetId, incarnation: int, *, max_bytes: int) -> None:
+        self.clock_offset = 0.0
+        self.max_bytes = max_bytes
+        self.running: list[Message] = []
+        self.records = OnceRecords(
+            target_id=target_id, incarnation=Incarnation(incarnation), max_bytes=max_bytes
+        )
+
+
+class Attempt(msgspec.Struct, eq=False):
+    """Hold one attempt of an order."""
+
+    order: int
+    state: ResolutionState
+    ticket: Ticket
+
+
+class Message(msgspec.Struct, eq=False):
+    """Hold a call or a resolve on its way to a gate's incarnation."""
+
+    attempt: Attempt
+    is_resolve: bool
+
+
+class Reply(msgspec.Struct, eq=False):
+    """Hold what a gate said on its way to an attempt."""
+
+    attempt: Attempt
+    event: _resolution.CallEvent
+
+
+class OrderWorld:
+    """Hold orders, gates and messages; nothing sent is ever used up, so all may come again."""
+
+    def __init__(self, *, max_bytes: int = 4_194_304) -> None:
+        self.now = START
+        self.rng = Random(1)
+        self.gate_by_id = {name: Gate(name, 1, max_bytes=max_bytes) for name in TARGETS}
+        self.attempts: list[Attempt] = []
+        self.messages: list[Message] = []
+        self.replies: list[Reply] = []
+        self.runs_by_order: Counter[int] = Counter()
+        self.ends_by_order: Counter[int] = Counter()
+        self.not_run: set[int] = set()
+        self.delivered: list[tuple[int, StoredAnswer]] = []
+
+    def place(self, order: int) -> None:
+        """Send an order's next attempt to the target that its number names."""
+        tries = sum(attempt.order == order for attempt in self.attempts)
+        target_id = TARGETS[(order + tries) % len(TARGETS)]
+        incarnation = self.gate_by_id[target_id].records.incarnation
+        minted = mint_ticket(target_id, incarnation, deadline=self.now + DEADLINE_S, rng=self.rng)
+        plan = CallPlan(RequestId(f"r{order}"), target_id, incarnation, minted)
+        attempt = Attempt(order, ResolutionState(plan), minted)
+        self.attempts.append(attempt)
+        self.event(attempt, _resolution.CallSent())
+        self.messages.append(Message(attempt, is_resolve=False))
+
+    def event(self, attempt: Attempt, event: _resolution.CallEvent) -> None:
+        """Feed an event to an attempt and carry out what it decides."""
+        for action in _resolution.resolution_step(attempt.state, event):
+            self._act(attempt, action)
+
+    def _act(self, attempt: Attempt, action: _resolution.CallAction) -> None:
+        match action:
+            case _resolution.Resolve():
+                self.messages.append(Message(attempt, is_resolve=True))
+            case _resolution.Deliver(answer):
+                self.delivered.append((attempt.order, answer))
+                self.ends_by_order[attempt.order] += 1
+            case _resolution.Fail(kind):
+                self._fail(attempt.order, kind)
+            case _resolution.RetryElsewhere(otherwise):
+                tries = sum(other.order == attempt.order for other in self.attempts)
+                if tries < ATTEMPTS:
+                    self.place(attempt.order)
+                else:
+                    self._fail(attempt.order, otherwise)
+
+    def _fail(self, order: int, kind: ErrorKind) -> None:
+        self.ends_by_order[order] += 1
+        if ANSWERS_BY_KIND[kind].ran is Ran.NO:
+            self.not_run.add(order)
+
+    def arrive(self, message: Message, *, is_shed: bool = False) -> None:
+        """Let a message reach its target's gate, whichever incarnation that has now."""
+        gate = self.gate_by_id[message.attempt.ticket.target_id]
+        now = self.now + gate.clock_offset
+        decide = _once.resolve if message.is_resolve else _once.begin
+        decision = decide(gate.records, message.attempt.ticket, now=now)
+        if isinstance(decision, RunNow) and not message.is_resolve:
+            if is_shed:
+                _once.release(gate.records, message.attempt.ticket.key, now=now)
+                decision = RefuseRun(ErrorKind.SHED)
+            else:
+                self.runs_by_order[message.attempt.order] += 1
+                gate.running.append(message)
+                return
+        self._reply(message, decision, gate)
+
+    def finish(self, gate: Gate) -> None:
+        """End the run that a gate began first."""
+        message = gate.running.pop(0)
+        answer = answer_of(message.attempt.order)
+        now = self.now + gate.clock_offset
+        _once.complete(gate.records, message.attempt.ticket.key, answer, now=now)
+        self._reply(message, RepeatAnswer(answer), gate)
+
+    def restart(self, gate: Gate) -> None:
+        """Replace a gate by its next incarnation, which knows nothing."""
+        name, incarnation = gate.records.target_id, gate.records.incarnation
+        self.gate_by_id[name] = Gate(name, incarnation + 1, max_bytes=gate.max_bytes)
+
+    def _reply(self, message: Message, decision: _once.OnceDecision, gate: Gate) -> None:
+        attempt = message.attempt
+        request_id, incarnation = attempt.state.plan.request_id, gate.records.incarnation
+        event: _resolution.CallEvent
+        if message.is_resolve:
+            size = len(decision.answer.body) if isinstance(decision, RepeatAnswer) else 0
+            event = _resolution.Resolved(attempt.ticket, decision, size)
+        elif isinstance(decision, RepeatAnswer):
+            size = len(decision.answer.body)
+            event = _resolution.AnswerArrived(request_id, incarnation, decision.answer, size)
+        else:
+            assert isinstance(decision, RefuseRun)
+            event = _resolution.RefusalArrived(request_id, incarnation, decision.kind)
+        self.replies.append(Reply(attempt, event))
+
+
+def cut(event: _resolution.CallEvent) -> _resolution.CallEvent:
+    """Cut an answer short while its stated length stays."""
+    if isinstance(event, _resolution.AnswerArrived):
+        body = event.answer.body[:-1]
+        return msgspec.structs.replace(event, answer=StoredAnswer(200, (), body))
+    return event
