Ask for an order's outcome through the resolution's state machine

Cause: a restarted target's refusal could end a resolve as not run, and tickets held a relative expiry. Change: records count time since 1970, and only a burnt ticket is retried elsewhere.

--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -42,6 +42,7 @@
         incarnation: int,
         slots: int,
         clock: Clock = time.monotonic,
+        wall_clock: Clock = time.time,
     ) -> None:
         self.target_id = TargetId(target_id)
         self.incarnation = Incarnation(incarnation)
@@ -49,7 +50,7 @@
         self._clock = clock
         self._admission = GateAdmission(AdmissionState(slots=slots), clock=clock)
         records = OnceRecords(target_id=self.target_id, incarnation=self.incarnation)
-        self._records = GateRecords(records, clock=clock)
+        self._records = GateRecords(records, clock=wall_clock)
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Answer one call; each failure is an answer with its kind."""
--- a/src/daisywharf/_call/_gate_once.py
+++ b/src/daisywharf/_call/_gate_once.py
@@ -25,7 +25,7 @@
 
 
 class GateRecords:
-    """Hold a gate's records of tickets and the lock that guards them."""
+    """Hold a gate's records of tickets and their lock; `clock` tells seconds since 1970."""
 
     def __init__(self, records: OnceRecords, *, clock: Callable[[], float]) -> None:
         self.records = records
@@ -61,7 +61,7 @@
 
 
 def give_up_run(gate: GateRecords, ticket: Ticket) -> None:
-    """Forget a ticket whose call was refused before it was run."""
+    """Burn a ticket whose call was refused before it was run."""
     with gate.lock:
         release(gate.records, ticket.key, now=gate.clock())
 
--- a/src/daisywharf/_call/_resolving.py
+++ b/src/daisywharf/_call/_resolving.py
@@ -1,27 +1,45 @@
 """Find out over a new connection how a call under a ticket ended."""
 
 import time
-from secrets import token_hex
+from random import SystemRandom
 from typing import Final
 
-from daisywharf._call._exchange import CallReply, CallRequest
+from daisywharf._call._exchange import CallReply, CallRequest, error_in
 from daisywharf._call._parties import CallerState
 from daisywharf._call._transport import RESOLVE_PATH
-from daisywharf._context import ERROR_KIND, TICKET
-from daisywharf._errors import ErrorKind, RequestError
-from daisywharf._ids import IdempotencyKey
-from daisywharf._outcomes._ticket import Ticket
+from daisywharf._context import TICKET
+from daisywharf._errors import ErrorKind, Ran, RequestError
+from daisywharf._outcomes._once import RefuseRun, RepeatAnswer, StoredAnswer
+from daisywharf._outcomes._resolution import (
+    CallAction,
+    CallEvent,
+    CallPlan,
+    CallSent,
+    DeadlinePassed,
+    Deliver,
+    Fail,
+    LinkBroke,
+    ResolutionState,
+    Resolve,
+    Resolved,
+    ResolveFailed,
+    RetryElsewhere,
+    resolution_step,
+)
+from daisywharf._outcomes._ticket import Ticket, mint_ticket
 from daisywharf._topology import Target
 
-TICKET_GRACE_S: Final = 60.0
-RESOLVE_PERIOD_S: Final = 0.05
+_RANDOM: Final = SystemRandom()
 
 
 def new_ticket(request: CallRequest, target: Target, *, now: float) -> Ticket:
     """Name the one incarnation that may run this call, until some time past its deadline."""
-    key = request.context.key or IdempotencyKey(token_hex(12))
-    seconds_left = request.context.deadline - now + TICKET_GRACE_S
-    return Ticket(key, target.target_id, target.incarnation, seconds_left)
+    deadline = time.time() + request.context.deadline - now
+    ticket = mint_ticket(target.target_id, target.incarnation, deadline=deadline, rng=_RANDOM)
+    key = request.context.key
+    if key is None:
+        return ticket
+    return Ticket(key, ticket.target_id, ticket.incarnation, ticket.expires_at)
 
 
 def resolve_outcome(
@@ -29,19 +47,53 @@
 ) -> CallReply:
     """Ask the ticket's gate until it knows, or until the deadline; never run elsewhere.
 
-    Raise `RequestError`: ticket burnt (it was not run and never will be), or outcome unknown.
+    Raise `RequestError`: connect failed (it was not run and never will be), or outcome unknown.
     """
+    plan = CallPlan(request.context.request_id, target.target_id, target.incarnation, ticket)
+    resolution = ResolutionState(plan)
+    resolution_step(resolution, CallSent())
+    action = _step(resolution, LinkBroke())
+    while isinstance(action, Resolve):
+        time_left_s = request.context.deadline - state.clock()
+        time.sleep(max(0.0, min(action.after_s, time_left_s)))
+        action = _step(resolution, _ask(state, target, request, ticket))
+    return _end(action, target, ticket, cause)
+
+
+def _step(resolution: ResolutionState, event: CallEvent) -> CallAction:
+    (action,) = resolution_step(resolution, event)
+    return action
+
+
+def _ask(state: CallerState, target: Target, request: CallRequest, ticket: Ticket) -> CallEvent:
+    now = state.clock()
+    if now >= request.context.deadline:
+        return DeadlinePassed()
     asking = CallRequest(request.service, "POST", RESOLVE_PATH, request.context)
     headers = {TICKET: ticket.to_header()}
-    now = state.clock()
-    while now < request.context.deadline:
-        try:
-            reply = state.send(target, asking, extra_headers=headers, now=now)
-        except RequestError:
-            reply = None
-        if reply is not None and reply.headers.get(ERROR_KIND) != ErrorKind.STILL_RUNNING.value:
-            return reply
-        time.sleep(RESOLVE_PERIOD_S)
-        now = state.clock()
-    message = f"order {ticket.key} at {target.target_id}: outcome unknown after {cause}; look it up"
-    raise RequestError(ErrorKind.OUTCOME_UNKNOWN, message) from cause
+    try:
+        reply = state.send(target, asking, extra_headers=headers, now=now)
+    except RequestError:
+        return ResolveFailed()
+    error = error_in(reply)
+    if error is not None and (error.answer.ran is not Ran.YES or _is_running(error)):
+        return Resolved(ticket, RefuseRun(error.kind))
+    answer = StoredAnswer(reply.status, tuple(reply.headers.items()), reply.body)
+    return Resolved(ticket, RepeatAnswer(answer), len(answer.body))
+
+
+def _is_running(error: RequestError) -> bool:
+    return error.kind is ErrorKind.STILL_RUNNING
+
+
+def _end(action: CallAction, target: Target, ticket: Ticket, cause: RequestError) -> CallReply:
+    if isinstance(action, Deliver):
+        answer = action.answer
+        return CallReply(answer.status, dict(answer.headers), answer.body)
+    kind = ErrorKind.OUTCOME_UNKNOWN
+    if isinstance(action, Fail):
+        kind = action.kind
+    elif isinstance(action, RetryElsewhere):
+        kind = action.otherwise
+    message = f"order {ticket.key} at {target.target_id}: {kind.value} after {cause}; look it up"
+    raise RequestError(kind, message) from cause
