--- /dev/null
+++ b/benchmarks/_outcomes_entry.py
@@ -0,0 +1,264 @@
+"""An entry: the real link and resolution state around a fake network."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from benchmarks._outcomes_clock import Node, VirtualClock
+from benchmarks._outcomes_network import Channel, Network
+from benchmarks._outcomes_target import Answer, Call, TargetNode
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import Incarnation, RequestId, TargetId
+from daisywharf._outcomes import _resolution
+from daisywharf._outcomes._link import (
+    CloseLink,
+    LinkAction,
+    LinkState,
+    SendHeartbeat,
+    TryNewConnection,
+    link_tick,
+    note_frame,
+    note_probe_answered,
+)
+from daisywharf._outcomes._once import OnceDecision, RefuseRun, RepeatAnswer, StoredAnswer
+from daisywharf._outcomes._resolution import CallPlan, ResolutionState, resolution_step
+
+TICK_S = 0.1
+CONNECT_S = 0.001
+CONNECT_TIMEOUT_S = 0.5
+RESOLVE_TIMEOUT_S = 0.5
+SUSPECT_S = 2.0
+
+Ended = Callable[["Sending", _resolution.CallAction], None]
+
+
+class Link:
+    """Hold a link's channel, its liveness and the calls that are out on it."""
+
+    def __init__(self, channel: Channel, target: TargetNode, *, now: float) -> None:
+        self.channel = channel
+        self.target = target
+        self.state = LinkState(now=now)
+        self.calls_out: dict[int, Sending] = {}
+
+
+class Sending(msgspec.Struct, eq=False):
+    """Hold one attempt at one target."""
+
+    call: Call
+    state: ResolutionState
+    ended: Ended
+    sent_at: float
+    number: int = 0
+    link: Link | None = None
+    was_resolved: bool = False
+
+
+class EntryNode(Node):
+    """Hold one entry's links."""
+
+    def __init__(
+        self,
+        clock: VirtualClock,
+        name: str,
+        zone: int,
+        *,
+        network: Network,
+        target_by_id: dict[TargetId, TargetNode],
+    ) -> None:
+        super().__init__(clock, name, zone)
+        self.network = network
+        self.target_by_id = target_by_id
+        self.link_by_target: dict[TargetId, Link] = {}
+        self.suspect_until_by_target: dict[TargetId, float] = {}
+        self.sendings = 0
+        self.after(TICK_S, self._tick)
+
+    def send(self, call: Call, *, is_first_use: bool, ended: Ended) -> Sending:
+        """Send a call under its ticket; `ended` is told its one end."""
+        ticket = call.ticket
+        request_id = RequestId(f"r{call.attempt.order}")
+        plan = CallPlan(request_id, ticket.target_id, ticket.incarnation, ticket, is_first_use)
+        self.sendings += 1
+        state = ResolutionState(plan)
+        sending = Sending(call, state, ended, self.clock.now, self.sendings)
+        time_left_s = call.deadline - self.clock.now
+        if time_left_s <= 0.0:
+            self._event(sending, _resolution.DeadlinePassed())
+            return sending
+        self.after(time_left_s, lambda: self._event(sending, _resolution.DeadlinePassed()))
+        self._connect(sending)
+        return sending
+
+    def give_up(self, sending: Sending) -> None:
+        """Let the caller go."""
+        self._event(sending, _resolution.CallerGone())
+
+    def _connect(self, sending: Sending) -> None:
+        target_id = sending.call.ticket.target_id
+        link = self.link_by_target.get(target_id)
+        if link is not None and not link.state.is_closed:
+            self._write(sending, link)
+            return
+        target = self.target_by_id[target_id]
+        if self.network.is_cut(self, target) or target.is_stopped or target.is_gone:
+            self._suspect(target_id)
+            failed = _resolution.ConnectFailed()
+            self.after(CONNECT_TIMEOUT_S, lambda: self._event(sending, failed))
+            return
+        self.after(CONNECT_S, lambda: self._write(sending, self._open(target)))
+
+    def _open(self, target: TargetNode) -> Link:
+        link = self.link_by_target.get(target.target_id)
+        if link is not None and not link.state.is_closed:
+            return link
+        channel = Channel(self, target)
+        opened = Link(channel, target, now=self.clock.now)
+        channel.break_hooks.append(lambda: self._drop(opened))
+        self.link_by_target[target.target_id] = opened
+        return opened
+
+    def _write(self, sending: Sending, link: Link) -> None:
+        if sending.state.phase is _resolution.CallPhase.ENDED:
+            return
+        if sending.call.deadline <= self.clock.now:
+            # The process was stopped since the last look at the clock.
+            self._event(sending, _resolution.DeadlinePassed())
+            return
+        if link.target.incarnation != sending.call.ticket.incarnation:
+            # The peer's greeting names its incarnation, so nothing is written to another.
+            self._event(sending, _resolution.ConnectFailed())
+            return
+        self._event(sending, _resolution.CallSent())
+        sending.link = link
+        link.calls_out[sending.number] = sending
+        answer = self._answer_on(link, sending)
+        self.network.send(link.channel, lambda: link.target.call(sending.call, answer))
+
+    def _answer_on(self, link: Link, sending: Sending) -> Answer:
+        def answer(decision: OnceDecision) -> None:
+            incarnation = link.target.incarnation
+            self.network.reply(
+                link.channel,
+                lambda is_cut: self._reply_arrived(
+                    link, sending, _reply_event(sending, incarnation, decision, is_cut)
+                ),
+            )
+
+        return answer
+
+    def _reply_arrived(self, link: Link, sending: Sending, event: _resolution.CallEvent) -> None:
+        if link.channel.is_broken:
+            return
+        self._note(link)
+        if self.network.rng.random() < self.network.rates.mix_up:
+            for other in list(link.calls_out.values()):
+                self._event(other, event)
+        self._event(sending, event)
+
+    def _event(self, sending: Sending, event: _resolution.CallEvent) -> None:
+        for action in resolution_step(sending.state, event):
+            if isinstance(action, _resolution.Resolve):
+                sending.was_resolved = True
+                self.after(action.after_s, lambda: self._resolve(sending))
+            else:
+                if sending.link is not None:
+                    sending.link.calls_out.pop(sending.number, None)
+                sending.ended(sending, action)
+
+    def _resolve(self, sending: Sending) -> None:
+        if sending.state.phase is _resolution.CallPhase.ENDED:
+            return
+        ticket = sending.call.ticket
+        target = self.target_by_id[ticket.target_id]
+        channel = Channel(self, target)
+        is_open = [True]
+
+        def answered(event: _resolution.CallEvent) -> None:
+            if is_open[0]:
+                is_open[0] = False
+                self._event(sending, event)
+
+        def answer(decision: OnceDecision) -> None:
+            self.network.reply(
+                channel, lambda is_cut: answered(_resolved_event(sending, decision, is_cut))
+            )
+
+        self.after(RESOLVE_TIMEOUT_S, lambda: answered(_resolution.ResolveFailed()))
+        if self.network.is_cut(self, target) or target.is_gone:
+            self._suspect(ticket.target_id)
+        else:
+            self.network.send(channel, lambda: target.resolve(ticket, answer))
+
+    def _tick(self) -> None:
+        for link in list(self.link_by_target.values()):
+            actions = link_tick(link.state, now=self.clock.now, calls_out=len(link.calls_out))
+            self._do(link, actions)
+        self.after(TICK_S, self._tick)
+
+    def _do(self, link: Link, actions: list[LinkAction]) -> None:
+        for action in actions:
+            match action:
+                case SendHeartbeat():
+                    self.network.send(link.channel, lambda: self._echo(link))
+                case TryNewConnection():
+                    self._probe(link)
+                case CloseLink():
+                    self._drop(link)
+
+    def _echo(self, link: Link) -> None:
+        if not link.target.is_gone:
+            self.network.reply(link.channel, lambda _is_cut: self._note(link))
+
+    def _note(self, link: Link) -> None:
+        note_frame(link.state, now=self.clock.now)
+
+    def _probe(self, link: Link) -> None:
+        target = self.target_by_id[link.target.target_id]
+        if self.network.is_cut(self, target) or target.is_gone:
+            return
+        channel = Channel(self, target)
+
+        def greeted(_is_cut: bool) -> None:
+            self._do(link, note_probe_answered(link.state, now=self.clock.now))
+
+        self.network.send(channel, lambda: self.network.reply(channel, greeted))
+
+    def _drop(self, link: Link) -> None:
+        link.state.is_closed = True
+        link.channel.is_broken = True
+        if self.link_by_target.get(link.target.target_id) is link:
+            del self.link_by_target[link.target.target_id]
+        self._suspect(link.target.target_id)
+        for sending in list(link.calls_out.values()):
+            self._event(sending, _resolution.LinkBroke())
+
+    def _suspect(self, target_id: TargetId) -> None:
+        self.suspect_until_by_target[target_id] = self.clock.now + SUSPECT_S
+
+
+def _cut(answer: StoredAnswer, is_cut: bool) -> StoredAnswer:
+    body = answer.body[: len(answer.body) // 2] if is_cut else answer.body
+    return StoredAnswer(answer.status, answer.headers, body)
+
+
+def _reply_event(
+    sending: Sending, incarnation: Incarnation, decision: OnceDecision, is_cut: bool
+) -> _resolution.CallEvent:
+    plan = sending.state.plan
+    if isinstance(decision, RepeatAnswer):
+        answer = _cut(decision.answer, is_cut)
+        size = len(decision.answer.body)
+        return _resolution.AnswerArrived(plan.request_id, incarnation, answer, size)
+    kind = decision.kind if isinstance(decision, RefuseRun) else ErrorKind.INTERNAL
+    return _resolution.RefusalArrived(plan.request_id, incarnation, kind)
+
+
+def _resolved_event(
+    sending: Sending, decision: OnceDecision, is_cut: bool
+) -> _resolution.CallEvent:
+    ticket = sending.call.ticket
+    if isinstance(decision, RepeatAnswer):
+        size = len(decision.answer.body)
+        return _resolution.Resolved(ticket, RepeatAnswer(_cut(decision.answer, is_cut)), size)
+    return _resolution.Resolved(ticket, decision)
--- /dev/null
+++ b/benchmarks/_outcomes_ledger.py
@@ -0,0 +1,91 @@
+"""What the targets ran and what the callers were told, counted apart from the state under test."""
+
+from collections import Counter
+
+import msgspec
+
+from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind, Ran
+
+
+class AttemptId(msgspec.Struct, frozen=True):
+    """Name one attempt by a caller; the attempts of an entry in its place count as one."""
+
+    order: int
+    number: int
+
+
+class Ledger:
+    """Hold the runs and the ends of all orders."""
+
+    def __init__(self) -> None:
+        self.runs_by_order: Counter[int] = Counter()
+        self.runs_by_attempt: Counter[AttemptId] = Counter()
+        self.not_run_attempts: set[AttemptId] = set()
+        self.burnt_orders: set[int] = set()
+        self.answered: set[int] = set()
+        self.kind_by_order: dict[int, ErrorKind] = {}
+        self.cause_by_order: dict[int, str] = {}
+        self.wrong_answers = 0
+        self.cut_answers = 0
+        self.cut_by_shutdown = 0
+        self.slowest_resolution_s = 0.0
+
+    def ran(self, attempt: AttemptId) -> None:
+        """Count a run at a target."""
+        self.runs_by_order[attempt.order] += 1
+        self.runs_by_attempt[attempt] += 1
+
+    def delivered(self, order: int, body: bytes) -> None:
+        """Judge an answer that reached its caller."""
+        right = body_of(order)
+        if body == right:
+            self.answered.add(order)
+        elif right.startswith(body):
+            self.cut_answers += 1
+        else:
+            self.wrong_answers += 1
+
+    def failed(self, attempt: AttemptId, kind: ErrorKind, cause: str) -> None:
+        """Note what a caller was told in place of an answer."""
+        self.kind_by_order[attempt.order] = kind
+        self.cause_by_order[attempt.order] = cause
+        if ANSWERS_BY_KIND[kind].ran is Ran.NO:
+            self.not_run_attempts.add(attempt)
+        if kind is ErrorKind.TICKET_BURNT:
+            self.burnt_orders.add(attempt.order)
+
+    def report(self, orders: int) -> dict[str, float]:
+        """Return the figures of the whole run."""
+        open_kinds = {
+            order: kind for order, kind in self.kind_by_order.items() if order not in self.answered
+        }
+        unknown = [o for o, kind in open_kinds.items() if kind is ErrorKind.OUTCOME_UNKNOWN]
+        causes = Counter(self.cause_by_order[order] for order in unknown)
+        false_refusals = sum(self.runs_by_attempt[a] > 0 for a in self.not_run_attempts)
+        false_burns = sum(self.runs_by_order[order] > 0 for order in self.burnt_orders)
+        not_run = [o for o, kind in open_kinds.items() if ANSWERS_BY_KIND[kind].ran is Ran.NO]
+        timed_out = [o for o, kind in open_kinds.items() if kind is ErrorKind.TIMED_OUT]
+        answered = len(self.answered)
+        return {
+            "orders": orders,
+            "ran_twice": sum(runs > 1 for runs in self.runs_by_order.values()),
+            "ran_after_not_run": false_refusals + false_burns,
+            "wrong_answers": self.wrong_answers,
+            "cut_answers": self.cut_answers,
+            "answered_whole": answered,
+            "answered_whole_part": round(answered / orders, 6),
+            "refused_not_run": len(not_run),
+            "timed_out": len(timed_out),
+            "outcome_unknown": len(unknown),
+            "outcome_unknown_gone": causes["gone"],
+            "outcome_unknown_unreachable": causes["unreachable"],
+            "outcome_unknown_untraced": causes["untraced"],
+            "other_ends": orders - answered - len(not_run) - len(timed_out) - len(unknown),
+            "cut_by_shutdown": self.cut_by_shutdown,
+            "slowest_resolution_seconds": round(self.slowest_resolution_s, 3),
+        }
+
+
+def body_of(order: int) -> bytes:
+    """Return the only right answer to an order."""
+    return f"order {order} is booked, berth {order * 7919 % 997}".encode()
--- /dev/null
+++ b/benchmarks/_outcomes_network.py
@@ -0,0 +1,97 @@
+"""A network between entries and targets that loses, delays, repeats, cuts and falls silent."""
+
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from benchmarks._outcomes_clock import Node, Step, VirtualClock
+
+LATENCY_S = 0.002
+LATE_COPY_S = 25.0
+CUT_OFF_POLL_S = 0.05
+
+
+class Rates(msgspec.Struct):
+    """Hold how often (0 to 1) a message meets a fault, a gate sheds, a caller gives up."""
+
+    reset: float = 0.0
+    cut: float = 0.0
+    repeat: float = 0.0
+    mix_up: float = 0.0
+    shed: float = 0.0
+    give_up: float = 0.0
+
+
+class Channel:
+    """Hold one connection from an entry to one incarnation of a target."""
+
+    def __init__(self, entry: Node, target: Node) -> None:
+        self.entry = entry
+        self.target = target
+        self.is_silent_out = False
+        self.is_silent_back = False
+        self.is_broken = False
+        self.hurt_at = float("inf")
+        self.break_hooks: list[Step] = []
+
+
+class Network:
+    """Hold which zones are cut off from each other and the rates of faults."""
+
+    def __init__(self, clock: VirtualClock, rng: Random) -> None:
+        self.clock = clock
+        self.rng = rng
+        self.rates = Rates()
+        self.cut_until_by_zones: dict[frozenset[int], float] = {}
+
+    def is_cut(self, first: Node, second: Node) -> bool:
+        """Tell whether two nodes' zones are cut off from each other now."""
+        zones = frozenset((first.zone, second.zone))
+        return self.clock.now < self.cut_until_by_zones.get(zones, 0.0)
+
+    def break_channel(self, channel: Channel) -> None:
+        """Reset a connection; the entry hears of it."""
+        if channel.is_broken:
+            return
+        channel.is_broken = True
+        channel.hurt_at = min(channel.hurt_at, self.clock.now)
+        for hook in channel.break_hooks:
+            channel.entry.after(LATENCY_S, hook)
+
+    def send(self, channel: Channel, step: Step) -> None:
+        """Carry a message to the target, where `step` takes it."""
+        if channel.is_silent_out:
+            self._repeat(channel.target, step, part=0.5)
+            return
+        self._carry(channel, channel.target, step)
+
+    def reply(self, channel: Channel, step: Callable[[bool], None]) -> None:
+        """Carry an answer back; `step` takes it and is told whether it was cut."""
+        if channel.is_broken or channel.is_silent_back:
+            return
+        if self.rng.random() < self.rates.cut:
+            self._carry(channel, channel.entry, lambda: step(True))
+            return
+        self._carry(channel, channel.entry, lambda: step(False))
+
+    def _carry(self, channel: Channel, receiver: Node, step: Step) -> None:
+        if self.rng.random() < self.rates.reset:
+            if self.rng.random() < 0.5:
+                self.clock.after(LATENCY_S, lambda: receiver.do(step))
+            self.break_channel(channel)
+            return
+        self._repeat(receiver, step, part=self.rates.repeat)
+        self.clock.after(LATENCY_S, lambda: self._arrive(channel, receiver, step))
+
+    def _arrive(self, channel: Channel, receiver: Node, step: Step) -> None:
+        # A cut holds messages up; the connection gives them on when it heals, if it still lives.
+        if self.is_cut(channel.entry, channel.target):
+            self.clock.after(CUT_OFF_POLL_S, lambda: self._arrive(channel, receiver, step))
+            return
+        receiver.do(step)
+
+    def _repeat(self, receiver: Node, step: Step, *, part: float) -> None:
+        if self.rng.random() < part:
+            delay_s = self.rng.uniform(LATENCY_S, LATE_COPY_S)
+            self.clock.after(delay_s, lambda: receiver.do(step))
--- /dev/null
+++ b/benchmarks/_outcomes_target.py
@@ -0,0 +1,169 @@
+"""A target with its gate: the real records, pause and stopping state around a fake service."""
+
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from benchmarks._outcomes_clock import Node, VirtualClock
+from benchmarks._outcomes_ledger import AttemptId, Ledger, body_of
+from benchmarks._outcomes_network import Rates
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import Incarnation, RequestId, TargetId
+from daisywharf._outcomes import _once
+from daisywharf._outcomes._once import (
+    OnceDecision,
+    OnceRecords,
+    RefuseRun,
+    RepeatAnswer,
+    RunNow,
+    StoredAnswer,
+)
+from daisywharf._outcomes._pause import PauseState, may_start, pause_tick
+from daisywharf._outcomes._stopping import (
+    HandBack,
+    LeaveFleet,
+    StoppingState,
+    call_answered,
+    drop_call,
+    start_call,
+    start_stopping,
+    stopping_tick,
+    take_call,
+)
+from daisywharf._outcomes._ticket import Ticket
+from daisywharf._overload._admission import CallId
+
+TICK_S = 0.1
+QUEUE_S = 0.01
+RUN_S = 0.02
+SLOW_RUN_S = 1.0
+SLOW_PART = 0.02
+
+Answer = Callable[[OnceDecision], None]
+
+
+class Call(msgspec.Struct, frozen=True):
+    """Describe a call as the gate sees it; `deadline` is in seconds since 1970, skew apart."""
+
+    attempt: AttemptId
+    ticket: Ticket
+    deadline: float
+
+
+class Waiting(msgspec.Struct, eq=False):
+    """Hold a call in the gate and where its answer goes."""
+
+    call: Call
+    answer: Answer
+
+
+class TargetNode(Node):
+    """Hold one incarnation of a target; a restart makes another."""
+
+    def __init__(
+        self,
+        clock: VirtualClock,
+        name: str,
+        zone: int,
+        *,
+        incarnation: int,
+        ledger: Ledger,
+        rng: Random,
+        rates: Rates,
+    ) -> None:
+        super().__init__(clock, name, zone)
+        self.ledger = ledger
+        self.rng = rng
+        self.rates = rates
+        self.target_id = TargetId(name)
+        self.incarnation = Incarnation(incarnation)
+        self.records = OnceRecords(target_id=self.target_id, incarnation=self.incarnation)
+        self.pause = PauseState(now=clock.now)
+        self.stopping = StoppingState()
+        self.waiting_by_id: dict[CallId, Waiting] = {}
+        self.running_by_id: dict[CallId, Waiting] = {}
+        self.is_gone = False
+        self.withdrawn_at = float("inf")
+        self.calls = 0
+        self.after(TICK_S, self._tick)
+
+    def call(self, call: Call, answer: Answer) -> None:
+        """Take a call that arrives."""
+        if self.is_gone:
+            return
+        decision = _once.begin(self.records, call.ticket, now=self.wall_now)
+        if not isinstance(decision, RunNow):
+            answer(decision)
+            return
+        self.calls += 1
+        call_id = CallId(RequestId(f"{call.attempt.order}"), self.calls)
+        refusal = take_call(self.stopping, call_id, deadline=call.deadline)
+        if refusal is None and self.rng.random() < self.rates.shed:
+            drop_call(self.stopping, call_id)
+            refusal = ErrorKind.SHED
+        waiting = Waiting(call, answer)
+        if refusal is not None:
+            self._refuse(waiting, refusal)
+            return
+        self.waiting_by_id[call_id] = waiting
+        self.after(self.rng.uniform(0.0, QUEUE_S), lambda: self._start(call_id))
+
+    def resolve(self, ticket: Ticket, answer: Answer) -> None:
+        """Tell what became of a ticket."""
+        if not self.is_gone:
+            answer(_once.resolve(self.records, ticket, now=self.wall_now))
+
+    def stop_gracefully(self) -> None:
+        """Take SIGTERM."""
+        if not self.is_gone:
+            self.withdrawn_at = min(self.withdrawn_at, self.clock.now)
+            for action in start_stopping(self.stopping, now=self.clock.now):
+                if isinstance(action, HandBack):
+                    self._refuse(self.waiting_by_id.pop(action.call_id), action.kind)
+
+    def kill(self) -> None:
+        """Take SIGKILL: what ran has run, and nothing is kept."""
+        self.is_gone = True
+
+    def _start(self, call_id: CallId) -> None:
+        waiting = self.waiting_by_id.pop(call_id, None)
+        if self.is_gone or waiting is None:
+            return
+        now = self.clock.now
+        refusal = start_call(self.stopping, call_id, now=now)
+        if refusal is None and not may_start(self.pause, deadline=waiting.call.deadline, now=now):
+            call_answered(self.stopping, call_id, now=now, is_order=False)
+            refusal = ErrorKind.TOO_LATE
+        if refusal is not None:
+            self._refuse(waiting, refusal)
+            return
+        self.ledger.ran(waiting.call.attempt)
+        self.running_by_id[call_id] = waiting
+        run_s = SLOW_RUN_S if self.rng.random() < SLOW_PART else RUN_S
+        self.after(self.rng.uniform(0.0, run_s), lambda: self._finish(call_id))
+
+    def _finish(self, call_id: CallId) -> None:
+        if self.is_gone:
+            return
+        waiting = self.running_by_id.pop(call_id)
+        answer = StoredAnswer(200, (), body_of(waiting.call.attempt.order))
+        _once.complete(self.records, waiting.call.ticket.key, answer, now=self.wall_now)
+        waiting.answer(RepeatAnswer(answer))
+        call_answered(self.stopping, call_id, now=self.clock.now, is_order=True)
+
+    def _refuse(self, waiting: Waiting, kind: ErrorKind) -> None:
+        _once.release(self.records, waiting.call.ticket.key, now=self.wall_now)
+        waiting.answer(RefuseRun(kind))
+
+    def _tick(self) -> None:
+        if self.is_gone:
+            return
+        pause_tick(self.pause, now=self.clock.now)
+        _once.tick(self.records, now=self.wall_now)
+        for action in stopping_tick(self.stopping, now=self.clock.now):
+            if isinstance(action, LeaveFleet):
+                self.ledger.cut_by_shutdown += len(self.running_by_id)
+                self.kill()
+                return
+        self.after(TICK_S, self._tick)
