--- a/benchmarks/_outcomes_entry.py
+++ b/benchmarks/_outcomes_entry.py
@@ -17,7 +17,7 @@
     SendHeartbeat,
     TryNewConnection,
     link_tick,
-    note_frame,
+    note_echo,
     note_probe_answered,
 )
 from daisywharf._outcomes._once import OnceDecision, RefuseRun, RepeatAnswer, StoredAnswer
@@ -150,7 +150,6 @@
     def _reply_arrived(self, link: Link, sending: Sending, event: _resolution.CallEvent) -> None:
         if link.channel.is_broken:
             return
-        self._note(link)
         if self.network.rng.random() < self.network.rates.mix_up:
             for other in list(link.calls_out.values()):
                 self._event(other, event)
@@ -199,19 +198,19 @@
     def _do(self, link: Link, actions: list[LinkAction]) -> None:
         for action in actions:
             match action:
-                case SendHeartbeat():
-                    self.network.send(link.channel, lambda: self._echo(link))
+                case SendHeartbeat(sequence):
+                    self._beat(link, sequence)
                 case TryNewConnection():
                     self._probe(link)
                 case CloseLink():
                     self._drop(link)
 
-    def _echo(self, link: Link) -> None:
-        if not link.target.is_gone:
-            self.network.reply(link.channel, lambda _is_cut: self._note(link))
+    def _beat(self, link: Link, sequence: int) -> None:
+        def echo() -> None:
+            if not link.target.is_gone:
+                self.network.reply(link.channel, lambda _: note_echo(link.state, sequence))
 
-    def _note(self, link: Link) -> None:
-        note_frame(link.state, now=self.clock.now)
+        self.network.send(link.channel, echo)
 
     def _probe(self, link: Link) -> None:
         target = self.target_by_id[link.target.target_id]
--- a/src/daisywharf/_call/_resolving.py
+++ b/src/daisywharf/_call/_resolving.py
@@ -5,9 +5,9 @@
 from typing import Final
 
 from daisywharf._call._exchange import CallReply, CallRequest, error_in
+from daisywharf._call._hop import hop_to
 from daisywharf._call._parties import CallerState
 from daisywharf._call._transport import RESOLVE_PATH
-from daisywharf._context import TICKET
 from daisywharf._errors import ErrorKind, Ran, RequestError
 from daisywharf._outcomes._once import RefuseRun, RepeatAnswer, StoredAnswer
 from daisywharf._outcomes._resolution import (
@@ -70,9 +70,9 @@
     if now >= request.context.deadline:
         return DeadlinePassed()
     asking = CallRequest(request.service, "POST", RESOLVE_PATH, request.context)
-    headers = {TICKET: ticket.to_header()}
+    hop = hop_to(target, asking.context, retries=0, ticket=ticket, now=now)
     try:
-        reply = state.send(target, asking, extra_headers=headers, now=now)
+        reply = state.send(target, asking, hop)
     except RequestError:
         return ResolveFailed()
     error = error_in(reply)
--- a/src/daisywharf/_outcomes/_link.py
+++ b/src/daisywharf/_outcomes/_link.py
@@ -1,7 +1,8 @@
 """Tell a silent link from a slow peer by heartbeats and progress.
 
 A peer echoes each heartbeat whatever its calls do, so a slow target is not taken for a dead link.
-Only the echo counts: frames that the peer sends of its own prove one direction alone.
+Only echoes count, and by the time at which their heartbeat left: frames that the peer sends of its
+own prove one direction alone, and a held-up echo says nothing of the link as it is now.
 """
 
 from typing import Final
@@ -13,6 +14,7 @@
 HEARTBEAT_PERIOD_S: Final = 0.3
 PROBE_AFTER_S: Final = 0.8
 SILENCE_LIMIT_S: Final = 1.5
+HEARTBEATS_KEPT: Final = 8
 
 
 class SendHeartbeat(msgspec.Struct, frozen=True):
@@ -37,19 +39,21 @@
 
     def __init__(self, *, now: float) -> None:
         self.opened_at = now
-        self.heard_at = now
+        self.proven_at = now
         self.beat_at = now
         self.ticked_at = now
         self.sequence = 0
+        self.sent_at_by_sequence: dict[int, float] = {}
         self.is_probing = False
         self.is_closed = False
 
 
-def note_frame(state: LinkState, *, now: float, is_reply: bool = True) -> None:
-    """Note a whole frame; `is_reply` tells an echo or an answer from what the peer began."""
-    if not is_reply or state.is_closed:
+def note_echo(state: LinkState, sequence: int) -> None:
+    """Note the echo of a heartbeat: the link carried frames both ways when that one left."""
+    sent_at = state.sent_at_by_sequence.pop(sequence, None)
+    if sent_at is None or sent_at <= state.proven_at or state.is_closed:
         return
-    state.heard_at = now
+    state.proven_at = sent_at
     state.is_probing = False
 
 
@@ -66,16 +70,18 @@
         return []
     if now - state.ticked_at > PAUSE_LIMIT_S:
         # This process was stopped: the silence says nothing about the peer, so ask afresh.
-        state.heard_at = now
+        state.proven_at = now
         state.beat_at = now - HEARTBEAT_PERIOD_S
     state.ticked_at = now
-    silence_s = now - state.heard_at
+    silence_s = now - state.proven_at
     if silence_s > SILENCE_LIMIT_S:
         return _close(state)
     actions: list[LinkAction] = []
     if now - state.beat_at >= HEARTBEAT_PERIOD_S:
         state.beat_at = now
         state.sequence += 1
+        state.sent_at_by_sequence[state.sequence] = now
+        state.sent_at_by_sequence.pop(state.sequence - HEARTBEATS_KEPT, None)
         actions.append(SendHeartbeat(state.sequence))
     if calls_out and silence_s > PROBE_AFTER_S and not state.is_probing:
         state.is_probing = True
