--- a/benchmarks/_outcomes_entry.py
+++ b/benchmarks/_outcomes_entry.py
@@ -22,11 +22,13 @@
 )
 from daisywharf._outcomes._once import OnceDecision, RefuseRun, RepeatAnswer, StoredAnswer
 from daisywharf._outcomes._resolution import CallPlan, ResolutionState, resolution_step
+from daisywharf._outcomes._ticket import TicketKind
 
 TICK_S = 0.1
 CONNECT_S = 0.001
 CONNECT_TIMEOUT_S = 0.5
 RESOLVE_TIMEOUT_S = 0.5
+SEND_AGAIN_TIMEOUT_S = 1.5
 SUSPECT_S = 2.0
 
 Ended = Callable[["Sending", _resolution.CallAction], None]
@@ -157,19 +159,21 @@
 
     def _event(self, sending: Sending, event: _resolution.CallEvent) -> None:
         for action in resolution_step(sending.state, event):
-            if isinstance(action, _resolution.Resolve):
+            if isinstance(action, _resolution.Resolve | _resolution.SendAgain):
                 sending.was_resolved = True
-                self.after(action.after_s, lambda: self._resolve(sending))
+                self.after(action.after_s, lambda: self._ask(sending))
             else:
                 if sending.link is not None:
                     sending.link.calls_out.pop(sending.number, None)
                 sending.ended(sending, action)
 
-    def _resolve(self, sending: Sending) -> None:
+    def _ask(self, sending: Sending) -> None:
         if sending.state.phase is _resolution.CallPhase.ENDED:
             return
         ticket = sending.call.ticket
         target = self.target_by_id[ticket.target_id]
+        is_resolve = ticket.kind is TicketKind.SINGLE_USE
+        to_event = _resolved_event if is_resolve else _reply_event
         channel = Channel(self, target)
         is_open = [True]
 
@@ -180,14 +184,18 @@
 
         def answer(decision: OnceDecision) -> None:
             self.network.reply(
-                channel, lambda is_cut: answered(_resolved_event(sending, decision, is_cut))
+                channel,
+                lambda is_cut: answered(to_event(sending, target.incarnation, decision, is_cut)),
             )
 
-        self.after(RESOLVE_TIMEOUT_S, lambda: answered(_resolution.ResolveFailed()))
+        timeout_s = RESOLVE_TIMEOUT_S if is_resolve else SEND_AGAIN_TIMEOUT_S
+        self.after(timeout_s, lambda: answered(_resolution.ResolveFailed()))
         if self.network.is_cut(self, target) or target.is_gone:
             self._suspect(ticket.target_id)
-        else:
+        elif is_resolve:
             self.network.send(channel, lambda: target.resolve(ticket, answer))
+        else:
+            self.network.send(channel, lambda: target.call(sending.call, answer))
 
     def _tick(self) -> None:
         for link in list(self.link_by_target.values()):
@@ -254,7 +262,7 @@
 
 
 def _resolved_event(
-    sending: Sending, decision: OnceDecision, is_cut: bool
+    sending: Sending, _incarnation: Incarnation, decision: OnceDecision, is_cut: bool
 ) -> _resolution.CallEvent:
     ticket = sending.call.ticket
     if isinstance(decision, RepeatAnswer):
--- a/src/daisywharf/_outcomes/_resolution.py
+++ b/src/daisywharf/_outcomes/_resolution.py
@@ -1,8 +1,9 @@
 """Bring one call to one end at its caller, whatever becomes of its link.
 
-A non-idempotent call is written once. When its answer is lost, the same gate is asked for the
-outcome over a new connection until the deadline; nothing is written again elsewhere unless the
-gate said that the call was not run and never will be.
+When the answer of a non-idempotent call is lost, the same gate is asked over a new connection
+until the deadline. A single-use ticket is resolved: unless it ran it is burnt, and the call may
+then be tried elsewhere. A caller's key can't move, so its call is sent again, which the gate's
+record keeps to one run. No other target is tried unless the gate said "not run, and never will be".
 """
 
 from enum import Enum
@@ -106,6 +107,16 @@
     after_s: float
 
 
+class SendAgain(msgspec.Struct, frozen=True):
+    """Send the same call to the ticket's gate over a new connection, `after_s` from now.
+
+    Report what comes back as an answer or a refusal, and a failure as `ResolveFailed`.
+    """
+
+    ticket: Ticket
+    after_s: float
+
+
 class Deliver(msgspec.Struct, frozen=True):
     """Give the caller this whole answer."""
 
@@ -128,7 +139,7 @@
     """Tell the target that nobody waits for the answer."""
 
 
-CallAction = Resolve | Deliver | Fail | RetryElsewhere | CancelCall
+CallAction = Resolve | SendAgain | Deliver | Fail | RetryElsewhere | CancelCall
 
 
 class CallPhase(Enum):
@@ -198,7 +209,7 @@
     if not _is_mine(state, event.request_id, incarnation):
         return []
     if event.kind is ErrorKind.STILL_RUNNING:
-        return _start_resolving(state, event.kind)
+        return _still_running(state)
     return _not_run(state, event.kind)
 
 
@@ -211,8 +222,7 @@
                 return _ask_again(state, RESOLVE_RETRY_S)
             return _end(state, Deliver(answer))
         case RefuseRun(ErrorKind.STILL_RUNNING):
-            state.is_running = True
-            return _ask_again(state, RESOLVE_POLL_S)
+            return _still_running(state)
         case RefuseRun(ErrorKind.TICKET_BURNT):
             return _not_run(state, ErrorKind.TICKET_BURNT)
         case RefuseRun() | RunNow():
@@ -231,7 +241,8 @@
             # The caller never saw the ticket, so its end is told as what led to it.
             return _end(state, RetryElsewhere(ErrorKind.CONNECT_FAILED))
         return _end(state, RetryElsewhere(kind) if answer.retryable else Fail(kind))
-    if kind is ErrorKind.WRONG_INCARNATION and not state.plan.is_first_use:
+    is_only_copy = state.plan.is_first_use and state.phase is CallPhase.WAITING
+    if kind is ErrorKind.WRONG_INCARNATION and not is_only_copy:
         # An earlier copy may have run at the incarnation that the key names.
         return _end(state, Fail(ErrorKind.OUTCOME_UNKNOWN))
     return _end(state, Fail(kind))
@@ -255,13 +266,26 @@
     if state.phase is CallPhase.RESOLVING:
         return []
     state.phase = CallPhase.RESOLVING
-    return [Resolve(ticket, 0.0)]
+    return _ask(ticket, 0.0)
+
+
+def _still_running(state: ResolutionState) -> list[CallAction]:
+    state.is_running = True
+    if state.phase is CallPhase.WAITING and state.plan.ticket is not None:
+        state.phase = CallPhase.RESOLVING
+    return _ask_again(state, RESOLVE_POLL_S)
 
 
 def _ask_again(state: ResolutionState, after_s: float) -> list[CallAction]:
     ticket = state.plan.ticket
     if ticket is None or state.phase is not CallPhase.RESOLVING:
         return []
+    return _ask(ticket, after_s)
+
+
+def _ask(ticket: Ticket, after_s: float) -> list[CallAction]:
+    if ticket.kind is TicketKind.CALLER_KEY:
+        return [SendAgain(ticket, after_s)]
     return [Resolve(ticket, after_s)]
 
 
