--- a/benchmarks/_outcomes_entry.py
+++ b/benchmarks/_outcomes_entry.py
@@ -256,9 +256,9 @@
     if isinstance(decision, RepeatAnswer):
         answer = _cut(decision.answer, is_cut)
         size = len(decision.answer.body)
-        return _resolution.AnswerArrived(plan.request_id, incarnation, answer, size)
+        return _resolution.AnswerArrived(plan.request_id, plan.target_id, incarnation, answer, size)
     kind = decision.kind if isinstance(decision, RefuseRun) else ErrorKind.INTERNAL
-    return _resolution.RefusalArrived(plan.request_id, incarnation, kind)
+    return _resolution.RefusalArrived(plan.request_id, plan.target_id, incarnation, kind)
 
 
 def _resolved_event(
--- a/benchmarks/_outcomes_target.py
+++ b/benchmarks/_outcomes_target.py
@@ -39,6 +39,7 @@
 RUN_S = 0.02
 SLOW_RUN_S = 1.0
 SLOW_PART = 0.02
+MAX_RECORD_BYTES = 33_554_432
 
 Answer = Callable[[OnceDecision], None]
 
@@ -78,7 +79,9 @@
         self.rates = rates
         self.target_id = TargetId(name)
         self.incarnation = Incarnation(incarnation)
-        self.records = OnceRecords(target_id=self.target_id, incarnation=self.incarnation)
+        self.records = OnceRecords(
+            target_id=self.target_id, incarnation=self.incarnation, max_bytes=MAX_RECORD_BYTES
+        )
         self.pause = PauseState(now=clock.now)
         self.stopping = StoppingState()
         self.waiting_by_id: dict[CallId, Waiting] = {}
@@ -149,6 +152,7 @@
         waiting = self.running_by_id.pop(call_id)
         answer = StoredAnswer(200, (), body_of(waiting.call.attempt.order))
         _once.complete(self.records, waiting.call.ticket.key, answer, now=self.wall_now)
+        self.ledger.note_record_bytes(self.records.kept_bytes)
         waiting.answer(RepeatAnswer(answer))
         call_answered(self.stopping, call_id, now=self.clock.now, is_order=True)
 
--- a/benchmarks/_outcomes_world.py
+++ b/benchmarks/_outcomes_world.py
@@ -248,6 +248,9 @@
     def _note_resolution(self, sending: Sending) -> None:
         if not sending.was_resolved or sending.link is None:
             return
+        if sending.link.channel.entry.stopped_until > sending.sent_at:
+            # A stopped entry ends its calls when it continues, which is no link's doing.
+            return
         hurt_at = min(sending.link.channel.hurt_at, self.clock.now)
         seconds = self.clock.now - max(sending.sent_at, hurt_at)
         self.ledger.slowest_resolution_s = max(self.ledger.slowest_resolution_s, seconds)
--- a/src/daisywharf/_outcomes/_resolution.py
+++ b/src/daisywharf/_outcomes/_resolution.py
@@ -49,6 +49,7 @@
     """Report an answer frame; `body_bytes` is the length that its sender stated."""
 
     request_id: RequestId
+    target_id: TargetId
     incarnation: Incarnation
     answer: StoredAnswer
     body_bytes: int
@@ -58,6 +59,7 @@
     """Report that the gate refused the call before running it."""
 
     request_id: RequestId
+    target_id: TargetId
     incarnation: Incarnation
     kind: ErrorKind
 
@@ -196,7 +198,7 @@
 
 
 def _answered(state: ResolutionState, event: AnswerArrived) -> list[CallAction]:
-    if not _is_mine(state, event.request_id, event.incarnation):
+    if not _is_mine(state, event, event.incarnation):
         return []
     if len(event.answer.body) != event.body_bytes:
         return _start_resolving(state, ErrorKind.CUT_ANSWER)
@@ -206,7 +208,7 @@
 def _refused(state: ResolutionState, event: RefusalArrived) -> list[CallAction]:
     is_successor = event.kind is ErrorKind.WRONG_INCARNATION
     incarnation = state.plan.incarnation if is_successor else event.incarnation
-    if not _is_mine(state, event.request_id, incarnation):
+    if not _is_mine(state, event, incarnation):
         return []
     if event.kind is ErrorKind.STILL_RUNNING:
         return _still_running(state)
@@ -314,6 +316,9 @@
     return [action]
 
 
-def _is_mine(state: ResolutionState, request_id: RequestId, incarnation: Incarnation) -> bool:
+def _is_mine(
+    state: ResolutionState, event: AnswerArrived | RefusalArrived, incarnation: Incarnation
+) -> bool:
     plan = state.plan
-    return (request_id, incarnation) == (plan.request_id, plan.incarnation)
+    named = (event.request_id, event.target_id, incarnation)
+    return named == (plan.request_id, plan.target_id, plan.incarnation)
--- /dev/null
+++ b/tests/test_outcomes_keys.py
@@ -0,0 +1,80 @@
+"""Keys and tickets say where they may run, to their own customer only."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from daisywharf import ErrorKind, RequestError
+from daisywharf._ids import CustomerId, IdempotencyKey, Incarnation, TargetId
+from daisywharf._outcomes._keys import (
+    CLAIM_KEPT_S,
+    KeyMint,
+    is_key_too_old,
+    mint_key,
+    scoped_key,
+    ticket_of_minted_key,
+)
+from daisywharf._outcomes._ticket import (
+    CLOCK_BOUND_S,
+    KEY_LIFETIME_S,
+    TicketKind,
+    mint_ticket,
+    ticket_from_header,
+)
+
+NOW = 1_800_000_000.0
+SECRET = b"sixteen bytes or more"
+COUNTER = CustomerId("counter")
+MINT = KeyMint(COUNTER, TargetId("orders.1"), Incarnation(7))
+
+
+def test_a_minted_key_names_its_incarnation_and_expiry() -> None:
+    key = mint_key(MINT, secret=SECRET, now=NOW, rng=Random(1))
+    ticket = ticket_of_minted_key(key, customer=COUNTER, secret=SECRET)
+    assert (ticket.target_id, ticket.incarnation) == (MINT.target_id, MINT.incarnation)
+    assert ticket.expires_at == NOW + KEY_LIFETIME_S
+    assert ticket.kind is TicketKind.CALLER_KEY
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=60)
+@given(place=st.integers(0, 200), character=st.sampled_from("0123456789abcdefz.-"))
+def test_a_changed_key_is_refused(place: int, character: str) -> None:
+    key = mint_key(MINT, secret=SECRET, now=NOW, rng=Random(1))
+    place %= len(key)
+    changed = IdempotencyKey(key[:place] + character + key[place + 1 :])
+    if changed != key:
+        with pytest.raises(RequestError, match="was not minted") as caught:
+            ticket_of_minted_key(changed, customer=COUNTER, secret=SECRET)
+        assert caught.value.kind is ErrorKind.BAD_REQUEST
+
+
+def test_another_customer_s_minted_key_is_refused() -> None:
+    key = mint_key(MINT, secret=SECRET, now=NOW, rng=Random(1))
+    with pytest.raises(RequestError):
+        ticket_of_minted_key(key, customer=CustomerId("skipper"), secret=SECRET)
+
+
+def test_two_customers_never_share_a_key() -> None:
+    assert scoped_key(CustomerId("a"), IdempotencyKey("bc")) != scoped_key(
+        CustomerId("ab"), IdempotencyKey("c")
+    )
+
+
+def test_a_key_is_too_old_before_its_claim_can_be_gone() -> None:
+    latest = CLAIM_KEPT_S - KEY_LIFETIME_S - 3 * CLOCK_BOUND_S
+    assert not is_key_too_old(minted_at=NOW, now=NOW + latest)
+    assert is_key_too_old(minted_at=NOW, now=NOW + latest + 0.1)
+
+
+def test_a_ticket_s_header_reads_back() -> None:
+    ticket = mint_ticket(TargetId("orders-1"), Incarnation(7), deadline=NOW, rng=Random(1))
+    assert ticket_from_header(ticket.to_header()) == ticket
+    assert ticket.kind is TicketKind.SINGLE_USE
+
+
+@pytest.mark.parametrize("text", ["", "a;1;2", "a;x;1;k", "a;1;nan;k", "a;1;inf;k", "a;1;2;"])
+def test_a_malformed_ticket_is_a_bad_request(text: str) -> None:
+    with pytest.raises(RequestError, match="malformed"):
+        ticket_from_header(text)
