Fit the merged parts to each other

Cause: fleet, overload, routing and outcomes changed records, rules and tickets side by side. Change: readers of target records and contacts, the replay's rules, the ticket in the flat bench.

--- a/benchmarks/flat.py
+++ b/benchmarks/flat.py
@@ -102,7 +102,7 @@
     call_id = CallId(context.request_id, 1)
     offer(site.admission, call_id, context, now=now)
     key = IdempotencyKey(context.request_id)
-    ticket = Ticket(key, site.once.target_id, site.once.incarnation, seconds_left=1.0)
+    ticket = Ticket(key, site.once.target_id, site.once.incarnation, expires_at=now + 1.0)
     begin(site.once, ticket, now=now)
     complete(site.once, key, StoredAnswer(200, (), b"done"), now=now)
     finish(site.admission, call_id, now=now, succeeded=True)
--- a/src/daisywharf/_fleet/_targets.py
+++ b/src/daisywharf/_fleet/_targets.py
@@ -143,10 +143,10 @@
         return True
     summaries = state.store_by_scope[Scope.SUMMARIES].record_by_key.values()
     return any(
-        target.target_id == target_id
+        contact.target.target_id == target_id
         for summary in summaries
         if isinstance(summary, ServiceSummary)
-        for target in summary.contacts
+        for contact in summary.contacts
     )
 
 
--- a/src/daisywharf/_replay/_run.py
+++ b/src/daisywharf/_replay/_run.py
@@ -40,7 +40,6 @@
     has_retry_ratio=True,
     cancels=True,
     checks_deadline=True,
-    refuses_early=True,
     marks_failure_below=True,
 )
 
