--- a/src/daisywharf/_call/_hop.py
+++ b/src/daisywharf/_call/_hop.py
@@ -39,10 +39,10 @@
 
 
 class TicketPart(msgspec.Struct, frozen=True, array_like=True):
-    """Carry a ticket's key and the seconds until it expires."""
+    """Carry a ticket's key and when it expires, in seconds since 1970."""
 
     key: Name
-    seconds_left: Annotated[float, Meta(ge=-MAX_DEADLINE_MS, le=MAX_DEADLINE_MS)]
+    expires_at: Annotated[float, Meta(ge=0.0)]
 
 
 class Hop(msgspec.Struct, frozen=True, array_like=True):
@@ -86,7 +86,7 @@
         time_left_ms=round((context.deadline - now) * MS_PER_S, 1),
         retries=retries,
         depth=context.depth,
-        ticket=None if ticket is None else TicketPart(ticket.key, ticket.seconds_left),
+        ticket=None if ticket is None else TicketPart(ticket.key, ticket.expires_at),
         traceparent=context.traceparent,
     )
 
@@ -114,7 +114,7 @@
         IdempotencyKey(hop.ticket.key),
         TargetId(hop.target_id),
         Incarnation(hop.incarnation),
-        hop.ticket.seconds_left,
+        hop.ticket.expires_at,
     )
 
 
--- a/src/daisywharf/_fleet/_messages.py
+++ b/src/daisywharf/_fleet/_messages.py
@@ -1,7 +1,7 @@
 """The messages and records that daemons of the fleet send each other."""
 
 from enum import IntEnum
-from typing import NewType
+from typing import Final, NewType
 
 import msgspec
 
@@ -15,7 +15,7 @@
     VmId,
     ZoneName,
 )
-from daisywharf._topology import Address, Target
+from daisywharf._topology import Address, GateHost, TargetState
 
 
 class Status(IntEnum):
@@ -30,9 +30,13 @@
 class Scope(IntEnum):
     """Name the sets of records that daemons keep equal among themselves."""
 
-    ZONE = 0
-    SUMMARIES = 1
-    CONTRACTS = 2
+    MEMBERS = 0
+    DEMAND = 1
+    SUMMARIES = 2
+    CONTRACTS = 3
+
+
+ZONE_SCOPES: Final = (Scope.MEMBERS, Scope.DEMAND)
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
@@ -44,13 +48,27 @@
     address: Address
 
 
+class TargetRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a target in few bytes; its daemon's record tells the VM and the zone."""
+
+    target_id: TargetId
+    service: ServiceName
+    incarnation: Incarnation
+    host: str
+    port: int
+    slots: int
+    connections: int
+    state: TargetState
+    gate: GateHost
+
+
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True, tag="m"):
     """Hold a daemon's state and targets; only the daemon itself raises `sequence`."""
 
     member: Member
     sequence: int
     status: Status
-    targets: tuple[Target, ...] = ()
+    targets: tuple[TargetRecord, ...] = ()
 
     @property
     def key(self) -> str:
@@ -154,6 +172,13 @@
         return (self.sequence, self.publisher)
 
 
+class SummaryContact(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a target of another zone and its VM."""
+
+    vm: VmId
+    target: TargetRecord
+
+
 class ServiceSummary(msgspec.Struct, frozen=True, array_like=True, tag="s"):
     """Sum up a service in a zone; `contacts` are some of its targets."""
 
@@ -163,7 +188,7 @@
     publisher: VmId
     target_count: int
     slots: int
-    contacts: tuple[Target, ...]
+    contacts: tuple[SummaryContact, ...]
 
     @property
     def key(self) -> str:
@@ -182,12 +207,14 @@
 class Freshness(msgspec.Struct, frozen=True, array_like=True):
     """Tell how old a daemon's word from the platform is, for the contracts of one digest.
 
-    `age_s` is none where no word is known; `is_settled` tells that the copy was confirmed.
+    `age_s` is none where no word is known; `is_settled` tells that the copy was confirmed,
+    `is_joined` that the sender has had time to learn its zone's members.
     """
 
     digest: int
     age_s: float | None
     is_settled: bool
+    is_joined: bool
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag="probe"):
@@ -251,6 +278,13 @@
     wanted: tuple[int, ...]
 
 
+class Introduction(msgspec.Struct, frozen=True, array_like=True, tag="meet"):
+    """Name some daemons of the receiver's zone to a receiver that has just started."""
+
+    sender: Member
+    members: tuple[Member, ...]
+
+
 class DrainRequest(msgspec.Struct, frozen=True, array_like=True, tag="drain"):
     """Ask for a target to be drained; `is_forwarded` stops a second forward across zones."""
 
@@ -297,6 +331,7 @@
     | RepairAsk
     | RepairBuckets
     | RepairRecords
+    | Introduction
     | DrainRequest
     | DrainAnswer
     | InForceAsk
