--- a/src/daisywharf/_virtual/_chain.py
+++ b/src/daisywharf/_virtual/_chain.py
@@ -7,6 +7,7 @@
 from daisywharf._ids import TargetId
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
 from daisywharf._overload._level import OPEN_LEVEL, Level, merge_levels
+from daisywharf._routing._kinds import outcome_of
 from daisywharf._routing._retries import (
     RetryBudget,
     RetryRatioKey,
@@ -203,7 +204,7 @@
     now = fakes.loop.now
     service = child.target.target.service
     router = router_for(fakes, call.target, service)
-    outcome = _outcome_of(answer.kind)
+    outcome = _outcome_of(answer)
     target_id = child.target.target.target_id
     record_outcome(router, target_id, outcome, latency_s=now - sent_at, now=now)
     if call.is_over:
@@ -212,7 +213,7 @@
     call.below = merge_levels(answer.level, call.below)
     if answer.kind is None:
         _end(fakes, call, None, 0.0)
-    elif _takes_retry(fakes, call, answer.kind):
+    elif _takes_retry(fakes, call, answer):
         fakes.retried_calls += 1
         call.send.retries += 1
         _call_next(fakes, call)
@@ -220,20 +221,19 @@
         _end(fakes, call, answer.kind, answer.retry_after_s)
 
 
-def _outcome_of(kind: ErrorKind | None) -> CallOutcome:
-    if kind is None:
-        return CallOutcome.SUCCEEDED
-    if kind is ErrorKind.TIMED_OUT:
-        return CallOutcome.TIMED_OUT
-    return CallOutcome.REFUSED if kind is ErrorKind.SHED else CallOutcome.FAILED
+def _outcome_of(answer: Answer) -> CallOutcome:
+    # A target is not to blame for what failed further down.
+    if answer.kind is not None and answer.ran:
+        return CallOutcome.CANCELLED
+    return outcome_of(answer.kind)
 
 
-def _takes_retry(fakes: Fakes, call: ChainCall, kind: ErrorKind) -> bool:
+def _takes_retry(fakes: Fakes, call: ChainCall, answer: Answer) -> bool:
     rules = fakes.rules
     key = RetryRatioKey(call.context.customer, call.send.chain[call.context.depth + 1])
     if rules.has_tree_budget:
-        is_safe = ANSWERS_BY_KIND[kind].retryable
-        has_budget = is_safe and call.budget.left > 0
+        is_safe = answer.kind is not None and ANSWERS_BY_KIND[answer.kind].retryable
+        has_budget = is_safe and not answer.ran and call.budget.left > 0
         return has_budget and may_retry(call.target.retry_ratio, key) and spend_retry(call.budget)
     if call.tries > rules.retries_per_hop:
         return False
@@ -247,12 +247,13 @@
     call.is_over = True
     call.target.call_by_id.pop(call.call_id, None)
     now = fakes.loop.now
+    ran = call.started_at is not None
     # A call that was not run was never given a slot by the gate.
     actions = [] if call.started_at is None else _release(fakes, call, succeeded=kind is None)
     level = call.target.gate.level(now=now, below=call.below)
     if kind is not None and call.started_at is not None and fakes.rules.marks_failure_below:
         kind = kind if call.context.idempotent else ErrorKind.TARGET_FAILED
-    call.reply(Answer(kind, level, call.budget.left, retry_after_s))
+    call.reply(Answer(kind, level, call.budget.left, retry_after_s, ran))
     apply_actions(fakes, call.target, actions)
 
 
@@ -269,6 +270,6 @@
     now = fakes.loop.now
     router = router_for(fakes, call.target, child.target.target.service)
     target_id = child.target.target.target_id
-    record_outcome(router, target_id, CallOutcome.FAILED, latency_s=0.0, now=now)
+    record_outcome(router, target_id, CallOutcome.CANCELLED, latency_s=0.0, now=now)
     delay_s = network_s(fakes, call.target.target.zone, child.target.target.zone)
     call_later(fakes.loop, delay_s, lambda: cancel_call(fakes, child))
--- a/src/daisywharf/_virtual/_messages.py
+++ b/src/daisywharf/_virtual/_messages.py
@@ -59,12 +59,16 @@
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """Carry the outcome of one call; no kind means a whole answer."""
+    """Carry the outcome of one call; no kind means a whole answer.
+
+    `ran` tells that the target ran the call, so that a failure came from further down.
+    """
 
     kind: ErrorKind | None
     level: Level
     unspent: int = 0
     retry_after_s: float = 0.0
+    ran: bool = False
 
 
 class ChainSend(msgspec.Struct):
