Run callers' keys at one incarnation, mint keys, and look orders up

Cause: a caller's own key repeated through another VM started a second run; nothing told an operator what became of an order.

--- a/src/daisywharf/_call/_attempts.py
+++ b/src/daisywharf/_call/_attempts.py
@@ -6,7 +6,7 @@
 
 from daisywharf._call._exchange import CallReply, CallRequest, error_in
 from daisywharf._call._hop import HOP_ANSWER, answer_from_header, hop_to
-from daisywharf._call._parties import CallerState, choose_target, note_outcome
+from daisywharf._call._parties import CallerState, choose_target, note_outcome, note_start
 from daisywharf._call._resolving import new_ticket, resolve_outcome
 from daisywharf._call._scope import Scope
 from daisywharf._errors import ErrorKind, Ran, RequestError
@@ -14,6 +14,7 @@
 from daisywharf._outcomes._ticket import Ticket
 from daisywharf._overload._level import Level
 from daisywharf._overload._level_cache import note_level
+from daisywharf._routing._kinds import outcome_of
 from daisywharf._routing._retries import (
     RetryRatioKey,
     earn_retry,
@@ -28,15 +29,6 @@
 
 NO_TARGET_RETRY_AFTER_S: Final = 2.0
 
-_OUTCOME_BY_KIND: Final = {
-    ErrorKind.SHED: CallOutcome.REFUSED,
-    ErrorKind.DRAINING: CallOutcome.REFUSED,
-    ErrorKind.RECORDS_FULL: CallOutcome.REFUSED,
-    ErrorKind.TOO_LATE: CallOutcome.REFUSED,
-    ErrorKind.RATE_EXCEEDED: CallOutcome.REFUSED,
-    ErrorKind.TIMED_OUT: CallOutcome.TIMED_OUT,
-}
-
 
 def call_with_retries(state: CallerState, scope: Scope, request: CallRequest) -> CallReply:
     """Return the whole answer of one attempt; raise the last attempt's `RequestError`."""
@@ -49,13 +41,21 @@
         if target is None:
             raise _no_target(request, excluded)
         try:
-            return _attempt_in_span(state, scope, request, target)
+            return _attempt_in_span(state, scope, request, target, None)
         except RequestError as error:
             if not _should_retry(state, scope, request, error, ratio_key):
                 raise
             excluded |= {target.target_id}
 
 
+def attempt_at(
+    state: CallerState, scope: Scope, request: CallRequest, target: Target, ticket: Ticket
+) -> CallReply:
+    """Make the one attempt that a ticket allows; raise `RequestError`."""
+    note_start(state, target, now=state.clock())
+    return _attempt_in_span(state, scope, request, target, ticket)
+
+
 def _no_target(request: CallRequest, excluded: frozenset[TargetId]) -> RequestError:
     tried = f" besides {len(excluded)} already tried" if excluded else ""
     message = f"service {request.service!r} has no target that may be called{tried}"
@@ -85,14 +85,18 @@
 
 
 def _attempt_in_span(
-    state: CallerState, scope: Scope, request: CallRequest, target: Target
+    state: CallerState,
+    scope: Scope,
+    request: CallRequest,
+    target: Target,
+    ticket: Ticket | None,
 ) -> CallReply:
     def run(below: str | None) -> CallReply:
         if below == request.context.traceparent:
-            return _attempt(state, scope, request, target)
+            return _attempt(state, scope, request, target, ticket)
         context = replace(request.context, traceparent=below)
         describe_span(context, retries=scope.budget.left, now=state.clock())
-        return _attempt(state, scope, replace(request, context=context), target)
+        return _attempt(state, scope, replace(request, context=context), target, ticket)
 
     context = request.context
     return in_span(
@@ -106,9 +110,16 @@
     )
 
 
-def _attempt(state: CallerState, scope: Scope, request: CallRequest, target: Target) -> CallReply:
+def _attempt(
+    state: CallerState,
+    scope: Scope,
+    request: CallRequest,
+    target: Target,
+    ticket: Ticket | None,
+) -> CallReply:
     started = state.clock()
-    ticket = None if request.context.idempotent else new_ticket(request, target, now=started)
+    if ticket is None and not request.context.idempotent:
+        ticket = new_ticket(request, target, now=started)
     # Half stays here, so that a lost answer does not take the caller's own retries with it.
     lent = lend(scope.budget, calls_to_come=2)
     unspent: int | None = None
@@ -124,7 +135,7 @@
         outcome = CallOutcome.SUCCEEDED
         return reply
     except RequestError as error:
-        outcome = _OUTCOME_BY_KIND.get(error.kind, CallOutcome.FAILED)
+        outcome = outcome_of(error.kind)
         raise
     finally:
         take_back(scope.budget, lent=lent, unspent=unspent)
--- a/src/daisywharf/_call/_caller.py
+++ b/src/daisywharf/_call/_caller.py
@@ -1,6 +1,7 @@
 """The embedded caller's side: make calls under a contract from any process."""
 
 import time
+from collections.abc import Sequence
 from random import Random
 from secrets import token_hex
 from typing import Final
@@ -8,6 +9,7 @@
 from daisywharf._call._attempts import call_with_retries
 from daisywharf._call._demand import DemandCounter
 from daisywharf._call._exchange import CallReply, CallRequest
+from daisywharf._call._keyed import ClaimKey, any_target, call_under_key, refuse_claims, secrets_of
 from daisywharf._call._parties import CallerState, Clock, SendCall
 from daisywharf._call._scope import Scope, current_scope
 from daisywharf._call._snapshot import SnapshotHolder, call_class_of, share_in
@@ -18,6 +20,7 @@
 from daisywharf._overload._rates import BucketKey, RateState, take_token
 from daisywharf._signals._spans import SpanRole, describe_span, in_span
 from daisywharf._signals._traceparent import valid_traceparent
+from daisywharf._topology import Target
 
 MS_PER_S: Final = 1_000.0
 SHED_RETRY_AFTER_S: Final = 1.0
@@ -38,9 +41,13 @@
         clock: Clock = time.monotonic,
         rng: Random | None = None,
         send: SendCall | None = None,
+        claim_key: ClaimKey = refuse_claims,
+        keys: Sequence[str] = (),
     ) -> None:
         self._state = CallerState(holder, caller=name, clock=clock, rng=rng or Random(), send=send)
         self._rates = RateState()
+        self._claim_key = claim_key
+        self.secrets = secrets_of(keys)
         self.demand = DemandCounter()
 
     def call(
@@ -92,6 +99,13 @@
             call_class=call_class,
         )
 
+    def target_for_key(
+        self, customer: CustomerId, call_class: CallClassName, service: ServiceName
+    ) -> Target:
+        """Choose the target that a key to be minted names; raise `RequestError`."""
+        call_class_of(self._state.holder.current, customer, call_class, service)
+        return any_target(self._state, service)
+
     @property
     def retries(self) -> int:
         """Return how many retries this caller has made."""
@@ -157,7 +171,12 @@
             scope.note_level(level)
             message = f"service {request.service!r} sheds calls of this importance now"
             raise RequestError(ErrorKind.SHED, message, retry_after_s=SHED_RETRY_AFTER_S)
-        return call_with_retries(state, scope, request)
+        key = request.context.key
+        if key is None or request.context.idempotent:
+            return call_with_retries(state, scope, request)
+        return call_under_key(
+            state, scope, request, key=key, claim_key=self._claim_key, secrets=self.secrets
+        )
 
 
 def _below(context: RequestContext, *, idempotent: bool | None) -> RequestContext:
--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -17,6 +17,7 @@
     begin_run,
     end_run,
     give_up_run,
+    look_up,
     tell_outcome,
 )
 from daisywharf._call._hop import (
@@ -31,8 +32,8 @@
 )
 from daisywharf._call._parties import Clock
 from daisywharf._call._scope import Scope, current_scope
-from daisywharf._call._transport import RESOLVE_PATH
-from daisywharf._call._wsgi import Environ, StartResponse, WsgiApp, run_app, send_reply
+from daisywharf._call._transport import LOOK_UP_PATH, RESOLVE_PATH
+from daisywharf._call._wsgi import Environ, StartResponse, WsgiApp, digest_of, run_app, send_reply
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import Incarnation, ServiceName, TargetId
 from daisywharf._outcomes._once import OnceRecords
@@ -116,7 +117,11 @@
         ticket = ticket_in(hop)
         if environ.get("PATH_INFO") == RESOLVE_PATH:
             return tell_outcome(self._records, ticket)
-        first_answer = None if ticket is None else begin_run(self._records, ticket)
+        if environ.get("PATH_INFO") == LOOK_UP_PATH:
+            return look_up(self._records, ticket)
+        if ticket is None:
+            return self._admitted(environ, scope, None)
+        first_answer = begin_run(self._records, ticket, digest=digest_of(environ))
         return first_answer or self._admitted(environ, scope, ticket)
 
     def _admitted(self, environ: Environ, scope: Scope, ticket: Ticket | None) -> CallReply:
--- a/src/daisywharf/_call/_gate_once.py
+++ b/src/daisywharf/_call/_gate_once.py
@@ -33,14 +33,17 @@
         self.expired_at = clock()
 
 
-def begin_run(gate: GateRecords, ticket: Ticket) -> CallReply | None:
-    """Return none where the call may run, or the first run's answer; raise where neither."""
+def begin_run(gate: GateRecords, ticket: Ticket, *, digest: bytes) -> CallReply | None:
+    """Return none where the call may run, or the first run's answer; raise where neither.
+
+    `digest` names the request's content, so that a key with another content is refused.
+    """
     with gate.lock:
         now = gate.clock()
         if now - gate.expired_at >= EXPIRY_PERIOD_S:
             gate.expired_at = now
             tick(gate.records, now=now)
-        return _answer(begin(gate.records, ticket, now=now), ticket)
+        return _answer(begin(gate.records, ticket, now=now, digest=digest), ticket)
 
 
 def end_run(gate: GateRecords, ticket: Ticket, reply: CallReply) -> None:
@@ -68,6 +71,18 @@
     raise RequestError(ErrorKind.INTERNAL, f"ticket {ticket.key} can't be told")
 
 
+def look_up(gate: GateRecords, ticket: Ticket | None) -> CallReply:
+    """Return the answer of a ticket's run without burning one that has not run yet."""
+    if ticket is None:
+        raise RequestError(ErrorKind.BAD_REQUEST, "the question names no ticket; send it along")
+    with gate.lock:
+        is_known = ticket.key in gate.records.record_by_key
+    if is_known:
+        return tell_outcome(gate, ticket)
+    message = f"order {ticket.key} is not known here: it has not run, or its record has expired"
+    raise RequestError(ErrorKind.ORDER_NOT_KNOWN, message)
+
+
 def _answer(decision: OnceDecision, ticket: Ticket) -> CallReply | None:
     if isinstance(decision, RepeatAnswer):
         answer = decision.answer
--- a/src/daisywharf/_call/_parties.py
+++ b/src/daisywharf/_call/_parties.py
@@ -60,9 +60,14 @@
 
 
 def choose_target(
-    state: CallerState, service: ServiceName, excluded: frozenset[TargetId], *, now: float
+    state: CallerState,
+    service: ServiceName,
+    excluded: frozenset[TargetId],
+    *,
+    now: float,
+    is_call: bool = True,
 ) -> Target | None:
-    """Choose a target by the present snapshot and count the call that leaves for it."""
+    """Choose a target by the present snapshot and count the call, if any, that leaves for it."""
     snapshot = state.holder.current
     with state.lock:
         router = _router(state, service)
@@ -70,11 +75,17 @@
             update_targets(router, snapshot.targets_by_service.get(service, ()), now=now)
             state.sequence_by_service[service] = snapshot.sequence
         target = choose(router, now=now, rng=state.rng, excluded=excluded)
-        if target is not None:
+        if target is not None and is_call:
             record_start(router, target.target_id, now=now)
     return target
 
 
+def note_start(state: CallerState, target: Target, *, now: float) -> None:
+    """Count a call that leaves for a target which was not chosen here."""
+    with state.lock:
+        record_start(_router(state, target.service), target.target_id, now=now)
+
+
 def note_outcome(
     state: CallerState, target: Target, outcome: CallOutcome, *, started: float, now: float
 ) -> None:
--- a/src/daisywharf/_call/_resolving.py
+++ b/src/daisywharf/_call/_resolving.py
@@ -35,11 +35,7 @@
 def new_ticket(request: CallRequest, target: Target, *, now: float) -> Ticket:
     """Name the one incarnation that may run this call, until some time past its deadline."""
     deadline = time.time() + request.context.deadline - now
-    ticket = mint_ticket(target.target_id, target.incarnation, deadline=deadline, rng=_RANDOM)
-    key = request.context.key
-    if key is None:
-        return ticket
-    return Ticket(key, ticket.target_id, ticket.incarnation, ticket.expires_at)
+    return mint_ticket(target.target_id, target.incarnation, deadline=deadline, rng=_RANDOM)
 
 
 def resolve_outcome(
--- a/src/daisywharf/_call/_transport.py
+++ b/src/daisywharf/_call/_transport.py
@@ -19,6 +19,7 @@
 from daisywharf._topology import Address, Target
 
 RESOLVE_PATH: Final = "/.daisywharf/resolve"
+LOOK_UP_PATH: Final = "/.daisywharf/order"
 CONNECT_TIMEOUT_S: Final = 0.5
 CONNECTIONS_PER_TARGET: Final = 64
 
--- a/src/daisywharf/_call/_wsgi.py
+++ b/src/daisywharf/_call/_wsgi.py
@@ -1,7 +1,9 @@
 """Read WSGI environments and run WSGI applications to the end of their answers."""
 
+import hashlib
 from collections.abc import Callable, Iterable
 from http.client import responses
+from io import BytesIO
 from typing import Any, Final
 
 from daisywharf._call._exchange import CallReply, without_headers_of_one_hop
@@ -12,6 +14,7 @@
 StartResponse = Callable[..., Any]
 WsgiApp = Callable[[Environ, StartResponse], Iterable[bytes]]
 
+DIGEST_BYTES: Final = 16
 _PREFIX: Final = "HTTP_"
 _NOT_PREFIXED_BY_KEY: Final = {"CONTENT_TYPE": "Content-Type"}
 
@@ -50,6 +53,14 @@
     return body
 
 
+def digest_of(environ: Environ) -> bytes:
+    """Digest the method, path and body; the body can be read again after it."""
+    body = body_of(environ)
+    environ["wsgi.input"] = BytesIO(body)
+    head = f"{environ['REQUEST_METHOD']} {path_of(environ)}\n".encode("latin-1")
+    return hashlib.blake2b(head + body, digest_size=DIGEST_BYTES).digest()
+
+
 def path_of(environ: Environ) -> str:
     """Return the path with its query."""
     path = environ.get("PATH_INFO") or "/"
--- a/src/daisywharf/_cli/daemon_client.py
+++ b/src/daisywharf/_cli/daemon_client.py
@@ -63,9 +63,10 @@
         """Ask that a target receives no new work; repeating it changes nothing."""
         self._call("POST", f"/targets/{quote(target_id, safe='')}/drain")
 
-    def order(self, key: str) -> Any:
-        """Read what is known of the order or booking that a key names."""
-        return _read(self._call("GET", f"/orders/{quote(key, safe='')}"), Any)
+    def order(self, key: str, customer: CustomerId) -> Any:
+        """Read what is known of the order or booking that a customer's key names."""
+        path = f"/orders/{quote(key, safe='')}?customer={quote(customer, safe='')}"
+        return _read(self._call("GET", path), Any)
 
     def _call(self, method: str, path: str) -> bytes:
         url = self._base_url + path
--- a/src/daisywharf/_cli/status.py
+++ b/src/daisywharf/_cli/status.py
@@ -32,11 +32,13 @@
 
 def order(
     key: Annotated[str, typer.Argument(help="idempotency key of the order or booking")],
+    customer: Annotated[str, typer.Option(help="customer that sent it")],
     daemon: DaemonUrl,
     timeout_s: TimeoutS = 5,
 ) -> None:
     """Show as JSON what is known of an order or booking."""
-    print_json(DaemonClient(daemon, timeout_s=timeout_s).order(key))
+    client = DaemonClient(daemon, timeout_s=timeout_s)
+    print_json(client.order(key, CustomerId(customer)))
 
 
 def _rows_of(held: ContractInForce) -> list[tuple[object, ...]]:
--- a/src/daisywharf/_daemon/_daemon.py
+++ b/src/daisywharf/_daemon/_daemon.py
@@ -10,6 +10,7 @@
 
 from daisywharf._call._caller import Caller
 from daisywharf._call._snapshot import Snapshot, SnapshotHolder
+from daisywharf._daemon._claims import claims_on
 from daisywharf._daemon._fleet_actor import FleetActor
 from daisywharf._daemon._forwarding import HostedGates
 from daisywharf._daemon._frames import DemandReport, Fleet, Subscribe
@@ -46,12 +47,17 @@
     def __init__(self, settings: DaemonSettings, *, platform: Platform | None = None) -> None:
         self.settings = settings
         self.holder = SnapshotHolder(Snapshot(settings.vm, settings.zone, 0))
-        self.caller = Caller(self.holder, name=settings.vm)
+        self.platform = platform or _platform_at(settings.platform)
+        self.caller = Caller(
+            self.holder,
+            name=settings.vm,
+            claim_key=claims_on(self.platform),
+            keys=settings.keys,
+        )
         self.gates = HostedGates()
         self.subscriptions = Subscriptions()
         self.entered = InFlight()
         self.is_draining = False
-        self.platform = platform or _platform_at(settings.platform)
         self.running: Running
         self.links = Links(
             me=lambda: self.running.member,
@@ -71,7 +77,7 @@
         member = Member(self.settings.vm, self.settings.zone, incarnation, address)
         asking, watching = (self._start_platform_actor() for _ in range(2))
         fleet = FleetActor.start(
-            FleetState(me=member, seeds=self.settings.peers),
+            FleetState(me=member, seeds=self.settings.peers, zones=self.settings.zones),
             holder=self.holder,
             send=lambda action: self.links.send(action.address, Fleet(action.message)),
             ask_platform=lambda action: _ask(action, asking, watching),
--- a/src/daisywharf/_daemon/_routes.py
+++ b/src/daisywharf/_daemon/_routes.py
@@ -12,6 +12,7 @@
 from daisywharf._daemon._forwarding import host_gate
 from daisywharf._daemon._http import Routes, json_reply
 from daisywharf._daemon._links import LinkCounts
+from daisywharf._daemon._order_routes import add_order_routes
 from daisywharf._daemon._status import (
     AnnouncementTaken,
     ContractInForce,
@@ -44,6 +45,7 @@
     routes.route_by_path["GET /healthz"] = lambda environ: _health(daemon)
     routes.route_by_path["GET /status"] = lambda environ: _status(daemon, environ)
     routes.route_by_path["GET /targets"] = lambda environ: json_reply(_targets(daemon))
+    add_order_routes(daemon, routes)
     routes.route_by_prefix[TARGETS_PREFIX] = lambda environ: _drain(daemon, environ)
     routes.route_by_prefix[ENTRY_PREFIX] = lambda environ: _enter(daemon, environ)
     return routes
--- a/src/daisywharf/_embedded/_caller.py
+++ b/src/daisywharf/_embedded/_caller.py
@@ -25,7 +25,7 @@
     ) -> None:
         """Connect to the daemon's address for links; raise `LinkError`."""
         holder = SnapshotHolder(Snapshot(VmId(""), ZoneName(""), 0))
-        self._caller = Caller(holder, name=f"{name}@{Address(*daemon)}")
+        self._caller = Caller(holder, name=f"{name}@{Address(*daemon)}", keys=keys)
         self._link = DaemonLink(
             Address(*daemon),
             holder,
--- a/src/daisywharf/_errors.py
+++ b/src/daisywharf/_errors.py
@@ -27,6 +27,7 @@
     WRONG_INCARNATION = "wrong-incarnation"
     TICKET_BURNT = "ticket-burnt"
     TICKET_EXPIRED = "ticket-expired"
+    ORDER_NOT_KNOWN = "order-not-known"
     RECORDS_FULL = "records-full"
     CLAIM_UNAVAILABLE = "claim-unavailable"
     TARGET_FAILED = "target-failed"
@@ -76,6 +77,7 @@
     ErrorKind.WRONG_INCARNATION: Answer(503, True, Ran.NO),
     ErrorKind.TICKET_BURNT: Answer(409, False, Ran.NO),
     ErrorKind.TICKET_EXPIRED: Answer(409, False, Ran.UNKNOWN),
+    ErrorKind.ORDER_NOT_KNOWN: Answer(404, False, Ran.UNKNOWN),
     ErrorKind.RECORDS_FULL: Answer(503, True, Ran.NO),
     ErrorKind.CLAIM_UNAVAILABLE: Answer(503, False, Ran.NO),
     ErrorKind.TARGET_FAILED: Answer(502, False, Ran.YES),
--- a/src/daisywharf/_settings.py
+++ b/src/daisywharf/_settings.py
@@ -20,6 +20,7 @@
 MAX_HTTP_THREADS: Final = 1_024
 MAX_PEERS: Final = 256
 MAX_KEYS: Final = 16
+MAX_ZONES: Final = 64
 MAX_TEXT_CHARS: Final = 1_024
 
 NAME_META: Final = Meta(
@@ -54,6 +55,7 @@
         tuple[Annotated[str, Meta(min_length=1, max_length=MAX_TEXT_CHARS)], ...],
         Meta(max_length=MAX_KEYS),
     ] = ()
+    zones: Annotated[tuple[Annotated[ZoneName, NAME_META], ...], Meta(max_length=MAX_ZONES)] = ()
     http_threads: Annotated[int, Meta(ge=1, le=MAX_HTTP_THREADS)] = 16
     log: LogSettings = LogSettings()
     traces: TraceSettings | None = None
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,8 @@
 import pytest
 from benchmarks._processes import Processes
 
+from small_fleet import SmallFleet, start_small_fleet
+
 
 @pytest.fixture
 def processes(tmp_path: Path) -> Iterator[Processes]:
@@ -13,3 +15,11 @@
     started = Processes(tmp_path)
     yield started
     started.stop_all()
+
+
+@pytest.fixture(scope="session")
+def small_fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[SmallFleet]:
+    """Share one fleet of real processes among the tests that stop none of them."""
+    started = Processes(tmp_path_factory.mktemp("small-fleet"))
+    yield start_small_fleet(started)
+    started.stop_all()
--- a/tests/test_cli_daemon.py
+++ b/tests/test_cli_daemon.py
@@ -49,10 +49,12 @@
 
 
 def test_drain_and_order_name_their_object_in_the_path() -> None:
-    answers = {"POST /targets/orders-1/drain": {}, "GET /orders/a%2Fb%3F": {"state": "done"}}
+    asked = "GET /orders/a%2Fb%3F?customer=counter%20staff"
+    answers = {"POST /targets/orders-1/drain": {}, asked: {"state": "done"}}
+    order = ("order", "a/b?", "--customer", "counter staff")
     with running_daemon(answers) as (fake, url):
         assert run_command("target", "drain", "orders-1", "--daemon", url) == ExitCode.OK
-        assert run_command("order", "a/b?", "--daemon", url) == ExitCode.OK
+        assert run_command(*order, "--daemon", url) == ExitCode.OK
         assert run_command("target", "drain", "none", "--daemon", url) == ExitCode.NOT_FOUND
     assert fake.asked[:2] == list(answers)
 
