--- a/src/daisywharf/_replay/_entry.py
+++ b/src/daisywharf/_replay/_entry.py
@@ -35,8 +35,9 @@
 
 
 class Repeated(msgspec.Struct, frozen=True):
-    """Tell that a call gets the answer of its first run again."""
+    """Tell that a call gets the end of its first run again; no kind is a whole answer."""
 
+    kind: ErrorKind | None
     is_resend: bool
 
 
--- /dev/null
+++ b/src/daisywharf/_replay/_orders.py
@@ -0,0 +1,66 @@
+"""Keep non-idempotent requests of a trace to one run by the real records of gates.
+
+A request's key leads each of its sends to the gate that ran it first. The replay keeps all of
+these gates' records together.
+"""
+
+from typing import Final
+
+from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind, Ran
+from daisywharf._ids import CustomerId, IdempotencyKey, Incarnation, TargetId
+from daisywharf._outcomes._keys import scoped_key
+from daisywharf._outcomes._once import (
+    OnceRecords,
+    RefuseRun,
+    RepeatAnswer,
+    StoredAnswer,
+    begin,
+    complete,
+    release,
+    tick,
+)
+from daisywharf._outcomes._ticket import KEY_LIFETIME_S, Ticket
+from daisywharf._replay._entry import Entered, Refused, Repeated
+from daisywharf._replay._trace import CallLine
+
+GATES: Final = TargetId("gates")
+FIRST_INCARNATION: Final = Incarnation(1)
+RECORDS_MAX_BYTES: Final = 1 << 30
+OK_STATUS: Final = 200
+
+
+def make_records() -> OnceRecords:
+    """Make the records of all gates."""
+    return OnceRecords(target_id=GATES, incarnation=FIRST_INCARNATION, max_bytes=RECORDS_MAX_BYTES)
+
+
+def begin_order(
+    records: OnceRecords, line: CallLine, entered: Entered, *, now: float
+) -> Entered | Refused | Repeated:
+    """Decide whether a request that entered may run; an idempotent one always may."""
+    if entered.call_class.idempotent:
+        return entered
+    tick(records, now=now)
+    ticket = Ticket(_key_of(line), GATES, FIRST_INCARNATION, now + KEY_LIFETIME_S)
+    decision = begin(records, ticket, now=now)
+    if isinstance(decision, RefuseRun):
+        return Refused(decision.kind, entered.is_resend)
+    if isinstance(decision, RepeatAnswer):
+        is_whole = decision.answer.status == OK_STATUS
+        kind = None if is_whole else ErrorKind.TARGET_FAILED
+        return Repeated(kind, entered.is_resend)
+    return entered
+
+
+def end_order(records: OnceRecords, line: CallLine, kind: ErrorKind | None, *, now: float) -> None:
+    """Keep how a run ended; one of unknown outcome counts as running on."""
+    ran = Ran.YES if kind is None else ANSWERS_BY_KIND[kind].ran
+    if ran is Ran.NO:
+        release(records, _key_of(line), now=now)
+    elif ran is Ran.YES:
+        status = OK_STATUS if kind is None else ANSWERS_BY_KIND[kind].status
+        complete(records, _key_of(line), StoredAnswer(status, (), b""), now=now)
+
+
+def _key_of(line: CallLine) -> IdempotencyKey:
+    return scoped_key(CustomerId(line.customer), IdempotencyKey(line.request))
--- a/src/daisywharf/_replay/_run.py
+++ b/src/daisywharf/_replay/_run.py
@@ -8,7 +8,7 @@
 
 from daisywharf._contract import Contract
 from daisywharf._contracts._schema import contract_of
-from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind, Ran
+from daisywharf._errors import ErrorKind
 from daisywharf._ids import (
     CallClassName,
     CustomerId,
@@ -21,8 +21,9 @@
     ZoneName,
 )
 from daisywharf._overload._actions import AdmissionAction, Admit
-from daisywharf._replay._entry import Entered, EntryState, Refused, Repeated, enter
+from daisywharf._replay._entry import Entered, EntryState, Refused, enter
 from daisywharf._replay._gates import RealGate
+from daisywharf._replay._orders import begin_order, end_order, make_records
 from daisywharf._replay._outcomes import CallEnd, Replayed
 from daisywharf._replay._requests import make_entry, send_request
 from daisywharf._replay._silence import Network, carry, silence
@@ -53,8 +54,7 @@
         self.entry = EntryState()
         self.ends: list[CallEnd] = []
         self.runs_by_hop: Counter[tuple[RequestId, int]] = Counter()
-        self.running: set[RequestId] = set()
-        self.end_by_request: dict[RequestId, ErrorKind | None] = {}
+        self.records = make_records()
         self.entry_by_zone: dict[ZoneName, FakeTarget] = {}
         self.open_calls = 0
 
@@ -152,24 +152,23 @@
 def _enter(replay: Replay, line: CallLine) -> None:
     now = replay.fakes.loop.now
     decision = enter(replay.entry, line, now=now)
-    passed = _once(replay, line, decision) if isinstance(decision, Entered) else decision
-    if isinstance(passed, Entered):
-        _send(replay, line, passed)
+    if isinstance(decision, Refused):
+        _note_end(replay, line, decision.is_resend, decision.kind, 0)
         return
-    kind = passed.kind if isinstance(passed, Refused) else None
-    _note_end(replay, line, passed.is_resend, kind, 0)
+    begun = begin_order(replay.records, line, decision, now=now)
+    if isinstance(begun, Entered):
+        _send(replay, line, begun)
+    else:
+        _note_end(replay, line, begun.is_resend, begun.kind, 0)
 
 
 def _send(replay: Replay, line: CallLine, entered: Entered) -> None:
-    request_id = RequestId(line.request)
     replay.open_calls += 1
-    replay.running.add(request_id)
 
     def ended(kind: ErrorKind | None, retries: int) -> None:
         replay.open_calls -= 1
-        replay.running.discard(request_id)
         if not entered.call_class.idempotent:
-            replay.end_by_request[request_id] = kind
+            end_order(replay.records, line, kind, now=replay.fakes.loop.now)
         _note_end(replay, line, entered.is_resend, kind, retries)
 
     send_request(
@@ -189,23 +188,6 @@
     return entry
 
 
-def _once(replay: Replay, line: CallLine, entered: Entered) -> Entered | Refused | Repeated:
-    # The gate that ran a non-idempotent request knows its outcome; here the replay stands for it.
-    if entered.call_class.idempotent:
-        return entered
-    request_id = RequestId(line.request)
-    if request_id in replay.running:
-        return Refused(ErrorKind.STILL_RUNNING, entered.is_resend)
-    if request_id not in replay.end_by_request:
-        return entered
-    kind = replay.end_by_request[request_id]
-    if kind is None:
-        return Repeated(entered.is_resend)
-    if ANSWERS_BY_KIND[kind].ran is Ran.NO:
-        return entered
-    return Refused(ErrorKind.OUTCOME_UNKNOWN, entered.is_resend)
-
-
 def _note_end(
     replay: Replay, line: CallLine, is_resend: bool, kind: ErrorKind | None, retries: int
 ) -> None:
--- /dev/null
+++ b/tests/test_replay_run.py
@@ -0,0 +1,115 @@
+"""What becomes of the calls of a small trace."""
+
+import msgspec
+import pytest
+
+from builders_replay import BROWSE, CONTRACT, SHOP, build_call, build_calls, build_trace
+from daisywharf._contracts._schema import WrittenClass, WrittenContract, contract_of
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import Version
+from daisywharf._replay import _run
+from daisywharf._replay._run import replay_trace
+from daisywharf._replay._trace import SilentLine, SlowLine
+
+
+def contract_with(written_class: WrittenClass) -> WrittenContract:
+    return WrittenContract("builders", (written_class,))
+
+
+def test_calls_within_the_contract_are_answered_whole() -> None:
+    ends = replay_trace(build_trace(build_calls(100))).ends
+    assert len(ends) == 100
+    assert {end.kind for end in ends} == {None}
+    assert all(0.03 < end.latency_s < 0.5 for end in ends)
+
+
+def test_the_same_trace_replays_to_the_same_ends() -> None:
+    trace = build_trace(build_calls(300, period_s=0.004))
+    assert replay_trace(trace) == replay_trace(trace)
+
+
+def test_calls_beyond_the_rate_are_refused_at_the_entry() -> None:
+    slow = msgspec.structs.replace(SHOP, rate_per_second=5.0, burst=1.0)
+    ends = replay_trace(build_trace(build_calls(100), contract=contract_with(slow))).ends
+    refused = [end for end in ends if end.kind is ErrorKind.RATE_EXCEEDED]
+    assert len(refused) == pytest.approx(75, abs=3)
+
+
+def test_a_contract_from_a_file_stands_in_for_the_recorded_one() -> None:
+    slow = msgspec.structs.replace(SHOP, rate_per_second=5.0, burst=1.0)
+    tried = contract_of(contract_with(slow), Version(1))
+    ends = replay_trace(build_trace(build_calls(100)), [tried]).ends
+    assert sum(end.kind is ErrorKind.RATE_EXCEEDED for end in ends) >= 70
+
+
+@pytest.mark.parametrize(
+    ("contract", "kind"),
+    [
+        (WrittenContract("others", CONTRACT.classes), ErrorKind.UNKNOWN_CUSTOMER),
+        (contract_with(BROWSE), ErrorKind.NOT_IN_CONTRACT),
+        (
+            contract_with(msgspec.structs.replace(SHOP, services=("stock",))),
+            ErrorKind.NOT_IN_CONTRACT,
+        ),
+    ],
+)
+def test_what_no_contract_allows_is_refused(contract: WrittenContract, kind: ErrorKind) -> None:
+    ends = replay_trace(build_trace(build_calls(3), contract=contract)).ends
+    assert {end.kind for end in ends} == {kind}
+
+
+def test_a_repeated_order_gets_the_first_run_s_answer_and_runs_once() -> None:
+    calls = [build_call(0, at_s, request="r") for at_s in (0.0, 0.01, 2.0)]
+    replayed = replay_trace(build_trace(calls))
+    assert [end.kind for end in replayed.ends] == [None, ErrorKind.STILL_RUNNING, None]
+    assert [end.is_resend for end in replayed.ends] == [False, True, True]
+    assert replayed.ran_twice == 0
+
+
+@pytest.mark.parametrize("name", ["order", "browse"])
+def test_links_that_go_silent_cost_seconds_and_neither_lose_nor_double_a_call(name: str) -> None:
+    calls = build_calls(100, period_s=0.1, name=name)
+    silences = (SilentLine(at_s=2.0, target="stock-0"),)
+    replayed = replay_trace(build_trace(calls, silences=silences))
+    assert {end.kind for end in replayed.ends} == {None}
+    assert replayed.ran_twice == 0
+    slow = [end for end in replayed.ends if end.latency_s > 0.5]
+    assert slow
+    assert all(1.0 < end.at_s < 4.0 and end.latency_s < 2.5 for end in slow)
+
+
+def test_a_slow_service_makes_calls_slow_while_it_lasts() -> None:
+    slowings = (SlowLine(at_s=2.0, until_s=3.0, service="stock", factor=10.0),)
+    ends = replay_trace(build_trace(build_calls(120), slowings=slowings)).ends
+    during = [end.latency_s for end in ends if 2.2 <= end.at_s < 2.8 and end.kind is None]
+    before = [end.latency_s for end in ends if end.at_s < 1.8]
+    assert min(during, default=1.0) > max(before)
+
+
+def test_no_request_takes_more_retries_than_its_class_has() -> None:
+    calls = build_calls(400, period_s=0.002, name="browse")
+    ends = replay_trace(build_trace(calls)).ends
+    assert any(end.kind is not None for end in ends)
+    assert all(end.retries <= BROWSE.retries for end in ends)
+
+
+def test_the_count_of_second_runs_sees_orders_that_no_record_holds_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_run, "begin_order", lambda _records, _line, entered, *, now: entered)
+    calls = [build_call(0, at_s, request="r") for at_s in (0.0, 0.01, 2.0)]
+    assert replay_trace(build_trace(calls)).ran_twice == 4
+
+
+def test_an_order_that_failed_below_the_first_target_is_not_run_elsewhere(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    trace = build_trace(
+        build_calls(300, period_s=0.01),
+        silences=(SilentLine(at_s=1.0, target="stock-0"),),
+        slowings=(SlowLine(at_s=0.5, until_s=2.5, service="stock", factor=20.0),),
+    )
+    assert replay_trace(trace).ran_twice == 0
+    lax = msgspec.structs.replace(_run.REAL_RULES, marks_failure_below=False)
+    monkeypatch.setattr(_run, "REAL_RULES", lax)
+    assert replay_trace(trace).ran_twice > 0
