Probe ejected targets with calls that can be repeated

Cause: any call could be the probe of an ejected target, an order as well, whose outcome is then the likeliest to be lost; and a retry, which costs the request one of its few. Ruled out: never probing with orders (a caller that makes nothing else would never take a target back). Change: choose() takes is_idempotent; a retry never probes, an order only 20 s after a probe was due.

--- a/src/daisywharf/_replay/_requests.py
+++ b/src/daisywharf/_replay/_requests.py
@@ -103,7 +103,13 @@
         _end(request, ErrorKind.TOO_LATE)
         return
     router = router_for(fakes, request.entry, send.chain[0])
-    chosen = choose(router, now=now, rng=fakes.rng, excluded=request.tried)
+    chosen = choose(
+        router,
+        now=now,
+        rng=fakes.rng,
+        excluded=request.tried,
+        is_idempotent=send.call_class.idempotent,
+    )
     if chosen is None:
         _end(request, ErrorKind.NO_TARGET)
         return
--- a/src/daisywharf/_routing/_router.py
+++ b/src/daisywharf/_routing/_router.py
@@ -27,6 +27,7 @@
 
 ALWAYS_WARM: Final = float("-inf")
 PROBE_PART: Final = 0.01
+NON_IDEMPOTENT_PROBE_DELAY_S: Final = 20.0
 
 
 class CallOutcome(Enum):
@@ -115,25 +116,33 @@
 
 
 def choose(
-    state: RouterState, *, now: float, rng: Random, excluded: frozenset[TargetId] = frozenset()
+    state: RouterState,
+    *,
+    now: float,
+    rng: Random,
+    excluded: frozenset[TargetId] = frozenset(),
+    is_idempotent: bool = True,
 ) -> Target | None:
-    """Choose a target, or none where no target may be called."""
-    probed = _due_probe(state, excluded, now)
+    """Choose a target, or none where no target may be called.
+
+    A call that is not idempotent probes an ejected target only if no other call did for long;
+    a retry, which has `excluded` targets, never does.
+    """
+    delay_s = 0.0 if is_idempotent else NON_IDEMPOTENT_PROBE_DELAY_S
+    probed = None if excluded else _due_probe(state, now - delay_s)
     if probed is not None:
         return probed.target
     chosen = _choose_zone(state, excluded, now, rng)
     return None if chosen is None else chosen.target
 
 
-def _due_probe(
-    state: RouterState, excluded: frozenset[TargetId], now: float
-) -> TargetRecord | None:
+def _due_probe(state: RouterState, due_at: float) -> TargetRecord | None:
     # A probe costs a caller a call that is likely to fail, so that they are a small part of all.
     state.probe_credit = min(1.0, state.probe_credit + PROBE_PART)
     if state.probe_credit < 1.0:
         return None
     for record in state.subset:
-        if is_probe_due(record, now=now) and record.target.target_id not in excluded:
+        if is_probe_due(record, now=due_at):
             state.probe_credit = 0.0
             return record
     return None
--- a/src/daisywharf/_virtual/_chain.py
+++ b/src/daisywharf/_virtual/_chain.py
@@ -139,7 +139,13 @@
         _end(fakes, call, ErrorKind.TOO_LATE, 0.0)
         return
     router = router_for(fakes, call.target, service)
-    chosen = choose(router, now=now, rng=fakes.rng, excluded=call.tried)
+    chosen = choose(
+        router,
+        now=now,
+        rng=fakes.rng,
+        excluded=call.tried,
+        is_idempotent=call.context.idempotent,
+    )
     if chosen is None:
         _end(fakes, call, ErrorKind.NO_TARGET, 0.0)
         return
--- a/tests/test_routing_router.py
+++ b/tests/test_routing_router.py
@@ -16,6 +16,7 @@
 from daisywharf._ids import TargetId
 from daisywharf._routing._router import (
     CallOutcome,
+    RouterState,
     choose,
     note_pause,
     record_outcome,
@@ -156,13 +157,38 @@
     assert len(late) >= 4
 
 
+def eject(router: RouterState, target: Target) -> None:
+    for _ in range(5):
+        record_start(router, target.target_id, now=0.0)
+        record_outcome(router, target.target_id, CallOutcome.FAILED, latency_s=0.0, now=0.0)
+    assert router.record_by_id[target.target_id].is_ejected
+
+
+def test_an_order_or_a_retry_is_no_probe_while_other_calls_can_be() -> None:
+    targets = build_targets(12)
+    router = build_router(targets)
+    eject(router, targets[0])
+    rng = Random(1)
+    excluded = frozenset({targets[3].target_id})
+    for _ in range(500):
+        assert choose(router, now=10.0, rng=rng, is_idempotent=False) != targets[0]
+        assert choose(router, now=10.0, rng=rng, excluded=excluded) != targets[0]
+    assert choose(router, now=10.0, rng=rng) == targets[0]
+
+
+def test_orders_probe_where_no_other_call_did_for_long() -> None:
+    targets = build_targets(12)
+    router = build_router(targets)
+    eject(router, targets[0])
+    rng = Random(1)
+    chosen = [choose(router, now=30.0, rng=rng, is_idempotent=False) for _ in range(200)]
+    assert targets[0] in chosen
+
+
 def test_a_probe_that_never_ends_doesn_t_block_the_next() -> None:
     targets = build_targets(12)
     router = build_router(targets)
-    for _ in range(5):
-        record_start(router, targets[0].target_id, now=0.0)
-        record_outcome(router, targets[0].target_id, CallOutcome.FAILED, latency_s=0.0, now=0.0)
-    assert router.record_by_id[targets[0].target_id].is_ejected
+    eject(router, targets[0])
     rng = Random(1)
     probes = []
     for tick in range(300):
