Record in the virtual chain what an end says of the target, and group ends once

Cause: a cancelled call counted as a failure of its target, and a refusal for other reasons than load too; summing up a replay went through all calls for each customer and class. Change: outcome_of and CANCELLED in the virtual chain; one pass over the ends.

--- a/src/daisywharf/_replay/_outcomes.py
+++ b/src/daisywharf/_replay/_outcomes.py
@@ -35,6 +35,13 @@
     ran_twice: int
 
 
+class Group(msgspec.Struct, frozen=True, order=True):
+    """Name one customer's class of calls."""
+
+    customer: CustomerId
+    call_class: CallClassName
+
+
 class GroupSummary(msgspec.Struct, frozen=True):
     """Sum up one customer's class of calls; latencies are of whole answers."""
 
@@ -51,11 +58,10 @@
 
 def summarize(ends: tuple[CallEnd, ...]) -> list[GroupSummary]:
     """Sum up by customer and class, in the order of their names."""
-    groups = sorted({(end.customer, end.call_class) for end in ends})
-    return [
-        _summary([end for end in ends if (end.customer, end.call_class) == group])
-        for group in groups
-    ]
+    ends_by_group: dict[Group, list[CallEnd]] = {}
+    for end in ends:
+        ends_by_group.setdefault(Group(end.customer, end.call_class), []).append(end)
+    return [_summary(ends_by_group[group]) for group in sorted(ends_by_group)]
 
 
 def _summary(ends: list[CallEnd]) -> GroupSummary:
--- a/src/daisywharf/_replay/_plot.py
+++ b/src/daisywharf/_replay/_plot.py
@@ -55,8 +55,13 @@
 
 
 def _draw_latency(axes: Any, ends: tuple[CallEnd, ...], seconds: list[int]) -> None:
+    latencies_by_second: dict[int, list[float]] = {}
+    for end in ends:
+        if end.kind is None:
+            latencies_by_second.setdefault(int(end.at_s), []).append(end.latency_s * MS_PER_S)
     for part, name in ((0.5, "p50"), (0.99, "p99")):
-        axes.plot(seconds, [_latency_ms(ends, second, part) for second in seconds], label=name)
+        values = [_quantile(latencies_by_second.get(second, []), part) for second in seconds]
+        axes.plot(seconds, values, label=name)
     axes.set_ylabel("whole answers, ms")
     axes.set_xlabel("seconds")
     axes.legend()
@@ -67,6 +72,5 @@
     return [counts[second] for second in seconds]
 
 
-def _latency_ms(ends: tuple[CallEnd, ...], second: int, part: float) -> float:
-    latencies = sorted(e.latency_s for e in ends if e.kind is None and int(e.at_s) == second)
-    return latencies[int(part * (len(latencies) - 1))] * MS_PER_S if latencies else math.nan
+def _quantile(values: list[float], part: float) -> float:
+    return sorted(values)[int(part * (len(values) - 1))] if values else math.nan
--- a/src/daisywharf/_virtual/_chain.py
+++ b/src/daisywharf/_virtual/_chain.py
@@ -7,6 +7,7 @@
 from daisywharf._ids import TargetId
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
 from daisywharf._overload._level import OPEN_LEVEL, Level, merge_levels
+from daisywharf._routing._kinds import outcome_of
 from daisywharf._routing._retries import (
     RetryBudget,
     RetryRatioKey,
@@ -209,7 +210,7 @@
     now = fakes.loop.now
     service = child.target.target.service
     router = router_for(fakes, call.target, service)
-    outcome = _outcome_of(answer.kind)
+    outcome = outcome_of(answer.kind)
     target_id = child.target.target.target_id
     record_outcome(router, target_id, outcome, latency_s=now - sent_at, now=now)
     if call.is_over:
@@ -226,14 +227,6 @@
         _end(fakes, call, answer.kind, answer.retry_after_s)
 
 
-def _outcome_of(kind: ErrorKind | None) -> CallOutcome:
-    if kind is None:
-        return CallOutcome.SUCCEEDED
-    if kind is ErrorKind.TIMED_OUT:
-        return CallOutcome.TIMED_OUT
-    return CallOutcome.REFUSED if kind is ErrorKind.SHED else CallOutcome.FAILED
-
-
 def _takes_retry(fakes: Fakes, call: ChainCall, kind: ErrorKind) -> bool:
     rules = fakes.rules
     key = RetryRatioKey(call.context.customer, call.send.chain[call.context.depth + 1])
@@ -275,6 +268,6 @@
     now = fakes.loop.now
     router = router_for(fakes, call.target, child.target.target.service)
     target_id = child.target.target.target_id
-    record_outcome(router, target_id, CallOutcome.FAILED, latency_s=0.0, now=now)
+    record_outcome(router, target_id, CallOutcome.CANCELLED, latency_s=0.0, now=now)
     delay_s = network_s(fakes, call.target.target.zone, child.target.target.zone)
     call_later(fakes.loop, delay_s, lambda: cancel_call(fakes, child))
