Take a replay's calls from span files

Cause: the calls of a fleet with traces on stand in its span files, and a trace had to be written anew. Ruled out: the whole trace from spans (they tell neither slots nor contracts nor zones).

--- a/src/daisywharf/_cli/replay.py
+++ b/src/daisywharf/_cli/replay.py
@@ -14,7 +14,8 @@
 from daisywharf._replay._outcomes import GroupSummary, summarize
 from daisywharf._replay._plot import plot_replay
 from daisywharf._replay._run import replay_trace
-from daisywharf._replay._trace import read_trace
+from daisywharf._replay._spans import read_spans, with_calls_of
+from daisywharf._replay._trace import check_trace, read_trace
 
 
 class ReplayReport(msgspec.Struct, frozen=True):
@@ -55,6 +56,14 @@
         metavar="FILE",
         help="contract that stands in for the recorded one of its customer; may be repeated",
     )
+    parser.add_argument(
+        "--spans",
+        type=Path,
+        action="append",
+        default=[],
+        metavar="FILE",
+        help="span file that the calls are taken from, in place of the trace's; may be repeated",
+    )
     parser.add_argument("--expect", type=Path, metavar="OUTCOMES", help="stated outcomes (JSON)")
     parser.add_argument("--plot", type=Path, metavar="FILE.png", help="write a plot over time")
     parser.add_argument("--json", action="store_true", help="print JSON")
@@ -64,7 +73,11 @@
 def _replay(options: argparse.Namespace) -> ReplayReport:
     contracts = [load_contract_file(path) for path in options.contract]
     stated = None if options.expect is None else read_outcomes(options.expect)
-    replayed = replay_trace(read_trace(options.trace), contracts)
+    trace = read_trace(options.trace)
+    if options.spans:
+        trace = with_calls_of(trace, read_spans(options.spans))
+        check_trace(options.trace, trace)
+    replayed = replay_trace(trace, contracts)
     if options.plot is not None:
         plot_replay(replayed, options.plot)
     return ReplayReport(
--- a/src/daisywharf/_replay/_trace.py
+++ b/src/daisywharf/_replay/_trace.py
@@ -181,6 +181,14 @@
     )
 
 
+def check_trace(path: Path, trace: Trace) -> None:
+    """Raise `DocumentError` (bad request) where calls name services that the trace lacks."""
+    problems = _problems([trace.head], trace.services, trace.targets, trace.calls)
+    faults = [Fault(str(path), 0, *problem) for problem in problems]
+    if faults:
+        raise DocumentError(ErrorKind.BAD_REQUEST, faults)
+
+
 def _problems(
     heads: list[TraceHead],
     services: tuple[ServiceLine, ...],
