--- a/src/daisywharf/_overload/_admission.py
+++ b/src/daisywharf/_overload/_admission.py
@@ -39,7 +39,7 @@
 OVERLOAD_WAIT_S: Final = 0.05
 TICK_PERIOD_S: Final = 0.01
 DRAINING_RETRY_AFTER_S: Final = 0.1
-MAX_QUEUE_PART: Final = 3.0
+MAX_QUEUE_PART: Final = 2.0
 
 
 def offer(
--- a/src/daisywharf/_routing/_spill.py
+++ b/src/daisywharf/_routing/_spill.py
@@ -6,6 +6,7 @@
 from daisywharf._routing._record import TargetRecord
 
 STEP_UP: Final = 0.1
+SLOW_STEP_UP: Final = 0.005
 STEP_DOWN: Final = 0.003
 SPILL_LIFETIME_S: Final = 10.0
 SPILL_MOST: Final = 0.998
@@ -52,8 +53,9 @@
     """Move the part away from the side that refuses, fails, or is much slower."""
     side = state.own if record.is_own_zone else state.others
     _learn(side, is_answered=is_answered, latency_s=latency_s, now=now)
-    is_bad = not is_answered or (record.is_own_zone and _is_own_zone_slow(state, now))
-    step = _step(state, is_own_zone=record.is_own_zone, is_bad=is_bad)
+    step = _step(state, is_own_zone=record.is_own_zone, is_bad=not is_answered)
+    if record.is_own_zone and is_answered and _is_own_zone_slow(state, now):
+        step = _slow_step(state)
     state.part = min(SPILL_MOST, max(0.0, _faded(state, now) + step))
     state.changed_at = now
 
@@ -83,6 +85,15 @@
     return -STEP_UP if is_bad and is_home_better else 0.0
 
 
+def _slow_step(state: SpillState) -> float:
+    # All callers see the same slowness, some time late; small steps keep them from moving at once.
+    own, others = state.own.latency_s, state.others.latency_s
+    if own is None or others is None:
+        return 0.0
+    slowness = own / max(SLOW_FACTOR * others, SLOW_MARGIN_S)
+    return min(STEP_UP, SLOW_STEP_UP * slowness)
+
+
 def _learn(side: ZoneRecord, *, is_answered: bool, latency_s: float, now: float) -> None:
     if now - side.learned_at > ZONE_LIFETIME_S:
         side.latency_s = None
--- a/src/daisywharf/_virtual/_chain.py
+++ b/src/daisywharf/_virtual/_chain.py
@@ -237,9 +237,10 @@
 def _takes_retry(fakes: Fakes, call: ChainCall, answer: Answer) -> bool:
     rules = fakes.rules
     key = RetryRatioKey(call.context.customer, call.send.chain[call.context.depth + 1])
+    is_done_below = rules.marks_failure_below and answer.ran
     if rules.has_tree_budget:
         is_safe = answer.kind is not None and ANSWERS_BY_KIND[answer.kind].retryable
-        has_budget = is_safe and not answer.ran and call.budget.left > 0
+        has_budget = is_safe and not is_done_below and call.budget.left > 0
         return has_budget and may_retry(call.target.retry_ratio, key) and spend_retry(call.budget)
     if call.tries > rules.retries_per_hop:
         return False
