--- /dev/null
+++ b/tests/test_overload_level.py
@@ -0,0 +1,75 @@
+"""Levels: their header, how they merge, and how the demand sets them."""
+
+import pytest
+
+from builders_overload import STOCK
+from daisywharf._context import Refusals
+from daisywharf._contract import Importance
+from daisywharf._overload._demand import (
+    Demand,
+    learn_repeats,
+    level_for_rate,
+    note_let_in,
+    note_refusals,
+)
+from daisywharf._overload._level import OPEN_LEVEL, Level, level_from_header, merge_levels
+from daisywharf._overload._track import LevelTrack, move_towards, settled_level
+
+
+def test_a_header_gives_the_level_back() -> None:
+    level = Level(2, 1_234, 1.125, STOCK)
+    assert level_from_header(level.to_header()) == level
+
+
+@pytest.mark.parametrize("text", [None, "", "x", "1", "1.x", "-1.2", "1.2;nan;a", "²." + "9" * 400])
+def test_a_malformed_header_sheds_nothing_by_load(text: str | None) -> None:
+    assert level_from_header(text).load == 0.0
+
+
+def test_levels_merge_to_the_stricter_pair_and_the_busier_service() -> None:
+    merged = merge_levels(Level(1, 5, 0.5, STOCK), Level(3, 0, 1.5))
+    assert merged == Level(1, 5, 1.5)
+
+
+def test_the_level_admits_the_most_important_part_of_the_demand() -> None:
+    demand = Demand()
+    for sub_order in range(0, 65_536, 656):
+        note_let_in(demand, Importance.CRITICAL, sub_order)
+        note_let_in(demand, Importance.LOW, sub_order)
+    level = level_for_rate(demand, sum(demand.let_in_by_bin) * 0.75 / 0.25)
+    assert level.importance == Importance.LOW
+    assert level.sub_order == pytest.approx(32_768, rel=0.05)
+    assert level_for_rate(demand, 1e9) == OPEN_LEVEL
+
+
+def test_refusals_of_an_entry_count_as_demand_above_its_level() -> None:
+    demand = Demand()
+    note_refusals(demand, Refusals((0, 0, 80, 0), Importance.NORMAL, 32_768))
+    level = level_for_rate(demand, 40 / 0.25)
+    assert level.importance == Importance.NORMAL
+    assert level.sub_order == pytest.approx(49_152, rel=0.05)
+
+
+def test_callers_that_send_again_do_not_count_as_new_demand() -> None:
+    demand = Demand()
+    for sub_order in range(0, 32_768, 256):
+        note_let_in(demand, Importance.NORMAL, sub_order)
+    note_refusals(demand, Refusals((0, 0, 128 * 6, 0), Importance.NORMAL, 32_768))
+    for _ in range(300):
+        learn_repeats(demand, Level(Importance.NORMAL, 32_768))
+    level = level_for_rate(demand, 192 / 0.25)
+    assert level.sub_order == pytest.approx(49_152, rel=0.1)
+
+
+def test_a_level_stays_at_the_bound_of_an_importance_for_a_while() -> None:
+    track = LevelTrack(now=0.0)
+    move_towards(track, Level(2, 100), now=0.0)
+    assert track.level == Level(3, 0)
+    move_towards(track, Level(2, 100), now=0.01)
+    assert track.level == Level(3, 0)
+    move_towards(track, Level(2, 100), now=0.03)
+    assert track.level == Level(2, 100)
+    assert settled_level(track, now=0.03) == Level(2, 100)
+    move_towards(track, OPEN_LEVEL, now=0.1)
+    assert track.level == Level(3, 0)
+    assert settled_level(track, now=0.1) == Level(2, 100)
