--- /dev/null
+++ b/benchmarks/_overload_ablation.py
@@ -0,0 +1,71 @@
+"""Switch one protection off, to measure what it is worth."""
+
+from collections.abc import Callable
+from typing import Any
+
+from daisywharf._overload import _admission, _shedding, _track, _window
+
+NEVER_S = 1e9
+
+
+def _no_window() -> None:
+    _set(_window, "MIN_WINDOW", 1e9)
+
+
+def _no_level() -> None:
+    _set(_admission, "move_level", _nothing)
+
+
+def _no_reports() -> None:
+    _set(_admission, "take_refusals", _nothing)
+
+
+def _no_repeats() -> None:
+    _set(_shedding, "learn_repeats", _nothing)
+
+
+def _oldest_first() -> None:
+    _set(_admission, "OVERLOAD_WAIT_S", NEVER_S)
+
+
+def _no_time_check() -> None:
+    _set(_admission, "least_time_s", lambda *_args, **_kwargs: 0.0)
+
+
+def _fixed_returns() -> None:
+    _set(_admission, "plan_return", lambda *_args, **_kwargs: 1.0)
+
+
+def _no_early_opening() -> None:
+    _set(_shedding, "EASY_LOAD", 0.0)
+
+
+def _no_stay_at_bounds() -> None:
+    _set(_track, "BOUND_STAY_S", 0.0)
+
+
+def _long_queue() -> None:
+    _set(_admission, "MAX_QUEUE_PART", NEVER_S)
+
+
+SWITCH_BY_NAME: dict[str, Callable[[], None]] = {
+    "window": _no_window,
+    "level": _no_level,
+    "refusal-reports": _no_reports,
+    "re-send-estimate": _no_repeats,
+    "newest-first": _oldest_first,
+    "time-check": _no_time_check,
+    "planned-returns": _fixed_returns,
+    "early-opening": _no_early_opening,
+    "stay-at-bounds": _no_stay_at_bounds,
+    "short-queue": _long_queue,
+}
+
+
+def _nothing(*_args: Any, **_kwargs: Any) -> None:
+    return None
+
+
+def _set(module: object, name: str, value: object) -> None:
+    assert hasattr(module, name), name
+    setattr(module, name, value)
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from benchmarks._overload_ablation import SWITCH_BY_NAME
 from benchmarks._overload_figures import figures_of, worst_customer_loss
 from benchmarks._overload_gates import GATE_MAKER_BY_POLICY
 from benchmarks._overload_run import Scenario, load_of, run
@@ -32,6 +33,8 @@
         holds=options.hold,
         surge_s=options.surge_seconds,
     )
+    if options.without is not None:
+        SWITCH_BY_NAME[options.without]()
     usual = run(scenario)
     figures = figures_of(scenario, load_of(scenario), usual)
     if options.greedy > 1.0:
@@ -63,6 +66,7 @@
     parser.add_argument("--slow-after", type=float, default=0.0)
     parser.add_argument("--failing", type=float, default=0.0)
     parser.add_argument("--greedy", type=float, default=3.0)
+    parser.add_argument("--without", choices=sorted(SWITCH_BY_NAME), default=None)
     parser.add_argument("--hold", action="store_true")
     parser.add_argument("--json", action="store_true")
     return parser
--- a/src/daisywharf/_overload/_admission.py
+++ b/src/daisywharf/_overload/_admission.py
@@ -36,7 +36,7 @@
     take_refusals,
 )
 
-OVERLOAD_WAIT_S: Final = 0.05
+OVERLOAD_WAIT_S: Final = 0.3
 TICK_PERIOD_S: Final = 0.01
 DRAINING_RETRY_AFTER_S: Final = 0.1
 MAX_QUEUE_PART: Final = 2.0
@@ -286,9 +286,12 @@
 def _refusal(state: AdmissionState, call: WaitingCall, kind: ErrorKind, *, now: float) -> Refuse:
     if kind is ErrorKind.TOO_LATE:
         return Refuse(call.call_id, kind, 0.0)
+    # At an entry, requests are planned, not the calls of all depths that its gate sees.
+    window = _window_of_call(state, call)
+    rate = state.shedding if window is None else window
     retry_after_s = plan_return(
         state.returns,
-        rate_per_second=state.shedding.completions_per_second,
+        rate_per_second=rate.completions_per_second,
         sub_order=call.sub_order,
         attempt=call.call_id.attempt,
         now=now,
--- a/src/daisywharf/_overload/_returns.py
+++ b/src/daisywharf/_overload/_returns.py
@@ -4,7 +4,7 @@
 
 from daisywharf._context import SUB_ORDERS
 
-RETURN_PART: Final = 0.1
+RETURN_PART: Final = 0.05
 LEAST_RETRY_AFTER_S: Final = 1.0
 MOST_RETRY_AFTER_S: Final = 30.0
 LEAST_RETURNS_PER_S: Final = 1.0
--- a/src/daisywharf/_overload/_window.py
+++ b/src/daisywharf/_overload/_window.py
@@ -34,6 +34,7 @@
 BINDING_PART: Final = 0.9
 LEAST_WINDOW_LEVEL: Final = Level(Importance.HIGH, 0)
 GAIN: Final = 0.5
+LEARNING_S: Final = 1.0
 MIN_WINDOW: Final = 1.0
 MAX_STEP: Final = 2.0
 MIN_STEP: Final = 0.7
@@ -54,6 +55,7 @@
         self.completions_per_second = 0.0
         self.completions = 0
         self.residence_s = 0.1
+        self.created_at = now
         self.changed_at = now
         self.ticked_at = now
         self.queue = WaitingQueue()
@@ -127,6 +129,8 @@
         if window.load <= EASY_LOAD:
             window.size = max(window.size, base * SHEDDING_ROOM)
         return
+    if now - window.created_at < LEARNING_S:
+        return
     step = _step(window)
     if window.size == float("inf"):
         window.size = base * step
--- a/src/daisywharf/_virtual/_chain.py
+++ b/src/daisywharf/_virtual/_chain.py
@@ -122,8 +122,6 @@
         _end(fakes, call, None, 0.0)
         return
     fakes.first_calls += 1
-    service = call.send.chain[call.context.depth + 1]
-    earn_retry(call.target.retry_ratio, RetryRatioKey(call.context.customer, service))
     call.send.target_s += fakes.loop.now - (call.started_at or 0.0)
     call.started_at = fakes.loop.now
     if fakes.rules.suspends:
@@ -218,6 +216,7 @@
     take_back(call.budget, lent=child.context.retries, unspent=answer.unspent)
     call.below = merge_levels(answer.level, call.below)
     if answer.kind is None:
+        earn_retry(call.target.retry_ratio, RetryRatioKey(call.context.customer, service))
         _end(fakes, call, None, 0.0)
     elif _takes_retry(fakes, call, answer):
         fakes.retried_calls += 1
