Refuse at the entry by the window and level that the loaded service sets

Change: each caller's side has an entry window; hops carry the entry's refusals down and levels back; a gate lends at most as many slots as it has; an admitted call whose time is over is not run.

--- a/src/daisywharf/_call/_attempts.py
+++ b/src/daisywharf/_call/_attempts.py
@@ -5,15 +5,13 @@
 from msgspec.structs import replace
 
 from daisywharf._call._exchange import CallReply, CallRequest, error_in
-from daisywharf._call._hop import HOP_ANSWER, answer_from_header, hop_to
+from daisywharf._call._hop import HOP_ANSWER, answer_from_header, hop_to, level_in
 from daisywharf._call._parties import CallerState, choose_target, note_outcome, note_start
 from daisywharf._call._resolving import new_ticket, resolve_outcome
 from daisywharf._call._scope import Scope
 from daisywharf._errors import ErrorKind, Ran, RequestError
 from daisywharf._ids import TargetId
 from daisywharf._outcomes._ticket import Ticket
-from daisywharf._overload._level import Level
-from daisywharf._overload._level_cache import note_level
 from daisywharf._routing._kinds import outcome_of
 from daisywharf._routing._retries import (
     RetryRatioKey,
@@ -128,7 +126,7 @@
         reply = _send(state, request, target, ticket, lent, now=started)
         answer = answer_from_header(reply.headers.get(HOP_ANSWER))
         unspent = answer.retries_unspent
-        _note_level(state, scope, request, answer.level)
+        scope.note_level(level_in(answer))
         error = error_in(reply)
         if error is not None:
             raise error
@@ -158,9 +156,3 @@
         if ticket is None or error.answer.ran is Ran.NO:
             raise
         return resolve_outcome(state, target, request, ticket, error)
-
-
-def _note_level(state: CallerState, scope: Scope, request: CallRequest, level: Level) -> None:
-    scope.note_level(level)
-    with state.lock:
-        note_level(state.levels, request.service, level, now=state.clock())
--- a/src/daisywharf/_call/_caller.py
+++ b/src/daisywharf/_call/_caller.py
@@ -2,28 +2,32 @@
 
 import time
 from collections.abc import Sequence
+from http import HTTPStatus
 from random import Random
 from secrets import token_hex
 from typing import Final
 
+from msgspec.structs import replace
+
 from daisywharf._call._attempts import call_with_retries
 from daisywharf._call._demand import DemandCounter
 from daisywharf._call._exchange import CallReply, CallRequest
+from daisywharf._call._gate_admission import GateAdmission, enter_gate, leave_gate
 from daisywharf._call._keyed import ClaimKey, any_target, call_under_key, refuse_claims, secrets_of
 from daisywharf._call._parties import CallerState, Clock, SendCall
-from daisywharf._call._scope import Scope, current_scope
+from daisywharf._call._scope import Scope, current_scope, waiting_below
 from daisywharf._call._snapshot import SnapshotHolder, call_class_of, share_in
 from daisywharf._context import RequestContext
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import CallClassName, CustomerId, IdempotencyKey, RequestId, ServiceName
-from daisywharf._overload._level_cache import is_refused_early, kept_level
+from daisywharf._overload._admission import AdmissionState
 from daisywharf._overload._rates import BucketKey, RateState, take_token
 from daisywharf._signals._spans import SpanRole, describe_span, in_span
 from daisywharf._signals._traceparent import valid_traceparent
 from daisywharf._topology import Target
 
 MS_PER_S: Final = 1_000.0
-SHED_RETRY_AFTER_S: Final = 1.0
+ENTRY_SLOTS: Final = 1_000_000
 # Shares follow demand within seconds, so a longer wait would outlast its cause.
 MAX_RATE_WAIT_S: Final = 5.0
 # An entry with a small share, or none yet, still takes a few requests at once.
@@ -46,6 +50,8 @@
     ) -> None:
         self._state = CallerState(holder, caller=name, clock=clock, rng=rng or Random(), send=send)
         self._rates = RateState()
+        # An entry has no slots of its own: only the windows to loaded services bound it.
+        self._entry = GateAdmission(AdmissionState(slots=ENTRY_SLOTS), clock=clock)
         self._claim_key = claim_key
         self.secrets = secrets_of(keys)
         self.demand = DemandCounter()
@@ -65,9 +71,10 @@
         if scope is None:
             message = f"call to {service!r} outside any request; use `enter` for a new one"
             raise RequestError(ErrorKind.BAD_REQUEST, message)
-        context = _below(scope.context, idempotent=idempotent)
+        context = _below(scope, idempotent=idempotent)
         request = CallRequest(ServiceName(service), method, path, context, headers or {}, body)
-        return self._pass(scope, request)
+        with waiting_below(scope):
+            return self._pass(scope, request)
 
     def enter(
         self,
@@ -88,7 +95,7 @@
             context = self._admit(service, customer, call_class, key, below)
             describe_span(context, retries=context.retries, now=self._state.clock())
             request = CallRequest(ServiceName(service), method, path, context, headers or {}, body)
-            return self._pass(Scope(context), request)
+            return self._enter_window(request)
 
         return in_span(
             SpanRole.ENTRY,
@@ -159,18 +166,25 @@
             traceparent=traceparent,
         )
 
+    def _enter_window(self, request: CallRequest) -> CallReply:
+        # The window refuses at once what a service further down would refuse anyway.
+        admitted = enter_gate(self._entry, request.context)
+        scope = Scope(request.context)
+        scope.refusals = admitted.refusals
+        succeeded = False
+        try:
+            context = _below(scope, idempotent=request.context.idempotent)
+            reply = self._pass(scope, replace(request, context=context))
+            succeeded = reply.status < HTTPStatus.INTERNAL_SERVER_ERROR
+            return reply
+        finally:
+            below = scope.level_below
+            leave_gate(self._entry, admitted.call_id, succeeded=succeeded, below=below)
+
     def _pass(self, scope: Scope, request: CallRequest) -> CallReply:
         state = self._state
-        now = state.clock()
-        if request.context.deadline <= now:
+        if request.context.deadline <= state.clock():
             raise RequestError(ErrorKind.TOO_LATE, f"no time is left for {request.service!r}")
-        with state.lock:
-            is_refused = is_refused_early(state.levels, request.service, request.context, now=now)
-            level = kept_level(state.levels, request.service, now=now)
-        if is_refused:
-            scope.note_level(level)
-            message = f"service {request.service!r} sheds calls of this importance now"
-            raise RequestError(ErrorKind.SHED, message, retry_after_s=SHED_RETRY_AFTER_S)
         key = request.context.key
         if key is None or request.context.idempotent:
             return call_with_retries(state, scope, request)
@@ -179,7 +193,8 @@
         )
 
 
-def _below(context: RequestContext, *, idempotent: bool | None) -> RequestContext:
+def _below(scope: Scope, *, idempotent: bool | None) -> RequestContext:
+    context = scope.context
     return RequestContext(
         request_id=context.request_id,
         customer=context.customer,
@@ -189,5 +204,7 @@
         retries=context.retries,
         idempotent=context.idempotent if idempotent is None else idempotent,
         depth=context.depth + 1,
+        key=context.key if context.depth == 0 else None,
         traceparent=context.traceparent,
+        refusals=scope.refusals,
     )
--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -1,6 +1,8 @@
 """The gate of a target: WSGI middleware that admits calls and runs orders at most once."""
 
 import time
+from functools import partial
+from http import HTTPStatus
 
 from msgspec.structs import replace
 
@@ -10,7 +12,9 @@
     drain_gate,
     enter_gate,
     leave_gate,
+    lend_slot,
     level_of_gate,
+    take_slot_back,
 )
 from daisywharf._call._gate_once import (
     GateRecords,
@@ -27,6 +31,7 @@
     HopAnswer,
     context_in,
     hop_from_header,
+    level_part,
     ticket_in,
     to_header,
 )
@@ -39,6 +44,7 @@
 from daisywharf._outcomes._once import OnceRecords
 from daisywharf._outcomes._ticket import Ticket
 from daisywharf._overload._admission import AdmissionState
+from daisywharf._overload._level import OPEN_LEVEL
 from daisywharf._signals._spans import SpanRole, describe_span, in_span, note_admitted
 
 
@@ -61,7 +67,9 @@
         self.service = ServiceName(service)
         self._app = app
         self._clock = clock
-        self._admission = GateAdmission(AdmissionState(slots=slots), clock=clock)
+        self._admission = GateAdmission(
+            AdmissionState(slots=slots, service=self.service), clock=clock
+        )
         records = OnceRecords(target_id=self.target_id, incarnation=self.incarnation)
         self._records = GateRecords(records, clock=wall_clock)
 
@@ -85,7 +93,8 @@
     @property
     def in_flight(self) -> int:
         """Return how many calls run now."""
-        return len(self._admission.state.in_flight_by_id)
+        state = self._admission.state
+        return len(state.in_flight_by_id) + len(state.suspended_by_id)
 
     def _check_address(self, hop: Hop) -> None:
         if (hop.target_id, hop.incarnation) == (self.target_id, self.incarnation):
@@ -126,22 +135,36 @@
 
     def _admitted(self, environ: Environ, scope: Scope, ticket: Ticket | None) -> CallReply:
         try:
-            call_id = enter_gate(self._admission, scope.context)
+            admitted = enter_gate(self._admission, scope.context)
         except RequestError:
             if ticket is not None:
                 give_up_run(self._records, ticket)
             raise
         note_admitted()
+        scope.refusals = admitted.refusals or scope.refusals
+        scope.lend_slot = partial(lend_slot, self._admission, admitted.call_id)
+        scope.take_slot_back = partial(take_slot_back, self._admission, admitted.call_id)
         succeeded = False
         try:
+            self._check_time(scope, ticket)
             reply = self._run(environ, scope)
-            succeeded = reply.status < 500
+            succeeded = reply.status < HTTPStatus.INTERNAL_SERVER_ERROR
         finally:
-            leave_gate(self._admission, call_id, succeeded=succeeded)
+            below = scope.level_below
+            leave_gate(self._admission, admitted.call_id, succeeded=succeeded, below=below)
         if ticket is not None:
             end_run(self._records, ticket, reply)
         return reply
 
+    def _check_time(self, scope: Scope, ticket: Ticket | None) -> None:
+        # A process that was stopped after the admission may wake past the deadline.
+        if self._clock() < scope.context.deadline:
+            return
+        if ticket is not None:
+            give_up_run(self._records, ticket)
+        message = f"request {scope.context.request_id} was admitted, but its time is over"
+        raise RequestError(ErrorKind.TOO_LATE, message)
+
     def _run(self, environ: Environ, scope: Scope) -> CallReply:
         token = current_scope.set(scope)
         try:
@@ -160,13 +183,12 @@
             current_scope.reset(token)
 
     def _marked(self, reply: CallReply, hop: Hop | None, scope: Scope | None) -> CallReply:
-        level = level_of_gate(self._admission)
-        if scope is not None:
-            level = min(level, scope.lowest_level)
+        below = OPEN_LEVEL if scope is None else scope.level_below
+        level = level_of_gate(self._admission, below)
         answer = HopAnswer(
             call_id="" if hop is None else hop.call_id,
             incarnation=self.incarnation,
             retries_unspent=0 if scope is None else scope.budget.left,
-            level=level,
+            level=level_part(level),
         )
         return CallReply(reply.status, reply.headers | {HOP_ANSWER: to_header(answer)}, reply.body)
--- a/src/daisywharf/_call/_gate_admission.py
+++ b/src/daisywharf/_call/_gate_admission.py
@@ -13,14 +13,16 @@
     CallId,
     Enqueue,
     Refuse,
+    answer_level,
     cancel,
-    current_level,
     finish,
     offer,
+    resume,
     start_draining,
+    suspend,
     tick,
 )
-from daisywharf._overload._level import Level
+from daisywharf._overload._level import OPEN_LEVEL, Level
 
 TICK_PERIOD_S: Final = 0.01
 
@@ -44,7 +46,7 @@
         self.attempts = 0
 
 
-def enter_gate(gate: GateAdmission, context: RequestContext) -> CallId:
+def enter_gate(gate: GateAdmission, context: RequestContext) -> Admit:
     """Return once the call is admitted; raise `RequestError` at once when it is refused."""
     with gate.lock:
         gate.attempts += 1
@@ -57,13 +59,33 @@
     if isinstance(own, Refuse):
         message = f"the gate did not run request {context.request_id}: {own.kind.value}"
         raise RequestError(own.kind, message, retry_after_s=own.retry_after_s)
-    return call_id
+    return own
+
+
+def leave_gate(gate: GateAdmission, call_id: CallId, *, succeeded: bool, below: Level) -> None:
+    """Give the slot of a call that ended to one that waits; `below` is what its calls heard."""
+    with gate.lock:
+        now = gate.clock()
+        heard = None if below == OPEN_LEVEL else below
+        _apply(gate, finish(gate.state, call_id, now=now, succeeded=succeeded, below=heard), None)
+
+
+def lend_slot(gate: GateAdmission, call_id: CallId) -> bool:
+    """Lend out the slot of a call that waits for one below it, unless many are lent already.
+
+    The calls inside hold a thread each, so no more may wait below than the gate has slots.
+    """
+    with gate.lock:
+        if len(gate.state.suspended_by_id) >= gate.state.slots:
+            return False
+        _apply(gate, suspend(gate.state, call_id, now=gate.clock()), None)
+    return True
 
 
-def leave_gate(gate: GateAdmission, call_id: CallId, *, succeeded: bool) -> None:
-    """Give the slot of a call that ended to one that waits."""
+def take_slot_back(gate: GateAdmission, call_id: CallId) -> None:
+    """Let a call whose slot was lent go on."""
     with gate.lock:
-        _apply(gate, finish(gate.state, call_id, now=gate.clock(), succeeded=succeeded), None)
+        resume(gate.state, call_id, now=gate.clock())
 
 
 def drain_gate(gate: GateAdmission) -> None:
@@ -72,10 +94,11 @@
         _apply(gate, start_draining(gate.state, now=gate.clock()), None)
 
 
-def level_of_gate(gate: GateAdmission) -> Level:
-    """Return the level to send back on an answer."""
+def level_of_gate(gate: GateAdmission, below: Level) -> Level:
+    """Return the level to send back on an answer whose own calls heard `below`."""
     with gate.lock:
-        return current_level(gate.state, now=gate.clock())
+        heard = None if below == OPEN_LEVEL else below
+        return answer_level(gate.state, now=gate.clock(), below=heard)
 
 
 def cancel_call(gate: GateAdmission, call_id: CallId) -> None:
--- a/src/daisywharf/_call/_hop.py
+++ b/src/daisywharf/_call/_hop.py
@@ -6,7 +6,7 @@
 import msgspec
 from msgspec import Meta
 
-from daisywharf._context import RequestContext
+from daisywharf._context import SUB_ORDERS, Refusals, RequestContext
 from daisywharf._contract import Importance
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import (
@@ -15,6 +15,7 @@
     IdempotencyKey,
     Incarnation,
     RequestId,
+    ServiceName,
     TargetId,
 )
 from daisywharf._limits import (
@@ -22,10 +23,11 @@
     MAX_DEPTH,
     MAX_HEADER_VALUE_CHARS,
     MAX_HOP_CHARS,
+    MAX_REFUSALS,
     MAX_RETRIES,
 )
 from daisywharf._outcomes._ticket import Ticket
-from daisywharf._overload._level import OPEN_LEVEL, Level
+from daisywharf._overload._level import MAX_LOAD, OPEN_LEVEL, Level
 from daisywharf._topology import Target
 
 HOP: Final = "Daisywharf-Hop"
@@ -45,6 +47,25 @@
     expires_at: Annotated[float, Meta(ge=0.0)]
 
 
+class RefusalsPart(msgspec.Struct, frozen=True, array_like=True):
+    """Carry the counts of what the entry refused for load, and from which level."""
+
+    counts: Annotated[
+        tuple[Annotated[int, Meta(ge=0, le=MAX_REFUSALS)], ...], Meta(max_length=len(Importance))
+    ]
+    importance: Annotated[int, Meta(ge=0, le=len(Importance))]
+    sub_order: Annotated[int, Meta(ge=0, le=SUB_ORDERS)]
+
+
+class LevelPart(msgspec.Struct, frozen=True, array_like=True):
+    """Carry a gate's level back."""
+
+    importance: Annotated[int, Meta(ge=0, le=len(Importance))]
+    sub_order: Annotated[int, Meta(ge=0, le=SUB_ORDERS)]
+    load: Annotated[float, Meta(ge=0.0, le=MAX_LOAD)]
+    service: Annotated[str, Meta(max_length=MAX_HEADER_VALUE_CHARS)]
+
+
 class Hop(msgspec.Struct, frozen=True, array_like=True):
     """Name one attempt, the incarnation that is meant, and the request's context."""
 
@@ -60,6 +81,7 @@
     depth: Annotated[int, Meta(ge=0, le=MAX_DEPTH)]
     ticket: TicketPart | None = None
     traceparent: Annotated[str, Meta(max_length=MAX_HEADER_VALUE_CHARS)] | None = None
+    refusals: RefusalsPart | None = None
 
 
 class HopAnswer(msgspec.Struct, frozen=True, array_like=True):
@@ -68,7 +90,7 @@
     call_id: str
     incarnation: int
     retries_unspent: int
-    level: Level = OPEN_LEVEL
+    level: LevelPart | None = None
 
 
 def hop_to(
@@ -88,9 +110,37 @@
         depth=context.depth,
         ticket=None if ticket is None else TicketPart(ticket.key, ticket.expires_at),
         traceparent=context.traceparent,
+        refusals=_refusals_part(context.refusals),
     )
 
 
+def level_in(answer: HopAnswer) -> Level:
+    """Read the level that a gate sent back."""
+    part = answer.level
+    if part is None:
+        return OPEN_LEVEL
+    return Level(part.importance, part.sub_order, part.load, ServiceName(part.service))
+
+
+def level_part(level: Level) -> LevelPart | None:
+    """Write a level; an idle gate's open level takes no room."""
+    if level == OPEN_LEVEL:
+        return None
+    load = round(min(level.load, MAX_LOAD), 3)
+    return LevelPart(level.importance, level.sub_order, load, level.service)
+
+
+def _refusals_part(refusals: Refusals | None) -> RefusalsPart | None:
+    if refusals is None:
+        return None
+    counts = tuple(min(count, MAX_REFUSALS) for count in refusals.counts)
+    return RefusalsPart(counts, refusals.importance, refusals.sub_order)
+
+
+def _refusals_in(part: RefusalsPart | None) -> Refusals | None:
+    return None if part is None else Refusals(part.counts, part.importance, part.sub_order)
+
+
 def context_in(hop: Hop, *, now: float) -> RequestContext:
     """Read the context of an attempt, with its deadline on the reader's clock."""
     return RequestContext(
@@ -103,6 +153,7 @@
         idempotent=hop.ticket is None,
         depth=hop.depth,
         traceparent=hop.traceparent,
+        refusals=_refusals_in(hop.refusals),
     )
 
 
--- a/src/daisywharf/_call/_parties.py
+++ b/src/daisywharf/_call/_parties.py
@@ -11,7 +11,6 @@
 from daisywharf._call._snapshot import SnapshotHolder
 from daisywharf._call._transport import Connections, send_call
 from daisywharf._ids import ServiceName, TargetId
-from daisywharf._overload._level_cache import LevelCache
 from daisywharf._routing._retries import RetryRatio
 from daisywharf._routing._router import (
     CallOutcome,
@@ -34,7 +33,7 @@
 
 
 class CallerState:
-    """Hold a caller's routers, levels and retry ratios, which one lock guards."""
+    """Hold a caller's routers and retry ratios, which one lock guards."""
 
     def __init__(
         self,
@@ -52,7 +51,6 @@
         self.lock = threading.Lock()
         self.connections = Connections()
         self.send: SendCall = send or partial(send_call, self.connections)
-        self.levels = LevelCache()
         self.ratio = RetryRatio()
         self.router_by_service: dict[ServiceName, RouterState] = {}
         self.sequence_by_service: dict[ServiceName, int] = {}
--- a/src/daisywharf/_embedded/_target.py
+++ b/src/daisywharf/_embedded/_target.py
@@ -17,8 +17,8 @@
 
 RENEW_AFTER_S: Final = 1.0
 ANNOUNCE_TIMEOUT_S: Final = 2.0
-# Calls that wait need threads besides those that run, and refusals need some at once.
-THREADS_PER_SLOT: Final = 2
+# One thread runs, one waits for a call below, three wait in the queue; refusals need spare ones.
+THREADS_PER_SLOT: Final = 5
 SPARE_THREADS: Final = 16
 LEAVE_SPREAD_S: Final = 2.0
 STOP_TIMEOUT_S: Final = 30.0
@@ -73,11 +73,11 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Leave the fleet, finish what is in flight, and close; nothing is cut off."""
+        """Take no new work, leave the fleet, finish what is in flight, and close."""
         self._stopping.set()
+        self.gate.drain()
         self._thread.join(timeout=ANNOUNCE_TIMEOUT_S + RENEW_AFTER_S)
         self._leave()
-        self.gate.drain()
         give_up_at = time.monotonic() + STOP_TIMEOUT_S
         while self.gate.in_flight and time.monotonic() < give_up_at:
             time.sleep(STOP_POLL_S)
