--- a/src/daisywharf/_fleet/_confirming.py
+++ b/src/daisywharf/_fleet/_confirming.py
@@ -1,5 +1,6 @@
 """Tell whether this daemon's copy of the contracts is known to be current."""
 
+import math
 from enum import Enum
 from typing import Final
 
@@ -10,6 +11,8 @@
 AGREED_WITHIN_S: Final = 15.0
 AGREEMENTS_NEEDED: Final = 3
 AGREEMENTS_KEPT: Final = 16
+TRANSIT_S: Final = 0.3
+AGE_STEPS_PER_S: Final = 10
 
 
 class CopyState(Enum):
@@ -23,11 +26,16 @@
 def freshness_of(state: FleetState, *, now: float) -> Freshness:
     """Tell peers what this daemon knows of the age of its contracts."""
     at = state.confirming.platform_at
-    age_s = None if at == NEVER else round(max(0.0, now - at), 1)
+    age_s = None if at == NEVER else _rounded_up(max(0.0, now - at))
     digest = state.store_by_scope[Scope.CONTRACTS].digest
     return Freshness(digest, age_s, state.confirming.is_settled, state.is_joined)
 
 
+def _rounded_up(age_s: float) -> float:
+    # An age that left out rounding and transit would grow younger with each hop.
+    return math.ceil((age_s + TRANSIT_S) * AGE_STEPS_PER_S) / AGE_STEPS_PER_S
+
+
 def take_freshness(state: FleetState, sender: Member, freshness: Freshness, *, now: float) -> None:
     """Take over a peer's word from the platform if its contracts are the same."""
     confirming = state.confirming
--- a/src/daisywharf/_fleet/_membership.py
+++ b/src/daisywharf/_fleet/_membership.py
@@ -17,7 +17,7 @@
     Scope,
     Status,
 )
-from daisywharf._fleet._model import FleetState, PendingProbe
+from daisywharf._fleet._model import FleetState, PendingDrain, PendingProbe
 from daisywharf._fleet._store import drop, heard_again, put
 from daisywharf._fleet._target_records import record_of
 from daisywharf._ids import Incarnation, VmId
@@ -27,6 +27,7 @@
 INDIRECT_AFTER_S: Final = 0.4
 INDIRECT_PROBES: Final = 3
 SUSPICION_S: Final = 5.0
+DRAIN_TRIED_FOR_S: Final = 10.0
 ENDED_KEPT_S: Final = 600.0
 MEMBER_COPIES: Final = 8
 
@@ -77,6 +78,8 @@
     store = state.store_by_scope[Scope.MEMBERS]
     vm = record.member.vm
     put(store, record, copies=MEMBER_COPIES)
+    if held is not None and held.member.incarnation != record.member.incarnation:
+        _repeat_drains(state, held, record, now=now)
     is_same = held is not None and held.member == record.member
     if held is None:
         state.view.grew_at = now
@@ -88,6 +91,18 @@
         state.view.is_stale = True
 
 
+def _repeat_drains(
+    state: FleetState, held: MemberRecord, record: MemberRecord, *, now: float
+) -> None:
+    """Tell a daemon that was restarted which of its targets were told to drain."""
+    incarnation_by_id = {target.target_id: target.incarnation for target in record.targets}
+    for target in held.targets:
+        is_same = incarnation_by_id.get(target.target_id) == target.incarnation
+        if is_same and target.state is TargetState.DRAINING:
+            pending = PendingDrain(until=now + DRAIN_TRIED_FOR_S, next_at=now)
+            state.pending_drain_by_id[target.target_id] = pending
+
+
 def _note_status(state: FleetState, record: MemberRecord, *, now: float) -> None:
     vm = record.member.vm
     if record.status == Status.SUSPECT:
--- a/src/daisywharf/_fleet/_messages.py
+++ b/src/daisywharf/_fleet/_messages.py
@@ -60,6 +60,7 @@
     connections: int
     state: TargetState
     gate: GateHost
+    path_prefix: str = ""
 
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True, tag="m"):
--- a/src/daisywharf/_fleet/_target_records.py
+++ b/src/daisywharf/_fleet/_target_records.py
@@ -21,6 +21,7 @@
         connections=target.connections,
         state=target.state,
         gate=target.gate,
+        path_prefix=target.path_prefix,
     )
 
 
@@ -37,6 +38,7 @@
         connections=record.connections,
         state=record.state,
         gate=record.gate,
+        path_prefix=record.path_prefix,
     )
 
 
--- a/src/daisywharf/_fleet/_targets.py
+++ b/src/daisywharf/_fleet/_targets.py
@@ -7,7 +7,7 @@
 
 from daisywharf._fleet._actions import FleetAction
 from daisywharf._fleet._choosing import other_zones, send, some_contacts
-from daisywharf._fleet._membership import publish_self
+from daisywharf._fleet._membership import DRAIN_TRIED_FOR_S, publish_self
 from daisywharf._fleet._messages import (
     DrainAnswer,
     DrainRequest,
@@ -23,7 +23,6 @@
 ANNOUNCEMENT_PERIOD_S: Final = 2.0
 ANNOUNCEMENT_LIFETIME_S: Final = 7.0
 DRAIN_RETRY_S: Final = 0.4
-DRAIN_TRIED_FOR_S: Final = 10.0
 
 
 def announce(state: FleetState, target: Target, *, now: float) -> None:
--- /dev/null
+++ b/tests/builders_fleet.py
@@ -0,0 +1,224 @@
+"""Build a few daemons' fleet states with a clock, links and a platform that tests control."""
+
+from random import Random
+
+import msgspec
+
+from daisywharf._codec import decode, encode
+from daisywharf._contract import CallClass, Contract, Importance
+from daisywharf._fleet import _state as fleet
+from daisywharf._fleet._actions import PlatformAction
+from daisywharf._fleet._in_force import held_version
+from daisywharf._fleet._messages import ContractRecord, FleetMessage, Member
+from daisywharf._fleet._model import FleetState
+from daisywharf._ids import (
+    CallClassName,
+    CustomerId,
+    Incarnation,
+    ServiceName,
+    TargetId,
+    Version,
+    VmId,
+    ZoneName,
+)
+from daisywharf._topology import Address, Target
+
+TICK_S = 0.2
+ORDER = CallClassName("order")
+KARRI = CustomerId("karri")
+
+
+def contract(customer: CustomerId = KARRI, *, rate_per_second: float = 100.0) -> Contract:
+    """Return a contract with one call class."""
+    call_class = CallClass(
+        name=ORDER,
+        services=(ServiceName("orders"),),
+        importance=Importance.CRITICAL,
+        rate_per_second=rate_per_second,
+        burst=10,
+        deadline_ms=1000,
+        idempotent=False,
+    )
+    return Contract(customer, {ORDER: call_class})
+
+
+def member(number: int, *, zone: str = "z0", incarnation: int = 1) -> Member:
+    """Return a daemon's name."""
+    vm = VmId(f"vm-{number}")
+    return Member(vm, ZoneName(zone), Incarnation(incarnation), Address("10.0.0.1", number + 1))
+
+
+def target(owner: Member, *, incarnation: int = 1, service: str = "orders") -> Target:
+    """Return a serving target of a VM."""
+    return Target(
+        target_id=TargetId(f"{service}-{owner.vm}"),
+        service=ServiceName(service),
+        vm=owner.vm,
+        zone=owner.zone,
+        incarnation=Incarnation(incarnation),
+        address=Address("10.0.0.1", 8000),
+        slots=10,
+        connections=20,
+    )
+
+
+class Sent(msgspec.Struct):
+    """Hold a message on its way."""
+
+    sender: VmId
+    address: Address
+    frame: bytes
+
+
+class FakeFleet:
+    """Hold daemons, the messages between them and a platform."""
+
+    def __init__(self, *, zones: int, per_zone: int, seed: int = 0, loss: float = 0.0) -> None:
+        self.rng = Random(seed)
+        self.loss = loss
+        self.duplication = 0.0
+        self.now = 0.0
+        self.zones = [ZoneName(f"z{number}") for number in range(zones)]
+        self.members = [
+            member(number, zone=self.zones[number % zones]) for number in range(zones * per_zone)
+        ]
+        self.state_by_vm: dict[VmId, FleetState] = {}
+        self.paused_until_by_vm: dict[VmId, float] = {}
+        self.sent: list[Sent] = []
+        self.cut_zones: set[ZoneName] = set()
+        self.is_platform_down = False
+        self.platform_calls = 0
+        self.version = 0
+        self.record_by_customer: dict[CustomerId, ContractRecord] = {}
+        self.target_by_vm: dict[VmId, Target] = {}
+        self.pending: list[tuple[VmId, PlatformAction]] = []
+        for me in self.members:
+            self.start(me.vm)
+
+    def start(self, vm: VmId) -> None:
+        """Start a daemon with nothing, in place of the one that ran."""
+        first = next(known for known in self.members if known.vm == vm)
+        incarnation = Incarnation(int(self.now * 1000) + 1)
+        me = Member(vm, first.zone, incarnation, first.address)
+        seeds = [known.address for known in self.members[: 2 * len(self.zones)]]
+        self.state_by_vm[vm] = FleetState(me=me, seeds=seeds, zones=self.zones)
+        self.paused_until_by_vm.pop(vm, None)
+        self.pending = [item for item in self.pending if item[0] != vm]
+
+    def pause(self, vm: VmId, *, for_s: float) -> None:
+        """Stop a process for a time."""
+        self.paused_until_by_vm[vm] = self.now + for_s
+
+    def is_paused(self, vm: VmId) -> bool:
+        """Tell whether a process stands still."""
+        return self.paused_until_by_vm.get(vm, 0.0) > self.now
+
+    def write(self, customer: CustomerId = KARRI, *, rate_per_second: float = 100.0) -> Version:
+        """Let the platform accept a contract."""
+        self.version += 1
+        accepted = msgspec.structs.replace(
+            contract(customer, rate_per_second=rate_per_second), version=Version(self.version)
+        )
+        record = ContractRecord(customer, Version(self.version), accepted)
+        self.record_by_customer[customer] = record
+        return record.version
+
+    def delete(self, customer: CustomerId = KARRI) -> Version:
+        """Let the platform accept a deletion."""
+        self.version += 1
+        record = ContractRecord(customer, Version(self.version), None)
+        self.record_by_customer[customer] = record
+        return record.version
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / TICK_S)):
+            self.step()
+
+    def step(self) -> None:
+        """Let one tick pass: messages arrive in any order, then each daemon ticks."""
+        self.now += TICK_S
+        self._deliver()
+        self._answer_platform()
+        for vm, state in list(self.state_by_vm.items()):
+            if self.is_paused(vm):
+                continue
+            announced = self.target_by_vm.get(vm)
+            if announced is not None:
+                self.act(vm, fleet.announce(state, announced, now=self.now))
+            self.act(vm, fleet.tick(state, now=self.now, rng=self.rng))
+
+    def act(self, vm: VmId, actions: list[fleet.FleetAction]) -> None:
+        """Carry out a daemon's actions."""
+        for action in actions:
+            if isinstance(action, fleet.SendTo):
+                self.sent.append(Sent(vm, action.address, encode(action.message)))
+            else:
+                self.platform_calls += 1
+                self.pending.append((vm, action))
+
+    def _deliver(self) -> None:
+        sent, self.sent = self.sent, []
+        self.rng.shuffle(sent)
+        member_by_address = {known.address: known for known in self.members}
+        zone_by_vm = {known.vm: known.zone for known in self.members}
+        for item in sent:
+            receiver = member_by_address[item.address]
+            zones = {receiver.zone, zone_by_vm[item.sender]}
+            is_cut = len(zones) > 1 and bool(zones & self.cut_zones)
+            if is_cut or self.rng.random() < self.loss:
+                continue
+            if self.is_paused(receiver.vm):
+                self.sent.append(item)
+                continue
+            self._hand_over(receiver.vm, item)
+            if self.rng.random() < self.duplication:
+                self.sent.append(item)
+
+    def _hand_over(self, vm: VmId, item: Sent) -> None:
+        message = decode(item.frame, FleetMessage)
+        state = self.state_by_vm[vm]
+        self.act(vm, fleet.receive(state, message, now=self.now, rng=self.rng))
+
+    def _answer_platform(self) -> None:
+        pending, self.pending = self.pending, []
+        for vm, action in pending:
+            state = self.state_by_vm[vm]
+            if self.is_paused(vm):
+                self.pending.append((vm, action))
+                continue
+            if self._must_wait(action):
+                self.pending.append((vm, action))
+                continue
+            result = self._result(action)
+            self.act(vm, fleet.platform_answered(state, result, now=self.now, rng=self.rng))
+
+    def _must_wait(self, action: PlatformAction) -> bool:
+        is_watch = isinstance(action, fleet.WatchContracts) and not self.is_platform_down
+        return is_watch and action.after >= self.version
+
+    def _result(self, action: PlatformAction) -> fleet.PlatformResult:
+        if self.is_platform_down:
+            return fleet.PlatformFailed(action)
+        version = Version(self.version)
+        records = tuple(self.record_by_customer.values())
+        if isinstance(action, fleet.ListContracts):
+            present = tuple(record for record in records if record.contract is not None)
+            return fleet.ContractsRead(present, version, whole=True)
+        if isinstance(action, fleet.WatchContracts):
+            changed = tuple(record for record in records if record.version > action.after)
+            return fleet.ContractsRead(changed, version, whole=False)
+        if isinstance(action, fleet.ListContacts):
+            return fleet.ContactsRead(())
+        return fleet.ContactWritten()
+
+    def versions(self, customer: CustomerId = KARRI) -> list[Version]:
+        """Return the version that each daemon holds."""
+        return [held_version(state, customer) for state in self.state_by_vm.values()]
+
+    def share_sum(self, customer: CustomerId = KARRI) -> float:
+        """Add up the shares that daemons would admit by now."""
+        return sum(
+            fleet.share_of(state, customer, ORDER, now=self.now)
+            for state in self.state_by_vm.values()
+        )
