--- /dev/null
+++ b/benchmarks/_overload_watch.py
@@ -0,0 +1,100 @@
+"""What a run of the overload bench sees of gates and clients."""
+
+import msgspec
+
+from daisywharf._contract import Importance
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import TargetId
+from daisywharf._overload._actions import AdmissionAction, Admit, Enqueue, Refuse
+from daisywharf._virtual._chain import ChainCall
+from daisywharf._virtual._clients import SendResult
+from daisywharf._virtual._targets import Fakes, FakeTarget
+
+INVERSION_SPAN_S = 0.01
+
+
+class GateTimes(msgspec.Struct):
+    """Hold when a gate last let in and last refused for load, by importance; and entries alone."""
+
+    let_in_at: list[float]
+    entry_let_in_at: list[float]
+    refused_at: list[float]
+
+
+class Watch:
+    """Hold the results of all sends and the events at the gates."""
+
+    def __init__(self) -> None:
+        self.results: list[SendResult] = []
+        self.times_by_target: dict[TargetId, GateTimes] = {}
+        self.enqueued_at: dict[int, float] = {}
+        self.refused_wait_s: list[float] = []
+        self.inversions = 0
+        self.inversions_with_calls_below = 0
+        self.first_calls = 0
+        self.retried_calls = 0
+        self.refusals_by_depth: dict[int, int] = {}
+
+
+def report(watch: Watch, result: SendResult) -> None:
+    """Keep the end of a send."""
+    watch.results.append(result)
+
+
+def observe(
+    watch: Watch, fakes: Fakes, target: FakeTarget, action: AdmissionAction, call: object
+) -> None:
+    """Keep what matters of a gate's action."""
+    if not isinstance(call, ChainCall):
+        return
+    now = fakes.loop.now
+    if isinstance(action, Enqueue):
+        watch.enqueued_at[call.call_id.attempt] = now
+        return
+    waited_since = watch.enqueued_at.pop(call.call_id.attempt, now)
+    if isinstance(action, Admit):
+        _note_let_in(watch, target, call, now)
+    elif isinstance(action, Refuse):
+        depth = call.context.depth
+        watch.refusals_by_depth[depth] = watch.refusals_by_depth.get(depth, 0) + 1
+        watch.refused_wait_s.append(now - waited_since)
+        if action.kind is ErrorKind.SHED:
+            _note_refused(watch, target, call, now)
+
+
+def _note_let_in(watch: Watch, target: FakeTarget, call: ChainCall, now: float) -> None:
+    times = _times_of(watch, target)
+    importance = call.context.importance
+    is_inverted = any(_is_near(at, now) for at in times.refused_at[:importance])
+    watch.inversions_with_calls_below += is_inverted
+    times.let_in_at[importance] = now
+    if call.context.depth == 0:
+        watch.inversions += is_inverted
+        times.entry_let_in_at[importance] = now
+
+
+def _note_refused(watch: Watch, target: FakeTarget, call: ChainCall, now: float) -> None:
+    times = _times_of(watch, target)
+    importance = call.context.importance
+    # A call of a request that was let in elsewhere goes on: it is no new work. But where such
+    # a call is refused, no less important one may run.
+    is_entry = call.context.depth == 0
+    compared = times.entry_let_in_at if is_entry else times.let_in_at
+    watch.inversions += any(_is_near(at, now) for at in compared[importance + 1 :])
+    inverted = any(_is_near(at, now) for at in times.let_in_at[importance + 1 :])
+    watch.inversions_with_calls_below += inverted
+    times.refused_at[importance] = now
+
+
+def _times_of(watch: Watch, target: FakeTarget) -> GateTimes:
+    target_id = target.target.target_id
+    times = watch.times_by_target.get(target_id)
+    if times is None:
+        never = [float("-inf")] * len(Importance)
+        times = GateTimes(never, list(never), list(never))
+        watch.times_by_target[target_id] = times
+    return times
+
+
+def _is_near(earlier: float, now: float) -> bool:
+    return now - earlier < INVERSION_SPAN_S
--- a/src/daisywharf/_call/_gate_once.py
+++ b/src/daisywharf/_call/_gate_once.py
@@ -5,7 +5,6 @@
 from typing import Final
 
 from daisywharf._call._exchange import CallReply
-from daisywharf._context import TICKET
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._outcomes._once import (
     OnceDecision,
@@ -19,13 +18,13 @@
     resolve,
     tick,
 )
-from daisywharf._outcomes._ticket import Ticket, ticket_from_header
+from daisywharf._outcomes._ticket import Ticket
 
 EXPIRY_PERIOD_S: Final = 1.0
 
 
 class GateRecords:
-    """Hold a gate's records of tickets and the lock that guards them."""
+    """Hold a gate's records of tickets and their lock; `clock` tells seconds since 1970."""
 
     def __init__(self, records: OnceRecords, *, clock: Callable[[], float]) -> None:
         self.records = records
@@ -34,23 +33,17 @@
         self.expired_at = clock()
 
 
-def ticket_in(headers: dict[str, str]) -> Ticket:
-    """Return the ticket of a non-idempotent call; raise `RequestError` (bad request)."""
-    text = headers.get(TICKET)
-    if text is None:
-        message = f"header {TICKET} is missing; a non-idempotent call runs only under a ticket"
-        raise RequestError(ErrorKind.BAD_REQUEST, message)
-    return ticket_from_header(text)
+def begin_run(gate: GateRecords, ticket: Ticket, *, digest: bytes) -> CallReply | None:
+    """Return none where the call may run, or the first run's answer; raise where neither.
 
-
-def begin_run(gate: GateRecords, ticket: Ticket) -> CallReply | None:
-    """Return none where the call may run, or the first run's answer; raise where neither."""
+    `digest` names the request's content, so that a key with another content is refused.
+    """
     with gate.lock:
         now = gate.clock()
         if now - gate.expired_at >= EXPIRY_PERIOD_S:
             gate.expired_at = now
             tick(gate.records, now=now)
-        return _answer(begin(gate.records, ticket, now=now), ticket)
+        return _answer(begin(gate.records, ticket, now=now, digest=digest), ticket)
 
 
 def end_run(gate: GateRecords, ticket: Ticket, reply: CallReply) -> None:
@@ -61,13 +54,15 @@
 
 
 def give_up_run(gate: GateRecords, ticket: Ticket) -> None:
-    """Forget a ticket whose call was refused before it was run."""
+    """Burn a ticket whose call was refused before it was run."""
     with gate.lock:
         release(gate.records, ticket.key, now=gate.clock())
 
 
-def tell_outcome(gate: GateRecords, ticket: Ticket) -> CallReply:
+def tell_outcome(gate: GateRecords, ticket: Ticket | None) -> CallReply:
     """Return the answer of a ticket's run; raise `RequestError` where there is none."""
+    if ticket is None:
+        raise RequestError(ErrorKind.BAD_REQUEST, "the question names no ticket; send it along")
     with gate.lock:
         decision = resolve(gate.records, ticket, now=gate.clock())
         reply = _answer(decision, ticket)
@@ -76,6 +71,18 @@
     raise RequestError(ErrorKind.INTERNAL, f"ticket {ticket.key} can't be told")
 
 
+def look_up(gate: GateRecords, ticket: Ticket | None) -> CallReply:
+    """Return the answer of a ticket's run without burning one that has not run yet."""
+    if ticket is None:
+        raise RequestError(ErrorKind.BAD_REQUEST, "the question names no ticket; send it along")
+    with gate.lock:
+        is_known = ticket.key in gate.records.record_by_key
+    if is_known:
+        return tell_outcome(gate, ticket)
+    message = f"order {ticket.key} is not known here: it has not run, or its record has expired"
+    raise RequestError(ErrorKind.ORDER_NOT_KNOWN, message)
+
+
 def _answer(decision: OnceDecision, ticket: Ticket) -> CallReply | None:
     if isinstance(decision, RepeatAnswer):
         answer = decision.answer
--- a/src/daisywharf/_call/_parties.py
+++ b/src/daisywharf/_call/_parties.py
@@ -2,10 +2,14 @@
 
 import threading
 from collections.abc import Callable
+from functools import partial
 from random import Random
+from typing import Protocol
 
+from daisywharf._call._exchange import CallReply, CallRequest
+from daisywharf._call._hop import Hop
 from daisywharf._call._snapshot import SnapshotHolder
-from daisywharf._call._transport import Connections
+from daisywharf._call._transport import Connections, send_call
 from daisywharf._ids import ServiceName, TargetId
 from daisywharf._overload._level_cache import LevelCache
 from daisywharf._routing._retries import RetryRatio
@@ -22,16 +26,32 @@
 Clock = Callable[[], float]
 
 
+class SendCall(Protocol):
+    """Send one attempt of a call and return its whole answer, or raise `RequestError`."""
+
+    def __call__(self, target: Target, request: CallRequest, hop: Hop) -> CallReply:
+        """Send the attempt that `hop` describes."""
+
+
 class CallerState:
     """Hold a caller's routers, levels and retry ratios, which one lock guards."""
 
-    def __init__(self, holder: SnapshotHolder, *, caller: str, clock: Clock, rng: Random) -> None:
+    def __init__(
+        self,
+        holder: SnapshotHolder,
+        *,
+        caller: str,
+        clock: Clock,
+        rng: Random,
+        send: SendCall | None,
+    ) -> None:
         self.holder = holder
         self.caller = caller
         self.clock = clock
         self.rng = rng
         self.lock = threading.Lock()
         self.connections = Connections()
+        self.send: SendCall = send or partial(send_call, self.connections)
         self.levels = LevelCache()
         self.ratio = RetryRatio()
         self.router_by_service: dict[ServiceName, RouterState] = {}
@@ -40,9 +60,14 @@
 
 
 def choose_target(
-    state: CallerState, service: ServiceName, excluded: frozenset[TargetId], *, now: float
+    state: CallerState,
+    service: ServiceName,
+    excluded: frozenset[TargetId],
+    *,
+    now: float,
+    is_call: bool = True,
 ) -> Target | None:
-    """Choose a target by the present snapshot and count the call that leaves for it."""
+    """Choose a target by the present snapshot and count the call, if any, that leaves for it."""
     snapshot = state.holder.current
     with state.lock:
         router = _router(state, service)
@@ -50,11 +75,17 @@
             update_targets(router, snapshot.targets_by_service.get(service, ()), now=now)
             state.sequence_by_service[service] = snapshot.sequence
         target = choose(router, now=now, rng=state.rng, excluded=excluded)
-        if target is not None:
+        if target is not None and is_call:
             record_start(router, target.target_id, now=now)
     return target
 
 
+def note_start(state: CallerState, target: Target, *, now: float) -> None:
+    """Count a call that leaves for a target which was not chosen here."""
+    with state.lock:
+        record_start(_router(state, target.service), target.target_id, now=now)
+
+
 def note_outcome(
     state: CallerState, target: Target, outcome: CallOutcome, *, started: float, now: float
 ) -> None:
--- a/src/daisywharf/_daemon/_links.py
+++ b/src/daisywharf/_daemon/_links.py
@@ -36,7 +36,7 @@
     SendHeartbeat,
     TryNewConnection,
     link_tick,
-    note_frame,
+    note_echo,
 )
 from daisywharf._topology import Address
 
@@ -244,7 +244,6 @@
     async for data in link.socket:
         links.counts.frames_in += 1
         links.counts.bytes_in += len(data)
-        note_frame(link.state, now=time.monotonic())
         try:
             _take(links, link, decode(data, Frame))
         except LinkError:
@@ -255,7 +254,9 @@
 def _take(links: Links, link: Link, frame: Any) -> None:
     if isinstance(frame, Heartbeat):
         link.put(encode(HeartbeatEcho(frame.sequence)))
-    elif not isinstance(frame, HeartbeatEcho):
+    elif isinstance(frame, HeartbeatEcho):
+        note_echo(link.state, frame.sequence)
+    else:
         link.used_at = time.monotonic()
         links.on_frame(link, frame)
 
--- a/src/daisywharf/_embedded/_target.py
+++ b/src/daisywharf/_embedded/_target.py
@@ -41,7 +41,9 @@
         port: int = 0,
     ) -> None:
         incarnation = time.time_ns()
-        self.gate = Gate(app, target_id=target_id, incarnation=incarnation, slots=slots)
+        self.gate = Gate(
+            app, target_id=target_id, incarnation=incarnation, slots=slots, service=service
+        )
         self._server = HttpServer(
             self.gate,
             address=Address(host, port),
@@ -92,7 +94,9 @@
     def _renew(self) -> None:
         while not self._stopping.wait(RENEW_AFTER_S):
             try:
-                self._announcer.announce(self._announcement)
+                taken = self._announcer.announce(self._announcement)
+                if taken.is_drained:
+                    self.gate.drain()
             except DaisywharfError:
                 # The daemon is away; the next period asks again.
                 continue
--- /dev/null
+++ b/src/daisywharf/_overload/_gate.py
@@ -0,0 +1,80 @@
+"""What one gate knows of its calls in flight and waiting."""
+
+from typing import Final
+
+import msgspec
+
+from daisywharf._ids import CallClassName, ServiceName
+from daisywharf._overload._actions import CallId
+from daisywharf._overload._expected import ExpectedKey, ExpectedTimes
+from daisywharf._overload._level import Level
+from daisywharf._overload._queue import WaitingCall, WaitingQueue
+from daisywharf._overload._returns import Returns
+from daisywharf._overload._shedding import BUSY_LOAD, Shedding
+from daisywharf._overload._window import EntryWindow
+
+MAX_WINDOWS: Final = 256
+NO_SERVICE: Final = ServiceName("")
+
+
+class RunningCall(msgspec.Struct):
+    """Hold a call that has a slot."""
+
+    started_at: float
+    expected_key: ExpectedKey
+    window: EntryWindow | None
+    is_counted: bool = False
+
+
+class AdmissionState:
+    """Hold what one gate knows of its calls in flight and waiting."""
+
+    def __init__(self, *, slots: int, service: ServiceName = NO_SERVICE) -> None:
+        self.slots = slots
+        self.limit = float(slots)
+        self.service = service
+        self.is_draining = False
+        self.in_flight_by_id: dict[CallId, RunningCall] = {}
+        self.suspended_by_id: dict[CallId, RunningCall] = {}
+        self.waiting_by_id: dict[CallId, WaitingCall] = {}
+        self.queue = WaitingQueue()
+        self.window_by_service: dict[ServiceName, EntryWindow] = {}
+        self.window_by_class: dict[CallClassName, EntryWindow] = {}
+        self.expected = ExpectedTimes()
+        self.shedding = Shedding()
+        self.returns = Returns()
+        self.ticked_at = float("-inf")
+
+
+def load_of(state: AdmissionState) -> float:
+    """Return the calls running and waiting for a slot, over the limit."""
+    return (len(state.in_flight_by_id) + state.queue.size) / max(state.limit, 1.0)
+
+
+def has_slot(state: AdmissionState) -> bool:
+    """Tell whether a call may start now."""
+    return len(state.in_flight_by_id) < state.limit
+
+
+def window_for(
+    state: AdmissionState, call_class: CallClassName, level: Level, *, now: float
+) -> EntryWindow | None:
+    """Return the window that a call class follows; another service that is busy takes it over."""
+    present = state.window_by_class.get(call_class)
+    if present is not None and (present.service == level.service or level.load < BUSY_LOAD):
+        return present
+    if present is not None and level.load < present.load:
+        return present
+    window = _window_of(state, level.service, now=now)
+    if window is not None and len(state.window_by_class) < MAX_WINDOWS:
+        state.window_by_class[call_class] = window
+    return window
+
+
+def _window_of(state: AdmissionState, service: ServiceName, *, now: float) -> EntryWindow | None:
+    window = state.window_by_service.get(service)
+    if window is None:
+        if len(state.window_by_service) >= MAX_WINDOWS:
+            return None
+        window = state.window_by_service[service] = EntryWindow(service, now=now)
+    return window
--- /dev/null
+++ b/src/daisywharf/_overload/_shedding.py
@@ -0,0 +1,77 @@
+"""Move a gate's level so that the demand of all its entries fits what it gets done."""
+
+from typing import Final
+
+from daisywharf._context import Refusals
+from daisywharf._contract import Importance
+from daisywharf._overload._demand import (
+    Demand,
+    fade,
+    learn_repeats,
+    level_for_rate,
+    note_let_in,
+    note_refusals,
+)
+from daisywharf._overload._level import OPEN_LEVEL
+from daisywharf._overload._track import LevelTrack, move_towards, settled_level
+
+AIM_LOAD: Final = 1.12
+MAX_CUT_PART: Final = 0.35
+LEAST_USED: Final = 0.2
+CORRECTION_PERIOD_S: Final = 0.5
+RATE_MEMORY_S: Final = 0.25
+BUSY_LOAD: Final = 0.85
+LOAD_MEMORY_S: Final = 0.1
+
+
+class Shedding:
+    """Hold a gate's level and what it follows from; rates are per second."""
+
+    def __init__(self) -> None:
+        self.demand = Demand()
+        self.track = LevelTrack(now=0.0)
+        self.completions = 0
+        self.completions_per_second = 0.0
+        self.load = 0.0
+        self.used = 0.0
+        self.moved_at = 0.0
+
+
+def note_call(
+    shedding: Shedding, importance: Importance, sub_order: int, refusals: Refusals | None
+) -> None:
+    """Count a call that arrived, and those that its entry refused."""
+    note_let_in(shedding.demand, importance, sub_order)
+    if refusals is not None:
+        note_refusals(shedding.demand, refusals)
+
+
+def note_done(shedding: Shedding) -> None:
+    """Count a call that gave its slot back."""
+    shedding.completions += 1
+
+
+def move_level(shedding: Shedding, *, load: float, running: int, limit: float, now: float) -> None:
+    """Set the level to what fits at the present rate, corrected by the load."""
+    elapsed_s = now - shedding.moved_at
+    if elapsed_s <= 0.0:
+        return
+    shedding.moved_at = now
+    weight = min(1.0, elapsed_s / RATE_MEMORY_S)
+    rate = shedding.completions / elapsed_s
+    shedding.completions = 0
+    shedding.completions_per_second += (rate - shedding.completions_per_second) * weight
+    shedding.used += (running / max(limit, 1.0) - shedding.used) * weight
+    shedding.load += (load - shedding.load) * min(1.0, elapsed_s / LOAD_MEMORY_S)
+    fade(shedding.demand, elapsed_s)
+    learn_repeats(shedding.demand, settled_level(shedding.track, now=now))
+    if shedding.load < BUSY_LOAD and shedding.track.level == OPEN_LEVEL:
+        return
+    # What runs, not what could, gets done: a gate with free slots could do more.
+    used = min(1.0, max(LEAST_USED, shedding.used))
+    capacity = shedding.completions_per_second / used
+    correction = (AIM_LOAD - shedding.load) * limit / CORRECTION_PERIOD_S
+    correction = max(correction, -MAX_CUT_PART * capacity)
+    fitting_rate = max(0.0, capacity + correction)
+    wanted = level_for_rate(shedding.demand, fitting_rate)
+    move_towards(shedding.track, wanted, now=now)
--- /dev/null
+++ b/src/daisywharf/_routing/_spill.py
@@ -0,0 +1,101 @@
+"""Move calls to other zones by the headroom that outcomes show."""
+
+import math
+from typing import Final
+
+from daisywharf._routing._record import TargetRecord
+
+STEP_UP: Final = 0.1
+STEP_DOWN: Final = 0.003
+SPILL_LIFETIME_S: Final = 10.0
+SPILL_MOST: Final = 0.998
+# A few calls cross zones always, so that the other zones' latency is known.
+EXPLORING_PART: Final = 0.01
+ZONE_GAIN: Final = 0.05
+ZONE_LIFETIME_S: Final = 20.0
+SLOW_FACTOR: Final = 2.0
+SLOW_MARGIN_S: Final = 0.005
+
+
+class ZoneRecord:
+    """Hold the smoothed latency, and part of bad outcomes, of the own zone or of the others."""
+
+    def __init__(self) -> None:
+        self.bad_part = 0.0
+        self.latency_s: float | None = None
+        self.learned_at = float("-inf")
+
+
+class SpillState:
+    """Hold the part of calls that leaves the own zone."""
+
+    def __init__(self) -> None:
+        self.part = 0.0
+        self.changed_at = 0.0
+        self.own = ZoneRecord()
+        self.others = ZoneRecord()
+
+
+def spill_part(state: SpillState, *, now: float) -> float:
+    """Return the part of calls to send to other zones now."""
+    return max(EXPLORING_PART, _faded(state, now))
+
+
+def note_spill(
+    state: SpillState,
+    record: TargetRecord,
+    *,
+    is_answered: bool,
+    latency_s: float,
+    now: float,
+) -> None:
+    """Move the part away from the side that refuses, fails, or is much slower."""
+    side = state.own if record.is_own_zone else state.others
+    _learn(side, is_answered=is_answered, latency_s=latency_s, now=now)
+    is_bad = not is_answered or (record.is_own_zone and _is_own_zone_slow(state, now))
+    step = _step(state, is_own_zone=record.is_own_zone, is_bad=is_bad)
+    state.part = min(SPILL_MOST, max(0.0, _faded(state, now) + step))
+    state.changed_at = now
+
+
+def forget_spill(state: SpillState) -> None:
+    """Return to the own zone and forget all latencies."""
+    state.part = 0.0
+    state.own = ZoneRecord()
+    state.others = ZoneRecord()
+
+
+def typical_latency_s(state: SpillState) -> float:
+    """Return the latency to expect of a target that nothing is known of."""
+    known = state.own.latency_s
+    return (state.others.latency_s or 0.0) if known is None else known
+
+
+def _faded(state: SpillState, now: float) -> float:
+    return state.part * math.exp(-max(0.0, now - state.changed_at) / SPILL_LIFETIME_S)
+
+
+def _step(state: SpillState, *, is_own_zone: bool, is_bad: bool) -> float:
+    if is_own_zone:
+        return STEP_UP if is_bad else -STEP_DOWN
+    # A bad outcome elsewhere sends calls home only if home does better.
+    is_home_better = state.own.bad_part <= state.others.bad_part
+    return -STEP_UP if is_bad and is_home_better else 0.0
+
+
+def _learn(side: ZoneRecord, *, is_answered: bool, latency_s: float, now: float) -> None:
+    if now - side.learned_at > ZONE_LIFETIME_S:
+        side.latency_s = None
+        side.bad_part = 0.0
+    side.learned_at = now
+    side.bad_part += ZONE_GAIN * ((0.0 if is_answered else 1.0) - side.bad_part)
+    if is_answered:
+        known = latency_s if side.latency_s is None else side.latency_s
+        side.latency_s = known + ZONE_GAIN * (latency_s - known)
+
+
+def _is_own_zone_slow(state: SpillState, now: float) -> bool:
+    own, others = state.own.latency_s, state.others.latency_s
+    if own is None or others is None or now - state.others.learned_at > ZONE_LIFETIME_S:
+        return False
+    return own > SLOW_FACTOR * others + SLOW_MARGIN_S
