Ask again after a cut answer to a repeated call, and trace every unknown outcome

Cause: a cut answer to a call sent again ended the asking, so it waited for the deadline; the bench's entries also kept links to a target's former incarnation.

--- a/benchmarks/_outcomes_entry.py
+++ b/benchmarks/_outcomes_entry.py
@@ -99,7 +99,11 @@
     def _connect(self, sending: Sending) -> None:
         target_id = sending.call.ticket.target_id
         link = self.link_by_target.get(target_id)
-        if link is not None and not link.state.is_closed:
+        if link is not None and link.target.incarnation < sending.call.ticket.incarnation:
+            # The ticket tells that the peer has restarted before the link does.
+            self._drop(link)
+            link = None
+        if link is not None:
             self._write(sending, link)
             return
         target = self.target_by_id[target_id]
@@ -182,6 +186,8 @@
                 is_open[0] = False
                 self._event(sending, event)
 
+        channel.break_hooks.append(lambda: answered(_resolution.ResolveFailed()))
+
         def answer(decision: OnceDecision) -> None:
             self.network.reply(
                 channel,
--- a/benchmarks/_outcomes_world.py
+++ b/benchmarks/_outcomes_world.py
@@ -262,5 +262,5 @@
             return "gone"
         zones = frozenset((entry.zone, target.zone))
         was_cut = self.network.cut_until_by_zones.get(zones, 0.0) > sending.sent_at
-        was_stopped = max(entry.stopped_until, target.stopped_until) > sending.sent_at
+        was_stopped = max(entry.stopped_until, target.stopped_until) >= sending.sent_at
         return "unreachable" if was_cut or was_stopped else "untraced"
--- a/src/daisywharf/_outcomes/_resolution.py
+++ b/src/daisywharf/_outcomes/_resolution.py
@@ -201,6 +201,8 @@
     if not _is_mine(state, event, event.incarnation):
         return []
     if len(event.answer.body) != event.body_bytes:
+        if state.phase is CallPhase.RESOLVING:
+            return _ask_again(state, RESOLVE_RETRY_S)
         return _start_resolving(state, ErrorKind.CUT_ANSWER)
     return _end(state, Deliver(event.answer))
 
