--- a/benchmarks/_outcomes_entry.py
+++ b/benchmarks/_outcomes_entry.py
@@ -9,7 +9,8 @@
 from benchmarks._outcomes_target import Answer, Call, TargetNode
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import Incarnation, RequestId, TargetId
-from daisywharf._outcomes import _resolution
+from daisywharf._outcomes import _call_events, _resolution
+from daisywharf._outcomes._call_events import CallPlan
 from daisywharf._outcomes._link import (
     CloseLink,
     LinkAction,
@@ -21,7 +22,7 @@
     note_probe_answered,
 )
 from daisywharf._outcomes._once import OnceDecision, RefuseRun, RepeatAnswer, StoredAnswer
-from daisywharf._outcomes._resolution import CallPlan, ResolutionState, resolution_step
+from daisywharf._outcomes._resolution import ResolutionState, resolution_step
 from daisywharf._outcomes._ticket import TicketKind
 
 TICK_S = 0.1
@@ -31,7 +32,7 @@
 SEND_AGAIN_TIMEOUT_S = 1.5
 SUSPECT_S = 2.0
 
-Ended = Callable[["Sending", _resolution.CallAction], None]
+Ended = Callable[["Sending", _call_events.CallAction], None]
 
 
 class Link:
@@ -86,15 +87,15 @@
         sending = Sending(call, state, ended, self.clock.now, self.sendings)
         time_left_s = call.deadline - self.clock.now
         if time_left_s <= 0.0:
-            self._event(sending, _resolution.DeadlinePassed())
+            self._event(sending, _call_events.DeadlinePassed())
             return sending
-        self.after(time_left_s, lambda: self._event(sending, _resolution.DeadlinePassed()))
+        self.after(time_left_s, lambda: self._event(sending, _call_events.DeadlinePassed()))
         self._connect(sending)
         return sending
 
     def give_up(self, sending: Sending) -> None:
         """Let the caller go."""
-        self._event(sending, _resolution.CallerGone())
+        self._event(sending, _call_events.CallerGone())
 
     def _connect(self, sending: Sending) -> None:
         target_id = sending.call.ticket.target_id
@@ -109,7 +110,7 @@
         target = self.target_by_id[target_id]
         if self.network.is_cut(self, target) or target.is_stopped or target.is_gone:
             self._suspect(target_id)
-            failed = _resolution.ConnectFailed()
+            failed = _call_events.ConnectFailed()
             self.after(CONNECT_TIMEOUT_S, lambda: self._event(sending, failed))
             return
         self.after(CONNECT_S, lambda: self._write(sending, self._open(target)))
@@ -129,13 +130,13 @@
             return
         if sending.call.deadline <= self.clock.now:
             # The process was stopped since the last look at the clock.
-            self._event(sending, _resolution.DeadlinePassed())
+            self._event(sending, _call_events.DeadlinePassed())
             return
         if link.target.incarnation != sending.call.ticket.incarnation:
             # The peer's greeting names its incarnation, so nothing is written to another.
-            self._event(sending, _resolution.ConnectFailed())
+            self._event(sending, _call_events.ConnectFailed())
             return
-        self._event(sending, _resolution.CallSent())
+        self._event(sending, _call_events.CallSent())
         sending.link = link
         link.calls_out[sending.number] = sending
         answer = self._answer_on(link, sending)
@@ -153,7 +154,7 @@
 
         return answer
 
-    def _reply_arrived(self, link: Link, sending: Sending, event: _resolution.CallEvent) -> None:
+    def _reply_arrived(self, link: Link, sending: Sending, event: _call_events.CallEvent) -> None:
         if link.channel.is_broken:
             return
         if self.network.rng.random() < self.network.rates.mix_up:
@@ -161,9 +162,9 @@
                 self._event(other, event)
         self._event(sending, event)
 
-    def _event(self, sending: Sending, event: _resolution.CallEvent) -> None:
+    def _event(self, sending: Sending, event: _call_events.CallEvent) -> None:
         for action in resolution_step(sending.state, event):
-            if isinstance(action, _resolution.Resolve | _resolution.SendAgain):
+            if isinstance(action, _call_events.Resolve | _call_events.SendAgain):
                 sending.was_resolved = True
                 self.after(action.after_s, lambda: self._ask(sending))
             else:
@@ -181,12 +182,12 @@
         channel = Channel(self, target)
         is_open = [True]
 
-        def answered(event: _resolution.CallEvent) -> None:
+        def answered(event: _call_events.CallEvent) -> None:
             if is_open[0]:
                 is_open[0] = False
                 self._event(sending, event)
 
-        channel.break_hooks.append(lambda: answered(_resolution.ResolveFailed()))
+        channel.break_hooks.append(lambda: answered(_call_events.ResolveFailed()))
 
         def answer(decision: OnceDecision) -> None:
             self.network.reply(
@@ -195,7 +196,7 @@
             )
 
         timeout_s = RESOLVE_TIMEOUT_S if is_resolve else SEND_AGAIN_TIMEOUT_S
-        self.after(timeout_s, lambda: answered(_resolution.ResolveFailed()))
+        self.after(timeout_s, lambda: answered(_call_events.ResolveFailed()))
         if self.network.is_cut(self, target) or target.is_gone:
             self._suspect(ticket.target_id)
         elif is_resolve:
@@ -244,7 +245,7 @@
             del self.link_by_target[link.target.target_id]
         self._suspect(link.target.target_id)
         for sending in list(link.calls_out.values()):
-            self._event(sending, _resolution.LinkBroke())
+            self._event(sending, _call_events.LinkBroke())
 
     def _suspect(self, target_id: TargetId) -> None:
         self.suspect_until_by_target[target_id] = self.clock.now + SUSPECT_S
@@ -257,21 +258,23 @@
 
 def _reply_event(
     sending: Sending, incarnation: Incarnation, decision: OnceDecision, is_cut: bool
-) -> _resolution.CallEvent:
+) -> _call_events.CallEvent:
     plan = sending.state.plan
     if isinstance(decision, RepeatAnswer):
         answer = _cut(decision.answer, is_cut)
         size = len(decision.answer.body)
-        return _resolution.AnswerArrived(plan.request_id, plan.target_id, incarnation, answer, size)
+        return _call_events.AnswerArrived(
+            plan.request_id, plan.target_id, incarnation, answer, size
+        )
     kind = decision.kind if isinstance(decision, RefuseRun) else ErrorKind.INTERNAL
-    return _resolution.RefusalArrived(plan.request_id, plan.target_id, incarnation, kind)
+    return _call_events.RefusalArrived(plan.request_id, plan.target_id, incarnation, kind)
 
 
 def _resolved_event(
     sending: Sending, _incarnation: Incarnation, decision: OnceDecision, is_cut: bool
-) -> _resolution.CallEvent:
+) -> _call_events.CallEvent:
     ticket = sending.call.ticket
     if isinstance(decision, RepeatAnswer):
         size = len(decision.answer.body)
-        return _resolution.Resolved(ticket, RepeatAnswer(_cut(decision.answer, is_cut)), size)
-    return _resolution.Resolved(ticket, decision)
+        return _call_events.Resolved(ticket, RepeatAnswer(_cut(decision.answer, is_cut)), size)
+    return _call_events.Resolved(ticket, decision)
--- a/benchmarks/_outcomes_world.py
+++ b/benchmarks/_outcomes_world.py
@@ -12,7 +12,7 @@
 from benchmarks._outcomes_target import Call, TargetNode
 from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind, Ran
 from daisywharf._ids import CustomerId, EditId, IdempotencyKey, TargetId
-from daisywharf._outcomes import _claim, _resolution
+from daisywharf._outcomes import _call_events, _claim
 from daisywharf._outcomes._keys import KeyMint, mint_key, scoped_key, ticket_of_minted_key
 from daisywharf._outcomes._ticket import mint_ticket
 
@@ -141,8 +141,8 @@
             self._send_single_use(order, entry, attempt, deadline, frozenset())
         elif order.key.startswith("dw1."):
             ticket = ticket_of_minted_key(order.key, customer=CUSTOMER, secret=SECRET)
-            is_first_use = attempt.number == 1
-            self._send(order, entry, Call(attempt, ticket, deadline), is_first_use, frozenset())
+            # Nothing tells an entry whether a minted key was used before through another.
+            self._send(order, entry, Call(attempt, ticket, deadline), False, frozenset())
         else:
             self._claim(order, entry, attempt, deadline)
 
@@ -203,16 +203,16 @@
         is_first_use: bool,
         excluded: frozenset[TargetId],
     ) -> None:
-        def ended(sending: Sending, action: _resolution.CallAction) -> None:
+        def ended(sending: Sending, action: _call_events.CallAction) -> None:
             self._note_resolution(sending)
             match action:
-                case _resolution.Deliver(answer):
+                case _call_events.Deliver(answer):
                     order.is_answered = True
                     order.open_attempts -= 1
                     self.ledger.delivered(order.number, answer.body)
-                case _resolution.Fail(kind):
+                case _call_events.Fail(kind):
                     self._failed(order, call.attempt, kind, self._cause(entry, sending))
-                case _resolution.RetryElsewhere(otherwise):
+                case _call_events.RetryElsewhere(otherwise):
                     self._retry(order, entry, call, otherwise, excluded)
                 case _:
                     order.open_attempts -= 1
--- a/src/daisywharf/_call/_resolving.py
+++ b/src/daisywharf/_call/_resolving.py
@@ -9,8 +9,8 @@
 from daisywharf._call._parties import CallerState
 from daisywharf._call._transport import RESOLVE_PATH
 from daisywharf._errors import ErrorKind, Ran, RequestError
-from daisywharf._outcomes._once import RefuseRun, RepeatAnswer, StoredAnswer
-from daisywharf._outcomes._resolution import (
+from daisywharf._outcomes._call_events import (
+    AnswerArrived,
     CallAction,
     CallEvent,
     CallPlan,
@@ -19,13 +19,16 @@
     Deliver,
     Fail,
     LinkBroke,
-    ResolutionState,
+    RefusalArrived,
     Resolve,
     Resolved,
     ResolveFailed,
     RetryElsewhere,
-    resolution_step,
+    SendAgain,
 )
+from daisywharf._outcomes._keys import scoped_key
+from daisywharf._outcomes._once import RefuseRun, RepeatAnswer, StoredAnswer
+from daisywharf._outcomes._resolution import ResolutionState, resolution_step
 from daisywharf._outcomes._ticket import Ticket, mint_ticket
 from daisywharf._topology import Target
 
@@ -39,7 +42,8 @@
     key = request.context.key
     if key is None:
         return ticket
-    return Ticket(key, ticket.target_id, ticket.incarnation, ticket.expires_at)
+    scoped = scoped_key(request.context.customer, key)
+    return Ticket(scoped, ticket.target_id, ticket.incarnation, ticket.expires_at)
 
 
 def resolve_outcome(
@@ -53,10 +57,11 @@
     resolution = ResolutionState(plan)
     resolution_step(resolution, CallSent())
     action = _step(resolution, LinkBroke())
-    while isinstance(action, Resolve):
+    while isinstance(action, Resolve | SendAgain):
         time_left_s = request.context.deadline - state.clock()
         time.sleep(max(0.0, min(action.after_s, time_left_s)))
-        action = _step(resolution, _ask(state, target, request, ticket))
+        ask = _ask if isinstance(action, Resolve) else _send_again
+        action = _step(resolution, ask(state, target, request, ticket))
     return _end(action, target, ticket, cause)
 
 
@@ -82,6 +87,26 @@
     return Resolved(ticket, RepeatAnswer(answer), len(answer.body))
 
 
+def _send_again(
+    state: CallerState, target: Target, request: CallRequest, ticket: Ticket
+) -> CallEvent:
+    now = state.clock()
+    if now >= request.context.deadline:
+        return DeadlinePassed()
+    hop = hop_to(target, request.context, retries=0, ticket=ticket, now=now)
+    try:
+        reply = state.send(target, request, hop)
+    except RequestError:
+        return ResolveFailed()
+    request_id, incarnation = request.context.request_id, target.incarnation
+    error = error_in(reply)
+    if error is not None and (error.answer.ran is not Ran.YES or _is_running(error)):
+        return RefusalArrived(request_id, target.target_id, incarnation, error.kind)
+    answer = StoredAnswer(reply.status, tuple(reply.headers.items()), reply.body)
+    size = len(answer.body)
+    return AnswerArrived(request_id, target.target_id, incarnation, answer, size)
+
+
 def _is_running(error: RequestError) -> bool:
     return error.kind is ErrorKind.STILL_RUNNING
 
--- a/tests/builders_outcomes.py
+++ b/tests/builders_outcomes.py
@@ -7,9 +7,10 @@
 
 from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind, Ran
 from daisywharf._ids import IdempotencyKey, Incarnation, RequestId, TargetId
-from daisywharf._outcomes import _once, _resolution
+from daisywharf._outcomes import _call_events, _once, _resolution
+from daisywharf._outcomes._call_events import CallPlan
 from daisywharf._outcomes._once import OnceRecords, RefuseRun, RepeatAnswer, RunNow, StoredAnswer
-from daisywharf._outcomes._resolution import CallPlan, ResolutionState
+from daisywharf._outcomes._resolution import ResolutionState
 from daisywharf._outcomes._ticket import Ticket, mint_ticket
 
 TARGETS = (TargetId("orders-1"), TargetId("orders-2"))
@@ -59,7 +60,7 @@
     """Hold what a gate said on its way to an attempt."""
 
     attempt: Attempt
-    event: _resolution.CallEvent
+    event: _call_events.CallEvent
 
 
 class OrderWorld:
@@ -89,26 +90,26 @@
         plan = CallPlan(RequestId(f"r{order}"), target_id, incarnation, minted)
         attempt = Attempt(order, ResolutionState(plan), minted)
         self.attempts.append(attempt)
-        self.event(attempt, _resolution.CallSent())
+        self.event(attempt, _call_events.CallSent())
         self.messages.append(Message(attempt, is_resolve=False))
 
-    def event(self, attempt: Attempt, event: _resolution.CallEvent) -> None:
+    def event(self, attempt: Attempt, event: _call_events.CallEvent) -> None:
         """Feed an event to an attempt and carry out what it decides."""
         for action in _resolution.resolution_step(attempt.state, event):
             self._act(attempt, action)
 
-    def _act(self, attempt: Attempt, action: _resolution.CallAction) -> None:
+    def _act(self, attempt: Attempt, action: _call_events.CallAction) -> None:
         match action:
-            case _resolution.Resolve():
+            case _call_events.Resolve():
                 self.messages.append(Message(attempt, is_resolve=True))
-            case _resolution.SendAgain():
+            case _call_events.SendAgain():
                 self.messages.append(Message(attempt, is_resolve=False))
-            case _resolution.Deliver(answer):
+            case _call_events.Deliver(answer):
                 self.delivered.append((attempt.order, answer))
                 self.ends_by_order[attempt.order] += 1
-            case _resolution.Fail(kind):
+            case _call_events.Fail(kind):
                 self._fail(attempt.order, kind)
-            case _resolution.RetryElsewhere(otherwise):
+            case _call_events.RetryElsewhere(otherwise):
                 tries = sum(other.order == attempt.order for other in self.attempts)
                 if tries < ATTEMPTS:
                     self.place(attempt.order)
@@ -182,26 +183,26 @@
     def _reply(self, message: Message, decision: _once.OnceDecision, gate: Gate) -> None:
         attempt = message.attempt
         request_id, records = attempt.state.plan.request_id, gate.records
-        event: _resolution.CallEvent
+        event: _call_events.CallEvent
         if message.is_resolve:
             size = len(decision.answer.body) if isinstance(decision, RepeatAnswer) else 0
-            event = _resolution.Resolved(attempt.ticket, decision, size)
+            event = _call_events.Resolved(attempt.ticket, decision, size)
         elif isinstance(decision, RepeatAnswer):
             size = len(decision.answer.body)
-            event = _resolution.AnswerArrived(
+            event = _call_events.AnswerArrived(
                 request_id, records.target_id, records.incarnation, decision.answer, size
             )
         else:
             assert isinstance(decision, RefuseRun)
-            event = _resolution.RefusalArrived(
+            event = _call_events.RefusalArrived(
                 request_id, records.target_id, records.incarnation, decision.kind
             )
         self.replies.append(Reply(attempt, event))
 
 
-def cut(event: _resolution.CallEvent) -> _resolution.CallEvent:
+def cut(event: _call_events.CallEvent) -> _call_events.CallEvent:
     """Cut an answer short while its stated length stays."""
-    if isinstance(event, _resolution.AnswerArrived):
+    if isinstance(event, _call_events.AnswerArrived):
         body = event.answer.body[:-1]
         return msgspec.structs.replace(event, answer=StoredAnswer(200, (), body))
     return event
--- a/tests/test_outcomes_bench.py
+++ b/tests/test_outcomes_bench.py
@@ -6,7 +6,7 @@
 from benchmarks._outcomes_faults import FAULT_BY_NAME
 from benchmarks.outcomes import run
 
-from daisywharf._outcomes import _once, _resolution
+from daisywharf._outcomes import _call_events, _once, _resolution
 
 BAD_FIGURES = (
     "ran_twice",
@@ -41,7 +41,7 @@
 
 
 def _deliver(state: Any, event: Any) -> Any:
-    return _resolution._end(state, _resolution.Deliver(event.answer))
+    return _resolution._end(state, _call_events.Deliver(event.answer))
 
 
 @pytest.mark.parametrize(
--- a/tests/test_outcomes_mutations.py
+++ b/tests/test_outcomes_mutations.py
@@ -8,7 +8,7 @@
 
 from builders_outcomes import TARGETS, OrderWorld, cut
 from daisywharf._errors import ErrorKind
-from daisywharf._outcomes import _once, _resolution
+from daisywharf._outcomes import _call_events, _once, _resolution
 from daisywharf._outcomes._once import RECORD_BYTES, RESERVED_ANSWER_BYTES
 
 ONE_RECORD_BYTES = RECORD_BYTES + RESERVED_ANSWER_BYTES
@@ -24,7 +24,7 @@
 
 def call_comes_after_its_resolve(world: OrderWorld) -> None:
     world.place(0)
-    world.event(world.attempts[0], _resolution.LinkBroke())
+    world.event(world.attempts[0], _call_events.LinkBroke())
     world.arrive(world.messages[1])
     world.event(world.attempts[0], world.replies[0].event)
     world.arrive(world.messages[0])
@@ -50,7 +50,7 @@
     world.place(0)
     world.arrive(world.messages[0])
     world.restart(world.gate_by_id[TARGETS[0]])
-    world.event(world.attempts[0], _resolution.LinkBroke())
+    world.event(world.attempts[0], _call_events.LinkBroke())
     world.arrive(world.messages[0])
     world.settle()
 
@@ -58,7 +58,7 @@
 def target_is_known_to_be_gone(world: OrderWorld) -> None:
     world.place(0)
     world.arrive(world.messages[0])
-    world.event(world.attempts[0], _resolution.IncarnationGone())
+    world.event(world.attempts[0], _call_events.IncarnationGone())
     world.settle()
 
 
@@ -67,7 +67,7 @@
     world.place(0)
     world.arrive(world.messages[0])
     world.restart(world.gate_by_id[TARGETS[0]])
-    world.event(world.attempts[0], _resolution.LinkBroke())
+    world.event(world.attempts[0], _call_events.LinkBroke())
     world.settle()
 
 
@@ -102,7 +102,7 @@
 def answer_is_lost(world: OrderWorld) -> None:
     world.place(0)
     world.arrive(world.messages[0])
-    world.event(world.attempts[0], _resolution.LinkBroke())
+    world.event(world.attempts[0], _call_events.LinkBroke())
     world.settle()
 
 
@@ -199,15 +199,15 @@
 
 
 def _retry(state: Any, *_rest: Any) -> Any:
-    return _resolution._end(state, _resolution.RetryElsewhere(ErrorKind.CONNECT_FAILED))
+    return _resolution._end(state, _call_events.RetryElsewhere(ErrorKind.CONNECT_FAILED))
 
 
 def _deliver(state: Any, event: Any) -> Any:
-    return _resolution._end(state, _resolution.Deliver(event.answer))
+    return _resolution._end(state, _call_events.Deliver(event.answer))
 
 
 def _believe_refusals(state: Any, kind: ErrorKind) -> Any:
-    return _resolution._end(state, _resolution.Fail(kind))
+    return _resolution._end(state, _call_events.Fail(kind))
 
 
 def _replace(value: Any) -> Callable[[Any], Any]:
--- a/tests/test_outcomes_orders.py
+++ b/tests/test_outcomes_orders.py
@@ -11,7 +11,7 @@
 )
 
 from builders_outcomes import START, TARGETS, OrderWorld, cut
-from daisywharf._outcomes import _resolution
+from daisywharf._outcomes import _call_events
 from daisywharf._outcomes._once import RECORD_BYTES, RESERVED_ANSWER_BYTES
 
 SETTINGS = settings(
@@ -57,16 +57,16 @@
         pick=PICK,
         event=st.sampled_from(
             [
-                _resolution.LinkBroke(),
-                _resolution.LinkBroke(),
-                _resolution.ResolveFailed(),
-                _resolution.IncarnationGone(),
-                _resolution.DeadlinePassed(),
-                _resolution.CallerGone(),
+                _call_events.LinkBroke(),
+                _call_events.LinkBroke(),
+                _call_events.ResolveFailed(),
+                _call_events.IncarnationGone(),
+                _call_events.DeadlinePassed(),
+                _call_events.CallerGone(),
             ]
         ),
     )
-    def attempt_is_hurt(self, pick: int, event: _resolution.CallEvent) -> None:
+    def attempt_is_hurt(self, pick: int, event: _call_events.CallEvent) -> None:
         self.world.event(self.world.attempts[pick % len(self.world.attempts)], event)
 
     @rule(pick=PICK)
