--- a/src/daisywharf/_fleet/_state.py
+++ b/src/daisywharf/_fleet/_state.py
@@ -23,6 +23,7 @@
 from daisywharf._fleet._gossip import (
     answer_buckets,
     answer_compare,
+    take_introduction,
     take_records,
     take_repair,
     tick_gossip,
@@ -53,6 +54,7 @@
     IndirectProbe,
     InForceAnswer,
     InForceAsk,
+    Introduction,
     Probe,
     ProbeAnswer,
     RepairAsk,
@@ -70,6 +72,7 @@
 
 STALL_S: Final = 1.0
 PAUSE_S: Final = 3.0
+LEARN_S: Final = 1.5
 JOIN_WAIT_S: Final = 5.0
 GOODBYE_COPIES: Final = 8
 
@@ -133,10 +136,20 @@
         note_other_zone(state, sender, now=now)
     if isinstance(message, Probe | ProbeAnswer | RepairAsk | RepairBuckets):
         take_freshness(state, sender, message.freshness, now=now)
+        _join_through(state, message, now=now)
     actions.extend(_take(state, message, now=now, rng=rng))
     return actions
 
 
+def _join_through(
+    state: FleetState, message: Probe | ProbeAnswer | RepairAsk | RepairBuckets, *, now: float
+) -> None:
+    """Count as joined after some time with a peer that has joined."""
+    is_peer = message.sender.zone == state.me.zone and message.freshness.is_joined
+    if is_peer and state.started_at is not None and now - state.started_at >= LEARN_S:
+        state.is_joined = True
+
+
 def _take(
     state: FleetState, message: FleetMessage, *, now: float, rng: Random
 ) -> list[FleetAction]:
@@ -163,13 +176,15 @@
     rng: Random,
 ) -> list[FleetAction]:
     if isinstance(message, RepairAsk):
-        return answer_compare(state, message, now=now)
+        return answer_compare(state, message, now=now, rng=rng)
     if isinstance(message, RepairBuckets):
         return answer_buckets(state, message, now=now, rng=rng)
     return take_repair(state, message, now=now, rng=rng)
 
 
 def _take_question(state: FleetState, message: FleetMessage, *, now: float) -> list[FleetAction]:
+    if isinstance(message, Introduction):
+        take_introduction(state, message)
     if isinstance(message, DrainRequest):
         return _targets.take_drain(state, message)
     if isinstance(message, DrainAnswer):
--- a/src/daisywharf/_fleet/_watching.py
+++ b/src/daisywharf/_fleet/_watching.py
@@ -22,6 +22,7 @@
     WATCHER,
     chosen_for,
     is_chosen,
+    is_view_settled,
     note_other_zone,
     peers,
     send,
@@ -32,7 +33,7 @@
 from daisywharf._fleet._model import FleetState, Outstanding, PlatformTask
 
 FIRST_LOOK_AFTER_S: Final = 2.0
-FIRST_LOOK_SPREAD_S: Final = 2.0
+FIRST_LOOK_SPREAD_S: Final = 1.0
 ANSWER_WITHIN_S: Final = 15.0
 READ_BACKOFF_S: Final = 0.5
 READ_BACKOFF_MAX_S: Final = 4.0
@@ -48,8 +49,7 @@
     """Start what is due at the platform."""
     if state.started_at is None:
         return []
-    uptime_s = now - state.started_at
-    if uptime_s < FIRST_LOOK_AFTER_S:
+    if not is_view_settled(state, now=now):
         return []
     actions: list[FleetAction] = []
     actions.extend(_tick_contracts(state, now=now, rng=rng))
@@ -119,7 +119,7 @@
 
 def _tick_contacts(state: FleetState, *, now: float, rng: Random) -> list[FleetAction]:
     task = state.watching.contacts
-    if state.is_joined and not is_chosen(state, WATCHER):
+    if peers(state) and not is_chosen(state, WATCHER):
         return []
     if not _is_free(task, now=now, rng=rng, base_s=READ_BACKOFF_S, max_s=WRITE_BACKOFF_MAX_S):
         return []
--- a/src/daisywharf/_virtual/_chain.py
+++ b/src/daisywharf/_virtual/_chain.py
@@ -2,12 +2,11 @@
 
 from collections.abc import Callable
 
-from daisywharf._context import RequestContext
+from daisywharf._context import Refusals, RequestContext
 from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind
 from daisywharf._ids import TargetId
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
 from daisywharf._overload._level import OPEN_LEVEL, Level, merge_levels
-from daisywharf._overload._level_cache import is_refused_early, note_level
 from daisywharf._routing._retries import (
     RetryBudget,
     RetryRatioKey,
@@ -23,6 +22,7 @@
 from daisywharf._virtual._targets import (
     Fakes,
     FakeTarget,
+    Message,
     network_s,
     router_for,
     service_time_s,
@@ -53,6 +53,7 @@
         self.budget = RetryBudget(context.retries)
         self.below: Level | None = None
         self.child: ChainCall | None = None
+        self.refusals: Refusals | None = None
         self.tries = 0
         self.tried: frozenset[TargetId] = frozenset()
 
@@ -86,6 +87,7 @@
             continue
         fakes.observe(target, action, call)
         if isinstance(action, Admit):
+            call.refusals = action.refusals or call.context.refusals
             _start(fakes, call)
         elif isinstance(action, Refuse):
             _end(fakes, call, action.kind, action.retry_after_s)
@@ -136,10 +138,6 @@
     if fakes.rules.checks_deadline and call.context.deadline <= now:
         _end(fakes, call, ErrorKind.TOO_LATE, 0.0)
         return
-    cache = call.target.level_cache
-    if fakes.rules.refuses_early and is_refused_early(cache, service, call.context, now=now):
-        _end(fakes, call, ErrorKind.SHED, 1.0)
-        return
     router = router_for(fakes, call.target, service)
     chosen = choose(router, now=now, rng=fakes.rng, excluded=call.tried)
     if chosen is None:
@@ -155,16 +153,24 @@
     sent_at = fakes.loop.now
     delay_s = network_s(fakes, call.target.target.zone, target.target.zone)
     lent = lend(call.budget) if fakes.rules.has_tree_budget else 0
-    context = _child_context(call.context, lent)
+    context = _child_context(call, lent)
 
     def answered(answer: Answer) -> None:
-        call_later(
-            fakes.loop, delay_s, lambda: _child_answered(fakes, call, child, answer, sent_at)
-        )
+        def deliver() -> None:
+            _child_answered(fakes, call, child, answer, sent_at)
+
+        # A lost answer is asked for again.
+        fakes.carry(fakes, Message(call.target, target, delay_s, deliver, lost=deliver))
+
+    def not_arrived() -> None:
+        child.is_over = True
+        not_run = Answer(ErrorKind.CONNECT_FAILED, OPEN_LEVEL, lent)
+        _child_answered(fakes, call, child, not_run, sent_at)
 
     child = new_call(fakes, call.send, context, target, answered)
     call.child = child
-    call_later(fakes.loop, delay_s, lambda: arrive(fakes, child))
+    request = Message(call.target, target, delay_s, lambda: arrive(fakes, child), lost=not_arrived)
+    fakes.carry(fakes, request)
     timeout_s = fakes.rules.hop_timeout_s
     if timeout_s is not None:
         late = Answer(ErrorKind.TIMED_OUT, OPEN_LEVEL)
@@ -173,7 +179,8 @@
         )
 
 
-def _child_context(context: RequestContext, retries: int) -> RequestContext:
+def _child_context(call: ChainCall, retries: int) -> RequestContext:
+    context = call.context
     return RequestContext(
         request_id=context.request_id,
         customer=context.customer,
@@ -183,6 +190,7 @@
         retries=retries,
         idempotent=context.idempotent,
         depth=context.depth + 1,
+        refusals=call.refusals,
     )
 
 
@@ -201,7 +209,6 @@
     if call.is_over:
         return
     take_back(call.budget, lent=child.context.retries, unspent=answer.unspent)
-    note_level(call.target.level_cache, service, answer.level, now=now)
     call.below = merge_levels(answer.level, call.below)
     if answer.kind is None:
         _end(fakes, call, None, 0.0)
@@ -243,6 +250,8 @@
     # A call that was not run was never given a slot by the gate.
     actions = [] if call.started_at is None else _release(fakes, call, succeeded=kind is None)
     level = call.target.gate.level(now=now, below=call.below)
+    if kind is not None and call.started_at is not None and fakes.rules.marks_failure_below:
+        kind = kind if call.context.idempotent else ErrorKind.TARGET_FAILED
     call.reply(Answer(kind, level, call.budget.left, retry_after_s))
     apply_actions(fakes, call.target, actions)
 
