Give calls their grace afresh after a pause while a gate stops

Cause: a gate stopped by SIGSTOP while it drained left with calls in flight when it continued, since their deadline and grace had passed meanwhile. The state machine now counts a jump of the clock as a pause: it failed before the change and passes after.

--- a/benchmarks/_outcomes_target.py
+++ b/benchmarks/_outcomes_target.py
@@ -83,7 +83,7 @@
             target_id=self.target_id, incarnation=self.incarnation, max_bytes=MAX_RECORD_BYTES
         )
         self.pause = PauseState(now=clock.now)
-        self.stopping = StoppingState()
+        self.stopping = StoppingState(now=clock.now)
         self.waiting_by_id: dict[CallId, Waiting] = {}
         self.running_by_id: dict[CallId, Waiting] = {}
         self.is_gone = False
--- a/src/daisywharf/_outcomes/_stopping.py
+++ b/src/daisywharf/_outcomes/_stopping.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from daisywharf._errors import ErrorKind
+from daisywharf._outcomes._pause import PAUSE_LIMIT_S
 from daisywharf._overload._admission import CallId
 
 LINGER_S: Final = 3.0
@@ -39,14 +40,16 @@
 
 
 class StoppingState:
-    """Hold the calls of one gate until they are answered."""
+    """Hold the calls of one gate until they are answered; start it at `now`, in seconds."""
 
-    def __init__(self, *, linger_s: float = LINGER_S) -> None:
+    def __init__(self, *, now: float, linger_s: float = LINGER_S) -> None:
         self.linger_s = linger_s
         self.phase = StoppingPhase.SERVING
         self.deadline_by_queued: dict[CallId, float] = {}
         self.deadline_by_running: dict[CallId, float] = {}
         self.order_answered_at = float("-inf")
+        self.ticked_at = now
+        self.awake_since = float("-inf")
 
 
 def take_call(state: StoppingState, call_id: CallId, *, deadline: float) -> ErrorKind | None:
@@ -96,9 +99,14 @@
 
     The gate lingers after an order's answer, so that a caller whose link lost it can ask again.
     """
+    if now - state.ticked_at > PAUSE_LIMIT_S:
+        # Calls did not run while the process was stopped, so they get their grace afresh.
+        state.awake_since = now
+    state.ticked_at = now
     if state.phase is not StoppingPhase.DRAINING:
         return []
-    if any(now < deadline + FINISH_GRACE_S for deadline in state.deadline_by_running.values()):
+    ends = (max(end, state.awake_since) for end in state.deadline_by_running.values())
+    if any(now < end + FINISH_GRACE_S for end in ends):
         return []
     if now < state.order_answered_at + state.linger_s:
         return []
