--- a/tests/test_outcomes_claims.py
+++ b/tests/test_outcomes_claims.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import Phase, settings
+from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -17,6 +17,7 @@
 from daisywharf._ids import EditId, IdempotencyKey, Incarnation, TargetId, Version
 from daisywharf._outcomes import _claim
 from daisywharf._outcomes._claim import Claim, ClaimState, CreateClaim, ReadClaim
+from daisywharf._outcomes._keys import CLAIM_KEPT_S, is_key_too_old
 from daisywharf._outcomes._ticket import CLOCK_BOUND_S, KEY_LIFETIME_S, Ticket
 from daisywharf._platform._interface import ObjectKind, PlatformObject
 
@@ -147,6 +148,38 @@
         )
 
 
+CLOCKS = st.tuples(*[st.floats(-CLOCK_BOUND_S / 2, CLOCK_BOUND_S / 2)] * 4)
+
+
+def _stale_claims_are_never_missed(margin_s: float = 0.0) -> None:
+    @settings(SETTINGS, max_examples=300)
+    @given(clocks=CLOCKS, age_s=st.floats(0.0, 2 * CLAIM_KEPT_S), at_edge=st.booleans())
+    def judge(clocks: tuple[float, ...], age_s: float, at_edge: bool) -> None:
+        caller, first_entry, second_entry, sweeper = clocks
+        minted_at = NOW + caller
+        expires_at = NOW + first_entry + KEY_LIFETIME_S
+        latest_s = CLAIM_KEPT_S - KEY_LIFETIME_S - 3 * CLOCK_BOUND_S + margin_s
+        checked_at = NOW + (latest_s + caller - second_entry if at_edge else age_s)
+        now = checked_at + second_entry - margin_s
+        if not is_key_too_old(minted_at=minted_at, now=now):
+            # An entry stopped after the check can use the claim until its new ticket expires.
+            body = b'{"target_id":"a","incarnation":1,"expires_at":%f}' % expires_at
+            claim = PlatformObject(ObjectKind.CLAIM, KEY, Version(1), EditId("e"), body)
+            used_until = checked_at + KEY_LIFETIME_S
+            assert _claim.lapsed_claims([claim], now=used_until + sweeper) == []
+
+    judge()
+
+
+def test_a_key_that_passes_finds_its_claim_while_clocks_are_within_the_bound() -> None:
+    _stale_claims_are_never_missed()
+
+
+def test_a_key_that_is_judged_too_late_is_caught() -> None:
+    with pytest.raises(AssertionError):
+        _stale_claims_are_never_missed(margin_s=KEY_LIFETIME_S + 4 * CLOCK_BOUND_S)
+
+
 def test_an_unreachable_platform_refuses_and_says_that_the_claim_is_missing() -> None:
     state = ClaimState(
         KEY, target_id=TargetId("a"), incarnation=Incarnation(1), edit_id=EditId("e"), now=NOW
