--- a/src/daisywharf/_call/_caller.py
+++ b/src/daisywharf/_call/_caller.py
@@ -15,6 +15,7 @@
 from daisywharf._ids import CallClassName, CustomerId, IdempotencyKey, RequestId, ServiceName
 from daisywharf._overload._level_cache import is_refused_early, kept_level
 from daisywharf._overload._rates import BucketKey, RateState, take_token
+from daisywharf._signals._counts import RequestCounts, counted
 from daisywharf._signals._spans import SpanRole, describe_span, in_span
 from daisywharf._signals._traceparent import valid_traceparent
 
@@ -36,6 +37,7 @@
     ) -> None:
         self._state = CallerState(holder, caller=name, clock=clock, rng=rng or Random(), send=send)
         self._rates = RateState()
+        self.counts = RequestCounts()
 
     def call(
         self,
@@ -77,14 +79,17 @@
             request = CallRequest(ServiceName(service), method, path, context, headers or {}, body)
             return self._pass(Scope(context), request)
 
-        return in_span(
-            SpanRole.ENTRY,
-            run,
-            traceparent=valid_traceparent(traceparent),
-            service=service,
-            customer=customer,
-            call_class=call_class,
-        )
+        def run_in_span() -> CallReply:
+            return in_span(
+                SpanRole.ENTRY,
+                run,
+                traceparent=valid_traceparent(traceparent),
+                service=service,
+                customer=customer,
+                call_class=call_class,
+            )
+
+        return counted(self.counts, customer, call_class, run_in_span)
 
     @property
     def retries(self) -> int:
--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -38,6 +38,7 @@
 from daisywharf._outcomes._once import OnceRecords
 from daisywharf._outcomes._ticket import Ticket
 from daisywharf._overload._admission import AdmissionState
+from daisywharf._signals._counts import OutcomeCounts
 from daisywharf._signals._spans import SpanRole, describe_span, in_span, note_admitted
 
 
@@ -57,6 +58,7 @@
         self.target_id = TargetId(target_id)
         self.incarnation = Incarnation(incarnation)
         self.service = ServiceName(service)
+        self.counts = OutcomeCounts()
         self._app = app
         self._clock = clock
         self._admission = GateAdmission(AdmissionState(slots=slots), clock=clock)
@@ -65,6 +67,7 @@
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Answer one call; each failure is an answer with its kind."""
+        kind: ErrorKind | None = None
         hop: Hop | None = None
         scope: Scope | None = None
         try:
@@ -73,13 +76,20 @@
             scope = Scope(context_in(hop, now=self._clock()))
             reply = self._answer_in_span(environ, hop, scope)
         except RequestError as error:
+            kind = error.kind
             reply = reply_for(error)
+        self.counts.add(kind)
         return send_reply(self._marked(reply, hop, scope), start_response)
 
     def drain(self) -> None:
         """Refuse from now on what has not started; what runs goes on."""
         drain_gate(self._admission)
 
+    @property
+    def admission_state(self) -> AdmissionState:
+        """Return the state of the admission, to be read only."""
+        return self._admission.state
+
     @property
     def in_flight(self) -> int:
         """Return how many calls run now."""
--- a/src/daisywharf/_daemon/_daemon.py
+++ b/src/daisywharf/_daemon/_daemon.py
@@ -16,7 +16,7 @@
 from daisywharf._daemon._http import http_app
 from daisywharf._daemon._in_flight import InFlight
 from daisywharf._daemon._links import Link, Links
-from daisywharf._daemon._platform_actor import PlatformActor
+from daisywharf._daemon._platform_actor import PlatformActor, PlatformCounts
 from daisywharf._daemon._routes import routes_of
 from daisywharf._daemon._subscriptions import Subscriptions, push_snapshot, subscribe
 from daisywharf._fleet._messages import Member
@@ -52,6 +52,7 @@
         self.entered = InFlight()
         self.is_draining = False
         self.platform = platform or _platform_at(settings.platform)
+        self.platform_counts = PlatformCounts()
         self.running: Running
         self.links = Links(
             me=lambda: self.running.member,
@@ -117,7 +118,7 @@
             subscribe(self.subscriptions, self.links, link, frame, self.holder.current)
 
     def _start_platform_actor(self) -> pykka.ActorRef[Any]:
-        return PlatformActor.start(self.platform, report=self._report)
+        return PlatformActor.start(self.platform, report=self._report, counts=self.platform_counts)
 
     def _report(self, result: PlatformResult) -> None:
         self.running.fleet.platform_answered.defer(result)
--- a/src/daisywharf/_daemon/_fleet_actor.py
+++ b/src/daisywharf/_daemon/_fleet_actor.py
@@ -11,7 +11,7 @@
 from daisywharf._fleet import _state as fleet
 from daisywharf._fleet._messages import FleetMessage
 from daisywharf._fleet._services import services_of
-from daisywharf._fleet._state import FleetAction, FleetState, PlatformResult, SendTo
+from daisywharf._fleet._state import FleetAction, FleetState, FleetStatus, PlatformResult, SendTo
 from daisywharf._ids import CallClassName, CustomerId, TargetId
 from daisywharf._topology import Target
 
@@ -76,6 +76,10 @@
         now = time.monotonic()
         fleet.note_demand(self._state, customer, call_class, requests=requests, now=now)
 
+    def status(self) -> FleetStatus:
+        """Return this daemon's view of the fleet."""
+        return fleet.status(self._state, time.monotonic())
+
     def _do(self, actions: Iterable[FleetAction]) -> None:
         for action in actions:
             if isinstance(action, SendTo):
--- a/src/daisywharf/_daemon/_platform_actor.py
+++ b/src/daisywharf/_daemon/_platform_actor.py
@@ -22,28 +22,54 @@
 )
 from daisywharf._ids import CustomerId, EditId, Version
 from daisywharf._platform._interface import ObjectKind, Platform, PlatformObject
+from daisywharf._signals._counts import OutcomeCounts
 
 CALL_TIMEOUT_S: Final = 6.0
 WATCH_TIMEOUT_S: Final = 20.0
 
+ACTION_NAMES: Final[dict[type[msgspec.Struct], str]] = {
+    ListContracts: "list_contracts",
+    WatchContracts: "watch_contracts",
+    ListContacts: "list_contacts",
+    WriteContact: "write_contact",
+}
+
 PlatformAction = ListContracts | WatchContracts | ListContacts | WriteContact
 
 
+class PlatformCounts:
+    """Count calls to the platform, and those that failed, by action."""
+
+    def __init__(self) -> None:
+        self.calls = OutcomeCounts()
+        self.failures = OutcomeCounts()
+
+
 class PlatformActor(pykka.ThreadingActor):
     """Run one call to the platform at a time and report its result."""
 
     use_daemon_thread = True
 
-    def __init__(self, platform: Platform, *, report: Callable[[PlatformResult], None]) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        *,
+        report: Callable[[PlatformResult], None],
+        counts: PlatformCounts | None = None,
+    ) -> None:
         super().__init__()
         self._platform = platform
         self._report = report
+        self._counts = counts or PlatformCounts()
 
     def run(self, action: PlatformAction) -> None:
         """Run an action; a failure is a result too."""
+        name = ACTION_NAMES[type(action)]
+        self._counts.calls.add_named(name)
         try:
             result = _result_of(self._platform, action)
         except PlatformError as error:
+            self._counts.failures.add_named(name)
             result = PlatformFailed(action, is_gone=error.kind is ErrorKind.PLATFORM_GONE)
         self._report(result)
 
--- a/src/daisywharf/_daemon/_routes.py
+++ b/src/daisywharf/_daemon/_routes.py
@@ -8,6 +8,7 @@
 from daisywharf._daemon._entry import ENTRY_PREFIX, enter_call
 from daisywharf._daemon._forwarding import host_gate
 from daisywharf._daemon._http import Routes, json_reply
+from daisywharf._daemon._metrics import metrics_reply
 from daisywharf._daemon._status import AnnouncementTaken, DaemonStatus, LinkStatus
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import TargetId
@@ -30,6 +31,7 @@
     routes.route_by_path["POST /withdraw"] = lambda environ: _withdraw(daemon, environ)
     routes.route_by_path["GET /healthz"] = lambda environ: json_reply({"status": "serving"})
     routes.route_by_path["GET /status"] = lambda environ: json_reply(status_of(daemon))
+    routes.route_by_path["GET /metrics"] = lambda environ: metrics_reply(daemon)
     routes.route_by_path["GET /targets"] = lambda environ: json_reply(_targets(daemon))
     routes.route_by_prefix[ENTRY_PREFIX] = lambda environ: _enter(daemon, environ)
     return routes
--- /dev/null
+++ b/src/daisywharf/_signals/_counts.py
@@ -0,0 +1,82 @@
+"""Count how calls end, by a bounded number of labels."""
+
+import threading
+from collections.abc import Callable
+from typing import Final, TypeVar
+
+import msgspec
+
+from daisywharf._errors import ErrorKind, RequestError
+
+MAX_SERIES: Final = 512
+OTHER: Final = "other"
+ANSWERED: Final = "answered"
+
+Reply = TypeVar("Reply")
+
+# What an outside caller wrote is no label until a contract names it.
+UNNAMED_KINDS: Final = frozenset({ErrorKind.UNKNOWN_CUSTOMER, ErrorKind.NOT_IN_CONTRACT})
+
+
+class RequestLabels(msgspec.Struct, frozen=True, order=True):
+    """Name whose requests are counted, and how they ended."""
+
+    customer: str
+    call_class: str
+    outcome: str
+
+
+class RequestCounts:
+    """Hold the requests that ended, by customer, call class and outcome."""
+
+    def __init__(self, *, max_series: int = MAX_SERIES) -> None:
+        self.max_series = max_series
+        self.count_by_labels: dict[RequestLabels, int] = {}
+        self._lock = threading.Lock()
+
+    def add(self, customer: str, call_class: str, kind: ErrorKind | None) -> None:
+        """Count a request that was answered (`kind` is none) or failed."""
+        outcome = ANSWERED if kind is None else kind.value
+        if kind in UNNAMED_KINDS:
+            customer = call_class = OTHER
+        labels = RequestLabels(customer, call_class, outcome)
+        with self._lock:
+            if labels not in self.count_by_labels and self._is_full():
+                labels = RequestLabels(OTHER, OTHER, outcome)
+            self.count_by_labels[labels] = self.count_by_labels.get(labels, 0) + 1
+
+    def _is_full(self) -> bool:
+        return len(self.count_by_labels) >= self.max_series
+
+
+def counted(
+    counts: RequestCounts, customer: str, call_class: str, run: Callable[[], Reply]
+) -> Reply:
+    """Run a request and count how it ended."""
+    kind: ErrorKind | None = ErrorKind.INTERNAL
+    try:
+        reply = run()
+        kind = None
+        return reply
+    except RequestError as error:
+        kind = error.kind
+        raise
+    finally:
+        counts.add(customer, call_class, kind)
+
+
+class OutcomeCounts:
+    """Hold how many calls ended in each way."""
+
+    def __init__(self) -> None:
+        self.count_by_outcome: dict[str, int] = {}
+        self._lock = threading.Lock()
+
+    def add(self, kind: ErrorKind | None) -> None:
+        """Count a call that was answered (`kind` is none) or failed."""
+        self.add_named(ANSWERED if kind is None else kind.value)
+
+    def add_named(self, outcome: str) -> None:
+        """Count under a name of the program's own."""
+        with self._lock:
+            self.count_by_outcome[outcome] = self.count_by_outcome.get(outcome, 0) + 1
--- /dev/null
+++ b/src/daisywharf/_signals/_process.py
@@ -0,0 +1,63 @@
+"""Read what the present process spends, from /proc."""
+
+import os
+import re
+import threading
+from pathlib import Path
+from typing import Final
+
+import msgspec
+
+NS_PER_S: Final = 1e9
+PAGE_BYTES: Final = os.sysconf("SC_PAGE_SIZE")
+_PROC: Final = Path("/proc/self")
+_NUMBER_AT_END: Final = re.compile(r"[-_ ]?\(?\d+\)?.*$")
+
+
+class ProcessNumbers(msgspec.Struct, frozen=True):
+    """Hold processor time in seconds by kind of thread, and memory in bytes."""
+
+    cpu_s_by_thread: dict[str, float]
+    cpu_s: float
+    resident_bytes: int
+    open_files: int
+
+
+def process_numbers() -> ProcessNumbers:
+    """Return the present process's numbers; those that the system doesn't tell are 0."""
+    times = os.times()
+    return ProcessNumbers(
+        cpu_s_by_thread=_cpu_s_by_thread(),
+        cpu_s=times.user + times.system,
+        resident_bytes=_resident_bytes(),
+        open_files=_open_files(),
+    )
+
+
+def _cpu_s_by_thread() -> dict[str, float]:
+    cpu_s_by_thread: dict[str, float] = {}
+    for thread in threading.enumerate():
+        kind = _NUMBER_AT_END.sub("", thread.name)
+        cpu_s_by_thread[kind] = cpu_s_by_thread.get(kind, 0.0) + _thread_cpu_s(thread.native_id)
+    return cpu_s_by_thread
+
+
+def _thread_cpu_s(native_id: int | None) -> float:
+    try:
+        return int((_PROC / f"task/{native_id}/schedstat").read_text().split()[0]) / NS_PER_S
+    except (OSError, ValueError, IndexError):
+        return 0.0
+
+
+def _resident_bytes() -> int:
+    try:
+        return int((_PROC / "statm").read_text().split()[1]) * PAGE_BYTES
+    except (OSError, ValueError, IndexError):
+        return 0
+
+
+def _open_files() -> int:
+    try:
+        return len(os.listdir(_PROC / "fd"))
+    except OSError:
+        return 0
