--- a/benchmarks/flat.py
+++ b/benchmarks/flat.py
@@ -5,6 +5,7 @@
 import statistics
 import time
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import msgspec
@@ -132,7 +133,7 @@
     rounds_by_size: list[list[float]] = [[] for _ in sizes]
     for _ in range(ROUNDS):
         for index, site in enumerate(sites):
-            rounds_by_size[index].append(_seconds_of(lambda site=site: _run(site)))  # type: ignore[misc]
+            rounds_by_size[index].append(_seconds_of(partial(_run, site)))
     per_call = [[s / CALLS * US_PER_S for s in rounds] for rounds in rounds_by_size]
     least = [statistics.median(values) for values in per_call]
     return [
--- a/src/daisywharf/_daemon/_metrics.py
+++ b/src/daisywharf/_daemon/_metrics.py
@@ -24,7 +24,7 @@
 
 def metrics_of(daemon: "Daemon") -> list[Metric]:
     """Gather all metrics of a daemon."""
-    fleet_status = daemon.running.fleet.status().get(timeout=ASK_TIMEOUT_S)
+    fleet_status = daemon.running.fleet.view(None).get(timeout=ASK_TIMEOUT_S).status
     gates = [gate_numbers(gate) for gate in list(daemon.gates.gate_by_id.values())]
     return [
         *_request_metrics(daemon, daemon.caller.counts),
--- a/src/daisywharf/_signals/_gate_metrics.py
+++ b/src/daisywharf/_signals/_gate_metrics.py
@@ -42,8 +42,8 @@
         in_flight=len(state.in_flight_by_id),
         waiting=len(state.waiting_by_id),
         load_ratio=load_of(state),
-        level_importance=state.level.importance,
-        level_sub_order=state.level.sub_order,
+        level_importance=state.shedding.level.importance,
+        level_sub_order=state.shedding.level.sub_order,
         answered=counts.pop(ANSWERED, 0),
         refused_by_kind=counts,
     )
