Log the numbered events where they happen, and keep actors alive after a failure

Cause: the catalogue's events were logged nowhere; and pykka ends an actor at the first deferred message that raises, so one faulty message would have ended a daemon's control for good. Change: a daemon compares its view of the fleet each 0.5 s and logs what changed; links, the platform's actors, announcements, gates and outcomes log where they happen. Deferred methods log a failure (105) and go on. 506 to 509 name the other daemon and zone under fields of their own, so that a JSON line keeps the VM that wrote it. Invalid settings end the daemon with 3, as docs/operating/commands.md says, not 2. Ruled out: events out of the fleet's decisions (each would need a list of events beside its actions). Shown by: tests/test_signals_events.py; test_an_actor_goes_on_after_a_message_that_fails fails without the guard (the actor is dead).

--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -39,6 +39,7 @@
 from daisywharf._outcomes._ticket import Ticket
 from daisywharf._overload._admission import AdmissionState
 from daisywharf._signals._counts import OutcomeCounts
+from daisywharf._signals._shedding import SheddingLog, note_shedding
 from daisywharf._signals._spans import SpanRole, describe_span, in_span, note_admitted
 
 
@@ -60,6 +61,7 @@
         self.incarnation = Incarnation(incarnation)
         self.service = ServiceName(service)
         self.counts = OutcomeCounts()
+        self._shedding = SheddingLog()
         self._app = app
         self._clock = clock
         self._admission = GateAdmission(AdmissionState(slots=slots), clock=clock)
@@ -166,6 +168,7 @@
 
     def _marked(self, reply: CallReply, hop: Hop | None, scope: Scope | None) -> CallReply:
         level = level_of_gate(self._admission)
+        note_shedding(self._shedding, self.target_id, level, now=self._clock())
         if scope is not None:
             level = min(level, scope.lowest_level)
         answer = HopAnswer(
--- a/src/daisywharf/_call/_resolving.py
+++ b/src/daisywharf/_call/_resolving.py
@@ -27,6 +27,7 @@
     resolution_step,
 )
 from daisywharf._outcomes._ticket import Ticket, mint_ticket
+from daisywharf._signals import Event, log_event
 from daisywharf._topology import Target
 
 _RANDOM: Final = SystemRandom()
@@ -95,5 +96,7 @@
         kind = action.kind
     elif isinstance(action, RetryElsewhere):
         kind = action.otherwise
+    if kind is ErrorKind.OUTCOME_UNKNOWN:
+        log_event(Event.OUTCOME_UNKNOWN, key=ticket.key, target=target.target_id, error=str(cause))
     message = f"order {ticket.key} at {target.target_id}: {kind.value} after {cause}; look it up"
     raise RequestError(kind, message) from cause
--- a/src/daisywharf/_cli/daemon.py
+++ b/src/daisywharf/_cli/daemon.py
@@ -6,10 +6,9 @@
 import threading
 from pathlib import Path
 
+from daisywharf._cli.exit_codes import ExitCode
 from daisywharf._errors import ConfigurationError
 
-EXIT_INVALID_SETTINGS = 2
-
 
 def main(arguments: list[str]) -> int:
     """Start the daemon that a settings file describes; stop on SIGTERM or SIGINT."""
@@ -19,12 +18,18 @@
     options = parser.parse_args(arguments)
     from daisywharf._daemon._daemon import Daemon
     from daisywharf._settings import load_settings
+    from daisywharf._signals import configure_events
 
     try:
         settings = load_settings(options.settings)
     except ConfigurationError as error:
         print(error, file=sys.stderr)
-        return EXIT_INVALID_SETTINGS
+        return ExitCode.INVALID
+    configure_events(
+        is_json=settings.log.format == "json",
+        level=settings.log.level,
+        context={"vm": settings.vm, "zone": settings.zone},
+    )
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
--- a/src/daisywharf/_daemon/_daemon.py
+++ b/src/daisywharf/_daemon/_daemon.py
@@ -16,7 +16,7 @@
 from daisywharf._daemon._http import http_app
 from daisywharf._daemon._in_flight import InFlight
 from daisywharf._daemon._links import Link, Links
-from daisywharf._daemon._platform_actor import PlatformActor, PlatformCounts
+from daisywharf._daemon._platform_actor import PlatformActor, PlatformCounts, PlatformHealth
 from daisywharf._daemon._routes import routes_of
 from daisywharf._daemon._subscriptions import Subscriptions, push_snapshot, subscribe
 from daisywharf._fleet._messages import Member
@@ -25,6 +25,7 @@
 from daisywharf._ids import Incarnation
 from daisywharf._platform._interface import Platform
 from daisywharf._settings import DaemonSettings
+from daisywharf._signals import Event, log_event
 
 TICK_PERIOD_S: Final = 0.1
 STOP_TIMEOUT_S: Final = 30.0
@@ -53,6 +54,7 @@
         self.is_draining = False
         self.platform = platform or _platform_at(settings.platform)
         self.platform_counts = PlatformCounts()
+        self.platform_health = PlatformHealth()
         self.running: Running
         self.links = Links(
             me=lambda: self.running.member,
@@ -82,22 +84,32 @@
         self.running = Running(member, fleet.proxy(), [fleet, asking, watching])
         self.links.every(TICK_PERIOD_S, self._tick)
         self.http.start()
+        log_event(
+            Event.DAEMON_STARTED,
+            vm=member.vm,
+            zone=member.zone,
+            http=str(self.http.address),
+            links=str(address),
+        )
 
     def stop(self) -> None:
         """Admit nothing more, finish what is in flight, leave the fleet and close."""
         self.is_draining = True
+        log_event(Event.DAEMON_STOPPING, in_flight=self._calls_in_flight())
         for gate in self.gates.gate_by_id.values():
             gate.drain()
         self.running.fleet.leave().get(timeout=STOP_TIMEOUT_S)
         # Peers hear of the leave before the links close.
         time.sleep(LEAVE_SPREAD_S)
         self._wait_for_calls()
+        cut_off = self._calls_in_flight()
         self.http.stop()
         self.links.stop()
         for actor in self.running.actors:
             actor.stop(block=False)
         self.caller.close()
         self._stop_traces()
+        log_event(Event.DAEMON_STOPPED, cut_off=cut_off)
 
     def _wait_for_calls(self) -> None:
         give_up_at = time.monotonic() + STOP_TIMEOUT_S
@@ -123,7 +135,12 @@
             subscribe(self.subscriptions, self.links, link, frame, self.holder.current)
 
     def _start_platform_actor(self) -> pykka.ActorRef[Any]:
-        return PlatformActor.start(self.platform, report=self._report, counts=self.platform_counts)
+        return PlatformActor.start(
+            self.platform,
+            report=self._report,
+            counts=self.platform_counts,
+            health=self.platform_health,
+        )
 
     def _report(self, result: PlatformResult) -> None:
         self.running.fleet.platform_answered.defer(result)
--- a/src/daisywharf/_daemon/_fleet_actor.py
+++ b/src/daisywharf/_daemon/_fleet_actor.py
@@ -10,6 +10,8 @@
 
 from daisywharf._call._demand import Demand
 from daisywharf._call._snapshot import Snapshot, SnapshotHolder
+from daisywharf._daemon._actors import survives_failure
+from daisywharf._daemon._fleet_events import SeenFleet, fleet_events
 from daisywharf._fleet import _state as fleet
 from daisywharf._fleet._messages import FleetMessage
 from daisywharf._fleet._services import ViewDigest, targets_by_service, view_digest
@@ -23,9 +25,11 @@
 )
 from daisywharf._fleet._targets import is_drained, knows_target
 from daisywharf._ids import CustomerId, TargetId
+from daisywharf._signals import Event, log_event
 from daisywharf._topology import Target
 
 SHARES_PERIOD_S: Final = 1.0
+EVENTS_PERIOD_S: Final = 0.5
 SHARE_DIGITS: Final = 4
 
 
@@ -61,13 +65,21 @@
         self._rng = rng
         self._handed_digest: ViewDigest | None = None
         self._handed_at = float("-inf")
+        self._seen = SeenFleet()
+        self._looked_at = float("-inf")
+        self._ticked_at: float | None = None
 
+    @survives_failure
     def tick(self) -> None:
         """Do what time asks for."""
         now = time.monotonic()
+        self._notice_gap(now)
         self._do(fleet.tick(self._state, now=now, rng=self._rng))
         self._hand_out(now)
+        if now - self._looked_at >= EVENTS_PERIOD_S:
+            self._log_changes(now)
 
+    @survives_failure
     def receive(self, message: FleetMessage) -> None:
         """Take a message of a peer."""
         now = time.monotonic()
@@ -83,9 +95,11 @@
     def withdraw(self, target_id: TargetId) -> None:
         """Let a target leave."""
         now = time.monotonic()
+        self._seen.withdrawn.add(target_id)
         self._do(fleet.withdraw(self._state, target_id, now=now))
         self._hand_out(now)
 
+    @survives_failure
     def platform_answered(self, result: PlatformResult) -> None:
         """Take a result of the platform."""
         now = time.monotonic()
@@ -93,7 +107,9 @@
 
     def leave(self) -> None:
         """Tell peers that this daemon goes."""
-        self._do(fleet.leave(self._state, now=time.monotonic()))
+        now = time.monotonic()
+        self._do(fleet.leave(self._state, now=now))
+        self._log_changes(now)
 
     def request_drain(self, target_id: TargetId) -> bool:
         """Have a target drained wherever it is; tell whether any such target is known."""
@@ -102,6 +118,7 @@
         self._hand_out(now)
         return knows_target(self._state, target_id)
 
+    @survives_failure
     def note_demand(self, demands: Iterable[Demand]) -> None:
         """Count requests that entered on this VM."""
         now = time.monotonic()
@@ -124,6 +141,17 @@
             zones=zones,
         )
 
+    def _notice_gap(self, now: float) -> None:
+        gap_s = 0.0 if self._ticked_at is None else now - self._ticked_at
+        self._ticked_at = now
+        if gap_s >= fleet.PAUSE_S:
+            log_event(Event.CLOCK_GAP, gap_s=round(gap_s, 1))
+
+    def _log_changes(self, now: float) -> None:
+        self._looked_at = now
+        for told in fleet_events(self._seen, self._state, now=now):
+            log_event(told.event, **told.fields)
+
     def _do(self, actions: Iterable[FleetAction]) -> None:
         for action in actions:
             if isinstance(action, SendTo):
--- a/src/daisywharf/_daemon/_links.py
+++ b/src/daisywharf/_daemon/_links.py
@@ -38,6 +38,7 @@
     link_tick,
     note_echo,
 )
+from daisywharf._signals import Event, log_event
 from daisywharf._topology import Address
 
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -176,8 +177,9 @@
             hello = decode(await socket.recv(), Hello)
             welcome = accept_hello(challenge, hello, keys=links.keys)
             await socket.send(encode(welcome))
-    except (LinkError, WebSocketException, OSError, TimeoutError):
+    except (LinkError, WebSocketException, OSError, TimeoutError) as error:
         links.counts.refused_peers += 1
+        log_event(Event.PEER_REFUSED, peer=_peer_of(socket), error=told(error))
         return
     address = None if hello.member is None else hello.member.address
     await _run(links, Link(socket, hello.member), address)
@@ -195,7 +197,8 @@
                 proxy=None,
             )
             await _prove(links, socket)
-    except (LinkError, WebSocketException, OSError, TimeoutError):
+    except (LinkError, WebSocketException, OSError, TimeoutError) as error:
+        log_event(Event.LINK_CLOSED, peer=str(address), error=told(error))
         links.opening.pop(address, None)
         links.on_unreachable(address)
         return
@@ -217,15 +220,19 @@
 async def _run(links: Links, link: Link, address: Address | None) -> None:
     if address is not None:
         links.link_by_address.setdefault(address, link)
+    peer = _peer_of(link.socket)
+    cause = "no reason given"
+    log_event(Event.LINK_OPENED, peer=peer)
     try:
         async with asyncio.TaskGroup() as group:
             group.create_task(_write(links, link))
             group.create_task(_watch(links, link))
             await _read(links, link)
             raise LinkError(ErrorKind.CONNECT_FAILED, "the peer closed the link")
-    except* (LinkError, WebSocketException, OSError):
-        pass
+    except* (LinkError, WebSocketException, OSError) as errors:
+        cause = told(errors.exceptions[0])
     finally:
+        log_event(Event.LINK_CLOSED, peer=peer, error=cause)
         link.is_open = False
         if address is not None and links.link_by_address.get(address) is link:
             del links.link_by_address[address]
@@ -246,9 +253,10 @@
         links.counts.bytes_in += len(data)
         try:
             _take(links, link, decode(data, Frame))
-        except LinkError:
+        except LinkError as error:
             # One bad frame costs its sender that frame; the link goes on.
             links.counts.bad_frames += 1
+            log_event(Event.BAD_FRAME, peer=_peer_of(link.socket), error=told(error))
 
 
 def _take(links: Links, link: Link, frame: Any) -> None:
@@ -272,9 +280,20 @@
                 link.put(encode(Heartbeat(action.sequence)))
             elif isinstance(action, CloseLink | TryNewConnection):
                 links.counts.silent_links += 1
+                log_event(Event.LINK_SILENT, peer=_peer_of(link.socket))
                 raise LinkError(ErrorKind.CONNECT_FAILED, "the link is silent")
 
 
+def _peer_of(socket: Any) -> str:
+    address = socket.remote_address
+    return f"{address[0]}:{address[1]}" if address else "closed"
+
+
+def told(error: BaseException) -> str:
+    """Return an error's message; some errors of the libraries have none."""
+    return str(error) or type(error).__name__
+
+
 async def _close_all(links: Links) -> None:
     if links.server is not None:
         links.server.close(close_connections=True)
--- a/src/daisywharf/_daemon/_platform_actor.py
+++ b/src/daisywharf/_daemon/_platform_actor.py
@@ -1,5 +1,6 @@
 """The actors that call the platform, so that its delays hold up nothing else."""
 
+import time
 from collections.abc import Callable
 from typing import Final
 
@@ -23,6 +24,7 @@
 )
 from daisywharf._ids import CustomerId, EditId, Version
 from daisywharf._platform._interface import ObjectKind, Platform, PlatformObject
+from daisywharf._signals import Event, log_event
 from daisywharf._signals._counts import OutcomeCounts
 
 CALL_TIMEOUT_S: Final = 6.0
@@ -43,6 +45,13 @@
         self.failures = OutcomeCounts()
 
 
+class PlatformHealth:
+    """Hold since when the platform can't be reached; none while it can."""
+
+    def __init__(self) -> None:
+        self.lost_at: float | None = None
+
+
 class PlatformActor(pykka.ThreadingActor):
     """Run one call to the platform at a time and report its result."""
 
@@ -54,11 +63,13 @@
         *,
         report: Callable[[PlatformResult], None],
         counts: PlatformCounts | None = None,
+        health: PlatformHealth | None = None,
     ) -> None:
         super().__init__()
         self._platform = platform
         self._report = report
         self._counts = counts or PlatformCounts()
+        self._health = health or PlatformHealth()
 
     def run(self, action: PlatformAction) -> None:
         """Run an action; a failure is a result too."""
@@ -66,12 +77,36 @@
         self._counts.calls.add_named(name)
         try:
             result = _result_of(self._platform, action)
-        except PlatformError as error:
+            note_reached(self._health, now=time.monotonic())
+        except Exception as error:
             self._counts.failures.add_named(name)
-            result = PlatformFailed(action, is_gone=error.kind is ErrorKind.PLATFORM_GONE)
+            note_failure(self._health, action, error, now=time.monotonic())
+            is_gone = isinstance(error, PlatformError) and error.kind is ErrorKind.PLATFORM_GONE
+            result = PlatformFailed(action, is_gone=is_gone)
         self._report(result)
 
 
+def note_reached(health: PlatformHealth, *, now: float) -> None:
+    """Log the end of an outage."""
+    if health.lost_at is not None:
+        log_event(Event.PLATFORM_BACK, outage_s=round(now - health.lost_at, 1))
+        health.lost_at = None
+
+
+def note_failure(
+    health: PlatformHealth, action: PlatformAction, error: Exception, *, now: float
+) -> None:
+    """Log the begin of an outage, a watch that is gone, or a fault of the program."""
+    if not isinstance(error, PlatformError):
+        told = f"{type(error).__name__}: {error}"
+        log_event(Event.UNEXPECTED_ERROR, part=ACTION_NAMES[type(action)], error=told)
+    elif isinstance(action, WatchContracts) and error.kind is ErrorKind.PLATFORM_GONE:
+        log_event(Event.WATCH_GONE, version=action.after)
+    elif error.kind is ErrorKind.PLATFORM_UNAVAILABLE and health.lost_at is None:
+        health.lost_at = now
+        log_event(Event.PLATFORM_UNAVAILABLE, error=str(error))
+
+
 def _result_of(platform: Platform, action: PlatformAction) -> PlatformResult:
     if isinstance(action, ListContracts):
         listing = platform.list(ObjectKind.CONTRACT, timeout_s=CALL_TIMEOUT_S)
@@ -103,8 +138,9 @@
         return ContractRecord(customer, version, None)
     try:
         return ContractRecord(customer, version, contract_from_json(item.body, version))
-    except DaisywharfError:
+    except DaisywharfError as error:
         # A contract that somebody wrote past the command line keeps its last good version.
+        log_event(Event.CONTRACT_UNREADABLE, customer=customer, version=version, error=str(error))
         return None
 
 
--- a/src/daisywharf/_daemon/_routes.py
+++ b/src/daisywharf/_daemon/_routes.py
@@ -6,7 +6,7 @@
 from daisywharf._call._exchange import CallReply
 from daisywharf._call._snapshot import is_ready
 from daisywharf._call._wsgi import Environ, body_of
-from daisywharf._daemon._announcement import read_announcement, target_from
+from daisywharf._daemon._announcement import Announcement, read_announcement, target_from
 from daisywharf._daemon._entry import ENTRY_PREFIX, enter_call
 from daisywharf._daemon._fleet_actor import FleetView
 from daisywharf._daemon._forwarding import host_gate
@@ -25,6 +25,7 @@
 )
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import CustomerId, TargetId
+from daisywharf._signals import Event, log_event
 from daisywharf._topology import GateHost, Target
 
 if TYPE_CHECKING:
@@ -135,7 +136,7 @@
 
 
 def _announce(daemon: "Daemon", environ: Environ) -> CallReply:
-    announcement = read_announcement(body_of(environ))
+    announcement = _read_announcement(environ)
     settings = daemon.settings
     target = target_from(announcement, vm=settings.vm, zone=settings.zone, http=daemon.http.address)
     if target.gate is GateHost.DAEMON:
@@ -147,8 +148,16 @@
     return json_reply(AnnouncementTaken(RENEW_AFTER_S, is_drained))
 
 
+def _read_announcement(environ: Environ) -> Announcement:
+    try:
+        return read_announcement(body_of(environ))
+    except RequestError as error:
+        log_event(Event.ANNOUNCEMENT_REFUSED, error=str(error))
+        raise
+
+
 def _withdraw(daemon: "Daemon", environ: Environ) -> CallReply:
-    target_id = TargetId(read_announcement(body_of(environ)).target_id)
+    target_id = TargetId(_read_announcement(environ).target_id)
     gate = daemon.gates.gate_by_id.get(target_id)
     if gate is not None:
         gate.drain()
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -88,10 +88,10 @@
     )
     PEER_REFUSED = EventForm(504, EventLevel.WARNING, "peer at {peer} was refused: {error}")
     BAD_FRAME = EventForm(505, EventLevel.WARNING, "frame from {peer} was dropped: {error}")
-    DAEMON_SUSPECTED = EventForm(506, EventLevel.WARNING, "daemon of {vm} doesn't answer")
-    DAEMON_LOST = EventForm(507, EventLevel.WARNING, "daemon of {vm} counts as gone")
-    ZONE_UNREACHABLE = EventForm(508, EventLevel.ERROR, "zone {zone} can't be reached")
-    ZONE_BACK = EventForm(509, EventLevel.INFO, "zone {zone} can be reached again")
+    DAEMON_SUSPECTED = EventForm(506, EventLevel.WARNING, "daemon of {peer} doesn't answer")
+    DAEMON_LOST = EventForm(507, EventLevel.WARNING, "daemon of {peer} counts as gone")
+    ZONE_UNREACHABLE = EventForm(508, EventLevel.ERROR, "zone {other_zone} can't be reached")
+    ZONE_BACK = EventForm(509, EventLevel.INFO, "zone {other_zone} can be reached again")
 
     SHEDDING_STARTED = EventForm(
         601, EventLevel.WARNING, "target {target} refuses calls from level {level} on"
--- /dev/null
+++ b/src/daisywharf/_signals/_shedding.py
@@ -0,0 +1,25 @@
+"""Log when a gate begins and ends to refuse calls."""
+
+from daisywharf._overload._level import OPEN_LEVEL, Level
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+
+
+class SheddingLog:
+    """Hold since when a gate refuses calls; none while it refuses nothing."""
+
+    def __init__(self) -> None:
+        self.began_at: float | None = None
+
+
+def note_shedding(log: SheddingLog, target: str, level: Level, *, now: float) -> None:
+    """Log a gate's level where refusing begins or ends with it."""
+    is_shedding = level.importance < OPEN_LEVEL.importance
+    if is_shedding == (log.began_at is not None):
+        return
+    began_at, log.began_at = log.began_at, now if is_shedding else None
+    if is_shedding:
+        shown = f"{level.importance}.{level.sub_order}"
+        log_event(Event.SHEDDING_STARTED, target=target, level=shown)
+    elif began_at is not None:
+        log_event(Event.SHEDDING_ENDED, target=target, shedding_s=round(now - began_at, 1))
