--- a/src/daisywharf/_signals/_gate_metrics.py
+++ b/src/daisywharf/_signals/_gate_metrics.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from daisywharf._call._gate import Gate
-from daisywharf._overload._gate import load_of
 from daisywharf._signals._counts import ANSWERED
 from daisywharf._signals._metrics import Exposition, Metric, Sample, counter, gauge, render
 
@@ -33,6 +32,7 @@
 def gate_numbers(gate: Gate) -> GateNumbers:
     """Return a gate's present numbers."""
     state = gate.admission_state
+    level = gate.level
     counts = dict(gate.counts.count_by_outcome)
     return GateNumbers(
         target_id=gate.target_id,
@@ -41,9 +41,9 @@
         limit=state.limit,
         in_flight=len(state.in_flight_by_id),
         waiting=len(state.waiting_by_id),
-        load_ratio=load_of(state),
-        level_importance=state.shedding.level.importance,
-        level_sub_order=state.shedding.level.sub_order,
+        load_ratio=level.load,
+        level_importance=level.importance,
+        level_sub_order=level.sub_order,
         answered=counts.pop(ANSWERED, 0),
         refused_by_kind=counts,
     )
