--- a/src/daisywharf/_call/_caller.py
+++ b/src/daisywharf/_call/_caller.py
@@ -22,6 +22,7 @@
 from daisywharf._ids import CallClassName, CustomerId, IdempotencyKey, RequestId, ServiceName
 from daisywharf._overload._admission import AdmissionState
 from daisywharf._overload._rates import BucketKey, RateState, take_token
+from daisywharf._signals._counts import RequestCounts, counted
 from daisywharf._signals._spans import SpanRole, describe_span, in_span
 from daisywharf._signals._traceparent import valid_traceparent
 from daisywharf._topology import Target
@@ -52,6 +53,7 @@
         self._rates = RateState()
         # An entry has no slots of its own: only the windows to loaded services bound it.
         self._entry = GateAdmission(AdmissionState(slots=ENTRY_SLOTS), clock=clock)
+        self.counts = RequestCounts()
         self._claim_key = claim_key
         self.secrets = secrets_of(keys)
         self.demand = DemandCounter()
@@ -97,14 +99,17 @@
             request = CallRequest(ServiceName(service), method, path, context, headers or {}, body)
             return self._enter_window(request)
 
-        return in_span(
-            SpanRole.ENTRY,
-            run,
-            traceparent=valid_traceparent(traceparent),
-            service=service,
-            customer=customer,
-            call_class=call_class,
-        )
+        def run_in_span() -> CallReply:
+            return in_span(
+                SpanRole.ENTRY,
+                run,
+                traceparent=valid_traceparent(traceparent),
+                service=service,
+                customer=customer,
+                call_class=call_class,
+            )
+
+        return counted(self.counts, customer, call_class, run_in_span)
 
     def target_for_key(
         self, customer: CustomerId, call_class: CallClassName, service: ServiceName
--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -44,7 +44,9 @@
 from daisywharf._outcomes._once import OnceRecords
 from daisywharf._outcomes._ticket import Ticket
 from daisywharf._overload._admission import AdmissionState
-from daisywharf._overload._level import OPEN_LEVEL
+from daisywharf._overload._level import Level, merge_levels
+from daisywharf._signals._counts import OutcomeCounts
+from daisywharf._signals._shedding import SheddingLog, note_shedding
 from daisywharf._signals._spans import SpanRole, describe_span, in_span, note_admitted
 
 
@@ -65,6 +67,8 @@
         self.target_id = TargetId(target_id)
         self.incarnation = Incarnation(incarnation)
         self.service = ServiceName(service)
+        self.counts = OutcomeCounts()
+        self._shedding = SheddingLog()
         self._app = app
         self._clock = clock
         self._admission = GateAdmission(
@@ -75,6 +79,7 @@
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Answer one call; each failure is an answer with its kind."""
+        kind: ErrorKind | None = None
         hop: Hop | None = None
         scope: Scope | None = None
         try:
@@ -83,13 +88,25 @@
             scope = Scope(context_in(hop, now=self._clock()))
             reply = self._answer_in_span(environ, hop, scope)
         except RequestError as error:
+            kind = error.kind
             reply = reply_for(error)
+        self.counts.add(kind)
         return send_reply(self._marked(reply, hop, scope), start_response)
 
     def drain(self) -> None:
         """Refuse from now on what has not started; what runs goes on."""
         drain_gate(self._admission)
 
+    @property
+    def admission_state(self) -> AdmissionState:
+        """Return the state of the admission, to be read only."""
+        return self._admission.state
+
+    @property
+    def level(self) -> Level:
+        """Return the level from which calls are refused now."""
+        return level_of_gate(self._admission)
+
     @property
     def in_flight(self) -> int:
         """Return how many calls run now."""
@@ -183,8 +200,9 @@
             current_scope.reset(token)
 
     def _marked(self, reply: CallReply, hop: Hop | None, scope: Scope | None) -> CallReply:
-        below = OPEN_LEVEL if scope is None else scope.level_below
-        level = level_of_gate(self._admission, below)
+        own = level_of_gate(self._admission)
+        note_shedding(self._shedding, self.target_id, own, now=self._clock())
+        level = own if scope is None else merge_levels(own, scope.level_below)
         answer = HopAnswer(
             call_id="" if hop is None else hop.call_id,
             incarnation=self.incarnation,
--- a/src/daisywharf/_call/_gate_admission.py
+++ b/src/daisywharf/_call/_gate_admission.py
@@ -13,8 +13,8 @@
     CallId,
     Enqueue,
     Refuse,
-    answer_level,
     cancel,
+    current_level,
     finish,
     offer,
     resume,
@@ -94,11 +94,10 @@
         _apply(gate, start_draining(gate.state, now=gate.clock()), None)
 
 
-def level_of_gate(gate: GateAdmission, below: Level) -> Level:
-    """Return the level to send back on an answer whose own calls heard `below`."""
+def level_of_gate(gate: GateAdmission) -> Level:
+    """Return the level from which the gate itself refuses now."""
     with gate.lock:
-        heard = None if below == OPEN_LEVEL else below
-        return answer_level(gate.state, now=gate.clock(), below=heard)
+        return current_level(gate.state, now=gate.clock())
 
 
 def cancel_call(gate: GateAdmission, call_id: CallId) -> None:
