--- a/tests/test_replay_command.py
+++ b/tests/test_replay_command.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import pytest
-from _pytest.mark import ParameterSet
 from benchmarks.trace import Case, record
 
 from builders_replay import build_calls, build_trace, text_of
@@ -20,7 +19,7 @@
 KNOWN_RED = {"karri-ridge-surge"}
 
 
-def recorded_traces() -> list[ParameterSet]:
+def recorded_traces() -> list[Any]:
     red = pytest.mark.xfail(strict=True, reason="stands in KNOWN-RED.txt")
     return [
         pytest.param(name, id=name, marks=[red] if name in KNOWN_RED else []) for name in RECORDED
