Spend retries where they help, and count callers' own re-sends

Cause: (1) a call failed by a call below it was retried again at each hop above; (2) a first call earned its part of a retry before it had succeeded; (3) with one retry left all of it was lent away; (4) re-sends under a caller's key were not counted; (5) routers went on trusting what they had learned before the process was stopped. Change: kind failed-below is not retried above; retries are earned by success; lend keeps one; re-sends take from the contract's retries, and an idempotent one past them is refused (retries-spent); a clock gap is told to the routers; subsets are sized by the daemons known.

--- a/src/daisywharf/_call/_attempts.py
+++ b/src/daisywharf/_call/_attempts.py
@@ -31,19 +31,31 @@
 def call_with_retries(state: CallerState, scope: Scope, request: CallRequest) -> CallReply:
     """Return the whole answer of one attempt; raise the last attempt's `RequestError`."""
     ratio_key = RetryRatioKey(request.context.customer, request.service)
-    with state.lock:
-        earn_retry(state.ratio, ratio_key)
     excluded: frozenset[TargetId] = frozenset()
     while True:
-        target = choose_target(state, request.service, excluded, now=state.clock())
-        if target is None:
-            raise _no_target(request, excluded)
+        target = _choose(state, request, excluded)
+        succeeded = False
         try:
-            return _attempt_in_span(state, scope, request, target, None)
+            reply = _attempt_in_span(state, scope, request, target, None)
+            succeeded = True
+            return reply
         except RequestError as error:
             if not _should_retry(state, scope, request, error, ratio_key):
                 raise
-            excluded |= {target.target_id}
+        finally:
+            if not excluded:
+                with state.lock:
+                    earn_retry(state.ratio, ratio_key, succeeded=succeeded)
+        excluded |= {target.target_id}
+
+
+def _choose(state: CallerState, request: CallRequest, excluded: frozenset[TargetId]) -> Target:
+    is_idempotent = request.context.idempotent
+    now = state.clock()
+    target = choose_target(state, request.service, excluded, now=now, is_idempotent=is_idempotent)
+    if target is None:
+        raise _no_target(request, excluded)
+    return target
 
 
 def attempt_at(
@@ -118,8 +130,7 @@
     started = state.clock()
     if ticket is None and not request.context.idempotent:
         ticket = new_ticket(request, target, now=started)
-    # Half stays here, so that a lost answer does not take the caller's own retries with it.
-    lent = lend(scope.budget, calls_to_come=2)
+    lent = lend(scope.budget)
     unspent: int | None = None
     outcome = CallOutcome.FAILED
     try:
--- a/src/daisywharf/_call/_caller.py
+++ b/src/daisywharf/_call/_caller.py
@@ -14,14 +14,16 @@
 from daisywharf._call._exchange import CallReply, CallRequest
 from daisywharf._call._gate_admission import GateAdmission, enter_gate, leave_gate
 from daisywharf._call._keyed import ClaimKey, any_target, call_under_key, refuse_claims, secrets_of
-from daisywharf._call._parties import CallerState, Clock, SendCall
+from daisywharf._call._parties import CallerState, Clock, SendCall, note_clock_gap
 from daisywharf._call._scope import Scope, current_scope, waiting_below
 from daisywharf._call._snapshot import SnapshotHolder, call_class_of, share_in
 from daisywharf._context import RequestContext
+from daisywharf._contract import CallClass
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import CallClassName, CustomerId, IdempotencyKey, RequestId, ServiceName
 from daisywharf._overload._admission import AdmissionState
 from daisywharf._overload._rates import BucketKey, RateState, take_token
+from daisywharf._routing._resends import RESEND_WINDOW_S, ResendState, note_send
 from daisywharf._signals._counts import RequestCounts, counted
 from daisywharf._signals._spans import SpanRole, describe_span, in_span
 from daisywharf._signals._traceparent import valid_traceparent
@@ -51,6 +53,7 @@
     ) -> None:
         self._state = CallerState(holder, caller=name, clock=clock, rng=rng or Random(), send=send)
         self._rates = RateState()
+        self._resends = ResendState()
         # An entry has no slots of its own: only the windows to loaded services bound it.
         self._entry = GateAdmission(AdmissionState(slots=ENTRY_SLOTS), clock=clock)
         self.counts = RequestCounts()
@@ -118,6 +121,10 @@
         call_class_of(self._state.holder.current, customer, call_class, service)
         return any_target(self._state, service)
 
+    def note_clock_gap(self) -> None:
+        """Distrust what was learned of targets before this process was stopped."""
+        note_clock_gap(self._state, now=self._state.clock())
+
     @property
     def retries(self) -> int:
         """Return how many retries this caller has made."""
@@ -159,18 +166,47 @@
             raise RequestError(
                 ErrorKind.RATE_EXCEEDED, message, retry_after_s=min(wait_s, MAX_RATE_WAIT_S)
             )
+        request_id = RequestId(token_hex(12))
         return RequestContext(
-            request_id=RequestId(token_hex(12)),
+            request_id=request_id,
             customer=bucket.customer,
             call_class=bucket.call_class,
             importance=call_class.importance,
             deadline=now + call_class.deadline_ms / MS_PER_S,
-            retries=call_class.retries,
+            retries=self._retries_left(bucket.customer, request_id, call_class, key, now),
             idempotent=call_class.idempotent,
             key=None if key is None else IdempotencyKey(key),
             traceparent=traceparent,
         )
 
+    def _retries_left(
+        self,
+        customer: CustomerId,
+        request_id: RequestId,
+        call_class: CallClass,
+        key: str | None,
+        now: float,
+    ) -> int:
+        if key is None:
+            return call_class.retries
+        with self._state.lock:
+            send = note_send(
+                self._resends,
+                customer,
+                request_id,
+                retries=call_class.retries,
+                now=now,
+                key=IdempotencyKey(key),
+            )
+        # A repeated order asks for its first answer and runs once, so it is never refused here.
+        if send.is_within_budget or not call_class.idempotent:
+            return send.retries_left
+        message = (
+            f"request {key!r} was sent {send.resends + 1} times; the contract of {customer!r} "
+            f"allows {call_class.retries} retries in all"
+        )
+        raise RequestError(ErrorKind.RETRIES_SPENT, message, retry_after_s=RESEND_WINDOW_S)
+
     def _enter_window(self, request: CallRequest) -> CallReply:
         # The window refuses at once what a service further down would refuse anyway.
         admitted = enter_gate(self._entry, request.context)
--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -190,7 +190,7 @@
             # The target ran, so whatever a call below it says, this one is no refusal.
             message = f"{self.target_id} failed on a call below: {error.kind.value}: {error}"
             failure = RequestError(
-                ErrorKind.TARGET_FAILED, message, retry_after_s=error.retry_after_s
+                ErrorKind.FAILED_BELOW, message, retry_after_s=error.retry_after_s
             )
             return reply_for(failure)
         except Exception as error:
--- a/src/daisywharf/_call/_parties.py
+++ b/src/daisywharf/_call/_parties.py
@@ -16,6 +16,7 @@
     CallOutcome,
     RouterState,
     choose,
+    note_pause,
     record_outcome,
     record_start,
     update_targets,
@@ -64,15 +65,23 @@
     *,
     now: float,
     is_call: bool = True,
+    is_idempotent: bool = True,
 ) -> Target | None:
     """Choose a target by the present snapshot and count the call, if any, that leaves for it."""
     snapshot = state.holder.current
     with state.lock:
         router = _router(state, service)
         if state.sequence_by_service.get(service) != snapshot.sequence:
-            update_targets(router, snapshot.targets_by_service.get(service, ()), now=now)
+            update_targets(
+                router,
+                snapshot.targets_by_service.get(service, ()),
+                now=now,
+                callers_by_zone=snapshot.daemons_by_zone,
+            )
             state.sequence_by_service[service] = snapshot.sequence
-        target = choose(router, now=now, rng=state.rng, excluded=excluded)
+        target = choose(
+            router, now=now, rng=state.rng, excluded=excluded, is_idempotent=is_idempotent
+        )
         if target is not None and is_call:
             record_start(router, target.target_id, now=now)
     return target
@@ -93,6 +102,13 @@
         record_outcome(router, target.target_id, outcome, latency_s=now - started, now=now)
 
 
+def note_clock_gap(state: CallerState, *, now: float) -> None:
+    """Distrust what the routers learned before this process was stopped."""
+    with state.lock:
+        for router in state.router_by_service.values():
+            note_pause(router, now=now)
+
+
 def _router(state: CallerState, service: ServiceName) -> RouterState:
     router = state.router_by_service.get(service)
     if router is None:
--- a/src/daisywharf/_call/_snapshot.py
+++ b/src/daisywharf/_call/_snapshot.py
@@ -20,6 +20,7 @@
     contract_by_customer: dict[CustomerId, Contract] = {}
     targets_by_service: dict[ServiceName, tuple[Target, ...]] = {}
     share_by_class_by_customer: dict[CustomerId, dict[CallClassName, float]] = {}
+    daemons_by_zone: dict[ZoneName, int] = {}
 
 
 class SnapshotHolder:
--- a/src/daisywharf/_daemon/_daemon.py
+++ b/src/daisywharf/_daemon/_daemon.py
@@ -24,6 +24,7 @@
 from daisywharf._fleet._state import FleetAction, FleetState, PlatformResult, WatchContracts
 from daisywharf._http_server import HttpServer
 from daisywharf._ids import Incarnation
+from daisywharf._outcomes._pause import PauseState, pause_tick
 from daisywharf._platform._interface import Platform
 from daisywharf._settings import DaemonSettings
 from daisywharf._signals import Event, log_event
@@ -59,6 +60,7 @@
         self.subscriptions = Subscriptions()
         self.entered = InFlight()
         self.is_draining = False
+        self._pause = PauseState(now=time.monotonic())
         self.platform_counts = PlatformCounts()
         self.platform_health = PlatformHealth()
         self.running: Running
@@ -127,12 +129,17 @@
         return hosted + self.entered.count
 
     def _tick(self) -> None:
+        if pause_tick(self._pause, now=time.monotonic()) > 0.0:
+            self.caller.note_clock_gap()
         demands = self.caller.demand.take()
         if demands:
             self.running.fleet.note_demand.defer(demands)
         self.running.fleet.tick.defer()
 
     def _take_frame(self, link: Link, frame: Any) -> None:
+        if not hasattr(self, "running"):
+            # Peers may know this address from a former self before this one has started.
+            return
         if isinstance(frame, Fleet):
             self.running.fleet.receive.defer(frame.message)
         elif isinstance(frame, DemandReport):
--- a/src/daisywharf/_daemon/_fleet_actor.py
+++ b/src/daisywharf/_daemon/_fleet_actor.py
@@ -14,7 +14,7 @@
 from daisywharf._daemon._fleet_events import SeenFleet, fleet_events
 from daisywharf._fleet import _state as fleet
 from daisywharf._fleet._messages import FleetMessage
-from daisywharf._fleet._services import ViewDigest, targets_by_service, view_digest
+from daisywharf._fleet._services import ViewDigest, daemons_by_zone, targets_by_service, view_digest
 from daisywharf._fleet._state import (
     FleetAction,
     FleetState,
@@ -189,4 +189,5 @@
             }
             for customer, contract in contract_by_customer.items()
         },
+        daemons_by_zone=daemons_by_zone(state),
     )
--- a/src/daisywharf/_daemon/_subscriptions.py
+++ b/src/daisywharf/_daemon/_subscriptions.py
@@ -1,5 +1,7 @@
 """Hand snapshots to the libraries on the VM that asked for them."""
 
+from msgspec.structs import replace
+
 from daisywharf._call._snapshot import Snapshot
 from daisywharf._daemon._frames import Subscribe
 from daisywharf._daemon._links import Link, Links
@@ -33,13 +35,5 @@
 def _selected(snapshot: Snapshot, services: tuple[ServiceName, ...]) -> Snapshot:
     if not services:
         return snapshot
-    return Snapshot(
-        vm=snapshot.vm,
-        zone=snapshot.zone,
-        sequence=snapshot.sequence,
-        contract_by_customer=snapshot.contract_by_customer,
-        targets_by_service={
-            service: snapshot.targets_by_service.get(service, ()) for service in services
-        },
-        share_by_class_by_customer=snapshot.share_by_class_by_customer,
-    )
+    wanted = {service: snapshot.targets_by_service.get(service, ()) for service in services}
+    return replace(snapshot, targets_by_service=wanted)
--- a/src/daisywharf/_errors.py
+++ b/src/daisywharf/_errors.py
@@ -31,6 +31,8 @@
     RECORDS_FULL = "records-full"
     CLAIM_UNAVAILABLE = "claim-unavailable"
     TARGET_FAILED = "target-failed"
+    FAILED_BELOW = "failed-below"
+    RETRIES_SPENT = "retries-spent"
     BAD_FRAME = "bad-frame"
     UNTRUSTED_PEER = "untrusted-peer"
     PLATFORM_CONFLICT = "platform-conflict"
@@ -81,6 +83,8 @@
     ErrorKind.RECORDS_FULL: Answer(503, True, Ran.NO),
     ErrorKind.CLAIM_UNAVAILABLE: Answer(503, False, Ran.NO),
     ErrorKind.TARGET_FAILED: Answer(502, False, Ran.YES),
+    ErrorKind.FAILED_BELOW: Answer(502, False, Ran.YES),
+    ErrorKind.RETRIES_SPENT: Answer(429, False, Ran.NO),
     ErrorKind.BAD_FRAME: Answer(400, False, Ran.NO),
     ErrorKind.UNTRUSTED_PEER: Answer(401, False, Ran.NO),
     ErrorKind.PLATFORM_CONFLICT: Answer(409, False, Ran.NO),
--- a/src/daisywharf/_fleet/_services.py
+++ b/src/daisywharf/_fleet/_services.py
@@ -4,8 +4,9 @@
 
 from daisywharf._fleet._messages import Scope, ServiceSummary
 from daisywharf._fleet._model import FleetState
+from daisywharf._fleet._shares import all_zones
 from daisywharf._fleet._target_records import contacts_of, target_of
-from daisywharf._ids import ServiceName
+from daisywharf._ids import ServiceName, ZoneName
 from daisywharf._topology import Target, TargetState
 
 
@@ -33,3 +34,9 @@
         service: tuple(target for target in targets if target.state is not TargetState.DRAINING)
         for service, targets in by_service.items()
     }
+
+
+def daemons_by_zone(state: FleetState) -> dict[ZoneName, int]:
+    """Return how many daemons are known to call targets; other zones are taken to be as large."""
+    own = len(state.member_records())
+    return {zone: own for zone in all_zones(state)}
