Cut calls on silent connections after asking their gate over a new one

Cause: an HTTP connection that something in between lost track of held its call to the deadline. Change: calls that wait for 0.8 s are asked for at their gate over a new connection; what the gate does not have open twice, or can't be asked for within 1.5 s, is cut and resolved: orders by their ticket, idempotent calls within the retry budget. Idle connections to that gate are dropped.

--- a/src/daisywharf/_call/_caller.py
+++ b/src/daisywharf/_call/_caller.py
@@ -132,6 +132,7 @@
 
     def close(self) -> None:
         """Close the connections to targets."""
+        self._state.silence.stop()
         self._state.connections.close()
 
     def _admit(
--- /dev/null
+++ b/src/daisywharf/_call/_connections.py
@@ -0,0 +1,85 @@
+"""The connections to gates, each of which can be cut while a call waits on it."""
+
+import socket
+import threading
+from contextlib import suppress
+from typing import Any, Final
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+from daisywharf._topology import Address
+
+CONNECTIONS_PER_TARGET: Final = 64
+
+
+class _OwnConnection(threading.local):
+    current: "GateConnection | None" = None
+
+
+_own = _OwnConnection()
+
+
+class GateConnection(HTTPConnection):
+    """Remember for each thread the connection that its call was written to."""
+
+    def request(self, *arguments: Any, **options: Any) -> None:
+        """Write a request; see `HTTPConnection.request`."""
+        _own.current = self
+        super().request(*arguments, **options)
+
+
+class GatePool(urllib3.HTTPConnectionPool):
+    """Hold the idle connections to one gate."""
+
+    ConnectionCls = GateConnection
+
+
+class CallLine:
+    """Name the thread's connection, so that another thread can cut it."""
+
+    def __init__(self) -> None:
+        self._holder = _own.__dict__
+        self._holder["current"] = None
+
+    def cut(self) -> None:
+        """End the connection under a waiting call, which then reports it as broken."""
+        connection = self._holder.get("current")
+        sock = getattr(connection, "sock", None)
+        if sock is not None:
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+
+class Connections:
+    """Hold the pools of connections to gates."""
+
+    def __init__(self) -> None:
+        self.pool_by_address: dict[Address, GatePool] = {}
+        self.lock = threading.Lock()
+
+    def pool(self, address: Address) -> GatePool:
+        """Return the pool for an address, opened on first use."""
+        pool = self.pool_by_address.get(address)
+        if pool is not None:
+            return pool
+        with self.lock:
+            return self.pool_by_address.setdefault(address, _new_pool(address))
+
+    def forget(self, address: Address) -> None:
+        """Drop the idle connections to an address: others may be as silent as the one found."""
+        with self.lock:
+            pool = self.pool_by_address.pop(address, None)
+        if pool is not None:
+            pool.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for address in list(self.pool_by_address):
+            self.forget(address)
+
+
+def _new_pool(address: Address) -> GatePool:
+    return GatePool(
+        address.host, address.port, maxsize=CONNECTIONS_PER_TARGET, block=False, retries=False
+    )
--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -4,6 +4,7 @@
 from functools import partial
 from http import HTTPStatus
 
+import msgspec
 from msgspec.structs import replace
 
 from daisywharf._call._exchange import CallReply, reply_for
@@ -37,8 +38,17 @@
 )
 from daisywharf._call._parties import Clock
 from daisywharf._call._scope import Scope, current_scope
+from daisywharf._call._silence import PROGRESS_PATH, OpenCalls
 from daisywharf._call._transport import LOOK_UP_PATH, RESOLVE_PATH
-from daisywharf._call._wsgi import Environ, StartResponse, WsgiApp, digest_of, run_app, send_reply
+from daisywharf._call._wsgi import (
+    Environ,
+    StartResponse,
+    WsgiApp,
+    body_of,
+    digest_of,
+    run_app,
+    send_reply,
+)
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import Incarnation, ServiceName, TargetId
 from daisywharf._outcomes._once import OnceRecords
@@ -70,6 +80,7 @@
         self.counts = OutcomeCounts()
         self._shedding = SheddingLog()
         self._app = app
+        self._open_call_ids: set[str] = set()
         self._clock = clock
         self._admission = GateAdmission(
             AdmissionState(slots=slots, service=self.service), clock=clock
@@ -79,20 +90,35 @@
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Answer one call; each failure is an answer with its kind."""
+        if environ.get("PATH_INFO") == PROGRESS_PATH:
+            return send_reply(self._tell_open_calls(environ), start_response)
         kind: ErrorKind | None = None
         hop: Hop | None = None
         scope: Scope | None = None
         try:
             hop = hop_from_header(environ.get(HOP_ENVIRON_KEY))
+            self._open_call_ids.add(hop.call_id)
             self._check_address(hop)
             scope = Scope(context_in(hop, now=self._clock()))
             reply = self._answer_in_span(environ, hop, scope)
         except RequestError as error:
             kind = error.kind
             reply = reply_for(error)
+        finally:
+            if hop is not None:
+                self._open_call_ids.discard(hop.call_id)
         self.counts.add(kind)
         return send_reply(self._marked(reply, hop, scope), start_response)
 
+    def _tell_open_calls(self, environ: Environ) -> CallReply:
+        try:
+            asked = msgspec.json.decode(body_of(environ), type=OpenCalls)
+        except msgspec.MsgspecError as error:
+            message = f"the question for open calls can't be read: {error}"
+            return reply_for(RequestError(ErrorKind.BAD_REQUEST, message))
+        open_ids = [call_id for call_id in asked.call_ids if call_id in self._open_call_ids]
+        return CallReply(HTTPStatus.OK, {}, msgspec.json.encode(OpenCalls(open_ids)))
+
     def drain(self) -> None:
         """Refuse from now on what has not started; what runs goes on."""
         drain_gate(self._admission)
--- a/src/daisywharf/_call/_parties.py
+++ b/src/daisywharf/_call/_parties.py
@@ -6,10 +6,12 @@
 from random import Random
 from typing import Protocol
 
+from daisywharf._call._connections import Connections
 from daisywharf._call._exchange import CallReply, CallRequest
 from daisywharf._call._hop import Hop
+from daisywharf._call._silence import SilenceWatch
 from daisywharf._call._snapshot import SnapshotHolder
-from daisywharf._call._transport import Connections, send_call
+from daisywharf._call._transport import send_anew, send_watched
 from daisywharf._ids import ServiceName, TargetId
 from daisywharf._routing._retries import RetryRatio
 from daisywharf._routing._router import (
@@ -51,7 +53,9 @@
         self.rng = rng
         self.lock = threading.Lock()
         self.connections = Connections()
-        self.send: SendCall = send or partial(send_call, self.connections)
+        self.silence = SilenceWatch(self.connections, clock=clock)
+        self.send: SendCall = send or partial(send_watched, self.silence)
+        self.send_anew: SendCall = send or send_anew
         self.ratio = RetryRatio()
         self.router_by_service: dict[ServiceName, RouterState] = {}
         self.sequence_by_service: dict[ServiceName, int] = {}
--- a/src/daisywharf/_call/_resolving.py
+++ b/src/daisywharf/_call/_resolving.py
@@ -72,7 +72,7 @@
     asking = CallRequest(request.service, "POST", RESOLVE_PATH, request.context)
     hop = hop_to(target, asking.context, retries=0, ticket=ticket, now=now)
     try:
-        reply = state.send(target, asking, hop)
+        reply = state.send_anew(target, asking, hop)
     except RequestError:
         return ResolveFailed()
     error = error_in(reply)
@@ -90,7 +90,7 @@
         return DeadlinePassed()
     hop = hop_to(target, request.context, retries=0, ticket=ticket, now=now)
     try:
-        reply = state.send(target, request, hop)
+        reply = state.send_anew(target, request, hop)
     except RequestError:
         return ResolveFailed()
     request_id, incarnation = request.context.request_id, target.incarnation
--- /dev/null
+++ b/src/daisywharf/_call/_silence.py
@@ -0,0 +1,126 @@
+"""Watch the calls that wait for an answer, and cut those whose connection has gone silent."""
+
+import threading
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from typing import Final
+
+import msgspec
+import urllib3
+
+from daisywharf._call._connections import CallLine, Connections
+from daisywharf._outcomes._progress import CallProgress, GateWord, needs_probe, note_word
+from daisywharf._topology import Target
+
+PROGRESS_PATH: Final = "/.daisywharf/progress"
+TICK_PERIOD_S: Final = 0.25
+PROBE_TIMEOUT_S: Final = 0.5
+PROBES_AT_ONCE: Final = 8
+
+
+class OpenCalls(msgspec.Struct, frozen=True):
+    """List ids of calls: those asked for, and in the answer those that the gate has open."""
+
+    call_ids: list[str]
+
+
+class WaitingCall(msgspec.Struct):
+    """Hold a call that waits for its answer."""
+
+    call_id: str
+    target: Target
+    line: CallLine
+    progress: CallProgress
+
+
+class SilenceWatch:
+    """Hold the waiting calls; a thread that starts with the first one asks for the old ones."""
+
+    def __init__(self, connections: Connections, *, clock: Callable[[], float]) -> None:
+        self.connections = connections
+        self.clock = clock
+        self.call_by_id: dict[str, WaitingCall] = {}
+        self.cut_count = 0
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._thread: threading.Thread | None = None
+
+    @contextmanager
+    def watched(self, call_id: str, target: Target) -> Iterator[None]:
+        """Watch the call that this thread sends and waits for."""
+        if self._thread is None:
+            self._start()
+        progress = CallProgress(sent_at=self.clock())
+        self.call_by_id[call_id] = WaitingCall(call_id, target, CallLine(), progress)
+        try:
+            yield
+        finally:
+            self.call_by_id.pop(call_id, None)
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._stopping.set()
+
+    def _start(self) -> None:
+        with self._lock:
+            if self._thread is None:
+                self._thread = threading.Thread(target=self._run, name="silence", daemon=True)
+                self._thread.start()
+
+    def _run(self) -> None:
+        while not self._stopping.wait(TICK_PERIOD_S):
+            self._tick()
+
+    def _tick(self) -> None:
+        now = self.clock()
+        calls = [
+            call for call in list(self.call_by_id.values()) if needs_probe(call.progress, now=now)
+        ]
+        if not calls:
+            return
+        calls_by_target: dict[Target, list[WaitingCall]] = {}
+        for call in calls:
+            calls_by_target.setdefault(call.target, []).append(call)
+        with ThreadPoolExecutor(min(PROBES_AT_ONCE, len(calls_by_target))) as pool:
+            list(pool.map(self._probe, calls_by_target.values()))
+
+    def _probe(self, calls: list[WaitingCall]) -> None:
+        target = calls[0].target
+        open_ids = ask_open_calls(target, [call.call_id for call in calls])
+        now = self.clock()
+        for call in calls:
+            if note_word(call.progress, _word(call, open_ids), now=now):
+                self._cut(call)
+
+    def _cut(self, call: WaitingCall) -> None:
+        if self.call_by_id.pop(call.call_id, None) is None:
+            return
+        self.cut_count += 1
+        self.connections.forget(call.target.address)
+        call.line.cut()
+
+
+def ask_open_calls(target: Target, call_ids: list[str]) -> frozenset[str] | None:
+    """Ask a gate over a new connection which calls it has open; none where it can't be asked."""
+    pool = urllib3.HTTPConnectionPool(target.address.host, target.address.port, retries=False)
+    try:
+        reply = pool.urlopen(
+            "POST",
+            target.path_prefix + PROGRESS_PATH,
+            body=msgspec.json.encode(OpenCalls(call_ids)),
+            timeout=urllib3.Timeout(total=PROBE_TIMEOUT_S),
+        )
+        if reply.status != 200:
+            return None
+        return frozenset(msgspec.json.decode(reply.data, type=OpenCalls).call_ids)
+    except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
+        return None
+    finally:
+        pool.close()
+
+
+def _word(call: WaitingCall, open_ids: frozenset[str] | None) -> GateWord:
+    if open_ids is None:
+        return GateWord.UNREACHABLE
+    return GateWord.OPEN if call.call_id in open_ids else GateWord.NOT_OPEN
--- a/src/daisywharf/_call/_transport.py
+++ b/src/daisywharf/_call/_transport.py
@@ -1,11 +1,11 @@
 """Send a call to a gate over HTTP and tell how it ended."""
 
-import threading
 from typing import Final
 
 import urllib3
 from urllib3 import exceptions
 
+from daisywharf._call._connections import Connections
 from daisywharf._call._exchange import CallReply, CallRequest, without_headers_of_one_hop
 from daisywharf._call._hop import (
     HOP,
@@ -15,40 +15,13 @@
     answer_from_header,
     to_header,
 )
+from daisywharf._call._silence import SilenceWatch
 from daisywharf._errors import ErrorKind, RequestError
-from daisywharf._topology import Address, Target
+from daisywharf._topology import Target
 
 RESOLVE_PATH: Final = "/.daisywharf/resolve"
 LOOK_UP_PATH: Final = "/.daisywharf/order"
 CONNECT_TIMEOUT_S: Final = 0.5
-CONNECTIONS_PER_TARGET: Final = 64
-
-
-class Connections:
-    """Hold the pools of connections to gates."""
-
-    def __init__(self) -> None:
-        self.pool_by_address: dict[Address, urllib3.HTTPConnectionPool] = {}
-        self.lock = threading.Lock()
-
-    def pool(self, address: Address) -> urllib3.HTTPConnectionPool:
-        """Return the pool for an address, opened on first use."""
-        pool = self.pool_by_address.get(address)
-        if pool is not None:
-            return pool
-        with self.lock:
-            return self.pool_by_address.setdefault(address, _new_pool(address))
-
-    def close(self) -> None:
-        """Close all connections."""
-        for pool in list(self.pool_by_address.values()):
-            pool.close()
-
-
-def _new_pool(address: Address) -> urllib3.HTTPConnectionPool:
-    return urllib3.HTTPConnectionPool(
-        address.host, address.port, maxsize=CONNECTIONS_PER_TARGET, block=False, retries=False
-    )
 
 
 def send_call(
@@ -65,6 +38,21 @@
     return reply
 
 
+def send_watched(watch: SilenceWatch, target: Target, request: CallRequest, hop: Hop) -> CallReply:
+    """Send an attempt whose connection is cut once it is found to be silent; see `send_call`."""
+    with watch.watched(hop.call_id, target):
+        return send_call(watch.connections, target, request, hop)
+
+
+def send_anew(target: Target, request: CallRequest, hop: Hop) -> CallReply:
+    """Send an attempt over a connection that no call has used; see `send_call`."""
+    connections = Connections()
+    try:
+        return send_call(connections, target, request, hop)
+    finally:
+        connections.close()
+
+
 def _exchange(
     connections: Connections,
     target: Target,
--- a/src/daisywharf/_daemon/_forwarding.py
+++ b/src/daisywharf/_daemon/_forwarding.py
@@ -4,9 +4,10 @@
 
 import urllib3
 
+from daisywharf._call._connections import CONNECTIONS_PER_TARGET
 from daisywharf._call._exchange import without_headers_of_one_hop
 from daisywharf._call._gate import Gate
-from daisywharf._call._transport import CONNECT_TIMEOUT_S, CONNECTIONS_PER_TARGET
+from daisywharf._call._transport import CONNECT_TIMEOUT_S
 from daisywharf._call._wsgi import Environ, StartResponse, WsgiApp, body_of, headers_of, path_of
 from daisywharf._ids import TargetId
 from daisywharf._topology import Address, Target
--- a/src/daisywharf/_daemon/_orders.py
+++ b/src/daisywharf/_daemon/_orders.py
@@ -13,7 +13,7 @@
 from daisywharf._call._hop import hop_to
 from daisywharf._call._keyed import ticket_under_secrets
 from daisywharf._call._snapshot import Snapshot
-from daisywharf._call._transport import LOOK_UP_PATH, Connections, send_call
+from daisywharf._call._transport import LOOK_UP_PATH, send_anew
 from daisywharf._context import RequestContext
 from daisywharf._contract import Importance
 from daisywharf._daemon._claims import read_claim
@@ -135,14 +135,11 @@
         idempotent=False,
     )
     request = CallRequest(target.service, "POST", LOOK_UP_PATH, context)
-    connections = Connections()
+    hop = hop_to(target, context, retries=0, ticket=ticket, now=now)
     try:
-        hop = hop_to(target, context, retries=0, ticket=ticket, now=now)
-        reply = send_call(connections, target, request, hop)
+        reply = send_anew(target, request, hop)
     except RequestError:
         return _report(key, customer, ticket, OrderState.NOT_ANSWERED)
-    finally:
-        connections.close()
     error = error_in(reply)
     if error is not None and error.kind in _STATE_BY_KIND:
         return _report(key, customer, ticket, _STATE_BY_KIND[error.kind])
--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,54 @@
+"""A TCP relay that can swallow bytes, as a device that lost track of a connection does."""
+
+import socket
+import threading
+
+
+class Relay:
+    """Pass connections on to an address; those opened before `silence` go silent for good."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._target = (host, port)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port: int = self._listener.getsockname()[1]
+        self.connections = 0
+        self._silent_below = 0
+        self._swallows_answers_only = False
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def silence(self, *, answers_only: bool = False) -> None:
+        """Swallow what comes on the connections that are open now; new ones work."""
+        self._swallows_answers_only = answers_only
+        self._silent_below = self.connections
+
+    def close(self) -> None:
+        """Accept no more."""
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            far = socket.create_connection(self._target)
+            number = self.connections
+            self.connections += 1
+            for source, sink, is_answer in ((near, far, False), (far, near, True)):
+                threading.Thread(
+                    target=self._pass, args=(source, sink, number, is_answer), daemon=True
+                ).start()
+
+    def _pass(
+        self, source: socket.socket, sink: socket.socket, number: int, is_answer: bool
+    ) -> None:
+        try:
+            while data := source.recv(65_536):
+                is_silent = number < self._silent_below
+                if is_silent and (is_answer or not self._swallows_answers_only):
+                    continue
+                sink.sendall(data)
+        except OSError:
+            pass
+        if number >= self._silent_below:
+            sink.close()
