--- a/src/daisywharf/_fleet/_gossip.py
+++ b/src/daisywharf/_fleet/_gossip.py
@@ -36,11 +36,11 @@
 
 GOSSIP_PERIOD_S: Final = 0.2
 GOSSIP_FANOUT: Final = 3
-GOSSIP_BYTES_PER_S: Final = 7_000.0
+GOSSIP_BYTES_PER_S: Final = 6_500.0
 GOSSIP_BURST_BYTES: Final = 14_000.0
 GOSSIP_RESERVE_BYTES: Final = 4_000.0
 GOSSIP_MESSAGE_BYTES: Final = 1_200
-REPAIR_BYTES_PER_S: Final = 4_000.0
+REPAIR_BYTES_PER_S: Final = 3_500.0
 REPAIR_BURST_BYTES: Final = 48_000.0
 REPAIR_MESSAGE_BYTES: Final = 12_000
 BUCKETS_MESSAGE_BYTES: Final = 400
