Give up the part of a zone that is silent for six hours

Cause: a zone that was taken away for good kept its part of each rate for ever. Ruled out: counting only zones named in the settings, which would let a zone that some settings lack overshoot. Change: a zone that no settings name and that was silent for 6 h no longer counts.

--- a/src/daisywharf/_fleet/_shares.py
+++ b/src/daisywharf/_fleet/_shares.py
@@ -36,6 +36,7 @@
 HOLD_PER_DAEMON_S: Final = 0.01
 FRACTION_HOLD_S: Final = 0.5
 ZONE_STALE_AFTER_S: Final = 4.0
+ZONE_KEPT_S: Final = 21_600.0
 
 
 def note_demand(
@@ -93,11 +94,16 @@
     """Return the zones that divide the rates: expected or heard of."""
     zones = {state.me.zone, *state.zones}
     for record in state.store_by_scope[Scope.SUMMARIES].record_by_key.values():
-        if isinstance(record, ZoneDemand):
+        if isinstance(record, ZoneDemand) and _is_kept(state, record.zone):
             zones.add(record.zone)
     return zones
 
 
+def _is_kept(state: FleetState, zone: ZoneName) -> bool:
+    """Tell whether a zone that the settings don't name still has a part of the rates."""
+    return state.now - state.shares.heard_at_by_zone.get(zone, state.now) <= ZONE_KEPT_S
+
+
 def _zone_floors(state: FleetState) -> Weights:
     """Return the least weight of any zone for each call class in a contract."""
     zone_count = len(all_zones(state))
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -70,6 +70,14 @@
     frame: bytes
 
 
+class Asked(msgspec.Struct):
+    """Hold an action that the platform hasn't answered."""
+
+    vm: VmId
+    action: PlatformAction
+    asked_at: float
+
+
 class FakeFleet:
     """Hold daemons, the messages between them and a platform."""
 
@@ -91,7 +99,8 @@
         self.version = 0
         self.record_by_customer: dict[CustomerId, ContractRecord] = {}
         self.target_by_vm: dict[VmId, Target] = {}
-        self.pending: list[tuple[VmId, PlatformAction]] = []
+        self.slow_s = 0.0
+        self.pending: list[Asked] = []
         for me in self.members:
             self.start(me.vm)
 
@@ -103,7 +112,7 @@
         seeds = [known.address for known in self.members[: 2 * len(self.zones)]]
         self.state_by_vm[vm] = FleetState(me=me, seeds=seeds, zones=self.zones)
         self.paused_until_by_vm.pop(vm, None)
-        self.pending = [item for item in self.pending if item[0] != vm]
+        self.pending = [item for item in self.pending if item.vm != vm]
 
     def pause(self, vm: VmId, *, for_s: float) -> None:
         """Stop a process for a time."""
@@ -155,7 +164,7 @@
                 self.sent.append(Sent(vm, action.address, encode(action.message)))
             else:
                 self.platform_calls += 1
-                self.pending.append((vm, action))
+                self.pending.append(Asked(vm, action, self.now))
 
     def _deliver(self) -> None:
         sent, self.sent = self.sent, []
@@ -182,15 +191,13 @@
 
     def _answer_platform(self) -> None:
         pending, self.pending = self.pending, []
-        for vm, action in pending:
-            state = self.state_by_vm[vm]
-            if self.is_paused(vm):
-                self.pending.append((vm, action))
-                continue
-            if self._must_wait(action):
-                self.pending.append((vm, action))
+        for item in pending:
+            vm, state = item.vm, self.state_by_vm[item.vm]
+            is_slow = self.now - item.asked_at < self.slow_s
+            if is_slow or self.is_paused(vm) or self._must_wait(item.action):
+                self.pending.append(item)
                 continue
-            result = self._result(action)
+            result = self._result(item.action)
             self.act(vm, fleet.platform_answered(state, result, now=self.now, rng=self.rng))
 
     def _must_wait(self, action: PlatformAction) -> bool:
--- a/tests/test_fleet_contracts.py
+++ b/tests/test_fleet_contracts.py
@@ -145,6 +145,18 @@
     assert world.platform_calls - before <= watchers * 3
 
 
+def test_a_platform_that_takes_five_seconds_only_delays_edits() -> None:
+    world = running_fleet()
+    world.slow_s = 5.0
+    world.run(10.0)
+    before = world.platform_calls
+    version = world.write(rate_per_second=3.0)
+    world.run(12.0)
+    assert set(world.versions()) == {version}
+    assert all(fleet.is_confirmed(state) for state in world.state_by_vm.values())
+    assert world.platform_calls - before <= 2 * len(world.zones) * 4
+
+
 def test_a_waiting_operator_sees_each_zone_confirm() -> None:
     world = running_fleet()
     state = world.state_by_vm[VmId("vm-0")]
