Publish demand only beyond chance, and give suspicions more time in large zones

Cause: at 300 daemons demand was published at every chance (58 demand records sent a second by each daemon); 2 false deaths in 70 s at 600 daemons. Change: 3.5 deviations of chance, a shorter period; suspicion grows with the logarithm of the zone; a daemon's own record goes first.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -63,6 +63,7 @@
     bytes_per_second_per_daemon: float
     bytes_per_second_max: float
     new_work_after_drain_seconds: float
+    new_work_after_drain_seconds_p99: float
     drains_not_known: int
     false_deaths_per_hour: float
     share_overshoot_ratio: float
@@ -215,6 +216,7 @@
             bytes_per_second_per_daemon=round(sum(rates) / len(rates), 1),
             bytes_per_second_max=round(max(rates), 1),
             new_work_after_drain_seconds=round(max(measures.drains_s, default=0.0), 3),
+            new_work_after_drain_seconds_p99=round(quantile(measures.drains_s, 0.99), 3),
             drains_not_known=len(measures.drains),
             false_deaths_per_hour=deaths * FALSE_DEATH_HOUR_S / END_S,
             share_overshoot_ratio=round(measures.overshoot, 4),
--- a/src/daisywharf/_fleet/_gossip.py
+++ b/src/daisywharf/_fleet/_gossip.py
@@ -120,12 +120,16 @@
 def _rumours_by_need(state: FleetState) -> list[Rumour]:
     stores = state.store_by_scope.values()
     rumours = [rumour for store in stores for rumour in store.rumour_by_key.values()]
-    return sorted(rumours, key=_need)
+    own_key = f"m {state.me.vm}"
+    return sorted(rumours, key=lambda rumour: _need(rumour, own_key))
 
 
-def _need(rumour: Rumour) -> tuple[bool, int]:
-    """Order demand after the rest, and the least spread first."""
-    return (isinstance(rumour.record, DemandRecord), -rumour.copies_left)
+def _need(rumour: Rumour, own_key: str) -> tuple[int, int]:
+    """Order this daemon's own record first and demand last, and the least spread first."""
+    record = rumour.record
+    if isinstance(record, DemandRecord):
+        return (2, -rumour.copies_left)
+    return (0 if record.key == own_key else 1, -rumour.copies_left)
 
 
 def _drop_spread(state: FleetState) -> None:
--- a/src/daisywharf/_fleet/_membership.py
+++ b/src/daisywharf/_fleet/_membership.py
@@ -1,5 +1,6 @@
 """Know which daemons of the zone live: probes, suspicion before death, incarnations."""
 
+import math
 from random import Random
 from typing import Final
 
@@ -26,7 +27,8 @@
 PROBE_PERIOD_S: Final = 1.0
 INDIRECT_AFTER_S: Final = 0.4
 INDIRECT_PROBES: Final = 3
-SUSPICION_S: Final = 5.0
+SUSPICION_S: Final = 4.0
+SUSPICION_PER_DOUBLING_S: Final = 0.5
 DRAIN_TRIED_FOR_S: Final = 10.0
 ENDED_KEPT_S: Final = 600.0
 MEMBER_COPIES: Final = 8
@@ -202,12 +204,17 @@
     return [send(subject, Gossip(state.me, (suspicion,)))]
 
 
+def _suspicion_s(state: FleetState) -> float:
+    """Return how long a suspicion can be refuted; news takes longer in a large zone."""
+    return SUSPICION_S + SUSPICION_PER_DOUBLING_S * math.log2(len(peers(state)) + 1)
+
+
 def _end_suspicions(state: FleetState, *, now: float) -> None:
     for vm, since in list(state.probing.suspect_since_by_vm.items()):
         record = state.member_record(vm)
         if record is None or record.status != Status.SUSPECT:
             del state.probing.suspect_since_by_vm[vm]
-        elif now - since >= SUSPICION_S:
+        elif now - since >= _suspicion_s(state):
             _replace(state, record, _ended(record, Status.DEAD), now=now)
 
 
--- a/src/daisywharf/_fleet/_shares.py
+++ b/src/daisywharf/_fleet/_shares.py
@@ -25,9 +25,10 @@
 RATING_PERIOD_S: Final = 1.0
 RATING_TIME_CONSTANT_S: Final = 2.0
 PUBLISH_PERIOD_S: Final = 1.0
-PUBLISH_PERIOD_PER_DAEMON_S: Final = 0.04
+PUBLISH_PERIOD_PER_DAEMON_S: Final = 0.015
 WORK_PERIOD_S: Final = 0.5
 CHANGE_RATIO: Final = 0.25
+CHANCE_DEVIATIONS: Final = 3.5
 FLOOR_PART: Final = 0.05
 HOLD_IN_ZONE_S: Final = 2.0
 HOLD_ACROSS_S: Final = 4.0
@@ -144,9 +145,13 @@
 def _differs(weights: Weights, published: Weights) -> bool:
     if weights.keys() != published.keys():
         return True
-    return any(
-        abs(weights[key] - published[key]) > CHANGE_RATIO * published[key] for key in weights
-    )
+    return any(abs(weights[key] - published[key]) > _tolerance(published[key]) for key in weights)
+
+
+def _tolerance(rate: float) -> float:
+    """Return a change of a rate that isn't worth publishing: a part, or chance alone."""
+    chance = math.sqrt(rate / (2.0 * RATING_TIME_CONSTANT_S))
+    return max(CHANGE_RATIO * rate, CHANCE_DEVIATIONS * chance)
 
 
 def _add_sample(
