--- a/src/daisywharf/_daemon/_routes.py
+++ b/src/daisywharf/_daemon/_routes.py
@@ -6,12 +6,13 @@
 from daisywharf._call._exchange import CallReply
 from daisywharf._call._snapshot import is_ready
 from daisywharf._call._wsgi import Environ, body_of
-from daisywharf._daemon._announcement import read_announcement, target_from
+from daisywharf._daemon._announcement import Announcement, read_announcement, target_from
 from daisywharf._daemon._entry import ENTRY_PREFIX, enter_call
 from daisywharf._daemon._fleet_actor import FleetView
 from daisywharf._daemon._forwarding import host_gate
 from daisywharf._daemon._http import Routes, json_reply
 from daisywharf._daemon._links import LinkCounts
+from daisywharf._daemon._metrics import metrics_reply
 from daisywharf._daemon._order_routes import add_order_routes
 from daisywharf._daemon._status import (
     AnnouncementTaken,
@@ -25,6 +26,7 @@
 )
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import CustomerId, TargetId
+from daisywharf._signals import Event, log_event
 from daisywharf._topology import GateHost, Target
 
 if TYPE_CHECKING:
@@ -44,6 +46,7 @@
     routes.route_by_path["POST /withdraw"] = lambda environ: _withdraw(daemon, environ)
     routes.route_by_path["GET /healthz"] = lambda environ: _health(daemon)
     routes.route_by_path["GET /status"] = lambda environ: _status(daemon, environ)
+    routes.route_by_path["GET /metrics"] = lambda environ: metrics_reply(daemon)
     routes.route_by_path["GET /targets"] = lambda environ: json_reply(_targets(daemon))
     add_order_routes(daemon, routes)
     routes.route_by_prefix[TARGETS_PREFIX] = lambda environ: _drain(daemon, environ)
@@ -135,7 +138,7 @@
 
 
 def _announce(daemon: "Daemon", environ: Environ) -> CallReply:
-    announcement = read_announcement(body_of(environ))
+    announcement = _read_announcement(environ)
     settings = daemon.settings
     target = target_from(announcement, vm=settings.vm, zone=settings.zone, http=daemon.http.address)
     if target.gate is GateHost.DAEMON:
@@ -147,8 +150,16 @@
     return json_reply(AnnouncementTaken(RENEW_AFTER_S, is_drained))
 
 
+def _read_announcement(environ: Environ) -> Announcement:
+    try:
+        return read_announcement(body_of(environ))
+    except RequestError as error:
+        log_event(Event.ANNOUNCEMENT_REFUSED, error=str(error))
+        raise
+
+
 def _withdraw(daemon: "Daemon", environ: Environ) -> CallReply:
-    target_id = TargetId(read_announcement(body_of(environ)).target_id)
+    target_id = TargetId(_read_announcement(environ).target_id)
     gate = daemon.gates.gate_by_id.get(target_id)
     if gate is not None:
         gate.drain()
