--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -172,7 +172,9 @@
         member_by_address = {known.address: known for known in self.members}
         zone_by_vm = {known.vm: known.zone for known in self.members}
         for item in sent:
-            receiver = member_by_address[item.address]
+            receiver = member_by_address.get(item.address)
+            if receiver is None:
+                continue
             zones = {receiver.zone, zone_by_vm[item.sender]}
             is_cut = len(zones) > 1 and bool(zones & self.cut_zones)
             if is_cut or self.rng.random() < self.loss:
--- a/tests/test_fleet_contracts.py
+++ b/tests/test_fleet_contracts.py
@@ -123,6 +123,19 @@
     assert all(fleet.contracts_by_customer(state)[KARRI].version == version for state in running)
 
 
+def test_a_restart_of_everything_in_an_outage_confirms_nothing_until_it_ends() -> None:
+    world = running_fleet()
+    world.is_platform_down = True
+    for known in world.members:
+        world.start(known.vm)
+    world.run(40.0)
+    assert not any(fleet.is_confirmed(state) for state in world.state_by_vm.values())
+    world.is_platform_down = False
+    world.run(8.0)
+    assert set(world.versions()) == {1}
+    assert all(fleet.is_confirmed(state) for state in world.state_by_vm.values())
+
+
 def test_a_lost_answer_is_asked_for_again() -> None:
     world = running_fleet()
     world.pending.clear()
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -8,8 +8,8 @@
 from daisywharf._fleet import _state as fleet
 from daisywharf._fleet._membership import publish_self
 from daisywharf._fleet._messages import MemberRecord, Status
-from daisywharf._ids import ServiceName, VmId
-from daisywharf._topology import GateHost, TargetState
+from daisywharf._ids import Incarnation, ServiceName, VmId
+from daisywharf._topology import Address, GateHost, TargetState
 
 ORDERS = ServiceName("orders")
 VM_1 = VmId("vm-1")
@@ -90,6 +90,28 @@
     assert status_at(world, VM_1).status is Status.LEFT
 
 
+def test_a_readdressed_vm_replaces_its_former_self() -> None:
+    world = zone_of(4)
+    place = next(place for place, known in enumerate(world.members) if known.vm == VM_1)
+    moved = msgspec.structs.replace(world.members[place], address=Address("10.0.0.9", 99))
+    world.members[place] = moved
+    world.start(VM_1)
+    world.run(8.0)
+    records = [state.member_record(VM_1) for state in world.state_by_vm.values()]
+    assert {record.member.address for record in records if record} == {moved.address}
+
+
+def test_a_vm_whose_clock_was_set_back_goes_past_its_former_incarnation() -> None:
+    world = zone_of(4)
+    before = status_at(world, VM_1).member.incarnation
+    world.start(VM_1)
+    state = world.state_by_vm[VM_1]
+    state.me = msgspec.structs.replace(state.me, incarnation=Incarnation(0))
+    world.run(8.0)
+    assert status_at(world, VM_1).member.incarnation > before
+    assert status_at(world, VM_1).member == state.me
+
+
 def test_a_target_keeps_all_that_it_announced() -> None:
     world = zone_of(3)
     plain = target(world.state_by_vm[VM_1].me)
