Beat less often on links between daemons, and watch all links by one timer

Change: links between daemons beat each 1.0 s and end after 3 s of silence, those to libraries stay at 0.3 and 1.5 s; one timer ticks all links; only the daemon that opened a link closes it when idle.

--- a/src/daisywharf/_daemon/_links.py
+++ b/src/daisywharf/_daemon/_links.py
@@ -31,7 +31,10 @@
 from daisywharf._fleet._messages import Member
 from daisywharf._limits import MAX_FRAME_BYTES
 from daisywharf._outcomes._link import (
+    CALLS_PACE,
+    CONTROL_PACE,
     CloseLink,
+    LinkPace,
     LinkState,
     SendHeartbeat,
     TryNewConnection,
@@ -65,11 +68,15 @@
 class Link:
     """Hold one open connection to a peer; `member` is none for a library on the VM."""
 
-    def __init__(self, socket: Any, member: Member | None) -> None:
+    def __init__(
+        self, socket: Any, member: Member | None, *, pace: LinkPace, is_opened_here: bool = False
+    ) -> None:
         self.socket = socket
         self.member = member
         self.is_open = True
-        self.state = LinkState(now=time.monotonic())
+        self.is_opened_here = is_opened_here
+        self.fault = ""
+        self.state = LinkState(now=time.monotonic(), pace=pace)
         self.used_at = time.monotonic()
         self.queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED_FRAMES)
 
@@ -99,6 +106,7 @@
         self.counts = LinkCounts()
         self.loop = asyncio.new_event_loop()
         self.link_by_address: dict[Address, Link] = {}
+        self.open_links: set[Link] = set()
         self.opening: dict[Address, list[bytes]] = {}
         self.server: Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -107,6 +115,7 @@
     def start(self, address: Address) -> Address:
         """Accept links at an address and return the one that the kernel gave."""
         self.thread.start()
+        self.loop.call_soon_threadsafe(_watch_links, self)
         future = asyncio.run_coroutine_threadsafe(_listen(self, address), self.loop)
         return future.result(timeout=10)
 
@@ -182,7 +191,9 @@
         log_event(Event.PEER_REFUSED, peer=_peer_of(socket), error=told(error))
         return
     address = None if hello.member is None else hello.member.address
-    await _run(links, Link(socket, hello.member), address)
+    # A call may wait on the link of a library; one between daemons only carries control.
+    pace = CALLS_PACE if address is None else CONTROL_PACE
+    await _run(links, Link(socket, hello.member, pace=pace), address)
 
 
 async def _open(links: Links, address: Address) -> None:
@@ -202,7 +213,7 @@
         links.opening.pop(address, None)
         links.on_unreachable(address)
         return
-    link = Link(socket, None)
+    link = Link(socket, None, pace=CONTROL_PACE, is_opened_here=True)
     for frame in links.opening.pop(address, []):
         link.put(frame)
     await _run(links, link, address)
@@ -223,16 +234,17 @@
     peer = _peer_of(link.socket)
     cause = "no reason given"
     log_event(Event.LINK_OPENED, peer=peer)
+    links.open_links.add(link)
     try:
         async with asyncio.TaskGroup() as group:
             group.create_task(_write(links, link))
-            group.create_task(_watch(links, link))
             await _read(links, link)
             raise LinkError(ErrorKind.CONNECT_FAILED, "the peer closed the link")
     except* (LinkError, WebSocketException, OSError) as errors:
         cause = told(errors.exceptions[0])
     finally:
-        log_event(Event.LINK_CLOSED, peer=peer, error=cause)
+        log_event(Event.LINK_CLOSED, peer=peer, error=link.fault or cause)
+        links.open_links.discard(link)
         link.is_open = False
         if address is not None and links.link_by_address.get(address) is link:
             del links.link_by_address[address]
@@ -269,19 +281,31 @@
         links.on_frame(link, frame)
 
 
-async def _watch(links: Links, link: Link) -> None:
-    while True:
-        await asyncio.sleep(LINK_TICK_S)
-        now = time.monotonic()
-        if link.member is None and now - link.used_at > IDLE_LIMIT_S:
-            raise LinkError(ErrorKind.CONNECT_FAILED, "the link was idle")
-        for action in link_tick(link.state, now=now, calls_out=0):
-            if isinstance(action, SendHeartbeat):
-                link.put(encode(Heartbeat(action.sequence)))
-            elif isinstance(action, CloseLink | TryNewConnection):
-                links.counts.silent_links += 1
-                log_event(Event.LINK_SILENT, peer=_peer_of(link.socket))
-                raise LinkError(ErrorKind.CONNECT_FAILED, "the link is silent")
+def _watch_links(links: Links) -> None:
+    # One timer for all links costs less than a task for each.
+    links.loop.call_later(LINK_TICK_S, _watch_links, links)
+    now = time.monotonic()
+    for link in list(links.open_links):
+        _watch(links, link, now=now)
+
+
+def _watch(links: Links, link: Link, *, now: float) -> None:
+    if link.is_opened_here and now - link.used_at > IDLE_LIMIT_S:
+        _break(link, "the link was idle")
+        return
+    for action in link_tick(link.state, now=now, calls_out=0):
+        if isinstance(action, SendHeartbeat):
+            link.put(encode(Heartbeat(action.sequence)))
+        elif isinstance(action, CloseLink | TryNewConnection):
+            links.counts.silent_links += 1
+            log_event(Event.LINK_SILENT, peer=_peer_of(link.socket))
+            _break(link, "the link is silent")
+
+
+def _break(link: Link, fault: str) -> None:
+    """End a link without a closing handshake, for which a silent peer would be waited."""
+    link.fault = fault
+    link.socket.transport.abort()
 
 
 def _peer_of(socket: Any) -> str:
--- a/src/daisywharf/_outcomes/_link.py
+++ b/src/daisywharf/_outcomes/_link.py
@@ -17,6 +17,18 @@
 HEARTBEATS_KEPT: Final = 8
 
 
+class LinkPace(msgspec.Struct, frozen=True):
+    """Say how often a link sends heartbeats, and after which silence it is closed; in seconds."""
+
+    heartbeat_period_s: float = HEARTBEAT_PERIOD_S
+    silence_limit_s: float = SILENCE_LIMIT_S
+
+
+CALLS_PACE: Final = LinkPace()
+# No call waits on a link between daemons, and their probes notice a daemon that is gone.
+CONTROL_PACE: Final = LinkPace(heartbeat_period_s=1.0, silence_limit_s=3.0)
+
+
 class SendHeartbeat(msgspec.Struct, frozen=True):
     """Send a heartbeat on the link; the peer echoes it."""
 
@@ -37,7 +49,8 @@
 class LinkState:
     """Hold one link's progress; times are in seconds of this process's monotonic clock."""
 
-    def __init__(self, *, now: float) -> None:
+    def __init__(self, *, now: float, pace: LinkPace = CALLS_PACE) -> None:
+        self.pace = pace
         self.opened_at = now
         self.proven_at = now
         self.beat_at = now
@@ -71,13 +84,13 @@
     if now - state.ticked_at > PAUSE_LIMIT_S:
         # This process was stopped: the silence says nothing about the peer, so ask afresh.
         state.proven_at = now
-        state.beat_at = now - HEARTBEAT_PERIOD_S
+        state.beat_at = now - state.pace.heartbeat_period_s
     state.ticked_at = now
     silence_s = now - state.proven_at
-    if silence_s > SILENCE_LIMIT_S:
+    if silence_s > state.pace.silence_limit_s:
         return _close(state)
     actions: list[LinkAction] = []
-    if now - state.beat_at >= HEARTBEAT_PERIOD_S:
+    if now - state.beat_at >= state.pace.heartbeat_period_s:
         state.beat_at = now
         state.sequence += 1
         state.sent_at_by_sequence[state.sequence] = now
--- /dev/null
+++ b/tests/test_signals_links.py
@@ -0,0 +1,112 @@
+"""Links of daemons: their heartbeats, the end of silent and idle ones, and libraries' links."""
+
+import time
+from collections.abc import Iterator
+
+import pytest
+from benchmarks._processes import eventually
+
+from daisywharf._daemon import _links
+from daisywharf._daemon._frames import Fleet
+from daisywharf._daemon._links import Links
+from daisywharf._fleet._messages import DrainRequest, Member
+from daisywharf._ids import Incarnation, TargetId, VmId, ZoneName
+from daisywharf._outcomes._link import (
+    CALLS_PACE,
+    CONTROL_PACE,
+    CloseLink,
+    LinkState,
+    SendHeartbeat,
+    link_tick,
+    note_echo,
+)
+from daisywharf._topology import Address
+
+KEYS = ("a-shared-key",)
+ANYWHERE = Address("127.0.0.1", 0)
+
+
+class Peer:
+    """Hold the links of one daemon and what it was sent."""
+
+    def __init__(self, vm: str) -> None:
+        self.taken: list[Fleet] = []
+        self.member = Member(VmId(vm), ZoneName("perth-1"), Incarnation(1), ANYWHERE)
+        self.links = Links(
+            me=lambda: self.member,
+            keys=KEYS,
+            on_frame=lambda link, frame: self.taken.append(frame),
+            on_unreachable=lambda address: None,
+        )
+        address = self.links.start(ANYWHERE)
+        self.member = Member(self.member.vm, self.member.zone, self.member.incarnation, address)
+
+    def send_to(self, other: "Peer") -> None:
+        """Send some frame to another peer."""
+        frame = Fleet(DrainRequest(self.member, TargetId("orders-1")))
+        self.links.send(other.member.address, frame)
+
+
+@pytest.fixture
+def peers() -> Iterator[tuple[Peer, Peer]]:
+    both = (Peer("vm-1"), Peer("vm-2"))
+    yield both
+    for peer in both:
+        peer.links.stop()
+
+
+@pytest.mark.parametrize(("pace", "beats"), [(CALLS_PACE, 10), (CONTROL_PACE, 3)])
+def test_a_link_beats_at_its_pace(pace: _links.LinkPace, beats: int) -> None:
+    state = LinkState(now=0.0, pace=pace)
+    sent = 0
+    for step in range(1, 37):
+        for action in link_tick(state, now=step / 12, calls_out=0):
+            assert isinstance(action, SendHeartbeat)
+            note_echo(state, action.sequence)
+            sent += 1
+    assert abs(sent - beats) <= 1
+
+
+def test_a_silent_link_between_daemons_ends_after_its_limit() -> None:
+    state = LinkState(now=0.0, pace=CONTROL_PACE)
+    ended = [
+        step / 4
+        for step in range(1, 20)
+        if any(isinstance(a, CloseLink) for a in link_tick(state, now=step / 4, calls_out=0))
+    ]
+    assert ended == [CONTROL_PACE.silence_limit_s + 0.25]
+
+
+def test_frames_pass_both_ways_over_one_link(peers: tuple[Peer, Peer]) -> None:
+    first, second = peers
+    first.send_to(second)
+    eventually(lambda: len(second.taken) == 1)
+    second.send_to(first)
+    eventually(lambda: len(first.taken) == 1)
+    assert len(first.links.open_links) == len(second.links.open_links) == 1
+
+
+def test_a_link_whose_echoes_stop_is_broken_and_counted(
+    peers: tuple[Peer, Peer], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    first, second = peers
+    first.send_to(second)
+    eventually(lambda: len(second.taken) == 1)
+    monkeypatch.setattr(_links, "note_echo", lambda state, sequence: None)
+    eventually(lambda: first.links.counts.silent_links + second.links.counts.silent_links > 0)
+    eventually(lambda: not first.links.open_links and not second.links.open_links)
+
+
+def test_an_idle_link_is_closed_by_the_daemon_that_opened_it(
+    peers: tuple[Peer, Peer], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    first, second = peers
+    first.send_to(second)
+    eventually(lambda: len(second.taken) == 1)
+    (opened,) = first.links.open_links
+    (accepted,) = second.links.open_links
+    assert (opened.is_opened_here, accepted.is_opened_here) == (True, False)
+    opened.used_at = time.monotonic() - _links.IDLE_LIMIT_S
+    eventually(lambda: not first.links.open_links and not second.links.open_links)
+    assert opened.fault == "the link was idle"
+    assert first.links.counts.silent_links == 0
