--- a/src/daisywharf/_daemon/_entry.py
+++ b/src/daisywharf/_daemon/_entry.py
@@ -15,16 +15,15 @@
 def enter_call(caller: Caller, environ: Environ) -> CallReply:
     """Pass an outside request on to its service; raise `RequestError`."""
     headers = headers_of(environ)
-    service, _, rest = environ["PATH_INFO"].removeprefix(ENTRY_PREFIX).partition("/")
-    query = environ.get("QUERY_STRING")
+    service, path = path_after(ENTRY_PREFIX, environ)
     return caller.enter(
         service,
-        f"/{rest}?{query}" if query else f"/{rest}",
+        path,
         customer=_required(headers, CUSTOMER),
         call_class=_required(headers, CALL_CLASS),
         method=environ["REQUEST_METHOD"],
         body=body_of(environ),
-        headers=_outside_headers(headers),
+        headers=outside_headers(headers),
         key=headers.get(IDEMPOTENCY_KEY),
         traceparent=headers.get(TRACEPARENT),
     )
@@ -37,8 +36,15 @@
     raise RequestError(ErrorKind.BAD_REQUEST, f"header {name} is missing; send it")
 
 
-def _outside_headers(headers: dict[str, str]) -> dict[str, str]:
-    # Only processes inside may state a context; what an outside caller says of it is dropped.
+def path_after(prefix: str, environ: Environ) -> tuple[str, str]:
+    """Split what follows a prefix into the service's name and the path at its target."""
+    service, _, rest = environ["PATH_INFO"].removeprefix(prefix).partition("/")
+    query = environ.get("QUERY_STRING")
+    return service, f"/{rest}?{query}" if query else f"/{rest}"
+
+
+def outside_headers(headers: dict[str, str]) -> dict[str, str]:
+    """Drop what a caller says of a context, which only processes inside may state."""
     return {
         name: value
         for name, value in headers.items()
--- a/src/daisywharf/_outcomes/_progress.py
+++ b/src/daisywharf/_outcomes/_progress.py
@@ -35,7 +35,7 @@
     if word is GateWord.OPEN:
         progress.proven_at = now
         progress.misses = 0
-        return now - progress.proven_at >= SILENCE_LIMIT_S
+        return False
     if word is GateWord.NOT_OPEN:
         progress.misses += 1
         return progress.misses >= MISSES_TO_CUT
