--- a/src/daisywharf/_call/_transport.py
+++ b/src/daisywharf/_call/_transport.py
@@ -15,10 +15,13 @@
     answer_from_header,
     to_header,
 )
+from daisywharf._context import ERROR_KIND
 from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._outcomes._link import SILENCE_LIMIT_S
 from daisywharf._topology import Address, Target
 
 RESOLVE_PATH: Final = "/.daisywharf/resolve"
+LOOK_UP_PATH: Final = "/.daisywharf/order"
 CONNECT_TIMEOUT_S: Final = 0.5
 CONNECTIONS_PER_TARGET: Final = 64
 
@@ -38,6 +41,13 @@
         with self.lock:
             return self.pool_by_address.setdefault(address, _new_pool(address))
 
+    def drop(self, address: Address) -> None:
+        """Close an address's idle connections, which may be silent too."""
+        with self.lock:
+            pool = self.pool_by_address.pop(address, None)
+        if pool is not None:
+            pool.close()
+
     def close(self) -> None:
         """Close all connections."""
         for pool in list(self.pool_by_address.values()):
@@ -59,20 +69,25 @@
     """
     headers = without_headers_of_one_hop(request.headers)
     headers[HOP] = to_header(hop)
-    reply = _exchange(connections, target, request, headers, hop.time_left_ms / MS_PER_S)
+    reply = _exchange(connections, target, request, headers, _read_limit_s(hop))
     _check_identity(reply, target, hop)
     return reply
 
 
+def _read_limit_s(hop: Hop) -> float:
+    time_left_s = max(hop.time_left_ms / MS_PER_S, 0.001)
+    # An order that is slow is asked for over another connection, which tells it from a lost one.
+    return time_left_s if hop.ticket is None else min(time_left_s, SILENCE_LIMIT_S)
+
+
 def _exchange(
     connections: Connections,
     target: Target,
     request: CallRequest,
     headers: dict[str, str],
-    time_left_s: float,
+    read_limit_s: float,
 ) -> CallReply:
-    time_left_s = max(time_left_s, 0.001)
-    timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, time_left_s), read=time_left_s)
+    timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, read_limit_s), read=read_limit_s)
     try:
         response = connections.pool(target.address).urlopen(
             request.method,
@@ -85,7 +100,10 @@
         )
     except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError) as error:
         raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
+    except exceptions.ClosedPoolError as error:
+        raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
     except exceptions.ReadTimeoutError as error:
+        connections.drop(target.address)
         raise RequestError(ErrorKind.TIMED_OUT, _told(target, error)) from error
     except (exceptions.IncompleteRead, exceptions.DecodeError) as error:
         raise RequestError(ErrorKind.CUT_ANSWER, _told(target, error)) from error
@@ -111,7 +129,9 @@
     except RequestError as error:
         message = f"{target.target_id} gave status {reply.status} and no whole answer: {error}"
         raise RequestError(ErrorKind.OUTCOME_UNKNOWN, message) from error
-    if (answer.call_id, answer.incarnation) == (hop.call_id, hop.incarnation):
+    is_successor = reply.headers.get(ERROR_KIND) == ErrorKind.WRONG_INCARNATION.value
+    incarnation = hop.incarnation if is_successor else answer.incarnation
+    if (answer.call_id, incarnation) == (hop.call_id, hop.incarnation):
         return
     message = (
         f"{target.target_id} answered call {answer.call_id!r} of incarnation "
