--- /dev/null
+++ b/tests/builders_relay.py
@@ -0,0 +1,56 @@
+"""A relay on loopback whose open connections can fall silent while new ones work."""
+
+import socket
+import threading
+from enum import Enum
+
+from daisywharf._topology import Address
+
+CHUNK_BYTES = 65_536
+
+
+class Way(Enum):
+    """Name a direction of a connection."""
+
+    ASKING = "asking"
+    ANSWERING = "answering"
+
+
+class Relay:
+    """Relay connections; the next one swallows the way that `silent_next` names, if any."""
+
+    def __init__(self, to: Address) -> None:
+        self.to = to
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address("127.0.0.1", self._listener.getsockname()[1])
+        self.connections = 0
+        self.silent_next: Way | None = None
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Take no more connections."""
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            silent, self.silent_next = self.silent_next, None
+            far = socket.create_connection((self.to.host, self.to.port))
+            self._pump(near, far, is_silent=silent is Way.ASKING)
+            self._pump(far, near, is_silent=silent is Way.ANSWERING)
+
+    def _pump(self, source: socket.socket, sink: socket.socket, *, is_silent: bool) -> None:
+        def run() -> None:
+            try:
+                while data := source.recv(CHUNK_BYTES):
+                    if not is_silent:
+                        sink.sendall(data)
+                sink.shutdown(socket.SHUT_WR)
+            except OSError:
+                return
+
+        threading.Thread(target=run, daemon=True).start()
--- /dev/null
+++ b/tests/test_outcomes_calls.py
@@ -0,0 +1,81 @@
+"""A caller and a gate settle an order whatever is lost between them."""
+
+import time
+
+import pytest
+
+from builders_calls import TARGET, Wire, send_order
+from daisywharf import ErrorKind, RequestError
+from daisywharf._call._exchange import error_in
+from daisywharf._errors import Ran
+from daisywharf._ids import IdempotencyKey
+from daisywharf._outcomes._claim import SendUnderClaim
+from daisywharf._outcomes._ticket import Ticket
+
+
+def permit_of_key(*, is_first_use: bool) -> SendUnderClaim:
+    key = IdempotencyKey("k.1")
+    ticket = Ticket(key, TARGET.target_id, TARGET.incarnation, time.time() + 60.0)
+    return SendUnderClaim(ticket, is_first_use)
+
+
+@pytest.mark.parametrize("fate", ["lost", "cut"])
+def test_a_lost_answer_is_told_by_the_same_gate(fate: str) -> None:
+    wire = Wire(fate)
+    assert send_order(wire).body == b"run 1"
+    assert wire.runs == 1
+
+
+def test_a_call_that_did_not_arrive_is_burnt_and_never_runs() -> None:
+    wire = Wire("held")
+    with pytest.raises(RequestError) as caught:
+        send_order(wire)
+    assert caught.value.kind is ErrorKind.CONNECT_FAILED
+    request, hop = wire.held[0]
+    assert error_in(wire.deliver(request, hop)) is not None
+    assert wire.runs == 0
+
+
+@pytest.mark.parametrize("fate", ["lost", "cut", "held"])
+def test_a_call_under_a_key_is_sent_again_and_runs_once(fate: str) -> None:
+    wire = Wire(fate)
+    assert send_order(wire, permit_of_key(is_first_use=True)).body == b"run 1"
+    for request, hop in wire.held:
+        assert wire.deliver(request, hop).body == b"run 1"
+    assert wire.runs == 1
+
+
+def test_an_order_that_met_a_restarted_target_was_not_run() -> None:
+    wire = Wire("restarted")
+    reply = send_order(wire)
+    error = error_in(reply)
+    assert error is not None
+    assert (error.kind, error.answer.ran) == (ErrorKind.WRONG_INCARNATION, Ran.NO)
+    assert wire.runs == 0
+
+
+def test_an_order_whose_target_restarted_after_the_run_is_unknown() -> None:
+    wire = Wire("lost", "restarted")
+    with pytest.raises(RequestError) as caught:
+        send_order(wire)
+    assert caught.value.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert wire.runs == 1
+    assert wire.sends == 2
+
+
+@pytest.mark.parametrize(
+    ("is_first_use", "kind"),
+    [(True, ErrorKind.CONNECT_FAILED), (False, ErrorKind.OUTCOME_UNKNOWN)],
+)
+def test_only_a_first_use_of_a_key_is_told_not_run_without_its_gate(
+    is_first_use: bool, kind: ErrorKind
+) -> None:
+    with pytest.raises(RequestError) as caught:
+        send_order(Wire("unsent"), permit_of_key(is_first_use=is_first_use))
+    assert caught.value.kind is kind
+
+
+def test_a_question_is_asked_again_until_the_gate_answers() -> None:
+    wire = Wire("lost", "unsent", "lost")
+    assert send_order(wire).body == b"run 1"
+    assert wire.sends == 4
