--- a/src/daisywharf/_call/_attempts.py
+++ b/src/daisywharf/_call/_attempts.py
@@ -5,15 +5,13 @@
 from msgspec.structs import replace
 
 from daisywharf._call._exchange import CallReply, CallRequest, error_in
-from daisywharf._call._hop import HOP_ANSWER, answer_from_header, hop_to
+from daisywharf._call._hop import HOP_ANSWER, answer_from_header, hop_to, level_in
 from daisywharf._call._parties import CallerState, choose_target, note_outcome, note_start
 from daisywharf._call._resolving import TicketedCall, new_permit, send_under_ticket
 from daisywharf._call._scope import Scope
 from daisywharf._errors import ErrorKind, Ran, RequestError
 from daisywharf._ids import TargetId
 from daisywharf._outcomes._claim import SendUnderClaim
-from daisywharf._overload._level import Level
-from daisywharf._overload._level_cache import note_level
 from daisywharf._routing._kinds import outcome_of
 from daisywharf._routing._retries import (
     RetryRatioKey,
@@ -132,7 +130,7 @@
         reply = _send(state, request, target, permit, lent, now=started)
         answer = answer_from_header(reply.headers.get(HOP_ANSWER))
         unspent = answer.retries_unspent
-        _note_level(state, scope, request, answer.level)
+        scope.note_level(level_in(answer))
         error = error_in(reply)
         if error is not None:
             raise error
@@ -160,9 +158,3 @@
     if permit is None:
         return state.send(target, request, hop)
     return send_under_ticket(TicketedCall(state, target, request, permit), hop)
-
-
-def _note_level(state: CallerState, scope: Scope, request: CallRequest, level: Level) -> None:
-    scope.note_level(level)
-    with state.lock:
-        note_level(state.levels, request.service, level, now=state.clock())
--- a/src/daisywharf/_call/_resolving.py
+++ b/src/daisywharf/_call/_resolving.py
@@ -31,6 +31,7 @@
 from daisywharf._outcomes._once import RefuseRun, RepeatAnswer, StoredAnswer
 from daisywharf._outcomes._resolution import ResolutionState, resolution_step
 from daisywharf._outcomes._ticket import Ticket, mint_ticket
+from daisywharf._signals import Event, log_event
 from daisywharf._topology import Target
 
 _RANDOM: Final = SystemRandom()
@@ -158,6 +159,13 @@
         kind = action.otherwise
     if call.reply is not None and _refusal_in(call) is kind:
         return call.reply
+    if kind is ErrorKind.OUTCOME_UNKNOWN:
+        log_event(
+            Event.OUTCOME_UNKNOWN,
+            key=call.ticket.key,
+            target=call.target.target_id,
+            error=str(call.error),
+        )
     raise _failure(call.ticket, kind, call.error) from call.error
 
 
