Age a call that lay in a stopped target's buffer

Cause: the deadline travels as time left, which stands still in a connection's buffer while the target is stopped; the call then ran long after its deadline. Change: an attempt says when it was sent; the gate takes off the age beyond the clock bound (2 s).

--- a/benchmarks/_decision.py
+++ b/benchmarks/_decision.py
@@ -106,7 +106,9 @@
         deadline=time.monotonic() + 3_000.0,
         retries=2,
     )
-    hop = hop_to(_target(0), context, retries=2, ticket=None, now=time.monotonic())
+    hop = hop_to(
+        _target(0), context, retries=2, ticket=None, now=time.monotonic(), wall_now=time.time()
+    )
     return {
         "REQUEST_METHOD": "POST",
         "PATH_INFO": "/",
--- a/src/daisywharf/_call/_attempts.py
+++ b/src/daisywharf/_call/_attempts.py
@@ -1,5 +1,6 @@
 """Make the attempts of one call: choose a target, send, and retry within the budget."""
 
+import time
 from typing import Final
 
 from msgspec.structs import replace
@@ -154,7 +155,9 @@
     now: float,
 ) -> CallReply:
     ticket = None if permit is None else permit.ticket
-    hop = hop_to(target, request.context, retries=lent, ticket=ticket, now=now)
+    hop = hop_to(
+        target, request.context, retries=lent, ticket=ticket, now=now, wall_now=time.time()
+    )
     if permit is None:
         return state.send(target, request, hop)
     return send_under_ticket(TicketedCall(state, target, request, permit), hop)
--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -71,6 +71,7 @@
         self._shedding = SheddingLog()
         self._app = app
         self._clock = clock
+        self._wall_clock = wall_clock
         self._admission = GateAdmission(
             AdmissionState(slots=slots, service=self.service), clock=clock
         )
@@ -85,7 +86,7 @@
         try:
             hop = hop_from_header(environ.get(HOP_ENVIRON_KEY))
             self._check_address(hop)
-            scope = Scope(context_in(hop, now=self._clock()))
+            scope = Scope(context_in(hop, now=self._clock(), wall_now=self._wall_clock()))
             reply = self._answer_in_span(environ, hop, scope)
         except RequestError as error:
             kind = error.kind
--- a/src/daisywharf/_call/_hop.py
+++ b/src/daisywharf/_call/_hop.py
@@ -26,6 +26,7 @@
     MAX_REFUSALS,
     MAX_RETRIES,
 )
+from daisywharf._outcomes._pause import deadline_on_arrival
 from daisywharf._outcomes._ticket import Ticket
 from daisywharf._overload._level import MAX_LOAD, OPEN_LEVEL, Level
 from daisywharf._topology import Target
@@ -82,6 +83,7 @@
     ticket: TicketPart | None = None
     traceparent: Annotated[str, Meta(max_length=MAX_HEADER_VALUE_CHARS)] | None = None
     refusals: RefusalsPart | None = None
+    sent_at: Annotated[float, Meta(ge=0.0)] = 0.0
 
 
 class HopAnswer(msgspec.Struct, frozen=True, array_like=True):
@@ -94,9 +96,15 @@
 
 
 def hop_to(
-    target: Target, context: RequestContext, *, retries: int, ticket: Ticket | None, now: float
+    target: Target,
+    context: RequestContext,
+    *,
+    retries: int,
+    ticket: Ticket | None,
+    now: float,
+    wall_now: float,
 ) -> Hop:
-    """Write an attempt; the deadline travels as time left."""
+    """Write an attempt; the deadline travels as time left at `wall_now`, in seconds since 1970."""
     return Hop(
         call_id=token_hex(8),
         target_id=target.target_id,
@@ -111,6 +119,7 @@
         ticket=None if ticket is None else TicketPart(ticket.key, ticket.expires_at),
         traceparent=context.traceparent,
         refusals=_refusals_part(context.refusals),
+        sent_at=round(wall_now, 3),
     )
 
 
@@ -141,14 +150,16 @@
     return None if part is None else Refusals(part.counts, part.importance, part.sub_order)
 
 
-def context_in(hop: Hop, *, now: float) -> RequestContext:
+def context_in(hop: Hop, *, now: float, wall_now: float) -> RequestContext:
     """Read the context of an attempt, with its deadline on the reader's clock."""
     return RequestContext(
         request_id=RequestId(hop.request_id),
         customer=CustomerId(hop.customer),
         call_class=CallClassName(hop.call_class),
         importance=hop.importance,
-        deadline=now + hop.time_left_ms / MS_PER_S,
+        deadline=deadline_on_arrival(
+            hop.time_left_ms / MS_PER_S, sent_at=hop.sent_at, wall_now=wall_now, now=now
+        ),
         retries=hop.retries,
         idempotent=hop.ticket is None,
         depth=hop.depth,
--- a/src/daisywharf/_call/_resolving.py
+++ b/src/daisywharf/_call/_resolving.py
@@ -103,7 +103,9 @@
         return DeadlinePassed()
     if is_resolve:
         request = CallRequest(request.service, "POST", RESOLVE_PATH, request.context)
-    hop = hop_to(call.target, request.context, retries=0, ticket=call.ticket, now=now)
+    hop = hop_to(
+        call.target, request.context, retries=0, ticket=call.ticket, now=now, wall_now=time.time()
+    )
     if _send(call, request, hop) is not None:
         return ResolveFailed()
     return _resolved(call) if is_resolve else _event_of_reply(call)
--- a/src/daisywharf/_daemon/_orders.py
+++ b/src/daisywharf/_daemon/_orders.py
@@ -137,7 +137,7 @@
     request = CallRequest(target.service, "POST", LOOK_UP_PATH, context)
     connections = Connections()
     try:
-        hop = hop_to(target, context, retries=0, ticket=ticket, now=now)
+        hop = hop_to(target, context, retries=0, ticket=ticket, now=now, wall_now=time.time())
         reply = send_call(connections, target, request, hop)
     except RequestError:
         return _report(key, customer, ticket, OrderState.NOT_ANSWERED)
--- a/tests/builders_calls.py
+++ b/tests/builders_calls.py
@@ -49,6 +49,7 @@
         self.runs = 0
         self.held: list[tuple[CallRequest, Hop]] = []
         self.sends = 0
+        self.stopped_s = 0.0
         self.gate = self._gate(1)
 
     def __call__(self, target: Target, request: CallRequest, hop: Hop) -> CallReply:
@@ -90,7 +91,12 @@
 
     def _gate(self, incarnation: int) -> Gate:
         return Gate(
-            self._app, target_id="orders-1", service="orders", incarnation=incarnation, slots=4
+            self._app,
+            target_id="orders-1",
+            service="orders",
+            incarnation=incarnation,
+            slots=4,
+            wall_clock=lambda: time.time() + self.stopped_s,
         )
 
     def _app(self, _environ: Any, start_response: Any) -> list[bytes]:
@@ -100,7 +106,11 @@
 
 
 def send_order(
-    wire: SendCall | None, permit: SendUnderClaim | None = None, *, target: Target = TARGET
+    wire: SendCall | None,
+    permit: SendUnderClaim | None = None,
+    *,
+    target: Target = TARGET,
+    deadline_s: float = DEADLINE_S,
 ) -> CallReply:
     """Send one order over a wire, or over HTTP, under a permit or a ticket of its own."""
     state = CallerState(
@@ -116,11 +126,11 @@
         customer=CustomerId("counter"),
         call_class=CallClassName("order"),
         importance=Importance.CRITICAL,
-        deadline=now + DEADLINE_S,
+        deadline=now + deadline_s,
         retries=0,
         idempotent=False,
     )
     request = CallRequest(ServiceName("orders"), "POST", "/new", context, body=b"bullnose")
     permit = permit or new_permit(request, target, now=now)
-    hop = hop_to(target, context, retries=0, ticket=permit.ticket, now=now)
+    hop = hop_to(target, context, retries=0, ticket=permit.ticket, now=now, wall_now=time.time())
     return send_under_ticket(TicketedCall(state, target, request, permit), hop)
--- a/tests/test_context.py
+++ b/tests/test_context.py
@@ -42,12 +42,12 @@
     connections=1,
 )
 TICKET = Ticket(IdempotencyKey("key-1"), TARGET.target_id, TARGET.incarnation, 30.0)
-HEADER = to_header(hop_to(TARGET, CONTEXT, retries=3, ticket=TICKET, now=10.0))
+HEADER = to_header(hop_to(TARGET, CONTEXT, retries=3, ticket=TICKET, now=10.0, wall_now=1_000.0))
 
 
 def test_a_hop_keeps_the_context_and_moves_the_deadline_to_the_reader_s_clock() -> None:
     hop = hop_from_header(HEADER)
-    read = context_in(hop, now=110.0)
+    read = context_in(hop, now=110.0, wall_now=1_000.2)
     assert read.deadline == pytest.approx(112.5)
     assert (read.request_id, read.customer) == (CONTEXT.request_id, CONTEXT.customer)
     assert read.sub_order == CONTEXT.sub_order
--- a/tests/test_outcomes_calls.py
+++ b/tests/test_outcomes_calls.py
@@ -3,6 +3,7 @@
 import time
 
 import pytest
+from msgspec.structs import replace
 
 from builders_calls import TARGET, Wire, send_order
 from daisywharf import ErrorKind, RequestError
@@ -79,3 +80,16 @@
     wire = Wire("lost", "unsent", "lost")
     assert send_order(wire).body == b"run 1"
     assert wire.sends == 4
+
+
+@pytest.mark.parametrize(("stopped_s", "runs"), [(0.0, 1), (4.0, 1), (8.0, 0), (30.0, 0)])
+def test_a_call_that_lay_in_a_stopped_target_s_buffer_is_not_run_late(
+    stopped_s: float, runs: int
+) -> None:
+    wire = Wire("held", "unsent", "unsent")
+    wire.stopped_s = stopped_s
+    with pytest.raises(RequestError):
+        send_order(wire, permit_of_key(is_first_use=True), deadline_s=0.3)
+    request, hop = wire.held[0]
+    wire.deliver(request, replace(hop, time_left_ms=5_000.0))
+    assert wire.runs == runs
