--- a/src/daisywharf/_call/_resolving.py
+++ b/src/daisywharf/_call/_resolving.py
@@ -1,12 +1,12 @@
-"""Find out over a new connection how a call under a ticket ended."""
+"""Send a call under a ticket and bring it to one end, whatever becomes of its connection."""
 
 import time
 from random import SystemRandom
 from typing import Final
 
 from daisywharf._call._exchange import CallReply, CallRequest, error_in
-from daisywharf._call._hop import hop_to
-from daisywharf._call._parties import CallerState
+from daisywharf._call._hop import Hop, hop_to
+from daisywharf._call._parties import CallerState, SendCall
 from daisywharf._call._transport import RESOLVE_PATH
 from daisywharf._errors import ErrorKind, Ran, RequestError
 from daisywharf._outcomes._call_events import (
@@ -15,6 +15,7 @@
     CallEvent,
     CallPlan,
     CallSent,
+    ConnectFailed,
     DeadlinePassed,
     Deliver,
     Fail,
@@ -26,6 +27,7 @@
     RetryElsewhere,
     SendAgain,
 )
+from daisywharf._outcomes._claim import SendUnderClaim
 from daisywharf._outcomes._once import RefuseRun, RepeatAnswer, StoredAnswer
 from daisywharf._outcomes._resolution import ResolutionState, resolution_step
 from daisywharf._outcomes._ticket import Ticket, mint_ticket
@@ -35,87 +37,144 @@
 _RANDOM: Final = SystemRandom()
 
 
-def new_ticket(request: CallRequest, target: Target, *, now: float) -> Ticket:
+def new_permit(request: CallRequest, target: Target, *, now: float) -> SendUnderClaim:
     """Name the one incarnation that may run this call, until some time past its deadline."""
     deadline = time.time() + request.context.deadline - now
-    return mint_ticket(target.target_id, target.incarnation, deadline=deadline, rng=_RANDOM)
-
-
-def resolve_outcome(
-    state: CallerState, target: Target, request: CallRequest, ticket: Ticket, cause: RequestError
-) -> CallReply:
-    """Ask the ticket's gate until it knows, or until the deadline; never run elsewhere.
-
-    Raise `RequestError`: connect failed (it was not run and never will be), or outcome unknown.
+    ticket = mint_ticket(target.target_id, target.incarnation, deadline=deadline, rng=_RANDOM)
+    return SendUnderClaim(ticket, is_first_use=True)
+
+
+class TicketedCall:
+    """Hold one call under a ticket, and the last reply and error that it met."""
+
+    def __init__(
+        self, state: CallerState, target: Target, request: CallRequest, permit: SendUnderClaim
+    ) -> None:
+        self.state = state
+        self.target = target
+        self.request = request
+        self.ticket = permit.ticket
+        self.reply: CallReply | None = None
+        self.error: RequestError | None = None
+        plan = CallPlan(
+            request.context.request_id,
+            target.target_id,
+            target.incarnation,
+            permit.ticket,
+            permit.is_first_use,
+        )
+        self.resolution = ResolutionState(plan)
+
+
+def send_under_ticket(call: TicketedCall, hop: Hop) -> CallReply:
+    """Return the answer of the ticket's one run, or the gate's refusal of it.
+
+    Raise `RequestError`: it was not run and never will be, or the outcome is unknown.
     """
-    plan = CallPlan(request.context.request_id, target.target_id, target.incarnation, ticket)
-    resolution = ResolutionState(plan)
-    resolution_step(resolution, CallSent())
-    action = _step(resolution, LinkBroke())
+    action = _step(call, _first_event(call, hop))
     while isinstance(action, Resolve | SendAgain):
-        time_left_s = request.context.deadline - state.clock()
+        time_left_s = call.request.context.deadline - call.state.clock()
         time.sleep(max(0.0, min(action.after_s, time_left_s)))
-        ask = _ask if isinstance(action, Resolve) else _send_again
-        action = _step(resolution, ask(state, target, request, ticket))
-    return _end(action, target, ticket, cause)
+        action = _step(call, _ask(call, is_resolve=isinstance(action, Resolve)))
+    return _end(call, action)
 
 
-def _step(resolution: ResolutionState, event: CallEvent) -> CallAction:
-    (action,) = resolution_step(resolution, event)
+def _step(call: TicketedCall, event: CallEvent) -> CallAction:
+    (action,) = resolution_step(call.resolution, event)
     return action
 
 
-def _ask(state: CallerState, target: Target, request: CallRequest, ticket: Ticket) -> CallEvent:
-    now = state.clock()
+def _first_event(call: TicketedCall, hop: Hop) -> CallEvent:
+    if call.state.clock() >= call.request.context.deadline:
+        return DeadlinePassed()
+    error = _send(call, call.state.send, call.request, hop)
+    if error is not None and error.kind is ErrorKind.CONNECT_FAILED:
+        return ConnectFailed()
+    resolution_step(call.resolution, CallSent())
+    if error is None:
+        return _event_of_reply(call)
+    is_late = call.state.clock() >= call.request.context.deadline
+    return DeadlinePassed() if is_late else LinkBroke()
+
+
+def _ask(call: TicketedCall, *, is_resolve: bool) -> CallEvent:
+    request, now = call.request, call.state.clock()
     if now >= request.context.deadline:
         return DeadlinePassed()
-    asking = CallRequest(request.service, "POST", RESOLVE_PATH, request.context)
-    hop = hop_to(target, asking.context, retries=0, ticket=ticket, now=now)
-    try:
-        reply = state.send_anew(target, asking, hop)
-    except RequestError:
+    if is_resolve:
+        request = CallRequest(request.service, "POST", RESOLVE_PATH, request.context)
+    hop = hop_to(
+        call.target, request.context, retries=0, ticket=call.ticket, now=now, wall_now=time.time()
+    )
+    # Other idle connections may be as silent as the one that failed.
+    if _send(call, call.state.send_anew, request, hop) is not None:
         return ResolveFailed()
-    error = error_in(reply)
-    if error is not None and (error.answer.ran is not Ran.YES or _is_running(error)):
-        return Resolved(ticket, RefuseRun(error.kind))
-    answer = StoredAnswer(reply.status, tuple(reply.headers.items()), reply.body)
-    return Resolved(ticket, RepeatAnswer(answer), len(answer.body))
+    return _resolved(call) if is_resolve else _event_of_reply(call)
 
 
-def _send_again(
-    state: CallerState, target: Target, request: CallRequest, ticket: Ticket
-) -> CallEvent:
-    now = state.clock()
-    if now >= request.context.deadline:
-        return DeadlinePassed()
-    hop = hop_to(target, request.context, retries=0, ticket=ticket, now=now)
+def _send(
+    call: TicketedCall, send: SendCall, request: CallRequest, hop: Hop
+) -> RequestError | None:
     try:
-        reply = state.send_anew(target, request, hop)
-    except RequestError:
-        return ResolveFailed()
-    request_id, incarnation = request.context.request_id, target.incarnation
-    error = error_in(reply)
-    if error is not None and (error.answer.ran is not Ran.YES or _is_running(error)):
-        return RefusalArrived(request_id, target.target_id, incarnation, error.kind)
-    answer = StoredAnswer(reply.status, tuple(reply.headers.items()), reply.body)
+        call.reply = send(call.target, request, hop)
+    except RequestError as error:
+        call.reply, call.error = None, error
+        return error
+    return None
+
+
+def _event_of_reply(call: TicketedCall) -> CallEvent:
+    plan = call.resolution.plan
+    refusal = _refusal_in(call)
+    if refusal is not None:
+        return RefusalArrived(plan.request_id, plan.target_id, plan.incarnation, refusal)
+    answer = _answer_in(call)
     size = len(answer.body)
-    return AnswerArrived(request_id, target.target_id, incarnation, answer, size)
+    return AnswerArrived(plan.request_id, plan.target_id, plan.incarnation, answer, size)
+
+
+def _resolved(call: TicketedCall) -> CallEvent:
+    refusal = _refusal_in(call)
+    if refusal is not None:
+        return Resolved(call.ticket, RefuseRun(refusal))
+    answer = _answer_in(call)
+    return Resolved(call.ticket, RepeatAnswer(answer), len(answer.body))
+
+
+def _refusal_in(call: TicketedCall) -> ErrorKind | None:
+    error = None if call.reply is None else error_in(call.reply)
+    if error is None:
+        return None
+    has_run = error.answer.ran is Ran.YES and error.kind is not ErrorKind.STILL_RUNNING
+    return None if has_run else error.kind
 
 
-def _is_running(error: RequestError) -> bool:
-    return error.kind is ErrorKind.STILL_RUNNING
+def _answer_in(call: TicketedCall) -> StoredAnswer:
+    reply = call.reply or CallReply(500)
+    return StoredAnswer(reply.status, tuple(reply.headers.items()), reply.body)
 
 
-def _end(action: CallAction, target: Target, ticket: Ticket, cause: RequestError) -> CallReply:
-    if isinstance(action, Deliver):
-        answer = action.answer
-        return CallReply(answer.status, dict(answer.headers), answer.body)
+def _end(call: TicketedCall, action: CallAction) -> CallReply:
+    if isinstance(action, Deliver) and call.reply is not None:
+        return call.reply
     kind = ErrorKind.OUTCOME_UNKNOWN
     if isinstance(action, Fail):
         kind = action.kind
     elif isinstance(action, RetryElsewhere):
         kind = action.otherwise
+    if call.reply is not None and _refusal_in(call) is kind:
+        return call.reply
     if kind is ErrorKind.OUTCOME_UNKNOWN:
-        log_event(Event.OUTCOME_UNKNOWN, key=ticket.key, target=target.target_id, error=str(cause))
-    message = f"order {ticket.key} at {target.target_id}: {kind.value} after {cause}; look it up"
-    raise RequestError(kind, message) from cause
+        log_event(
+            Event.OUTCOME_UNKNOWN,
+            key=call.ticket.key,
+            target=call.target.target_id,
+            error=str(call.error),
+        )
+    raise _failure(call.ticket, kind, call.error) from call.error
+
+
+def _failure(ticket: Ticket, kind: ErrorKind, cause: RequestError | None) -> RequestError:
+    after = "" if cause is None else f" after {cause}"
+    message = f"order {ticket.key} at {ticket.target_id}: {kind.value}{after}; look it up"
+    return RequestError(kind, message)
