--- a/src/daisywharf/_daemon/_announcement.py
+++ b/src/daisywharf/_daemon/_announcement.py
@@ -87,3 +87,14 @@
         return
     message = f"announcement: {field} is {value}; use a number from {least} to {most}"
     raise RequestError(ErrorKind.BAD_REQUEST, message)
+
+
+def check_is_of_this_vm(own_hosts: frozenset[str], *, sender: str, announced: str) -> None:
+    """Check that a target stands on the daemon's VM; raise `RequestError` (untrusted peer)."""
+    for name, host in (("sender", sender), ("address.host", announced)):
+        if host not in own_hosts:
+            message = (
+                f"announcement: {name} is {host!r}, which is not this VM "
+                f"({', '.join(sorted(own_hosts))}); announce to the daemon of the target's own VM"
+            )
+            raise RequestError(ErrorKind.UNTRUSTED_PEER, message)
--- a/src/daisywharf/_daemon/_routes.py
+++ b/src/daisywharf/_daemon/_routes.py
@@ -6,7 +6,12 @@
 from daisywharf._call._exchange import CallReply
 from daisywharf._call._snapshot import is_ready
 from daisywharf._call._wsgi import Environ, body_of
-from daisywharf._daemon._announcement import Announcement, read_announcement, target_from
+from daisywharf._daemon._announcement import (
+    Announcement,
+    check_is_of_this_vm,
+    read_announcement,
+    target_from,
+)
 from daisywharf._daemon._entry import ENTRY_PREFIX, enter_call
 from daisywharf._daemon._fleet_actor import FleetView
 from daisywharf._daemon._forwarding import host_gate
@@ -34,6 +39,7 @@
     from daisywharf._daemon._daemon import Daemon
 
 RENEW_AFTER_S: Final = 1.0
+LOOPBACK_HOSTS: Final = ("127.0.0.1", "::1")
 ASK_TIMEOUT_S: Final = 5.0
 TARGETS_PREFIX: Final = "/targets/"
 DRAIN_SUFFIX: Final = "/drain"
@@ -142,7 +148,7 @@
 
 
 def _announce(daemon: "Daemon", environ: Environ) -> CallReply:
-    announcement = _read_announcement(environ)
+    announcement = _read_announcement(daemon, environ)
     settings = daemon.settings
     target = target_from(announcement, vm=settings.vm, zone=settings.zone, http=daemon.http.address)
     if target.gate is GateHost.DAEMON:
@@ -154,16 +160,22 @@
     return json_reply(AnnouncementTaken(RENEW_AFTER_S, is_drained))
 
 
-def _read_announcement(environ: Environ) -> Announcement:
+def _read_announcement(daemon: "Daemon", environ: Environ) -> Announcement:
+    settings = daemon.settings
+    own_hosts = frozenset({settings.http.host, settings.links.host, *LOOPBACK_HOSTS})
     try:
-        return read_announcement(body_of(environ))
+        announcement = read_announcement(body_of(environ))
+        check_is_of_this_vm(
+            own_hosts, sender=environ["REMOTE_ADDR"], announced=announcement.address.host
+        )
+        return announcement
     except RequestError as error:
         log_event(Event.ANNOUNCEMENT_REFUSED, error=str(error))
         raise
 
 
 def _withdraw(daemon: "Daemon", environ: Environ) -> CallReply:
-    target_id = TargetId(_read_announcement(environ).target_id)
+    target_id = TargetId(_read_announcement(daemon, environ).target_id)
     gate = daemon.gates.gate_by_id.get(target_id)
     if gate is not None:
         gate.drain()
