--- a/src/daisywharf/_fleet/_gossip.py
+++ b/src/daisywharf/_fleet/_gossip.py
@@ -1,38 +1,25 @@
-"""Spread changed records in rounds, and repair by digest what the rounds lost."""
+"""Spread changed records in rounds, within a budget of bytes."""
 
 from random import Random
 from typing import Final
 
-import msgspec
-
-from daisywharf._fleet._actions import FleetAction, SendTo
+from daisywharf._fleet._actions import FleetAction
 from daisywharf._fleet._choosing import (
     SPEAKER,
     is_chosen,
     other_zones,
-    send,
     send_all,
     some_contacts,
     some_peers,
 )
-from daisywharf._fleet._confirming import freshness_of
-from daisywharf._fleet._learning import learn
 from daisywharf._fleet._messages import (
-    ZONE_SCOPES,
     DemandRecord,
-    FleetMessage,
     Gossip,
-    Introduction,
-    Member,
     Record,
-    RepairAsk,
-    RepairBuckets,
-    RepairRecords,
     Scope,
-    ZoneContacts,
 )
 from daisywharf._fleet._model import FleetState
-from daisywharf._fleet._store import Rumour, buckets_that_differ, records_in
+from daisywharf._fleet._store import Rumour
 
 GOSSIP_PERIOD_S: Final = 0.2
 GOSSIP_FANOUT: Final = 3
@@ -42,20 +29,11 @@
 GOSSIP_MESSAGE_BYTES: Final = 1_200
 REPAIR_BYTES_PER_S: Final = 3_500.0
 REPAIR_BURST_BYTES: Final = 48_000.0
-REPAIR_MESSAGE_BYTES: Final = 12_000
-BUCKETS_MESSAGE_BYTES: Final = 400
-COMPARE_PERIOD_S: Final = 1.0
-COMPARE_ACROSS_PERIOD_S: Final = 2.0
-JOIN_PERIOD_S: Final = 0.5
-RECONNECT_PERIOD_S: Final = 5.0
-REJOIN_PERIOD_S: Final = 1.0
-INTRODUCED: Final = 3
-RECONNECT_SEEDS: Final = 2
 CROSS_CONTACTS: Final = 2
 
 
 def tick_gossip(state: FleetState, *, now: float, rng: Random) -> list[FleetAction]:
-    """Send the rounds that are due."""
+    """Send the changed records that are due."""
     times = state.gossip
     actions: list[FleetAction] = []
     if now - times.round_at >= GOSSIP_PERIOD_S:
@@ -64,17 +42,6 @@
         actions.extend(_spread_in_zone(state, rng))
     if state.cross_rumour_by_key:
         actions.extend(_spread_to_zones(state, rng))
-    period_s = COMPARE_PERIOD_S if state.is_joined else JOIN_PERIOD_S
-    if now - times.compared_at >= period_s:
-        times.compared_at = now
-        actions.extend(_compare_in_zone(state, rng))
-    if now - times.compared_across_at >= COMPARE_ACROSS_PERIOD_S:
-        times.compared_across_at = now
-        actions.extend(_compare_across(state, rng))
-    period_s = RECONNECT_PERIOD_S if state.is_joined else REJOIN_PERIOD_S
-    if now - times.reconnected_at >= period_s:
-        times.reconnected_at = now
-        actions.extend(_reconnect(state, rng))
     return actions
 
 
@@ -154,149 +121,3 @@
     for zone in other_zones(state):
         actions.extend(send_all(some_contacts(state, zone, CROSS_CONTACTS, rng), message))
     return actions
-
-
-def _ask(state: FleetState, scope: Scope) -> RepairAsk:
-    digest = state.store_by_scope[scope].digest
-    return RepairAsk(state.me, scope, digest, freshness_of(state, now=state.now))
-
-
-def _compare_in_zone(state: FleetState, rng: Random) -> list[FleetAction]:
-    actions: list[FleetAction] = []
-    for scope in Scope:
-        actions.extend(send_all(some_peers(state, 1, rng), _ask(state, scope)))
-    return actions
-
-
-def _compare_across(state: FleetState, rng: Random) -> list[FleetAction]:
-    zones = other_zones(state)
-    if not zones or not (is_chosen(state, SPEAKER) or not state.is_joined):
-        return []
-    members = some_contacts(state, rng.choice(zones), 1, rng)
-    return _compare_with(state, members)
-
-
-def _compare_with(state: FleetState, members: list[Member]) -> list[FleetAction]:
-    scopes = (Scope.SUMMARIES, Scope.CONTRACTS)
-    return [send(member, _ask(state, scope)) for member in members for scope in scopes]
-
-
-def _reconnect(state: FleetState, rng: Random) -> list[FleetAction]:
-    """Compare with daemons that may know what the known peers don't."""
-    own = state.member_record(state.me.vm)
-    if own is None:
-        return []
-    messages: list[FleetMessage] = [Gossip(state.me, (own,))]
-    messages.extend(_ask(state, scope) for scope in Scope)
-    strangers = _unknown_contacts(state)
-    if strangers:
-        member = rng.choice(strangers)
-        return [send(member, message) for message in messages]
-    seeds = rng.sample(state.seeds, min(RECONNECT_SEEDS, len(state.seeds)))
-    return [SendTo(seed, message) for seed in seeds for message in messages]
-
-
-def _unknown_contacts(state: FleetState) -> list[Member]:
-    """Return daemons of this zone that were named but aren't known as peers."""
-    members = list(state.introduced)
-    record = state.store_by_scope[Scope.SUMMARIES].record_by_key.get(f"k {state.me.zone}")
-    if isinstance(record, ZoneContacts):
-        members.extend(record.members)
-    return [
-        member
-        for member in members
-        if member.vm != state.me.vm and state.member_record(member.vm) is None
-    ]
-
-
-def take_introduction(state: FleetState, message: Introduction) -> None:
-    """Keep the named daemons of this zone, to compare with them soon."""
-    members = [member for member in message.members if member.zone == state.me.zone]
-    state.introduced = tuple(members[:INTRODUCED])
-
-
-def _introduce(state: FleetState, newcomer: Member, rng: Random) -> list[FleetAction]:
-    if newcomer.zone == state.me.zone:
-        members = some_peers(state, INTRODUCED, rng)
-    else:
-        members = some_contacts(state, newcomer.zone, INTRODUCED, rng)
-    members = [member for member in members if member.vm != newcomer.vm]
-    return [send(newcomer, Introduction(state.me, tuple(members)))] if members else []
-
-
-def answer_compare(
-    state: FleetState, message: RepairAsk, *, now: float, rng: Random
-) -> list[FleetAction]:
-    """Give the digests of the buckets if a scope differs; introduce a newcomer."""
-    sender = message.sender
-    actions: list[FleetAction] = []
-    if message.scope is Scope.MEMBERS and not message.freshness.is_joined:
-        actions.extend(_introduce(state, sender, rng))
-    if message.scope in ZONE_SCOPES and sender.zone != state.me.zone:
-        return actions
-    store = state.store_by_scope[message.scope]
-    if store.digest == message.digest or state.gossip.repair_tokens_bytes <= 0:
-        return actions
-    digests = tuple(store.digest_by_bucket)
-    state.gossip.repair_tokens_bytes -= BUCKETS_MESSAGE_BYTES
-    answer = RepairBuckets(state.me, message.scope, digests, freshness_of(state, now=now))
-    return [*actions, send(sender, answer)]
-
-
-def answer_buckets(
-    state: FleetState, message: RepairBuckets, *, now: float, rng: Random
-) -> list[FleetAction]:
-    """Give the records of the buckets that differ, and ask for the peer's."""
-    store = state.store_by_scope[message.scope]
-    differing = buckets_that_differ(store, message.bucket_digests)
-    if not differing:
-        return []
-    rng.shuffle(differing)
-    return _give_records(state, message.sender, message.scope, differing, tuple(differing))
-
-
-def _give_records(
-    state: FleetState,
-    receiver: Member,
-    scope: Scope,
-    buckets: list[int],
-    wanted: tuple[int, ...],
-) -> list[FleetAction]:
-    tokens_bytes = state.gossip.repair_tokens_bytes
-    limit_bytes = int(min(REPAIR_MESSAGE_BYTES, max(tokens_bytes, 0)))
-    store = state.store_by_scope[scope]
-    records = records_in(store, buckets, limit_bytes=limit_bytes) if limit_bytes else []
-    used_bytes = sum(len(msgspec.msgpack.encode(record)) for record in records)
-    state.gossip.repair_tokens_bytes -= used_bytes
-    if not records and not wanted:
-        return []
-    message = RepairRecords(state.me, scope, tuple(records), wanted)
-    return [send(receiver, message)]
-
-
-def take_repair(
-    state: FleetState, message: RepairRecords, *, now: float, rng: Random
-) -> list[FleetAction]:
-    """Take the records, and give back this daemon's newer ones."""
-    if message.scope in ZONE_SCOPES and message.sender.zone != state.me.zone:
-        return []
-    actions = take_records(state, message.sender, message.records, now=now)
-    if message.wanted:
-        buckets = list(message.wanted)
-        rng.shuffle(buckets)
-        actions.extend(_give_records(state, message.sender, message.scope, buckets, ()))
-    return actions
-
-
-def take_records(
-    state: FleetState, sender: Member, records: tuple[Record, ...], *, now: float
-) -> list[FleetAction]:
-    """Learn records; send back those that are held in a newer form."""
-    newer: list[Record] = []
-    for record in records:
-        held = learn(state, record, now=now)
-        if held is not None:
-            newer.append(held)
-    if not newer:
-        return []
-    return [send(sender, Gossip(state.me, tuple(newer)))]
--- a/src/daisywharf/_fleet/_state.py
+++ b/src/daisywharf/_fleet/_state.py
@@ -20,14 +20,7 @@
 )
 from daisywharf._fleet._choosing import note_other_zone, other_zones, send_all, some_peers
 from daisywharf._fleet._confirming import CopyState, copy_state, take_freshness, unsettle
-from daisywharf._fleet._gossip import (
-    answer_buckets,
-    answer_compare,
-    take_introduction,
-    take_records,
-    take_repair,
-    tick_gossip,
-)
+from daisywharf._fleet._gossip import tick_gossip
 from daisywharf._fleet._in_force import (
     ZoneInForce,
     answer_in_force,
@@ -63,6 +56,14 @@
     Scope,
 )
 from daisywharf._fleet._model import FleetState
+from daisywharf._fleet._repair import (
+    answer_buckets,
+    answer_compare,
+    take_introduction,
+    take_records,
+    take_repair,
+    tick_repair,
+)
 from daisywharf._fleet._status import FleetStatus, status
 from daisywharf._fleet._summaries import tick_summaries
 from daisywharf._fleet._targets import request_drain, targets_of
@@ -212,6 +213,7 @@
     tick_summaries(state, now=now)
     _shares.tick_shares(state, now=now)
     actions.extend(tick_gossip(state, now=now, rng=rng))
+    actions.extend(tick_repair(state, now=now, rng=rng))
     actions.extend(tick_watching(state, now=now, rng=rng))
     actions.extend(tick_in_force(state, now=now, rng=rng))
     return actions
--- a/tests/test_fleet_contracts.py
+++ b/tests/test_fleet_contracts.py
@@ -3,7 +3,7 @@
 import pytest
 from tests.builders_fleet import KARRI, FakeFleet
 
-from daisywharf._fleet import _gossip, _membership
+from daisywharf._fleet import _membership, _repair
 from daisywharf._fleet import _state as fleet
 from daisywharf._fleet._messages import Freshness
 from daisywharf._fleet._model import FleetState
@@ -95,7 +95,7 @@
         freshness = real(state, now=now)
         return Freshness(freshness.digest, freshness.age_s, True, freshness.is_joined)
 
-    for module in (_membership, _gossip):
+    for module in (_membership, _repair):
         monkeypatch.setattr(module, "freshness_of", vouching)
     with pytest.raises(AssertionError):
         replace_zone_alone(running_fleet())
