Forget the zone's daemons after a long pause

Cause: a daemon that stood still for longer than peers keep the ended ones brought these back as alive. Ruled out: keeping ended ones for good, which grows with each replaced VM. Change: after 300 s it asks peers anew.

--- a/src/daisywharf/_fleet/_membership.py
+++ b/src/daisywharf/_fleet/_membership.py
@@ -8,6 +8,7 @@
 from daisywharf._fleet._choosing import peers, send, send_all, some_peers
 from daisywharf._fleet._confirming import freshness_of
 from daisywharf._fleet._messages import (
+    ZONE_SCOPES,
     Gossip,
     IndirectProbe,
     Member,
@@ -18,7 +19,7 @@
     Scope,
     Status,
 )
-from daisywharf._fleet._model import FleetState, PendingDrain, PendingProbe
+from daisywharf._fleet._model import FleetState, PendingDrain, PendingProbe, Probing
 from daisywharf._fleet._store import drop, heard_again, put
 from daisywharf._fleet._target_records import record_of
 from daisywharf._ids import Incarnation, VmId
@@ -278,6 +279,18 @@
     return sorted(state.probing.suspect_since_by_vm)
 
 
+def forget_members(state: FleetState) -> None:
+    """Drop the views of this zone: peers may have forgotten who ended meanwhile."""
+    known = [record.member for record in state.member_records()]
+    state.introduced = tuple(member for member in known if member.vm != state.me.vm)
+    for scope in ZONE_SCOPES:
+        store = state.store_by_scope[scope]
+        for key in list(store.record_by_key):
+            drop(store, key)
+    state.probing = Probing()
+    state.view.is_stale = True
+
+
 def restart_suspicions(state: FleetState, *, now: float) -> None:
     """Give each suspected daemon its whole time again, after this one was paused."""
     for vm in state.probing.suspect_since_by_vm:
--- a/src/daisywharf/_fleet/_state.py
+++ b/src/daisywharf/_fleet/_state.py
@@ -30,6 +30,7 @@
 )
 from daisywharf._fleet._membership import (
     answer_probe,
+    forget_members,
     probe_for,
     publish_self,
     reincarnate,
@@ -74,6 +75,7 @@
 STALL_S: Final = 1.0
 PAUSE_S: Final = 3.0
 LEARN_S: Final = 1.5
+FORGET_S: Final = 300.0
 JOIN_WAIT_S: Final = 5.0
 GOODBYE_COPIES: Final = 8
 
@@ -230,6 +232,8 @@
     gap_s = now - state.now
     if gap_s >= STALL_S:
         restart_suspicions(state, now=now)
+    if gap_s >= FORGET_S:
+        forget_members(state)
     if gap_s >= PAUSE_S:
         state.started_at = now
         state.is_joined = False
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -69,6 +69,23 @@
     wake_after_pause(zone_of(4))
 
 
+def test_a_long_pause_brings_nobody_back_whose_end_was_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_membership, "ENDED_KEPT_S", 12.0)
+    monkeypatch.setattr(_state, "FORGET_S", 10.0)
+    world = zone_of(4)
+    world.pause(VM_1, for_s=30.0)
+    world.pause(VmId("vm-2"), for_s=1000.0)
+    world.run(29.0)
+    assert watcher_of(world).member_record(VmId("vm-2")) is None
+    for _ in range(8):
+        world.run(1.0)
+        assert watcher_of(world).member_record(VmId("vm-2")) is None
+    assert status_at(world, VM_1).status is Status.ALIVE
+    assert len(world.state_by_vm[VM_1].member_records()) == 3
+
+
 def test_a_dead_incarnation_that_came_back_would_be_noticed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
