--- a/src/daisywharf/_daemon/_forwarding.py
+++ b/src/daisywharf/_daemon/_forwarding.py
@@ -1,24 +1,44 @@
 """Serve targets that can't embed a gate: the daemon runs their gates and forwards to them."""
 
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from secrets import token_hex
 from typing import Final
 
 import urllib3
+from urllib3 import exceptions
 
-from daisywharf._call._exchange import without_headers_of_one_hop
-from daisywharf._call._gate import Gate
-from daisywharf._call._transport import CONNECT_TIMEOUT_S, CONNECTIONS_PER_TARGET
-from daisywharf._call._wsgi import Environ, StartResponse, WsgiApp, body_of, headers_of, path_of
+from daisywharf._call._connections import CONNECTIONS_PER_TARGET
+from daisywharf._call._exchange import CallReply, reply_for, without_headers_of_one_hop
+from daisywharf._call._gate import Gate, TargetNotReachedError
+from daisywharf._call._scope import Scope, current_scope
+from daisywharf._call._transport import CONNECT_TIMEOUT_S
+from daisywharf._call._wsgi import (
+    Environ,
+    StartResponse,
+    WsgiApp,
+    body_of,
+    headers_of,
+    path_of,
+    send_reply,
+)
+from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import TargetId
 from daisywharf._topology import Address, Target
 
-FORWARD_TIMEOUT_S: Final = 60.0
+ONWARD_TOKEN: Final = "Daisywharf-Onward"
+TIME_LEFT_MS: Final = "Daisywharf-Time-Left-Ms"
+MS_PER_S: Final = 1_000.0
+LEAST_TIMEOUT_S: Final = 0.001
 
 
 class HostedGates:
-    """Hold the gates that this daemon runs, by target."""
+    """Hold the gates that this daemon runs, and the requests that their targets work on."""
 
     def __init__(self) -> None:
         self.gate_by_id: dict[TargetId, Gate] = {}
+        self.scope_by_token: dict[str, Scope] = {}
 
 
 def host_gate(gates: HostedGates, target: Target, *, local: Address) -> None:
@@ -27,7 +47,7 @@
     if known is not None and known.incarnation == target.incarnation:
         return
     gates.gate_by_id[target.target_id] = Gate(
-        forward_to(local),
+        forward_to(local, gates),
         target_id=target.target_id,
         incarnation=target.incarnation,
         slots=target.slots,
@@ -35,23 +55,54 @@
     )
 
 
-def forward_to(address: Address) -> WsgiApp:
+def forward_to(address: Address, gates: HostedGates) -> WsgiApp:
     """Return an application that passes each call to a target's own HTTP server."""
     pool = urllib3.HTTPConnectionPool(
         address.host, address.port, maxsize=CONNECTIONS_PER_TARGET, block=False, retries=False
     )
 
     def forward(environ: Environ, start_response: StartResponse) -> list[bytes]:
+        scope = current_scope.get()
+        assert scope is not None
+        with _open_onward(gates, scope) as token:
+            reply = _exchange(pool, environ, scope, token)
+        return send_reply(reply, start_response)
+
+    return forward
+
+
+@contextmanager
+def _open_onward(gates: HostedGates, scope: Scope) -> Iterator[str]:
+    # The token lets the target's own calls join the request for as long as it is worked on.
+    token = token_hex(16)
+    gates.scope_by_token[token] = scope
+    try:
+        yield token
+    finally:
+        del gates.scope_by_token[token]
+
+
+def _exchange(
+    pool: urllib3.HTTPConnectionPool, environ: Environ, scope: Scope, token: str
+) -> CallReply:
+    time_left_s = max(scope.context.deadline - time.monotonic(), LEAST_TIMEOUT_S)
+    headers = without_headers_of_one_hop(headers_of(environ))
+    headers[ONWARD_TOKEN] = token
+    headers[TIME_LEFT_MS] = f"{time_left_s * MS_PER_S:.0f}"
+    try:
         response = pool.urlopen(
             environ["REQUEST_METHOD"],
             path_of(environ),
             body=body_of(environ),
-            headers=without_headers_of_one_hop(headers_of(environ)),
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=FORWARD_TIMEOUT_S),
+            headers=headers,
+            timeout=urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, time_left_s), read=time_left_s),
             redirect=False,
         )
-        headers = without_headers_of_one_hop(dict(response.headers))
-        start_response(f"{response.status} {response.reason or 'Answer'}", list(headers.items()))
-        return [response.data]
-
-    return forward
+    except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError) as error:
+        message = f"the target does not accept connections: {error}"
+        raise TargetNotReachedError(ErrorKind.CONNECT_FAILED, message) from error
+    except exceptions.HTTPError as error:
+        message = f"the target gave no whole answer: {error}"
+        return reply_for(RequestError(ErrorKind.OUTCOME_UNKNOWN, message))
+    headers_back = without_headers_of_one_hop(dict(response.headers))
+    return CallReply(response.status, headers_back, response.data)
