--- a/src/daisywharf/_call/_resolving.py
+++ b/src/daisywharf/_call/_resolving.py
@@ -6,7 +6,7 @@
 
 from daisywharf._call._exchange import CallReply, CallRequest, error_in
 from daisywharf._call._hop import Hop, hop_to
-from daisywharf._call._parties import CallerState
+from daisywharf._call._parties import CallerState, SendCall
 from daisywharf._call._transport import RESOLVE_PATH
 from daisywharf._errors import ErrorKind, Ran, RequestError
 from daisywharf._outcomes._call_events import (
@@ -87,7 +87,7 @@
 def _first_event(call: TicketedCall, hop: Hop) -> CallEvent:
     if call.state.clock() >= call.request.context.deadline:
         return DeadlinePassed()
-    error = _send(call, call.request, hop)
+    error = _send(call, call.state.send, call.request, hop)
     if error is not None and error.kind is ErrorKind.CONNECT_FAILED:
         return ConnectFailed()
     resolution_step(call.resolution, CallSent())
@@ -106,14 +106,16 @@
     hop = hop_to(
         call.target, request.context, retries=0, ticket=call.ticket, now=now, wall_now=time.time()
     )
-    if _send(call, request, hop) is not None:
+    if _send(call, call.state.send_anew, request, hop) is not None:
         return ResolveFailed()
     return _resolved(call) if is_resolve else _event_of_reply(call)
 
 
-def _send(call: TicketedCall, request: CallRequest, hop: Hop) -> RequestError | None:
+def _send(
+    call: TicketedCall, send: SendCall, request: CallRequest, hop: Hop
+) -> RequestError | None:
     try:
-        call.reply = call.state.send(call.target, request, hop)
+        call.reply = send(call.target, request, hop)
     except RequestError as error:
         call.reply, call.error = None, error
         return error
--- a/src/daisywharf/_call/_transport.py
+++ b/src/daisywharf/_call/_transport.py
@@ -1,11 +1,11 @@
 """Send a call to a gate over HTTP and tell how it ended."""
 
-import threading
 from typing import Final
 
 import urllib3
 from urllib3 import exceptions
 
+from daisywharf._call._connections import Connections
 from daisywharf._call._exchange import CallReply, CallRequest, without_headers_of_one_hop
 from daisywharf._call._hop import (
     HOP,
@@ -15,53 +15,24 @@
     answer_from_header,
     to_header,
 )
+from daisywharf._call._silence import SilenceWatch
 from daisywharf._context import ERROR_KIND
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._outcomes._link import SILENCE_LIMIT_S
-from daisywharf._topology import Address, Target
+from daisywharf._topology import Target
 
 RESOLVE_PATH: Final = "/.daisywharf/resolve"
 LOOK_UP_PATH: Final = "/.daisywharf/order"
 CONNECT_TIMEOUT_S: Final = 0.5
-CONNECTIONS_PER_TARGET: Final = 64
-
-
-class Connections:
-    """Hold the pools of connections to gates."""
-
-    def __init__(self) -> None:
-        self.pool_by_address: dict[Address, urllib3.HTTPConnectionPool] = {}
-        self.lock = threading.Lock()
-
-    def pool(self, address: Address) -> urllib3.HTTPConnectionPool:
-        """Return the pool for an address, opened on first use."""
-        pool = self.pool_by_address.get(address)
-        if pool is not None:
-            return pool
-        with self.lock:
-            return self.pool_by_address.setdefault(address, _new_pool(address))
-
-    def drop(self, address: Address) -> None:
-        """Close an address's idle connections, which may be silent too."""
-        with self.lock:
-            pool = self.pool_by_address.pop(address, None)
-        if pool is not None:
-            pool.close()
-
-    def close(self) -> None:
-        """Close all connections."""
-        for pool in list(self.pool_by_address.values()):
-            pool.close()
-
-
-def _new_pool(address: Address) -> urllib3.HTTPConnectionPool:
-    return urllib3.HTTPConnectionPool(
-        address.host, address.port, maxsize=CONNECTIONS_PER_TARGET, block=False, retries=False
-    )
 
 
 def send_call(
-    connections: Connections, target: Target, request: CallRequest, hop: Hop
+    connections: Connections,
+    target: Target,
+    request: CallRequest,
+    hop: Hop,
+    *,
+    read_limit_s: float = float("inf"),
 ) -> CallReply:
     """Send an attempt and return its whole answer, with the gate's part of it.
 
@@ -69,15 +40,29 @@
     """
     headers = without_headers_of_one_hop(request.headers)
     headers[HOP] = to_header(hop)
-    reply = _exchange(connections, target, request, headers, _read_limit_s(hop))
+    reply = _exchange(
+        connections, target, request, headers, min(hop.time_left_ms / MS_PER_S, read_limit_s)
+    )
     _check_identity(reply, target, hop)
     return reply
 
 
-def _read_limit_s(hop: Hop) -> float:
-    time_left_s = max(hop.time_left_ms / MS_PER_S, 0.001)
-    # An order that is slow is asked for over another connection, which tells it from a lost one.
-    return time_left_s if hop.ticket is None else min(time_left_s, SILENCE_LIMIT_S)
+def send_watched(watch: SilenceWatch, target: Target, request: CallRequest, hop: Hop) -> CallReply:
+    """Send an attempt whose connection is cut once it is found to be silent; see `send_call`."""
+    with watch.watched(hop.call_id, target):
+        return send_call(watch.connections, target, request, hop)
+
+
+def send_anew(target: Target, request: CallRequest, hop: Hop) -> CallReply:
+    """Send an attempt over a connection that no call has used; see `send_call`.
+
+    Its answer is awaited for `SILENCE_LIMIT_S` at most: nothing watches this connection.
+    """
+    connections = Connections()
+    try:
+        return send_call(connections, target, request, hop, read_limit_s=SILENCE_LIMIT_S)
+    finally:
+        connections.close()
 
 
 def _exchange(
@@ -85,9 +70,10 @@
     target: Target,
     request: CallRequest,
     headers: dict[str, str],
-    read_limit_s: float,
+    time_left_s: float,
 ) -> CallReply:
-    timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, read_limit_s), read=read_limit_s)
+    time_left_s = max(time_left_s, 0.001)
+    timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, time_left_s), read=time_left_s)
     try:
         response = connections.pool(target.address).urlopen(
             request.method,
@@ -98,12 +84,13 @@
             redirect=False,
             assert_same_host=False,
         )
-    except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError) as error:
-        raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
-    except exceptions.ClosedPoolError as error:
+    except (
+        exceptions.NewConnectionError,
+        exceptions.ConnectTimeoutError,
+        exceptions.ClosedPoolError,
+    ) as error:
         raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
     except exceptions.ReadTimeoutError as error:
-        connections.drop(target.address)
         raise RequestError(ErrorKind.TIMED_OUT, _told(target, error)) from error
     except (exceptions.IncompleteRead, exceptions.DecodeError) as error:
         raise RequestError(ErrorKind.CUT_ANSWER, _told(target, error)) from error
