--- a/src/daisywharf/_call/_caller.py
+++ b/src/daisywharf/_call/_caller.py
@@ -33,6 +33,8 @@
 ENTRY_SLOTS: Final = 1_000_000
 # Shares follow demand within seconds, so a longer wait would outlast its cause.
 MAX_RATE_WAIT_S: Final = 5.0
+# A contract that has just come into force gets its shares within this time.
+NO_SHARE_WAIT_S: Final = 1.0
 # An entry with a small share, or none yet, still takes a few requests at once.
 MIN_BURST: Final = 4.0
 
@@ -164,8 +166,9 @@
                 f"customer {customer!r} is beyond {call_class.rate_per_second:g} requests/s "
                 f"of class {name!r}, of which {share:.1%} may enter here"
             )
+            longest_s = MAX_RATE_WAIT_S if share > 0.0 else NO_SHARE_WAIT_S
             raise RequestError(
-                ErrorKind.RATE_EXCEEDED, message, retry_after_s=min(wait_s, MAX_RATE_WAIT_S)
+                ErrorKind.RATE_EXCEEDED, message, retry_after_s=min(wait_s, longest_s)
             )
         request_id = RequestId(token_hex(12))
         return RequestContext(
--- a/src/daisywharf/_call/_transport.py
+++ b/src/daisywharf/_call/_transport.py
@@ -18,16 +18,21 @@
 from daisywharf._call._silence import SilenceWatch
 from daisywharf._context import ERROR_KIND
 from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._outcomes._link import SILENCE_LIMIT_S
 from daisywharf._topology import Target
 
 RESOLVE_PATH: Final = "/.daisywharf/resolve"
 LOOK_UP_PATH: Final = "/.daisywharf/order"
 CONNECT_TIMEOUT_S: Final = 0.5
-LEAST_TIMEOUT_S: Final = 0.001
 
 
 def send_call(
-    connections: Connections, target: Target, request: CallRequest, hop: Hop
+    connections: Connections,
+    target: Target,
+    request: CallRequest,
+    hop: Hop,
+    *,
+    read_limit_s: float = float("inf"),
 ) -> CallReply:
     """Send an attempt and return its whole answer, with the gate's part of it.
 
@@ -35,8 +40,9 @@
     """
     headers = without_headers_of_one_hop(request.headers)
     headers[HOP] = to_header(hop)
-    time_left_s = max(hop.time_left_ms / MS_PER_S, LEAST_TIMEOUT_S)
-    reply = _exchange(connections, target, request, headers, time_left_s)
+    reply = _exchange(
+        connections, target, request, headers, min(hop.time_left_ms / MS_PER_S, read_limit_s)
+    )
     _check_identity(reply, target, hop)
     return reply
 
@@ -48,10 +54,13 @@
 
 
 def send_anew(target: Target, request: CallRequest, hop: Hop) -> CallReply:
-    """Send an attempt over a connection that no call has used; see `send_call`."""
+    """Send an attempt over a connection that no call has used; see `send_call`.
+
+    Its answer is awaited for `SILENCE_LIMIT_S` at most: nothing watches this connection.
+    """
     connections = Connections()
     try:
-        return send_call(connections, target, request, hop)
+        return send_call(connections, target, request, hop, read_limit_s=SILENCE_LIMIT_S)
     finally:
         connections.close()
 
@@ -61,9 +70,10 @@
     target: Target,
     request: CallRequest,
     headers: dict[str, str],
-    read_limit_s: float,
+    time_left_s: float,
 ) -> CallReply:
-    timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, read_limit_s), read=read_limit_s)
+    time_left_s = max(time_left_s, 0.001)
+    timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, time_left_s), read=time_left_s)
     try:
         response = connections.pool(target.address).urlopen(
             request.method,
@@ -74,12 +84,13 @@
             redirect=False,
             assert_same_host=False,
         )
-    except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError) as error:
-        raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
-    except exceptions.ClosedPoolError as error:
+    except (
+        exceptions.NewConnectionError,
+        exceptions.ConnectTimeoutError,
+        exceptions.ClosedPoolError,
+    ) as error:
         raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
     except exceptions.ReadTimeoutError as error:
-        connections.forget(target.address)
         raise RequestError(ErrorKind.TIMED_OUT, _told(target, error)) from error
     except (exceptions.IncompleteRead, exceptions.DecodeError) as error:
         raise RequestError(ErrorKind.CUT_ANSWER, _told(target, error)) from error
--- a/src/daisywharf/_daemon/_fleet_actor.py
+++ b/src/daisywharf/_daemon/_fleet_actor.py
@@ -28,7 +28,7 @@
 from daisywharf._signals import Event, log_event
 from daisywharf._topology import Target
 
-SHARES_PERIOD_S: Final = 1.0
+SHARES_PERIOD_S: Final = 0.5
 EVENTS_PERIOD_S: Final = 0.5
 SHARE_DIGITS: Final = 4
 
--- a/tests/test_hosted_gate.py
+++ b/tests/test_hosted_gate.py
@@ -100,6 +100,8 @@
 ) -> None:
     plain.announcer.announce(plain.announcement)
     plain.server.stop()
+    # The contract is new, and its shares follow it after a moment.
+    eventually(lambda: ask(small_fleet, small_fleet.second).kind != "rate-exceeded")
     refused = ask(small_fleet, small_fleet.second)
     assert refused.status == 503
     assert refused.document["ran"] == "no"
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from builders_relay import Relay, Way
 from daisywharf import ErrorKind, Importance, RequestError
 from daisywharf._call._caller import Caller
 from daisywharf._call._gate import Gate
@@ -31,6 +30,7 @@
     note_word,
 )
 from daisywharf._topology import Address, Target
+from relay import Relay
 
 SERVICE = ServiceName("orders")
 CUSTOMER = CustomerId("counter")
@@ -46,7 +46,7 @@
         gate = Gate(self._app, target_id="orders-1", incarnation=7, slots=4, service=SERVICE)
         self.server = HttpServer(gate, address=Address("127.0.0.1", 0), threads=20)
         self.server.start()
-        self.relay = Relay(self.server.address)
+        self.relay = Relay(self.server.address.host, self.server.address.port)
         self.caller = Caller(SnapshotHolder(self._snapshot()), name="test")
 
     def call(self, call_class: str) -> bytes:
@@ -75,7 +75,7 @@
             vm=VmId("vm-1"),
             zone=ZoneName("perth-1"),
             incarnation=Incarnation(7),
-            address=self.relay.address,
+            address=Address("127.0.0.1", self.relay.port),
             slots=4,
             connections=64,
         )
@@ -111,14 +111,14 @@
 
 def test_an_order_whose_answer_was_swallowed_gets_it_over_a_new_connection(site: Site) -> None:
     assert site.call("order") == b"run 1"
-    site.relay.silence(Way.ANSWERING)
+    site.relay.silence(answers_only=True)
     assert site.call("order") == b"run 2"
     assert site.runs == 2
 
 
 def test_an_order_that_was_swallowed_is_not_run_and_says_so(site: Site) -> None:
     assert site.call("order") == b"run 1"
-    site.relay.silence(Way.ASKING, Way.ANSWERING)
+    site.relay.silence()
     with pytest.raises(RequestError) as caught:
         site.call("order")
     assert caught.value.kind in (ErrorKind.CONNECT_FAILED, ErrorKind.NO_TARGET)
