--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -4,6 +4,7 @@
 from functools import partial
 from http import HTTPStatus
 
+import msgspec
 from msgspec.structs import replace
 
 from daisywharf._call._exchange import CallReply, reply_for
@@ -37,14 +38,23 @@
 )
 from daisywharf._call._parties import Clock
 from daisywharf._call._scope import Scope, current_scope
+from daisywharf._call._silence import PROGRESS_PATH, OpenCalls
 from daisywharf._call._transport import LOOK_UP_PATH, RESOLVE_PATH
-from daisywharf._call._wsgi import Environ, StartResponse, WsgiApp, digest_of, run_app, send_reply
+from daisywharf._call._wsgi import (
+    Environ,
+    StartResponse,
+    WsgiApp,
+    body_of,
+    digest_of,
+    run_app,
+    send_reply,
+)
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import Incarnation, ServiceName, TargetId
 from daisywharf._outcomes._once import OnceRecords
 from daisywharf._outcomes._ticket import Ticket
 from daisywharf._overload._admission import AdmissionState
-from daisywharf._overload._level import OPEN_LEVEL, Level
+from daisywharf._overload._level import Level, merge_levels
 from daisywharf._signals._counts import OutcomeCounts
 from daisywharf._signals._shedding import SheddingLog, note_shedding
 from daisywharf._signals._spans import SpanRole, describe_span, in_span, note_admitted
@@ -70,6 +80,7 @@
         self.counts = OutcomeCounts()
         self._shedding = SheddingLog()
         self._app = app
+        self._open_call_ids: set[str] = set()
         self._clock = clock
         self._admission = GateAdmission(
             AdmissionState(slots=slots, service=self.service), clock=clock
@@ -79,20 +90,35 @@
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Answer one call; each failure is an answer with its kind."""
+        if environ.get("PATH_INFO") == PROGRESS_PATH:
+            return send_reply(self._tell_open_calls(environ), start_response)
         kind: ErrorKind | None = None
         hop: Hop | None = None
         scope: Scope | None = None
         try:
             hop = hop_from_header(environ.get(HOP_ENVIRON_KEY))
+            self._open_call_ids.add(hop.call_id)
             self._check_address(hop)
             scope = Scope(context_in(hop, now=self._clock()))
             reply = self._answer_in_span(environ, hop, scope)
         except RequestError as error:
             kind = error.kind
             reply = reply_for(error)
+        finally:
+            if hop is not None:
+                self._open_call_ids.discard(hop.call_id)
         self.counts.add(kind)
         return send_reply(self._marked(reply, hop, scope), start_response)
 
+    def _tell_open_calls(self, environ: Environ) -> CallReply:
+        try:
+            asked = msgspec.json.decode(body_of(environ), type=OpenCalls)
+        except msgspec.MsgspecError as error:
+            message = f"the question for open calls can't be read: {error}"
+            return reply_for(RequestError(ErrorKind.BAD_REQUEST, message))
+        open_ids = [call_id for call_id in asked.call_ids if call_id in self._open_call_ids]
+        return CallReply(HTTPStatus.OK, {}, msgspec.json.encode(OpenCalls(open_ids)))
+
     def drain(self) -> None:
         """Refuse from now on what has not started; what runs goes on."""
         drain_gate(self._admission)
@@ -105,7 +131,7 @@
     @property
     def level(self) -> Level:
         """Return the level from which calls are refused now."""
-        return level_of_gate(self._admission, OPEN_LEVEL)
+        return level_of_gate(self._admission)
 
     @property
     def in_flight(self) -> int:
@@ -190,7 +216,7 @@
             # The target ran, so whatever a call below it says, this one is no refusal.
             message = f"{self.target_id} failed on a call below: {error.kind.value}: {error}"
             failure = RequestError(
-                ErrorKind.TARGET_FAILED, message, retry_after_s=error.retry_after_s
+                ErrorKind.FAILED_BELOW, message, retry_after_s=error.retry_after_s
             )
             return reply_for(failure)
         except Exception as error:
@@ -200,9 +226,9 @@
             current_scope.reset(token)
 
     def _marked(self, reply: CallReply, hop: Hop | None, scope: Scope | None) -> CallReply:
-        below = OPEN_LEVEL if scope is None else scope.level_below
-        level = level_of_gate(self._admission, below)
-        note_shedding(self._shedding, self.target_id, self.level, now=self._clock())
+        own = level_of_gate(self._admission)
+        note_shedding(self._shedding, self.target_id, own, now=self._clock())
+        level = own if scope is None else merge_levels(own, scope.level_below)
         answer = HopAnswer(
             call_id="" if hop is None else hop.call_id,
             incarnation=self.incarnation,
