--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -60,6 +60,10 @@
 from daisywharf._signals._spans import SpanRole, describe_span, in_span, note_admitted
 
 
+class TargetNotReachedError(RequestError):
+    """Report that an application could not be reached, so that the call was not run."""
+
+
 class Gate:
     """Wrap a target's WSGI application; serve it with more threads than `slots`."""
 
@@ -189,9 +193,14 @@
         scope.take_slot_back = partial(take_slot_back, self._admission, admitted.call_id)
         succeeded = False
         try:
-            self._check_time(scope, ticket)
+            self._check_time(scope)
             reply = self._run(environ, scope)
             succeeded = reply.status < HTTPStatus.INTERNAL_SERVER_ERROR
+        except RequestError:
+            # Only what was not run raises here.
+            if ticket is not None:
+                give_up_run(self._records, ticket)
+            raise
         finally:
             below = scope.level_below
             leave_gate(self._admission, admitted.call_id, succeeded=succeeded, below=below)
@@ -199,12 +208,10 @@
             end_run(self._records, ticket, reply)
         return reply
 
-    def _check_time(self, scope: Scope, ticket: Ticket | None) -> None:
+    def _check_time(self, scope: Scope) -> None:
         # A process that was stopped after the admission may wake past the deadline.
         if self._clock() < scope.context.deadline:
             return
-        if ticket is not None:
-            give_up_run(self._records, ticket)
         message = f"request {scope.context.request_id} was admitted, but its time is over"
         raise RequestError(ErrorKind.TOO_LATE, message)
 
@@ -212,6 +219,8 @@
         token = current_scope.set(scope)
         try:
             return run_app(self._app, environ)
+        except TargetNotReachedError:
+            raise
         except RequestError as error:
             # The target ran, so whatever a call below it says, this one is no refusal.
             message = f"{self.target_id} failed on a call below: {error.kind.value}: {error}"
--- a/src/daisywharf/_daemon/_routes.py
+++ b/src/daisywharf/_daemon/_routes.py
@@ -13,6 +13,7 @@
 from daisywharf._daemon._http import Routes, json_reply
 from daisywharf._daemon._links import LinkCounts
 from daisywharf._daemon._metrics import metrics_reply
+from daisywharf._daemon._onward import ONWARD_PREFIX, call_onward
 from daisywharf._daemon._order_routes import add_order_routes
 from daisywharf._daemon._status import (
     AnnouncementTaken,
@@ -50,6 +51,9 @@
     routes.route_by_path["GET /targets"] = lambda environ: json_reply(_targets(daemon))
     add_order_routes(daemon, routes)
     routes.route_by_prefix[TARGETS_PREFIX] = lambda environ: _drain(daemon, environ)
+    routes.route_by_prefix[ONWARD_PREFIX] = lambda environ: call_onward(
+        daemon.caller, daemon.gates, environ
+    )
     routes.route_by_prefix[ENTRY_PREFIX] = lambda environ: _enter(daemon, environ)
     return routes
 
