--- a/src/daisywharf/_daemon/_fleet_actor.py
+++ b/src/daisywharf/_daemon/_fleet_actor.py
@@ -14,7 +14,12 @@
 from daisywharf._daemon._fleet_events import SeenFleet, fleet_events
 from daisywharf._fleet import _state as fleet
 from daisywharf._fleet._messages import FleetMessage
-from daisywharf._fleet._services import ViewDigest, daemons_by_zone, targets_by_service, view_digest
+from daisywharf._fleet._services import (
+    ViewVersion,
+    daemons_by_zone,
+    targets_by_service,
+    view_version,
+)
 from daisywharf._fleet._state import (
     FleetAction,
     FleetState,
@@ -24,7 +29,7 @@
     ZoneInForce,
 )
 from daisywharf._fleet._targets import is_drained, knows_target
-from daisywharf._ids import CustomerId, TargetId
+from daisywharf._ids import CustomerId, ServiceName, TargetId
 from daisywharf._signals import Event, log_event
 from daisywharf._topology import Target
 
@@ -63,7 +68,7 @@
         self._ask_platform = ask_platform
         self._on_snapshot = on_snapshot
         self._rng = rng
-        self._handed_digest: ViewDigest | None = None
+        self._handed_version: ViewVersion | None = None
         self._handed_at = float("-inf")
         self._seen = SeenFleet()
         self._looked_at = float("-inf")
@@ -160,13 +165,15 @@
                 self._ask_platform(action)
 
     def _hand_out(self, now: float) -> None:
-        digest = view_digest(self._state)
-        if digest == self._handed_digest and now - self._handed_at < SHARES_PERIOD_S:
+        version = view_version(self._state)
+        is_same_view = version == self._handed_version
+        if is_same_view and now - self._handed_at < SHARES_PERIOD_S:
             return
-        self._handed_digest = digest
+        self._handed_version = version
         self._handed_at = now
         current = self._holder.current
-        snapshot = _snapshot(self._state, current.sequence, now)
+        shown = current.targets_by_service if is_same_view else targets_by_service(self._state)
+        snapshot = _snapshot(self._state, shown, current.sequence, now)
         if snapshot == current:
             return
         numbered = msgspec.structs.replace(snapshot, sequence=current.sequence + 1)
@@ -174,14 +181,19 @@
         self._on_snapshot(numbered)
 
 
-def _snapshot(state: FleetState, sequence: int, now: float) -> Snapshot:
+def _snapshot(
+    state: FleetState,
+    targets: dict[ServiceName, tuple[Target, ...]],
+    sequence: int,
+    now: float,
+) -> Snapshot:
     contract_by_customer = fleet.contracts_by_customer(state)
     return Snapshot(
         vm=state.me.vm,
         zone=state.me.zone,
         sequence=sequence,
         contract_by_customer=contract_by_customer,
-        targets_by_service=targets_by_service(state),
+        targets_by_service=targets,
         share_by_class_by_customer={
             customer: {
                 name: round(fleet.share_of(state, customer, name, now=now), SHARE_DIGITS)
--- a/src/daisywharf/_fleet/_services.py
+++ b/src/daisywharf/_fleet/_services.py
@@ -10,15 +10,15 @@
 from daisywharf._topology import Target, TargetState
 
 
-class ViewDigest(msgspec.Struct, frozen=True):
+class ViewVersion(msgspec.Struct, frozen=True):
     """Tell views of the fleet apart without comparing them."""
 
-    digests: tuple[int, ...]
+    versions: tuple[int, ...]
 
 
-def view_digest(state: FleetState) -> ViewDigest:
-    """Return a digest that changes with each record of members, contracts or summaries."""
-    return ViewDigest(tuple(state.store_by_scope[scope].digest for scope in Scope))
+def view_version(state: FleetState) -> ViewVersion:
+    """Return a version that changes with each record of members, contracts or summaries."""
+    return ViewVersion(tuple(state.store_by_scope[scope].view_version for scope in Scope))
 
 
 def targets_by_service(state: FleetState) -> dict[ServiceName, tuple[Target, ...]]:
--- a/src/daisywharf/_fleet/_store.py
+++ b/src/daisywharf/_fleet/_store.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from daisywharf._codec import encode
-from daisywharf._fleet._messages import MemberRecord, Record
+from daisywharf._fleet._messages import DemandRecord, MemberRecord, Record, ZoneDemand
 
 BUCKET_COUNT: Final = 64
 DIGEST_BYTES: Final = 4
@@ -38,7 +38,11 @@
 
 
 class Store:
-    """Hold the newest record of each key, digests over them, and the changed ones."""
+    """Hold the newest record of each key, digests over them, and the changed ones.
+
+    `view_version` grows with each change that callers may see: demand, which changes all the time,
+    reaches them as shares.
+    """
 
     def __init__(self) -> None:
         self.record_by_key: dict[str, Record] = {}
@@ -47,6 +51,7 @@
         self.digest_by_bucket = [0] * BUCKET_COUNT
         self.digest = 0
         self.rumour_by_key: dict[str, Rumour] = {}
+        self.view_version = 0
 
 
 def is_newer(store: Store, record: Record) -> bool:
@@ -60,6 +65,8 @@
     key = record.key
     _remove_hash(store, key)
     store.record_by_key[key] = record
+    if not isinstance(record, DemandRecord | ZoneDemand):
+        store.view_version += 1
     if not (isinstance(record, MemberRecord) and record.is_terminal):
         _add_hash(store, key, record)
     if copies > 0:
@@ -78,7 +85,8 @@
 def drop(store: Store, key: str) -> None:
     """Forget a record."""
     _remove_hash(store, key)
-    store.record_by_key.pop(key, None)
+    if store.record_by_key.pop(key, None) is not None:
+        store.view_version += 1
     store.rumour_by_key.pop(key, None)
 
 
