--- a/src/daisywharf/_daemon/_orders.py
+++ b/src/daisywharf/_daemon/_orders.py
@@ -135,7 +135,7 @@
         idempotent=False,
     )
     request = CallRequest(target.service, "POST", LOOK_UP_PATH, context)
-    hop = hop_to(target, context, retries=0, ticket=ticket, now=now)
+    hop = hop_to(target, context, retries=0, ticket=ticket, now=now, wall_now=time.time())
     try:
         reply = send_anew(target, request, hop)
     except RequestError:
