--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -4,6 +4,7 @@
 from functools import partial
 from http import HTTPStatus
 
+import msgspec
 from msgspec.structs import replace
 
 from daisywharf._call._exchange import CallReply, reply_for
@@ -37,8 +38,17 @@
 )
 from daisywharf._call._parties import Clock
 from daisywharf._call._scope import Scope, current_scope
+from daisywharf._call._silence import PROGRESS_PATH, OpenCalls
 from daisywharf._call._transport import LOOK_UP_PATH, RESOLVE_PATH
-from daisywharf._call._wsgi import Environ, StartResponse, WsgiApp, digest_of, run_app, send_reply
+from daisywharf._call._wsgi import (
+    Environ,
+    StartResponse,
+    WsgiApp,
+    body_of,
+    digest_of,
+    run_app,
+    send_reply,
+)
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import Incarnation, ServiceName, TargetId
 from daisywharf._outcomes._once import OnceRecords
@@ -50,6 +60,10 @@
 from daisywharf._signals._spans import SpanRole, describe_span, in_span, note_admitted
 
 
+class TargetNotReachedError(RequestError):
+    """Report that an application could not be reached, so that the call was not run."""
+
+
 class Gate:
     """Wrap a target's WSGI application; serve it with more threads than `slots`."""
 
@@ -70,6 +84,7 @@
         self.counts = OutcomeCounts()
         self._shedding = SheddingLog()
         self._app = app
+        self._open_call_ids: set[str] = set()
         self._clock = clock
         self._admission = GateAdmission(
             AdmissionState(slots=slots, service=self.service), clock=clock
@@ -79,20 +94,35 @@
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Answer one call; each failure is an answer with its kind."""
+        if environ.get("PATH_INFO") == PROGRESS_PATH:
+            return send_reply(self._tell_open_calls(environ), start_response)
         kind: ErrorKind | None = None
         hop: Hop | None = None
         scope: Scope | None = None
         try:
             hop = hop_from_header(environ.get(HOP_ENVIRON_KEY))
+            self._open_call_ids.add(hop.call_id)
             self._check_address(hop)
             scope = Scope(context_in(hop, now=self._clock()))
             reply = self._answer_in_span(environ, hop, scope)
         except RequestError as error:
             kind = error.kind
             reply = reply_for(error)
+        finally:
+            if hop is not None:
+                self._open_call_ids.discard(hop.call_id)
         self.counts.add(kind)
         return send_reply(self._marked(reply, hop, scope), start_response)
 
+    def _tell_open_calls(self, environ: Environ) -> CallReply:
+        try:
+            asked = msgspec.json.decode(body_of(environ), type=OpenCalls)
+        except msgspec.MsgspecError as error:
+            message = f"the question for open calls can't be read: {error}"
+            return reply_for(RequestError(ErrorKind.BAD_REQUEST, message))
+        open_ids = [call_id for call_id in asked.call_ids if call_id in self._open_call_ids]
+        return CallReply(HTTPStatus.OK, {}, msgspec.json.encode(OpenCalls(open_ids)))
+
     def drain(self) -> None:
         """Refuse from now on what has not started; what runs goes on."""
         drain_gate(self._admission)
@@ -163,9 +193,14 @@
         scope.take_slot_back = partial(take_slot_back, self._admission, admitted.call_id)
         succeeded = False
         try:
-            self._check_time(scope, ticket)
+            self._check_time(scope)
             reply = self._run(environ, scope)
             succeeded = reply.status < HTTPStatus.INTERNAL_SERVER_ERROR
+        except RequestError:
+            # Only what was not run raises here.
+            if ticket is not None:
+                give_up_run(self._records, ticket)
+            raise
         finally:
             below = scope.level_below
             leave_gate(self._admission, admitted.call_id, succeeded=succeeded, below=below)
@@ -173,12 +208,10 @@
             end_run(self._records, ticket, reply)
         return reply
 
-    def _check_time(self, scope: Scope, ticket: Ticket | None) -> None:
+    def _check_time(self, scope: Scope) -> None:
         # A process that was stopped after the admission may wake past the deadline.
         if self._clock() < scope.context.deadline:
             return
-        if ticket is not None:
-            give_up_run(self._records, ticket)
         message = f"request {scope.context.request_id} was admitted, but its time is over"
         raise RequestError(ErrorKind.TOO_LATE, message)
 
@@ -186,6 +219,8 @@
         token = current_scope.set(scope)
         try:
             return run_app(self._app, environ)
+        except TargetNotReachedError:
+            raise
         except RequestError as error:
             # The target ran, so whatever a call below it says, this one is no refusal.
             message = f"{self.target_id} failed on a call below: {error.kind.value}: {error}"
--- a/src/daisywharf/_fleet/_shares.py
+++ b/src/daisywharf/_fleet/_shares.py
@@ -25,9 +25,10 @@
 RATING_PERIOD_S: Final = 1.0
 RATING_TIME_CONSTANT_S: Final = 2.0
 PUBLISH_PERIOD_S: Final = 1.0
-PUBLISH_PERIOD_PER_DAEMON_S: Final = 0.04
+PUBLISH_PERIOD_PER_DAEMON_S: Final = 0.015
 WORK_PERIOD_S: Final = 0.5
 CHANGE_RATIO: Final = 0.25
+CHANCE_DEVIATIONS: Final = 3.5
 FLOOR_PART: Final = 0.05
 HOLD_IN_ZONE_S: Final = 2.0
 HOLD_ACROSS_S: Final = 4.0
@@ -36,6 +37,7 @@
 HOLD_PER_DAEMON_S: Final = 0.01
 FRACTION_HOLD_S: Final = 0.5
 ZONE_STALE_AFTER_S: Final = 4.0
+ZONE_KEPT_S: Final = 21_600.0
 
 
 def note_demand(
@@ -93,11 +95,16 @@
     """Return the zones that divide the rates: expected or heard of."""
     zones = {state.me.zone, *state.zones}
     for record in state.store_by_scope[Scope.SUMMARIES].record_by_key.values():
-        if isinstance(record, ZoneDemand):
+        if isinstance(record, ZoneDemand) and _is_kept(state, record.zone):
             zones.add(record.zone)
     return zones
 
 
+def _is_kept(state: FleetState, zone: ZoneName) -> bool:
+    """Tell whether a zone that the settings don't name still has a part of the rates."""
+    return state.now - state.shares.heard_at_by_zone.get(zone, state.now) <= ZONE_KEPT_S
+
+
 def _zone_floors(state: FleetState) -> Weights:
     """Return the least weight of any zone for each call class in a contract."""
     zone_count = len(all_zones(state))
@@ -138,9 +145,13 @@
 def _differs(weights: Weights, published: Weights) -> bool:
     if weights.keys() != published.keys():
         return True
-    return any(
-        abs(weights[key] - published[key]) > CHANGE_RATIO * published[key] for key in weights
-    )
+    return any(abs(weights[key] - published[key]) > _tolerance(published[key]) for key in weights)
+
+
+def _tolerance(rate: float) -> float:
+    """Return a change of a rate that isn't worth publishing: a part, or chance alone."""
+    chance = math.sqrt(rate / (2.0 * RATING_TIME_CONSTANT_S))
+    return max(CHANGE_RATIO * rate, CHANCE_DEVIATIONS * chance)
 
 
 def _add_sample(
