--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -86,6 +86,7 @@
         self._app = app
         self._open_call_ids: set[str] = set()
         self._clock = clock
+        self._wall_clock = wall_clock
         self._admission = GateAdmission(
             AdmissionState(slots=slots, service=self.service), clock=clock
         )
@@ -103,7 +104,7 @@
             hop = hop_from_header(environ.get(HOP_ENVIRON_KEY))
             self._open_call_ids.add(hop.call_id)
             self._check_address(hop)
-            scope = Scope(context_in(hop, now=self._clock()))
+            scope = Scope(context_in(hop, now=self._clock(), wall_now=self._wall_clock()))
             reply = self._answer_in_span(environ, hop, scope)
         except RequestError as error:
             kind = error.kind
--- a/src/daisywharf/_call/_keyed.py
+++ b/src/daisywharf/_call/_keyed.py
@@ -47,7 +47,7 @@
     else:
         permit = claim_key(request, any_target(state, request.service))
     target = _named_target(state.holder.current, request, permit)
-    return attempt_at(state, scope, request, target, permit.ticket)
+    return attempt_at(state, scope, request, target, permit)
 
 
 def ticket_under_secrets(
--- a/src/daisywharf/_call/_transport.py
+++ b/src/daisywharf/_call/_transport.py
@@ -16,12 +16,14 @@
     to_header,
 )
 from daisywharf._call._silence import SilenceWatch
+from daisywharf._context import ERROR_KIND
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._topology import Target
 
 RESOLVE_PATH: Final = "/.daisywharf/resolve"
 LOOK_UP_PATH: Final = "/.daisywharf/order"
 CONNECT_TIMEOUT_S: Final = 0.5
+LEAST_TIMEOUT_S: Final = 0.001
 
 
 def send_call(
@@ -33,7 +35,8 @@
     """
     headers = without_headers_of_one_hop(request.headers)
     headers[HOP] = to_header(hop)
-    reply = _exchange(connections, target, request, headers, hop.time_left_ms / MS_PER_S)
+    time_left_s = max(hop.time_left_ms / MS_PER_S, LEAST_TIMEOUT_S)
+    reply = _exchange(connections, target, request, headers, time_left_s)
     _check_identity(reply, target, hop)
     return reply
 
@@ -58,10 +61,9 @@
     target: Target,
     request: CallRequest,
     headers: dict[str, str],
-    time_left_s: float,
+    read_limit_s: float,
 ) -> CallReply:
-    time_left_s = max(time_left_s, 0.001)
-    timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, time_left_s), read=time_left_s)
+    timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, read_limit_s), read=read_limit_s)
     try:
         response = connections.pool(target.address).urlopen(
             request.method,
@@ -74,7 +76,10 @@
         )
     except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError) as error:
         raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
+    except exceptions.ClosedPoolError as error:
+        raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
     except exceptions.ReadTimeoutError as error:
+        connections.forget(target.address)
         raise RequestError(ErrorKind.TIMED_OUT, _told(target, error)) from error
     except (exceptions.IncompleteRead, exceptions.DecodeError) as error:
         raise RequestError(ErrorKind.CUT_ANSWER, _told(target, error)) from error
@@ -100,7 +105,9 @@
     except RequestError as error:
         message = f"{target.target_id} gave status {reply.status} and no whole answer: {error}"
         raise RequestError(ErrorKind.OUTCOME_UNKNOWN, message) from error
-    if (answer.call_id, answer.incarnation) == (hop.call_id, hop.incarnation):
+    is_successor = reply.headers.get(ERROR_KIND) == ErrorKind.WRONG_INCARNATION.value
+    incarnation = hop.incarnation if is_successor else answer.incarnation
+    if (answer.call_id, incarnation) == (hop.call_id, hop.incarnation):
         return
     message = (
         f"{target.target_id} answered call {answer.call_id!r} of incarnation "
