Let links between daemons rest while nothing is sent on them

Cause: each open link beat each second both ways. In a zone of 200 daemons gossip keeps a link to nearly every peer open, so that beats would be some 400 frames a second at each daemon, worked out. Change: a link between daemons beats only after a frame that the peer has to get, until its echo. Ruled out: closing links sooner (a handshake costs more than a beat).

--- a/src/daisywharf/_daemon/_links.py
+++ b/src/daisywharf/_daemon/_links.py
@@ -40,6 +40,7 @@
     TryNewConnection,
     link_tick,
     note_echo,
+    note_sent,
 )
 from daisywharf._signals import Event, log_event
 from daisywharf._topology import Address
@@ -80,6 +81,11 @@
         self.used_at = time.monotonic()
         self.queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED_FRAMES)
 
+    def send(self, frame: bytes) -> bool:
+        """Queue a frame whose arrival the next heartbeat proves."""
+        note_sent(self.state, now=time.monotonic())
+        return self.put(frame)
+
     def put(self, frame: bytes) -> bool:
         """Queue a frame to send, or tell that the peer takes too few."""
         if self.queue.full():
@@ -125,7 +131,7 @@
 
     def reply(self, link: Link, frame: Frame) -> None:
         """Send a frame on a given link; it is dropped where the peer takes too few."""
-        self.loop.call_soon_threadsafe(link.put, encode(frame))
+        self.loop.call_soon_threadsafe(link.send, encode(frame))
 
     def every(self, period_s: float, action: Callable[[], None]) -> None:
         """Run a short action on the loop again and again."""
@@ -147,7 +153,7 @@
 def _send_to(links: Links, address: Address, frame: bytes) -> None:
     link = links.link_by_address.get(address)
     if link is not None:
-        link.put(frame)
+        link.send(frame)
         return
     waiting = links.opening.get(address)
     if waiting is not None:
@@ -215,7 +221,7 @@
         return
     link = Link(socket, None, pace=CONTROL_PACE, is_opened_here=True)
     for frame in links.opening.pop(address, []):
-        link.put(frame)
+        link.send(frame)
     await _run(links, link, address)
 
 
--- a/src/daisywharf/_outcomes/_link.py
+++ b/src/daisywharf/_outcomes/_link.py
@@ -18,15 +18,19 @@
 
 
 class LinkPace(msgspec.Struct, frozen=True):
-    """Say how often a link sends heartbeats, and after which silence it is closed; in seconds."""
+    """Say how often a link sends heartbeats, and after which silence it is closed; in seconds.
+
+    A link that `rests` sends none while nothing was sent on it since it was last proven.
+    """
 
     heartbeat_period_s: float = HEARTBEAT_PERIOD_S
     silence_limit_s: float = SILENCE_LIMIT_S
+    rests: bool = False
 
 
 CALLS_PACE: Final = LinkPace()
 # No call waits on a link between daemons, and their probes notice a daemon that is gone.
-CONTROL_PACE: Final = LinkPace(heartbeat_period_s=1.0, silence_limit_s=3.0)
+CONTROL_PACE: Final = LinkPace(heartbeat_period_s=1.0, silence_limit_s=3.0, rests=True)
 
 
 class SendHeartbeat(msgspec.Struct, frozen=True):
@@ -53,6 +57,7 @@
         self.pace = pace
         self.opened_at = now
         self.proven_at = now
+        self.sent_at = now
         self.beat_at = now
         self.ticked_at = now
         self.sequence = 0
@@ -61,6 +66,11 @@
         self.is_closed = False
 
 
+def note_sent(state: LinkState, *, now: float) -> None:
+    """Note that a frame left which the peer has to get."""
+    state.sent_at = now
+
+
 def note_echo(state: LinkState, sequence: int) -> None:
     """Note the echo of a heartbeat: the link carried frames both ways when that one left."""
     sent_at = state.sent_at_by_sequence.pop(sequence, None)
@@ -86,6 +96,9 @@
         state.proven_at = now
         state.beat_at = now - state.pace.heartbeat_period_s
     state.ticked_at = now
+    if state.pace.rests and state.sent_at <= state.proven_at:
+        state.proven_at = now
+        return []
     silence_s = now - state.proven_at
     if silence_s > state.pace.silence_limit_s:
         return _close(state)
