--- a/src/daisywharf/_call/_exchange.py
+++ b/src/daisywharf/_call/_exchange.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from daisywharf._call._scope import Scope
 from daisywharf._context import ERROR_KIND, RAN, RequestContext
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import ServiceName
@@ -44,15 +45,15 @@
     body: bytes = b""
 
 
-Handler = Callable[[CallRequest], CallReply]
-Filter = Callable[[CallRequest, Handler], CallReply]
+Handler = Callable[[Scope, CallRequest], CallReply]
+Filter = Callable[[Scope, CallRequest, Handler], CallReply]
 
 
 def pipeline(filters: Sequence[Filter], last: Handler) -> Handler:
     """Put filters before a handler; the first filter sees the call first."""
 
     def put_before(handler: Handler, step: Filter) -> Handler:
-        return lambda request: step(request, handler)
+        return lambda scope, request: step(scope, request, handler)
 
     return reduce(put_before, reversed(filters), last)
 
