--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -1,7 +1,10 @@
 """The gate of a target: WSGI middleware that admits calls and runs orders at most once."""
 
 import time
+from functools import partial
+from http import HTTPStatus
 
+import msgspec
 from msgspec.structs import replace
 
 from daisywharf._call._exchange import CallReply, reply_for
@@ -10,7 +13,9 @@
     drain_gate,
     enter_gate,
     leave_gate,
+    lend_slot,
     level_of_gate,
+    take_slot_back,
 )
 from daisywharf._call._gate_once import (
     GateRecords,
@@ -27,21 +32,38 @@
     HopAnswer,
     context_in,
     hop_from_header,
+    level_part,
     ticket_in,
     to_header,
 )
 from daisywharf._call._parties import Clock
 from daisywharf._call._scope import Scope, current_scope
+from daisywharf._call._silence import PROGRESS_PATH, OpenCalls
 from daisywharf._call._transport import LOOK_UP_PATH, RESOLVE_PATH
-from daisywharf._call._wsgi import Environ, StartResponse, WsgiApp, digest_of, run_app, send_reply
+from daisywharf._call._wsgi import (
+    Environ,
+    StartResponse,
+    WsgiApp,
+    body_of,
+    digest_of,
+    run_app,
+    send_reply,
+)
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import Incarnation, ServiceName, TargetId
 from daisywharf._outcomes._once import OnceRecords
 from daisywharf._outcomes._ticket import Ticket
 from daisywharf._overload._admission import AdmissionState
+from daisywharf._overload._level import Level, merge_levels
+from daisywharf._signals._counts import OutcomeCounts
+from daisywharf._signals._shedding import SheddingLog, note_shedding
 from daisywharf._signals._spans import SpanRole, describe_span, in_span, note_admitted
 
 
+class TargetNotReachedError(RequestError):
+    """Report that an application could not be reached, so that the call was not run."""
+
+
 class Gate:
     """Wrap a target's WSGI application; serve it with more threads than `slots`."""
 
@@ -59,33 +81,68 @@
         self.target_id = TargetId(target_id)
         self.incarnation = Incarnation(incarnation)
         self.service = ServiceName(service)
+        self.counts = OutcomeCounts()
+        self._shedding = SheddingLog()
         self._app = app
+        self._open_call_ids: set[str] = set()
         self._clock = clock
-        self._admission = GateAdmission(AdmissionState(slots=slots), clock=clock)
+        self._wall_clock = wall_clock
+        self._admission = GateAdmission(
+            AdmissionState(slots=slots, service=self.service), clock=clock
+        )
         records = OnceRecords(target_id=self.target_id, incarnation=self.incarnation)
         self._records = GateRecords(records, clock=wall_clock)
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Answer one call; each failure is an answer with its kind."""
+        if environ.get("PATH_INFO") == PROGRESS_PATH:
+            return send_reply(self._tell_open_calls(environ), start_response)
+        kind: ErrorKind | None = None
         hop: Hop | None = None
         scope: Scope | None = None
         try:
             hop = hop_from_header(environ.get(HOP_ENVIRON_KEY))
+            self._open_call_ids.add(hop.call_id)
             self._check_address(hop)
-            scope = Scope(context_in(hop, now=self._clock()))
+            scope = Scope(context_in(hop, now=self._clock(), wall_now=self._wall_clock()))
             reply = self._answer_in_span(environ, hop, scope)
         except RequestError as error:
+            kind = error.kind
             reply = reply_for(error)
+        finally:
+            if hop is not None:
+                self._open_call_ids.discard(hop.call_id)
+        self.counts.add(kind)
         return send_reply(self._marked(reply, hop, scope), start_response)
 
+    def _tell_open_calls(self, environ: Environ) -> CallReply:
+        try:
+            asked = msgspec.json.decode(body_of(environ), type=OpenCalls)
+        except msgspec.MsgspecError as error:
+            message = f"the question for open calls can't be read: {error}"
+            return reply_for(RequestError(ErrorKind.BAD_REQUEST, message))
+        open_ids = [call_id for call_id in asked.call_ids if call_id in self._open_call_ids]
+        return CallReply(HTTPStatus.OK, {}, msgspec.json.encode(OpenCalls(open_ids)))
+
     def drain(self) -> None:
         """Refuse from now on what has not started; what runs goes on."""
         drain_gate(self._admission)
 
+    @property
+    def admission_state(self) -> AdmissionState:
+        """Return the state of the admission, to be read only."""
+        return self._admission.state
+
+    @property
+    def level(self) -> Level:
+        """Return the level from which calls are refused now."""
+        return level_of_gate(self._admission)
+
     @property
     def in_flight(self) -> int:
         """Return how many calls run now."""
-        return len(self._admission.state.in_flight_by_id)
+        state = self._admission.state
+        return len(state.in_flight_by_id) + len(state.suspended_by_id)
 
     def _check_address(self, hop: Hop) -> None:
         if (hop.target_id, hop.incarnation) == (self.target_id, self.incarnation):
@@ -126,31 +183,50 @@
 
     def _admitted(self, environ: Environ, scope: Scope, ticket: Ticket | None) -> CallReply:
         try:
-            call_id = enter_gate(self._admission, scope.context)
+            admitted = enter_gate(self._admission, scope.context)
         except RequestError:
             if ticket is not None:
                 give_up_run(self._records, ticket)
             raise
         note_admitted()
+        scope.refusals = admitted.refusals or scope.refusals
+        scope.lend_slot = partial(lend_slot, self._admission, admitted.call_id)
+        scope.take_slot_back = partial(take_slot_back, self._admission, admitted.call_id)
         succeeded = False
         try:
+            self._check_time(scope)
             reply = self._run(environ, scope)
-            succeeded = reply.status < 500
+            succeeded = reply.status < HTTPStatus.INTERNAL_SERVER_ERROR
+        except RequestError:
+            # Only what was not run raises here.
+            if ticket is not None:
+                give_up_run(self._records, ticket)
+            raise
         finally:
-            leave_gate(self._admission, call_id, succeeded=succeeded)
+            below = scope.level_below
+            leave_gate(self._admission, admitted.call_id, succeeded=succeeded, below=below)
         if ticket is not None:
             end_run(self._records, ticket, reply)
         return reply
 
+    def _check_time(self, scope: Scope) -> None:
+        # A process that was stopped after the admission may wake past the deadline.
+        if self._clock() < scope.context.deadline:
+            return
+        message = f"request {scope.context.request_id} was admitted, but its time is over"
+        raise RequestError(ErrorKind.TOO_LATE, message)
+
     def _run(self, environ: Environ, scope: Scope) -> CallReply:
         token = current_scope.set(scope)
         try:
             return run_app(self._app, environ)
+        except TargetNotReachedError:
+            raise
         except RequestError as error:
             # The target ran, so whatever a call below it says, this one is no refusal.
             message = f"{self.target_id} failed on a call below: {error.kind.value}: {error}"
             failure = RequestError(
-                ErrorKind.TARGET_FAILED, message, retry_after_s=error.retry_after_s
+                ErrorKind.FAILED_BELOW, message, retry_after_s=error.retry_after_s
             )
             return reply_for(failure)
         except Exception as error:
@@ -160,13 +236,13 @@
             current_scope.reset(token)
 
     def _marked(self, reply: CallReply, hop: Hop | None, scope: Scope | None) -> CallReply:
-        level = level_of_gate(self._admission)
-        if scope is not None:
-            level = min(level, scope.lowest_level)
+        own = level_of_gate(self._admission)
+        note_shedding(self._shedding, self.target_id, own, now=self._clock())
+        level = own if scope is None else merge_levels(own, scope.level_below)
         answer = HopAnswer(
             call_id="" if hop is None else hop.call_id,
             incarnation=self.incarnation,
             retries_unspent=0 if scope is None else scope.budget.left,
-            level=level,
+            level=level_part(level),
         )
         return CallReply(reply.status, reply.headers | {HOP_ANSWER: to_header(answer)}, reply.body)
--- a/src/daisywharf/_call/_parties.py
+++ b/src/daisywharf/_call/_parties.py
@@ -6,17 +6,19 @@
 from random import Random
 from typing import Protocol
 
+from daisywharf._call._connections import Connections
 from daisywharf._call._exchange import CallReply, CallRequest
 from daisywharf._call._hop import Hop
+from daisywharf._call._silence import SilenceWatch
 from daisywharf._call._snapshot import SnapshotHolder
-from daisywharf._call._transport import Connections, send_call
+from daisywharf._call._transport import send_anew, send_watched
 from daisywharf._ids import ServiceName, TargetId
-from daisywharf._overload._level_cache import LevelCache
 from daisywharf._routing._retries import RetryRatio
 from daisywharf._routing._router import (
     CallOutcome,
     RouterState,
     choose,
+    note_pause,
     record_outcome,
     record_start,
     update_targets,
@@ -34,7 +36,7 @@
 
 
 class CallerState:
-    """Hold a caller's routers, levels and retry ratios, which one lock guards."""
+    """Hold a caller's routers and retry ratios, which one lock guards."""
 
     def __init__(
         self,
@@ -51,8 +53,9 @@
         self.rng = rng
         self.lock = threading.Lock()
         self.connections = Connections()
-        self.send: SendCall = send or partial(send_call, self.connections)
-        self.levels = LevelCache()
+        self.silence = SilenceWatch(self.connections, clock=clock)
+        self.send: SendCall = send or partial(send_watched, self.silence)
+        self.send_anew: SendCall = send or send_anew
         self.ratio = RetryRatio()
         self.router_by_service: dict[ServiceName, RouterState] = {}
         self.sequence_by_service: dict[ServiceName, int] = {}
@@ -66,15 +69,23 @@
     *,
     now: float,
     is_call: bool = True,
+    is_idempotent: bool = True,
 ) -> Target | None:
     """Choose a target by the present snapshot and count the call, if any, that leaves for it."""
     snapshot = state.holder.current
     with state.lock:
         router = _router(state, service)
         if state.sequence_by_service.get(service) != snapshot.sequence:
-            update_targets(router, snapshot.targets_by_service.get(service, ()), now=now)
+            update_targets(
+                router,
+                snapshot.targets_by_service.get(service, ()),
+                now=now,
+                callers_by_zone=snapshot.daemons_by_zone,
+            )
             state.sequence_by_service[service] = snapshot.sequence
-        target = choose(router, now=now, rng=state.rng, excluded=excluded)
+        target = choose(
+            router, now=now, rng=state.rng, excluded=excluded, is_idempotent=is_idempotent
+        )
         if target is not None and is_call:
             record_start(router, target.target_id, now=now)
     return target
@@ -95,6 +106,13 @@
         record_outcome(router, target.target_id, outcome, latency_s=now - started, now=now)
 
 
+def note_clock_gap(state: CallerState, *, now: float) -> None:
+    """Distrust what the routers learned before this process was stopped."""
+    with state.lock:
+        for router in state.router_by_service.values():
+            note_pause(router, now=now)
+
+
 def _router(state: CallerState, service: ServiceName) -> RouterState:
     router = state.router_by_service.get(service)
     if router is None:
--- a/src/daisywharf/_call/_transport.py
+++ b/src/daisywharf/_call/_transport.py
@@ -1,11 +1,11 @@
 """Send a call to a gate over HTTP and tell how it ended."""
 
-import threading
 from typing import Final
 
 import urllib3
 from urllib3 import exceptions
 
+from daisywharf._call._connections import Connections
 from daisywharf._call._exchange import CallReply, CallRequest, without_headers_of_one_hop
 from daisywharf._call._hop import (
     HOP,
@@ -15,44 +15,24 @@
     answer_from_header,
     to_header,
 )
+from daisywharf._call._silence import SilenceWatch
+from daisywharf._context import ERROR_KIND
 from daisywharf._errors import ErrorKind, RequestError
-from daisywharf._topology import Address, Target
+from daisywharf._outcomes._link import SILENCE_LIMIT_S
+from daisywharf._topology import Target
 
 RESOLVE_PATH: Final = "/.daisywharf/resolve"
 LOOK_UP_PATH: Final = "/.daisywharf/order"
 CONNECT_TIMEOUT_S: Final = 0.5
-CONNECTIONS_PER_TARGET: Final = 64
-
-
-class Connections:
-    """Hold the pools of connections to gates."""
-
-    def __init__(self) -> None:
-        self.pool_by_address: dict[Address, urllib3.HTTPConnectionPool] = {}
-        self.lock = threading.Lock()
-
-    def pool(self, address: Address) -> urllib3.HTTPConnectionPool:
-        """Return the pool for an address, opened on first use."""
-        pool = self.pool_by_address.get(address)
-        if pool is not None:
-            return pool
-        with self.lock:
-            return self.pool_by_address.setdefault(address, _new_pool(address))
-
-    def close(self) -> None:
-        """Close all connections."""
-        for pool in list(self.pool_by_address.values()):
-            pool.close()
-
-
-def _new_pool(address: Address) -> urllib3.HTTPConnectionPool:
-    return urllib3.HTTPConnectionPool(
-        address.host, address.port, maxsize=CONNECTIONS_PER_TARGET, block=False, retries=False
-    )
 
 
 def send_call(
-    connections: Connections, target: Target, request: CallRequest, hop: Hop
+    connections: Connections,
+    target: Target,
+    request: CallRequest,
+    hop: Hop,
+    *,
+    read_limit_s: float = float("inf"),
 ) -> CallReply:
     """Send an attempt and return its whole answer, with the gate's part of it.
 
@@ -60,11 +40,31 @@
     """
     headers = without_headers_of_one_hop(request.headers)
     headers[HOP] = to_header(hop)
-    reply = _exchange(connections, target, request, headers, hop.time_left_ms / MS_PER_S)
+    reply = _exchange(
+        connections, target, request, headers, min(hop.time_left_ms / MS_PER_S, read_limit_s)
+    )
     _check_identity(reply, target, hop)
     return reply
 
 
+def send_watched(watch: SilenceWatch, target: Target, request: CallRequest, hop: Hop) -> CallReply:
+    """Send an attempt whose connection is cut once it is found to be silent; see `send_call`."""
+    with watch.watched(hop.call_id, target):
+        return send_call(watch.connections, target, request, hop)
+
+
+def send_anew(target: Target, request: CallRequest, hop: Hop) -> CallReply:
+    """Send an attempt over a connection that no call has used; see `send_call`.
+
+    Its answer is awaited for `SILENCE_LIMIT_S` at most: nothing watches this connection.
+    """
+    connections = Connections()
+    try:
+        return send_call(connections, target, request, hop, read_limit_s=SILENCE_LIMIT_S)
+    finally:
+        connections.close()
+
+
 def _exchange(
     connections: Connections,
     target: Target,
@@ -84,7 +84,11 @@
             redirect=False,
             assert_same_host=False,
         )
-    except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError) as error:
+    except (
+        exceptions.NewConnectionError,
+        exceptions.ConnectTimeoutError,
+        exceptions.ClosedPoolError,
+    ) as error:
         raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
     except exceptions.ReadTimeoutError as error:
         raise RequestError(ErrorKind.TIMED_OUT, _told(target, error)) from error
@@ -112,7 +116,9 @@
     except RequestError as error:
         message = f"{target.target_id} gave status {reply.status} and no whole answer: {error}"
         raise RequestError(ErrorKind.OUTCOME_UNKNOWN, message) from error
-    if (answer.call_id, answer.incarnation) == (hop.call_id, hop.incarnation):
+    is_successor = reply.headers.get(ERROR_KIND) == ErrorKind.WRONG_INCARNATION.value
+    incarnation = hop.incarnation if is_successor else answer.incarnation
+    if (answer.call_id, incarnation) == (hop.call_id, hop.incarnation):
         return
     message = (
         f"{target.target_id} answered call {answer.call_id!r} of incarnation "
--- a/src/daisywharf/_fleet/_membership.py
+++ b/src/daisywharf/_fleet/_membership.py
@@ -1,5 +1,6 @@
 """Know which daemons of the zone live: probes, suspicion before death, incarnations."""
 
+import math
 from random import Random
 from typing import Final
 
@@ -7,6 +8,7 @@
 from daisywharf._fleet._choosing import peers, send, send_all, some_peers
 from daisywharf._fleet._confirming import freshness_of
 from daisywharf._fleet._messages import (
+    ZONE_SCOPES,
     Gossip,
     IndirectProbe,
     Member,
@@ -17,7 +19,7 @@
     Scope,
     Status,
 )
-from daisywharf._fleet._model import FleetState, PendingProbe
+from daisywharf._fleet._model import FleetState, PendingDrain, PendingProbe, Probing
 from daisywharf._fleet._store import drop, heard_again, put
 from daisywharf._fleet._target_records import record_of
 from daisywharf._ids import Incarnation, VmId
@@ -26,7 +28,9 @@
 PROBE_PERIOD_S: Final = 1.0
 INDIRECT_AFTER_S: Final = 0.4
 INDIRECT_PROBES: Final = 3
-SUSPICION_S: Final = 5.0
+SUSPICION_S: Final = 4.0
+SUSPICION_PER_DOUBLING_S: Final = 0.5
+DRAIN_TRIED_FOR_S: Final = 10.0
 ENDED_KEPT_S: Final = 600.0
 MEMBER_COPIES: Final = 8
 
@@ -77,6 +81,8 @@
     store = state.store_by_scope[Scope.MEMBERS]
     vm = record.member.vm
     put(store, record, copies=MEMBER_COPIES)
+    if held is not None and held.member.incarnation != record.member.incarnation:
+        _repeat_drains(state, held, record, now=now)
     is_same = held is not None and held.member == record.member
     if held is None:
         state.view.grew_at = now
@@ -88,6 +94,18 @@
         state.view.is_stale = True
 
 
+def _repeat_drains(
+    state: FleetState, held: MemberRecord, record: MemberRecord, *, now: float
+) -> None:
+    """Tell a daemon that was restarted which of its targets were told to drain."""
+    incarnation_by_id = {target.target_id: target.incarnation for target in record.targets}
+    for target in held.targets:
+        is_same = incarnation_by_id.get(target.target_id) == target.incarnation
+        if is_same and target.state is TargetState.DRAINING:
+            pending = PendingDrain(until=now + DRAIN_TRIED_FOR_S, next_at=now)
+            state.pending_drain_by_id[target.target_id] = pending
+
+
 def _note_status(state: FleetState, record: MemberRecord, *, now: float) -> None:
     vm = record.member.vm
     if record.status == Status.SUSPECT:
@@ -187,12 +205,17 @@
     return [send(subject, Gossip(state.me, (suspicion,)))]
 
 
+def _suspicion_s(state: FleetState) -> float:
+    """Return how long a suspicion can be refuted; news takes longer in a large zone."""
+    return SUSPICION_S + SUSPICION_PER_DOUBLING_S * math.log2(len(peers(state)) + 1)
+
+
 def _end_suspicions(state: FleetState, *, now: float) -> None:
     for vm, since in list(state.probing.suspect_since_by_vm.items()):
         record = state.member_record(vm)
         if record is None or record.status != Status.SUSPECT:
             del state.probing.suspect_since_by_vm[vm]
-        elif now - since >= SUSPICION_S:
+        elif now - since >= _suspicion_s(state):
             _replace(state, record, _ended(record, Status.DEAD), now=now)
 
 
@@ -256,6 +279,18 @@
     return sorted(state.probing.suspect_since_by_vm)
 
 
+def forget_members(state: FleetState) -> None:
+    """Drop the views of this zone: peers may have forgotten who ended meanwhile."""
+    known = [record.member for record in state.member_records()]
+    state.introduced = tuple(member for member in known if member.vm != state.me.vm)
+    for scope in ZONE_SCOPES:
+        store = state.store_by_scope[scope]
+        for key in list(store.record_by_key):
+            drop(store, key)
+    state.probing = Probing()
+    state.view.is_stale = True
+
+
 def restart_suspicions(state: FleetState, *, now: float) -> None:
     """Give each suspected daemon its whole time again, after this one was paused."""
     for vm in state.probing.suspect_since_by_vm:
