--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -104,6 +104,7 @@
         ask_platform=lambda action: None,
         on_snapshot=lambda snapshot: None,
         rng=Random(1),
+        sweep_claims=lambda: None,
     )
     actor._hand_out(0.0)
     snapshot_bytes = tracemalloc.get_traced_memory()[0] - view_bytes
--- a/src/daisywharf/_call/_gate.py
+++ b/src/daisywharf/_call/_gate.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec.structs import replace
 
+from daisywharf._call import _gate_stopping as gate_stopping
 from daisywharf._call._exchange import CallReply, reply_for
 from daisywharf._call._gate_admission import (
     GateAdmission,
@@ -50,10 +51,10 @@
     send_reply,
 )
 from daisywharf._errors import ErrorKind, RequestError
-from daisywharf._ids import Incarnation, ServiceName, TargetId
+from daisywharf._ids import Incarnation, RequestId, ServiceName, TargetId
 from daisywharf._outcomes._once import OnceRecords
 from daisywharf._outcomes._ticket import Ticket
-from daisywharf._overload._admission import AdmissionState
+from daisywharf._overload._admission import AdmissionState, Admit, CallId
 from daisywharf._overload._level import Level, merge_levels
 from daisywharf._signals._counts import OutcomeCounts
 from daisywharf._signals._shedding import SheddingLog, note_shedding
@@ -90,6 +91,7 @@
         self._admission = GateAdmission(
             AdmissionState(slots=slots, service=self.service), clock=clock
         )
+        self._stopping = gate_stopping.GateStopping(clock=clock)
         records = OnceRecords(target_id=self.target_id, incarnation=self.incarnation)
         self._records = GateRecords(records, clock=wall_clock)
 
@@ -126,8 +128,13 @@
 
     def drain(self) -> None:
         """Refuse from now on what has not started; what runs goes on."""
+        gate_stopping.begin_stopping(self._stopping)
         drain_gate(self._admission)
 
+    def may_leave(self) -> bool:
+        """Tell, after `drain`, whether the process may end without cutting a call off."""
+        return gate_stopping.may_leave(self._stopping)
+
     @property
     def admission_state(self) -> AdmissionState:
         """Return the state of the admission, to be read only."""
@@ -177,44 +184,48 @@
         if environ.get("PATH_INFO") == LOOK_UP_PATH:
             return look_up(self._records, ticket)
         if ticket is None:
-            return self._admitted(environ, scope, None)
+            return self._admitted(environ, hop, scope, None)
         first_answer = begin_run(self._records, ticket, digest=digest_of(environ))
-        return first_answer or self._admitted(environ, scope, ticket)
+        return first_answer or self._admitted(environ, hop, scope, ticket)
 
-    def _admitted(self, environ: Environ, scope: Scope, ticket: Ticket | None) -> CallReply:
+    def _admitted(
+        self, environ: Environ, hop: Hop, scope: Scope, ticket: Ticket | None
+    ) -> CallReply:
+        taken = CallId(RequestId(hop.call_id), 0)
+        reply: CallReply | None = None
         try:
+            gate_stopping.take(self._stopping, taken, deadline=scope.context.deadline)
             admitted = enter_gate(self._admission, scope.context)
-        except RequestError:
-            if ticket is not None:
-                give_up_run(self._records, ticket)
-            raise
+            reply = self._run_admitted(environ, scope, admitted, taken)
+            return reply
+        finally:
+            self._settle(taken, ticket, reply)
+
+    def _settle(self, taken: CallId, ticket: Ticket | None, reply: CallReply | None) -> None:
+        # A call without a reply was refused before its run.
+        if ticket is not None and reply is None:
+            give_up_run(self._records, ticket)
+        if ticket is not None and reply is not None:
+            end_run(self._records, ticket, reply)
+        is_order = ticket is not None and reply is not None
+        gate_stopping.settle(self._stopping, taken, is_order=is_order)
+
+    def _run_admitted(
+        self, environ: Environ, scope: Scope, admitted: Admit, taken: CallId
+    ) -> CallReply:
         note_admitted()
         scope.refusals = admitted.refusals or scope.refusals
         scope.lend_slot = partial(lend_slot, self._admission, admitted.call_id)
         scope.take_slot_back = partial(take_slot_back, self._admission, admitted.call_id)
         succeeded = False
         try:
-            self._check_time(scope)
+            gate_stopping.start(self._stopping, taken)
             reply = self._run(environ, scope)
             succeeded = reply.status < HTTPStatus.INTERNAL_SERVER_ERROR
-        except RequestError:
-            # Only what was not run raises here.
-            if ticket is not None:
-                give_up_run(self._records, ticket)
-            raise
+            return reply
         finally:
             below = scope.level_below
             leave_gate(self._admission, admitted.call_id, succeeded=succeeded, below=below)
-        if ticket is not None:
-            end_run(self._records, ticket, reply)
-        return reply
-
-    def _check_time(self, scope: Scope) -> None:
-        # A process that was stopped after the admission may wake past the deadline.
-        if self._clock() < scope.context.deadline:
-            return
-        message = f"request {scope.context.request_id} was admitted, but its time is over"
-        raise RequestError(ErrorKind.TOO_LATE, message)
 
     def _run(self, environ: Environ, scope: Scope) -> CallReply:
         token = current_scope.set(scope)
--- /dev/null
+++ b/src/daisywharf/_call/_gate_stopping.py
@@ -0,0 +1,73 @@
+"""Keep a gate open until its calls are answered, and until lost answers could be asked for."""
+
+import threading
+from collections.abc import Callable
+from typing import Final
+
+from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._outcomes._stopping import (
+    LeaveFleet,
+    StoppingState,
+    call_answered,
+    drop_call,
+    start_call,
+    start_stopping,
+    stopping_tick,
+    take_call,
+)
+from daisywharf._overload._admission import CallId
+
+# A drained target's caller can go to another at once.
+RETRY_AFTER_S: Final = 0.1
+
+
+class GateStopping:
+    """Hold the calls that a gate has taken, and the lock that guards them."""
+
+    def __init__(self, *, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.state = StoppingState(now=clock())
+
+
+def take(stopping: GateStopping, call_id: CallId, *, deadline: float) -> None:
+    """Take a call that arrives; raise `RequestError` (draining) once the gate stops."""
+    with stopping.lock:
+        refusal = take_call(stopping.state, call_id, deadline=deadline)
+    _raise_if(refusal, call_id)
+
+
+def start(stopping: GateStopping, call_id: CallId) -> None:
+    """Let an admitted call run; raise `RequestError` (draining, too late) where it must not.
+
+    It is judged again right before the run, since a stopped process may wake past the deadline.
+    """
+    with stopping.lock:
+        refusal = start_call(stopping.state, call_id, now=stopping.clock())
+    _raise_if(refusal, call_id)
+
+
+def settle(stopping: GateStopping, call_id: CallId, *, is_order: bool) -> None:
+    """Note that a call was refused, or that its answer is ready."""
+    with stopping.lock:
+        drop_call(stopping.state, call_id)
+        call_answered(stopping.state, call_id, now=stopping.clock(), is_order=is_order)
+
+
+def begin_stopping(stopping: GateStopping) -> None:
+    """Take no call from now on."""
+    with stopping.lock:
+        start_stopping(stopping.state, now=stopping.clock())
+
+
+def may_leave(stopping: GateStopping) -> bool:
+    """Tell whether the process may end without cutting a call off."""
+    with stopping.lock:
+        actions = stopping_tick(stopping.state, now=stopping.clock())
+    return any(isinstance(action, LeaveFleet) for action in actions)
+
+
+def _raise_if(refusal: ErrorKind | None, call_id: CallId) -> None:
+    if refusal is not None:
+        message = f"the gate did not run call {call_id.request_id}: {refusal.value}"
+        raise RequestError(refusal, message, retry_after_s=RETRY_AFTER_S)
--- a/src/daisywharf/_daemon/_daemon.py
+++ b/src/daisywharf/_daemon/_daemon.py
@@ -88,6 +88,7 @@
             ask_platform=lambda action: _ask(action, asking, watching),
             on_snapshot=lambda snapshot: push_snapshot(self.subscriptions, self.links, snapshot),
             rng=Random(),
+            sweep_claims=asking.proxy().sweep_claims.defer,
         )
         self.running = Running(member, fleet.proxy(), [fleet, asking, watching])
         self.links.every(TICK_PERIOD_S, self._tick)
--- a/src/daisywharf/_daemon/_fleet_actor.py
+++ b/src/daisywharf/_daemon/_fleet_actor.py
@@ -11,6 +11,7 @@
 from daisywharf._call._demand import Demand
 from daisywharf._call._snapshot import Snapshot, SnapshotHolder
 from daisywharf._daemon._actors import survives_failure
+from daisywharf._daemon._claim_sweep import SWEEP_PERIOD_S
 from daisywharf._daemon._fleet_events import SeenFleet, fleet_events
 from daisywharf._fleet import _state as fleet
 from daisywharf._fleet._messages import FleetMessage
@@ -60,6 +61,7 @@
         ask_platform: Callable[[FleetAction], None],
         on_snapshot: Callable[[Snapshot], None],
         rng: Random,
+        sweep_claims: Callable[[], None],
     ) -> None:
         super().__init__()
         self._state = state
@@ -68,6 +70,9 @@
         self._ask_platform = ask_platform
         self._on_snapshot = on_snapshot
         self._rng = rng
+        self._sweep_claims = sweep_claims
+        # Watchers that start together sweep at different times.
+        self._sweep_at = time.monotonic() + rng.uniform(0.5, 1.0) * SWEEP_PERIOD_S
         self._handed_version: ViewVersion | None = None
         self._handed_at = float("-inf")
         self._seen = SeenFleet()
@@ -81,6 +86,10 @@
         self._notice_gap(now)
         self._do(fleet.tick(self._state, now=now, rng=self._rng))
         self._hand_out(now)
+        if now >= self._sweep_at:
+            self._sweep_at = now + SWEEP_PERIOD_S
+            if fleet.status(self._state, now).is_watcher:
+                self._sweep_claims()
         if now - self._looked_at >= EVENTS_PERIOD_S:
             self._log_changes(now)
 
--- a/src/daisywharf/_daemon/_platform_actor.py
+++ b/src/daisywharf/_daemon/_platform_actor.py
@@ -8,6 +8,7 @@
 import pykka
 
 from daisywharf._contracts import contract_from_json
+from daisywharf._daemon._claim_sweep import sweep_claims
 from daisywharf._errors import DaisywharfError, ErrorKind, PlatformError
 from daisywharf._fleet._actions import PlatformAction
 from daisywharf._fleet._messages import ContractRecord, Member
@@ -71,6 +72,11 @@
         self._counts = counts or PlatformCounts()
         self._health = health or PlatformHealth()
 
+    def sweep_claims(self) -> None:
+        """Delete lapsed claims of callers' keys."""
+        self._counts.calls.add_named("sweep_claims")
+        sweep_claims(self._platform, now=time.time())
+
     def run(self, action: PlatformAction) -> None:
         """Run an action; a failure is a result too."""
         name = ACTION_NAMES[type(action)]
--- a/src/daisywharf/_embedded/_target.py
+++ b/src/daisywharf/_embedded/_target.py
@@ -79,7 +79,7 @@
         self._thread.join(timeout=ANNOUNCE_TIMEOUT_S + RENEW_AFTER_S)
         self._leave()
         give_up_at = time.monotonic() + STOP_TIMEOUT_S
-        while self.gate.in_flight and time.monotonic() < give_up_at:
+        while not self.gate.may_leave() and time.monotonic() < give_up_at:
             time.sleep(STOP_POLL_S)
         self._server.stop()
 
--- a/tests/test_signals_events.py
+++ b/tests/test_signals_events.py
@@ -197,6 +197,7 @@
         ask_platform=lambda action: None,
         on_snapshot=lambda snapshot: None,
         rng=Random(1),
+        sweep_claims=lambda: None,
     )
     for now in (10.0, 10.1, 10.1 + fleet.PAUSE_S):
         actor._notice_gap(now)
