--- a/src/daisywharf/_call/_attempts.py
+++ b/src/daisywharf/_call/_attempts.py
@@ -1,5 +1,6 @@
 """Make the attempts of one call: choose a target, send, and retry within the budget."""
 
+import time
 from typing import Final
 
 from msgspec.structs import replace
@@ -7,11 +8,11 @@
 from daisywharf._call._exchange import CallReply, CallRequest, error_in
 from daisywharf._call._hop import HOP_ANSWER, answer_from_header, hop_to, level_in
 from daisywharf._call._parties import CallerState, choose_target, note_outcome, note_start
-from daisywharf._call._resolving import new_ticket, resolve_outcome
+from daisywharf._call._resolving import TicketedCall, new_permit, send_under_ticket
 from daisywharf._call._scope import Scope
 from daisywharf._errors import ErrorKind, Ran, RequestError
 from daisywharf._ids import TargetId
-from daisywharf._outcomes._ticket import Ticket
+from daisywharf._outcomes._claim import SendUnderClaim
 from daisywharf._routing._kinds import outcome_of
 from daisywharf._routing._retries import (
     RetryRatioKey,
@@ -59,11 +60,15 @@
 
 
 def attempt_at(
-    state: CallerState, scope: Scope, request: CallRequest, target: Target, ticket: Ticket
+    state: CallerState,
+    scope: Scope,
+    request: CallRequest,
+    target: Target,
+    permit: SendUnderClaim,
 ) -> CallReply:
-    """Make the one attempt that a ticket allows; raise `RequestError`."""
+    """Make the one attempt that a permit allows; raise `RequestError`."""
     note_start(state, target, now=state.clock())
-    return _attempt_in_span(state, scope, request, target, ticket)
+    return _attempt_in_span(state, scope, request, target, permit)
 
 
 def _no_target(request: CallRequest, excluded: frozenset[TargetId]) -> RequestError:
@@ -99,14 +104,14 @@
     scope: Scope,
     request: CallRequest,
     target: Target,
-    ticket: Ticket | None,
+    permit: SendUnderClaim | None,
 ) -> CallReply:
     def run(below: str | None) -> CallReply:
         if below == request.context.traceparent:
-            return _attempt(state, scope, request, target, ticket)
+            return _attempt(state, scope, request, target, permit)
         context = replace(request.context, traceparent=below)
         describe_span(context, retries=scope.budget.left, now=state.clock())
-        return _attempt(state, scope, replace(request, context=context), target, ticket)
+        return _attempt(state, scope, replace(request, context=context), target, permit)
 
     context = request.context
     return in_span(
@@ -125,16 +130,16 @@
     scope: Scope,
     request: CallRequest,
     target: Target,
-    ticket: Ticket | None,
+    permit: SendUnderClaim | None,
 ) -> CallReply:
     started = state.clock()
-    if ticket is None and not request.context.idempotent:
-        ticket = new_ticket(request, target, now=started)
+    if permit is None and not request.context.idempotent:
+        permit = new_permit(request, target, now=started)
     lent = lend(scope.budget)
     unspent: int | None = None
     outcome = CallOutcome.FAILED
     try:
-        reply = _send(state, request, target, ticket, lent, now=started)
+        reply = _send(state, request, target, permit, lent, now=started)
         answer = answer_from_header(reply.headers.get(HOP_ANSWER))
         unspent = answer.retries_unspent
         scope.note_level(level_in(answer))
@@ -155,15 +160,15 @@
     state: CallerState,
     request: CallRequest,
     target: Target,
-    ticket: Ticket | None,
+    permit: SendUnderClaim | None,
     lent: int,
     *,
     now: float,
 ) -> CallReply:
-    hop = hop_to(target, request.context, retries=lent, ticket=ticket, now=now)
-    try:
+    ticket = None if permit is None else permit.ticket
+    hop = hop_to(
+        target, request.context, retries=lent, ticket=ticket, now=now, wall_now=time.time()
+    )
+    if permit is None:
         return state.send(target, request, hop)
-    except RequestError as error:
-        if ticket is None or error.answer.ran is Ran.NO:
-            raise
-        return resolve_outcome(state, target, request, ticket, error)
+    return send_under_ticket(TicketedCall(state, target, request, permit), hop)
--- a/src/daisywharf/_call/_transport.py
+++ b/src/daisywharf/_call/_transport.py
@@ -16,7 +16,9 @@
     to_header,
 )
 from daisywharf._call._silence import SilenceWatch
+from daisywharf._context import ERROR_KIND
 from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._outcomes._link import SILENCE_LIMIT_S
 from daisywharf._topology import Target
 
 RESOLVE_PATH: Final = "/.daisywharf/resolve"
@@ -25,7 +27,12 @@
 
 
 def send_call(
-    connections: Connections, target: Target, request: CallRequest, hop: Hop
+    connections: Connections,
+    target: Target,
+    request: CallRequest,
+    hop: Hop,
+    *,
+    read_limit_s: float = float("inf"),
 ) -> CallReply:
     """Send an attempt and return its whole answer, with the gate's part of it.
 
@@ -33,7 +40,9 @@
     """
     headers = without_headers_of_one_hop(request.headers)
     headers[HOP] = to_header(hop)
-    reply = _exchange(connections, target, request, headers, hop.time_left_ms / MS_PER_S)
+    reply = _exchange(
+        connections, target, request, headers, min(hop.time_left_ms / MS_PER_S, read_limit_s)
+    )
     _check_identity(reply, target, hop)
     return reply
 
@@ -45,10 +54,13 @@
 
 
 def send_anew(target: Target, request: CallRequest, hop: Hop) -> CallReply:
-    """Send an attempt over a connection that no call has used; see `send_call`."""
+    """Send an attempt over a connection that no call has used; see `send_call`.
+
+    Its answer is awaited for `SILENCE_LIMIT_S` at most: nothing watches this connection.
+    """
     connections = Connections()
     try:
-        return send_call(connections, target, request, hop)
+        return send_call(connections, target, request, hop, read_limit_s=SILENCE_LIMIT_S)
     finally:
         connections.close()
 
@@ -72,7 +84,11 @@
             redirect=False,
             assert_same_host=False,
         )
-    except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError) as error:
+    except (
+        exceptions.NewConnectionError,
+        exceptions.ConnectTimeoutError,
+        exceptions.ClosedPoolError,
+    ) as error:
         raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
     except exceptions.ReadTimeoutError as error:
         raise RequestError(ErrorKind.TIMED_OUT, _told(target, error)) from error
@@ -100,7 +116,9 @@
     except RequestError as error:
         message = f"{target.target_id} gave status {reply.status} and no whole answer: {error}"
         raise RequestError(ErrorKind.OUTCOME_UNKNOWN, message) from error
-    if (answer.call_id, answer.incarnation) == (hop.call_id, hop.incarnation):
+    is_successor = reply.headers.get(ERROR_KIND) == ErrorKind.WRONG_INCARNATION.value
+    incarnation = hop.incarnation if is_successor else answer.incarnation
+    if (answer.call_id, incarnation) == (hop.call_id, hop.incarnation):
         return
     message = (
         f"{target.target_id} answered call {answer.call_id!r} of incarnation "
