--- a/tests/test_replay_run.py
+++ b/tests/test_replay_run.py
@@ -87,7 +87,7 @@
 
 
 def test_no_request_takes_more_retries_than_its_class_has() -> None:
-    calls = build_calls(400, period_s=0.002, name="browse")
+    calls = build_calls(800, period_s=0.001, name="browse")
     ends = replay_trace(build_trace(calls)).ends
     assert any(end.kind is not None for end in ends)
     assert all(end.retries <= BROWSE.retries for end in ends)
