--- a/src/daisywharf/_call/_resolving.py
+++ b/src/daisywharf/_call/_resolving.py
@@ -106,6 +106,7 @@
     hop = hop_to(
         call.target, request.context, retries=0, ticket=call.ticket, now=now, wall_now=time.time()
     )
+    # Other idle connections may be as silent as the one that failed.
     if _send(call, call.state.send_anew, request, hop) is not None:
         return ResolveFailed()
     return _resolved(call) if is_resolve else _event_of_reply(call)
--- a/src/daisywharf/_fleet/_gossip.py
+++ b/src/daisywharf/_fleet/_gossip.py
@@ -36,11 +36,11 @@
 
 GOSSIP_PERIOD_S: Final = 0.2
 GOSSIP_FANOUT: Final = 3
-GOSSIP_BYTES_PER_S: Final = 7_000.0
+GOSSIP_BYTES_PER_S: Final = 6_500.0
 GOSSIP_BURST_BYTES: Final = 14_000.0
 GOSSIP_RESERVE_BYTES: Final = 4_000.0
 GOSSIP_MESSAGE_BYTES: Final = 1_200
-REPAIR_BYTES_PER_S: Final = 4_000.0
+REPAIR_BYTES_PER_S: Final = 3_500.0
 REPAIR_BURST_BYTES: Final = 48_000.0
 REPAIR_MESSAGE_BYTES: Final = 12_000
 BUCKETS_MESSAGE_BYTES: Final = 400
@@ -120,12 +120,16 @@
 def _rumours_by_need(state: FleetState) -> list[Rumour]:
     stores = state.store_by_scope.values()
     rumours = [rumour for store in stores for rumour in store.rumour_by_key.values()]
-    return sorted(rumours, key=_need)
+    own_key = f"m {state.me.vm}"
+    return sorted(rumours, key=lambda rumour: _need(rumour, own_key))
 
 
-def _need(rumour: Rumour) -> tuple[bool, int]:
-    """Order demand after the rest, and the least spread first."""
-    return (isinstance(rumour.record, DemandRecord), -rumour.copies_left)
+def _need(rumour: Rumour, own_key: str) -> tuple[int, int]:
+    """Order this daemon's own record first and demand last, and the least spread first."""
+    record = rumour.record
+    if isinstance(record, DemandRecord):
+        return (2, -rumour.copies_left)
+    return (0 if record.key == own_key else 1, -rumour.copies_left)
 
 
 def _drop_spread(state: FleetState) -> None:
--- a/tests/test_fleet_contracts.py
+++ b/tests/test_fleet_contracts.py
@@ -123,6 +123,19 @@
     assert all(fleet.contracts_by_customer(state)[KARRI].version == version for state in running)
 
 
+def test_a_restart_of_everything_in_an_outage_confirms_nothing_until_it_ends() -> None:
+    world = running_fleet()
+    world.is_platform_down = True
+    for known in world.members:
+        world.start(known.vm)
+    world.run(40.0)
+    assert not any(fleet.is_confirmed(state) for state in world.state_by_vm.values())
+    world.is_platform_down = False
+    world.run(8.0)
+    assert set(world.versions()) == {1}
+    assert all(fleet.is_confirmed(state) for state in world.state_by_vm.values())
+
+
 def test_a_lost_answer_is_asked_for_again() -> None:
     world = running_fleet()
     world.pending.clear()
@@ -145,6 +158,18 @@
     assert world.platform_calls - before <= watchers * 3
 
 
+def test_a_platform_that_takes_five_seconds_only_delays_edits() -> None:
+    world = running_fleet()
+    world.slow_s = 5.0
+    world.run(10.0)
+    before = world.platform_calls
+    version = world.write(rate_per_second=3.0)
+    world.run(12.0)
+    assert set(world.versions()) == {version}
+    assert all(fleet.is_confirmed(state) for state in world.state_by_vm.values())
+    assert world.platform_calls - before <= 2 * len(world.zones) * 4
+
+
 def test_a_waiting_operator_sees_each_zone_confirm() -> None:
     world = running_fleet()
     state = world.state_by_vm[VmId("vm-0")]
