--- a/src/daisywharf/_call/_transport.py
+++ b/src/daisywharf/_call/_transport.py
@@ -24,6 +24,7 @@
 RESOLVE_PATH: Final = "/.daisywharf/resolve"
 LOOK_UP_PATH: Final = "/.daisywharf/order"
 CONNECT_TIMEOUT_S: Final = 0.5
+LEAST_TIMEOUT_S: Final = 0.001
 
 
 def send_call(
@@ -40,9 +41,9 @@
     """
     headers = without_headers_of_one_hop(request.headers)
     headers[HOP] = to_header(hop)
-    reply = _exchange(
-        connections, target, request, headers, min(hop.time_left_ms / MS_PER_S, read_limit_s)
-    )
+    time_left_s = max(hop.time_left_ms / MS_PER_S, LEAST_TIMEOUT_S)
+    limit_s = min(time_left_s, read_limit_s)
+    reply = _exchange(connections, target, request, headers, limit_s)
     _check_identity(reply, target, hop)
     return reply
 
@@ -70,10 +71,9 @@
     target: Target,
     request: CallRequest,
     headers: dict[str, str],
-    time_left_s: float,
+    read_limit_s: float,
 ) -> CallReply:
-    time_left_s = max(time_left_s, 0.001)
-    timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, time_left_s), read=time_left_s)
+    timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, read_limit_s), read=read_limit_s)
     try:
         response = connections.pool(target.address).urlopen(
             request.method,
@@ -84,13 +84,12 @@
             redirect=False,
             assert_same_host=False,
         )
-    except (
-        exceptions.NewConnectionError,
-        exceptions.ConnectTimeoutError,
-        exceptions.ClosedPoolError,
-    ) as error:
+    except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError) as error:
+        raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
+    except exceptions.ClosedPoolError as error:
         raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
     except exceptions.ReadTimeoutError as error:
+        connections.forget(target.address)
         raise RequestError(ErrorKind.TIMED_OUT, _told(target, error)) from error
     except (exceptions.IncompleteRead, exceptions.DecodeError) as error:
         raise RequestError(ErrorKind.CUT_ANSWER, _told(target, error)) from error
