--- a/tests/test_replay_command.py
+++ b/tests/test_replay_command.py
@@ -15,15 +15,6 @@
 
 TRACES = Path(__file__).parent / "traces"
 RECORDED = sorted(path.stem for path in TRACES.glob("*.jsonl"))
-# Each stands in KNOWN-RED.txt, and fails here once it is mended, so that it is taken off there.
-KNOWN_RED = {"karri-ridge-surge"}
-
-
-def recorded_traces() -> list[Any]:
-    red = pytest.mark.xfail(strict=True, reason="stands in KNOWN-RED.txt")
-    return [
-        pytest.param(name, id=name, marks=[red] if name in KNOWN_RED else []) for name in RECORDED
-    ]
 
 
 @pytest.fixture
@@ -43,7 +34,7 @@
     assert len(RECORDED) == 2 * len(Case)
 
 
-@pytest.mark.parametrize("name", recorded_traces())
+@pytest.mark.parametrize("name", RECORDED)
 def test_a_recorded_trace_comes_to_its_stated_outcomes(
     name: str, capsys: pytest.CaptureFixture[str]
 ) -> None:
