--- a/src/daisywharf/_overload/_shedding.py
+++ b/src/daisywharf/_overload/_shedding.py
@@ -12,12 +12,13 @@
     note_let_in,
     note_refusals,
 )
-from daisywharf._overload._level import OPEN_LEVEL
+from daisywharf._overload._level import OPEN_LEVEL, Level
 from daisywharf._overload._track import LevelTrack, move_towards, raised_level, settled_level
 
 AIM_LOAD: Final = 1.12
 EASY_LOAD: Final = 0.5
 EASY_RISE_PER_S: Final = 40.0
+ABOVE_CRITICAL: Final = Level(Importance.HIGH, 0)
 MAX_CUT_PART: Final = 0.35
 LEAST_USED: Final = 0.2
 CORRECTION_PERIOD_S: Final = 0.5
@@ -76,6 +77,9 @@
     correction = max(correction, -MAX_CUT_PART * capacity)
     fitting_rate = max(0.0, capacity + correction)
     wanted = level_for_rate(shedding.demand, fitting_rate)
+    # A backlog is worked off at the cost of less important work, as long as critical work fits.
+    critical = min(level_for_rate(shedding.demand, capacity), ABOVE_CRITICAL)
+    wanted = max(wanted, critical)
     if shedding.load < EASY_LOAD:
         # The demand is of some time ago; a gate with little to do opens without waiting for it.
         rise = EASY_RISE_PER_S * elapsed_s * (1.0 - shedding.load / EASY_LOAD)
