--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -95,3 +95,49 @@
 @pytest.mark.parametrize("weight", [0.01, 1.0, 37.0, 5000.0])
 def test_a_written_weight_is_within_five_in_a_hundred(weight: float) -> None:
     assert weight_of(level_of(weight)) == pytest.approx(weight, rel=0.05)
+
+
+def test_the_sum_holds_while_speakers_pause_at_the_edge_of_a_cut() -> None:
+    """Follow an example that the machine of shares found with a random seed."""
+    world = FakeFleet(zones=3, per_zone=3, seed=384, loss=0.05)
+    world.write()
+    requests_by_vm: dict[VmId, int] = {}
+    sums: list[float] = []
+
+    def move_to(number: int) -> None:
+        for known in world.members:
+            requests_by_vm[known.vm] = 12 if known.zone == world.zones[number] else 0
+
+    def pause(number: int, for_s: float) -> None:
+        world.pause(VmId(f"vm-{number}"), for_s=for_s)
+
+    def switch_cut() -> None:
+        world.cut_zones ^= {world.zones[2]}
+
+    def pass_time(seconds: int) -> None:
+        for _ in range(seconds * 5):
+            for vm, state in world.state_by_vm.items():
+                requests = requests_by_vm.get(vm, 2)
+                fleet.note_demand(state, KARRI, ORDER, requests=requests, now=world.now)
+            world.step()
+            sums.append(world.share_sum())
+
+    pass_time(14)
+    pause(5, 2.0)
+    requests_by_vm |= {VmId("vm-3"): 8, VmId("vm-7"): 8}
+    pause(6, 7.0)
+    move_to(2)
+    pass_time(7)
+    requests_by_vm[VmId("vm-8")] = 0
+    pass_time(6)
+    move_to(2)
+    switch_cut()
+    pass_time(1)
+    move_to(0)
+    pause(8, 2.0)
+    pause(4, 7.0)
+    pause(5, 2.0)
+    pass_time(1)
+    move_to(1)
+    pass_time(10)
+    assert max(sums) <= 1.10
