--- a/benchmarks/_size_fleet.py
+++ b/benchmarks/_size_fleet.py
@@ -37,7 +37,8 @@
 class SizeFleet:
     """Hold the running daemons by name, and what drives them."""
 
-    def __init__(self, processes: Processes) -> None:
+    def __init__(self, processes: Processes, *, zones: int = len(ZONES)) -> None:
+        self.zones = ZONES[:zones]
         self.processes = processes
         self.http_by_name: dict[str, Address] = {}
         self.links_by_name: dict[str, str] = {}
@@ -117,7 +118,7 @@
         settings = write_settings(
             self.processes.directory,
             name,
-            zone=ZONES[place % len(ZONES)],
+            zone=self.zones[place % len(self.zones)],
             platform=self.platform,
             peers=seeds,
             keys=(KEY,),
--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -45,6 +45,7 @@
     """Hold one size's figures; each spread is over the daemons."""
 
     daemons: int
+    zones: int
     window_s: float
     started_s: float
     cpu_percent: Spread
@@ -76,6 +77,9 @@
     """Print the figures of each size, and the slopes between them."""
     parser = argparse.ArgumentParser(prog="benchmarks size", description=main.__doc__)
     parser.add_argument("--daemons", default="10,50", help="sizes, separated by commas")
+    parser.add_argument(
+        "--zones", type=int, choices=range(1, len(ZONES) + 1), default=len(ZONES), help="zones"
+    )
     parser.add_argument("--window-s", type=float, default=30.0, help="time measured at each size")
     parser.add_argument("--json", action="store_true")
     options = parser.parse_args(arguments)
@@ -83,20 +87,25 @@
     if not all(len(ZONES) <= size <= MAX_DAEMONS for size in sizes):
         parser.error(f"--daemons takes sizes from {len(ZONES)} to {MAX_DAEMONS}")
     bare = bare_sample()
-    figures = [_measure_size(size, bare, window_s=options.window_s) for size in sizes]
+    figures = [
+        _measure_size(size, bare, zones=options.zones, window_s=options.window_s) for size in sizes
+    ]
     report = {
         "bare": msgspec.to_builtins(bare),
         "sizes": [msgspec.to_builtins(figure) for figure in figures],
-        "slopes": {name: msgspec.to_builtins(slope) for name, slope in _slopes(figures).items()},
+        "slopes": {
+            name: msgspec.to_builtins(slope)
+            for name, slope in _slopes(figures, options.zones).items()
+        },
     }
     print(json.dumps(report, indent=None if options.json else 2))
     return 0
 
 
-def _measure_size(daemons: int, bare: ProcessSample, *, window_s: float) -> SizeFigures:
+def _measure_size(daemons: int, bare: ProcessSample, *, zones: int, window_s: float) -> SizeFigures:
     with tempfile.TemporaryDirectory() as directory:
         processes = Processes(Path(directory))
-        fleet = SizeFleet(processes)
+        fleet = SizeFleet(processes, zones=zones)
         try:
             began_at = time.monotonic()
             fleet.start(daemons)
@@ -138,6 +147,7 @@
 
     return SizeFigures(
         daemons=len(names),
+        zones=len(fleet.zones),
         window_s=window_s,
         started_s=round(started_s, 1),
         cpu_percent=spread_of([cpu_percent(before[name], after[name]) for name in names]),
@@ -190,11 +200,11 @@
     return next((row["version"] for row in in_force if row["customer"] == customer), 0)
 
 
-def _slopes(figures: list[SizeFigures]) -> dict[str, Slope]:
+def _slopes(figures: list[SizeFigures], zones: int) -> dict[str, Slope]:
     if len(figures) < 2:
         return {}
     names = ("cpu_percent", "resident_mb", "proportional_mb", "kb_in_per_s", "kb_out_per_s")
-    daemons_of_zone = [figure.daemons / len(ZONES) for figure in figures]
+    daemons_of_zone = [figure.daemons / zones for figure in figures]
     return {
         name: _line(daemons_of_zone, [getattr(figure, name).median for figure in figures])
         for name in names
