--- a/benchmarks/_overload_figures.py
+++ b/benchmarks/_overload_figures.py
@@ -97,7 +97,7 @@
         for customer, count in whole.items()
         if customer != GREEDY_CUSTOMER and count
     ]
-    return max(0.0, *losses)
+    return max([0.0, *losses])
 
 
 def success_by_customer(scenario: Scenario, watch: Watch) -> dict[CustomerId, float]:
--- a/src/daisywharf/_cli/operators.py
+++ b/src/daisywharf/_cli/operators.py
@@ -30,7 +30,7 @@
 app.add_typer(target.app, name="target", help="List and drain targets.")
 app.add_typer(settings.app, name="settings")
 app.command(epilog="Example: daisywharf status --customer builders")(status.status)
-app.command(epilog="Example: daisywharf order counter-7-2041")(status.order)
+app.command(epilog="Example: daisywharf order counter-7 --customer counter-staff")(status.order)
 
 
 @app.callback()
