Pass packed answers and cookies on as they came

Cause: answers were unpacked on the way while their encoding and length headers stayed, so a packed answer reached its caller unreadable; repeated headers were lost; the answer to an outside caller had its length twice and the gate's inner header. Change: no unpacking on the way, repeated headers joined (cookies kept apart), inner headers dropped at the entry.

--- a/src/daisywharf/_call/_exchange.py
+++ b/src/daisywharf/_call/_exchange.py
@@ -1,6 +1,6 @@
 """A call and its reply, and how filters are put in a row."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from functools import reduce
 from typing import Final
 
@@ -12,6 +12,8 @@
 from daisywharf._ids import ServiceName
 
 RETRY_AFTER: Final = "Retry-After"
+SET_COOKIE: Final = "set-cookie"
+COOKIE_SEPARATOR: Final = "\n"
 HEADERS_OF_ONE_HOP: Final = frozenset(
     {
         "connection",
@@ -58,6 +60,30 @@
     return reduce(put_before, reversed(filters), last)
 
 
+def joined_headers(pairs: Iterable[tuple[str, str]]) -> dict[str, str]:
+    """Join repeated headers into one value, as HTTP allows for all but cookies.
+
+    Cookies can't be joined by commas, so they stand on lines of their own.
+    """
+    headers: dict[str, str] = {}
+    name_by_lower: dict[str, str] = {}
+    for name, value in pairs:
+        first_name = name_by_lower.setdefault(name.lower(), name)
+        separator = COOKIE_SEPARATOR if name.lower() == SET_COOKIE else ", "
+        known = headers.get(first_name)
+        headers[first_name] = value if known is None else known + separator + value
+    return headers
+
+
+def header_pairs(headers: dict[str, str]) -> list[tuple[str, str]]:
+    """Return headers as they are sent, each cookie in one of its own."""
+    return [
+        (name, part)
+        for name, value in headers.items()
+        for part in (value.split(COOKIE_SEPARATOR) if name.lower() == SET_COOKIE else (value,))
+    ]
+
+
 def without_headers_of_one_hop(headers: dict[str, str]) -> dict[str, str]:
     """Drop the headers that only concern one connection."""
     return {
--- a/src/daisywharf/_call/_transport.py
+++ b/src/daisywharf/_call/_transport.py
@@ -6,7 +6,12 @@
 from urllib3 import exceptions
 
 from daisywharf._call._connections import Connections
-from daisywharf._call._exchange import CallReply, CallRequest, without_headers_of_one_hop
+from daisywharf._call._exchange import (
+    CallReply,
+    CallRequest,
+    joined_headers,
+    without_headers_of_one_hop,
+)
 from daisywharf._call._hop import (
     HOP,
     HOP_ANSWER,
@@ -83,6 +88,8 @@
             timeout=timeout,
             redirect=False,
             assert_same_host=False,
+            # The answer is passed on as it came, with its encoding and its length.
+            decode_content=False,
         )
     except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError) as error:
         raise RequestError(ErrorKind.CONNECT_FAILED, _told(target, error)) from error
@@ -98,7 +105,8 @@
         raise RequestError(kind, _told(target, error)) from error
     except exceptions.HTTPError as error:
         raise RequestError(ErrorKind.OUTCOME_UNKNOWN, _told(target, error)) from error
-    return CallReply(response.status, dict(response.headers), response.data)
+    headers_back = without_headers_of_one_hop(joined_headers(response.headers.iteritems()))
+    return CallReply(response.status, headers_back, response.data)
 
 
 def _is_cut(error: exceptions.ProtocolError) -> bool:
--- a/src/daisywharf/_call/_wsgi.py
+++ b/src/daisywharf/_call/_wsgi.py
@@ -6,7 +6,12 @@
 from io import BytesIO
 from typing import Any, Final
 
-from daisywharf._call._exchange import CallReply, without_headers_of_one_hop
+from daisywharf._call._exchange import (
+    CallReply,
+    header_pairs,
+    joined_headers,
+    without_headers_of_one_hop,
+)
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._limits import MAX_BODY_BYTES
 
@@ -88,12 +93,14 @@
             close()
     status, headers = started[-1]
     return CallReply(
-        int(status[:3]), without_headers_of_one_hop(dict(headers)), b"".join(written) + body
+        int(status[:3]),
+        without_headers_of_one_hop(joined_headers(headers)),
+        b"".join(written) + body,
     )
 
 
 def send_reply(reply: CallReply, start_response: StartResponse) -> list[bytes]:
     """Give a whole answer, with its length, to a WSGI server."""
-    headers = [*reply.headers.items(), ("Content-Length", str(len(reply.body)))]
+    headers = [*header_pairs(reply.headers), ("Content-Length", str(len(reply.body)))]
     start_response(f"{reply.status} {responses.get(reply.status, 'Answer')}", headers)
     return [reply.body]
--- a/src/daisywharf/_daemon/_entry.py
+++ b/src/daisywharf/_daemon/_entry.py
@@ -4,6 +4,7 @@
 
 from daisywharf._call._caller import Caller
 from daisywharf._call._exchange import CallReply
+from daisywharf._call._hop import HOP_ANSWER
 from daisywharf._call._wsgi import Environ, body_of, headers_of
 from daisywharf._context import CALL_CLASS, CUSTOMER, IDEMPOTENCY_KEY, TRACEPARENT
 from daisywharf._errors import ErrorKind, RequestError
@@ -16,7 +17,7 @@
     """Pass an outside request on to its service; raise `RequestError`."""
     headers = headers_of(environ)
     service, path = path_after(ENTRY_PREFIX, environ)
-    return caller.enter(
+    reply = caller.enter(
         service,
         path,
         customer=_required(headers, CUSTOMER),
@@ -27,6 +28,13 @@
         key=headers.get(IDEMPOTENCY_KEY),
         traceparent=headers.get(TRACEPARENT),
     )
+    return outside_reply(reply)
+
+
+def outside_reply(reply: CallReply) -> CallReply:
+    """Drop from an answer what only callers inside read."""
+    headers = {name: value for name, value in reply.headers.items() if name != HOP_ANSWER}
+    return CallReply(reply.status, headers, reply.body)
 
 
 def _required(headers: dict[str, str], name: str) -> str:
--- a/src/daisywharf/_daemon/_forwarding.py
+++ b/src/daisywharf/_daemon/_forwarding.py
@@ -10,7 +10,12 @@
 from urllib3 import exceptions
 
 from daisywharf._call._connections import CONNECTIONS_PER_TARGET
-from daisywharf._call._exchange import CallReply, reply_for, without_headers_of_one_hop
+from daisywharf._call._exchange import (
+    CallReply,
+    joined_headers,
+    reply_for,
+    without_headers_of_one_hop,
+)
 from daisywharf._call._gate import Gate, TargetNotReachedError
 from daisywharf._call._scope import Scope, current_scope
 from daisywharf._call._transport import CONNECT_TIMEOUT_S
@@ -97,6 +102,7 @@
             headers=headers,
             timeout=urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, time_left_s), read=time_left_s),
             redirect=False,
+            decode_content=False,
         )
     except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError) as error:
         message = f"the target does not accept connections: {error}"
@@ -104,5 +110,5 @@
     except exceptions.HTTPError as error:
         message = f"the target gave no whole answer: {error}"
         return reply_for(RequestError(ErrorKind.OUTCOME_UNKNOWN, message))
-    headers_back = without_headers_of_one_hop(dict(response.headers))
+    headers_back = without_headers_of_one_hop(joined_headers(response.headers.iteritems()))
     return CallReply(response.status, headers_back, response.data)
--- a/src/daisywharf/_daemon/_onward.py
+++ b/src/daisywharf/_daemon/_onward.py
@@ -6,7 +6,7 @@
 from daisywharf._call._exchange import CallReply
 from daisywharf._call._scope import current_scope
 from daisywharf._call._wsgi import Environ, body_of, headers_of
-from daisywharf._daemon._entry import outside_headers, path_after
+from daisywharf._daemon._entry import outside_headers, outside_reply, path_after
 from daisywharf._daemon._forwarding import ONWARD_TOKEN, HostedGates
 from daisywharf._errors import ErrorKind, RequestError
 
@@ -28,7 +28,7 @@
     stated = headers.get(IDEMPOTENT)
     token = current_scope.set(scope)
     try:
-        return caller.call(
+        reply = caller.call(
             service,
             path,
             method=environ["REQUEST_METHOD"],
@@ -36,5 +36,6 @@
             headers=outside_headers(headers),
             idempotent=None if stated is None else stated != "0",
         )
+        return outside_reply(reply)
     finally:
         current_scope.reset(token)
--- a/tests/test_hosted_gate.py
+++ b/tests/test_hosted_gate.py
@@ -1,5 +1,6 @@
 """A target that can't embed a gate stands behind its VM's daemon."""
 
+import gzip
 import json
 from collections.abc import Iterator
 
@@ -20,6 +21,7 @@
 pytestmark = pytest.mark.processes
 
 CUSTOMER = "plain-customer"
+PACKED = gzip.compress(b"a whole answer " * 40)
 
 
 class PlainTarget:
@@ -43,6 +45,10 @@
         )
 
     def _app(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
+        if environ["PATH_INFO"] == "/packed":
+            cookies = [("Set-Cookie", "a=1; Path=/"), ("Set-Cookie", "b=2, c")]
+            start_response("200 OK", [("Content-Encoding", "gzip"), *cookies])
+            return [PACKED]
         headers = headers_of(environ)
         below = urllib3.request(
             "GET",
@@ -86,6 +92,23 @@
     assert answered.document["below"]["service"] == "stock"
 
 
+def test_a_packed_answer_and_its_cookies_come_back_as_they_were(
+    small_fleet: SmallFleet, plain: PlainTarget
+) -> None:
+    plain.announcer.announce(plain.announcement)
+    eventually(lambda: ask(small_fleet, small_fleet.second).status == 200)
+    reply = small_fleet.processes.http.request(
+        "POST",
+        f"http://{address_in(small_fleet.second, 'http')}/call/plain/packed",
+        headers={"Daisywharf-Customer": CUSTOMER, "Daisywharf-Class": "work"},
+        decode_content=False,
+    )
+    assert reply.data == PACKED
+    assert reply.headers.getlist("Content-Length") == [str(len(PACKED))]
+    assert reply.headers.getlist("Set-Cookie") == ["a=1; Path=/", "b=2, c"]
+    assert "Daisywharf-Hop-Answer" not in reply.headers
+
+
 def test_an_onward_call_without_a_request_is_refused(
     small_fleet: SmallFleet, plain: PlainTarget
 ) -> None:
