Remove the header forms that the typed hop replaced

Cause: tickets and levels travel in the hop's one typed header; their own header forms, the first level cache and a cancel without a caller were left over, used by their tests and a bench only. Change: they are gone; their tests of malformed values are now on the hop and its answer, with more cases (an expiry past the bound stays the gate's to refuse). Cancellation by a caller that hangs up is not carried over HTTP; the deadline is. Conclusion: one way in which each part travels.

--- a/benchmarks/flat.py
+++ b/benchmarks/flat.py
@@ -31,7 +31,6 @@
     finish,
     offer,
 )
-from daisywharf._overload._level_cache import LevelCache, is_refused_early, note_level
 from daisywharf._overload._rates import BucketKey, RateState, take_token
 from daisywharf._routing._retries import RetryBudget, RetryRatio, RetryRatioKey, earn_retry, lend
 from daisywharf._routing._router import (
@@ -75,7 +74,6 @@
         fakes = [build_fake_target(n, zones=3, slots=SLOTS) for n in range(targets)]
         update_targets(self.router, fakes, now=0.0)
         self.admission = AdmissionState(slots=SLOTS)
-        self.levels = LevelCache()
         self.rates = RateState()
         self.ratio = RetryRatio()
         self.once = OnceRecords(target_id=TargetId("t"), incarnation=Incarnation(1))
@@ -90,7 +88,6 @@
     key = BucketKey(context.customer, context.call_class)
     take_token(site.rates, key, rate_per_second=1e6, burst=1e6, now=now)
     earn_retry(site.ratio, RetryRatioKey(context.customer, SERVICE))
-    is_refused_early(site.levels, SERVICE, context, now=now)
     target = choose(site.router, now=now, rng=site.rng)
     assert target is not None
     record_start(site.router, target.target_id, now=now)
@@ -108,7 +105,7 @@
     complete(site.once, key, StoredAnswer(200, (), b"done"), now=now)
     drop_expired(site.once, now=now)
     finish(site.admission, call_id, now=now, succeeded=True)
-    note_level(site.levels, SERVICE, current_level(site.admission, now=now), now=now)
+    current_level(site.admission, now=now)
 
 
 def _context(site: Site) -> RequestContext:
--- a/src/daisywharf/_call/_gate_admission.py
+++ b/src/daisywharf/_call/_gate_admission.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from daisywharf._context import RequestContext
-from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._errors import RequestError
 from daisywharf._overload._admission import (
     AdmissionAction,
     AdmissionState,
@@ -13,7 +13,6 @@
     CallId,
     Enqueue,
     Refuse,
-    cancel,
     current_level,
     finish,
     offer,
@@ -100,15 +99,6 @@
         return current_level(gate.state, now=gate.clock())
 
 
-def cancel_call(gate: GateAdmission, call_id: CallId) -> None:
-    """Refuse a waiting call whose caller gave up."""
-    with gate.lock:
-        waiting = gate.waiting_by_id.get(call_id)
-        _apply(gate, cancel(gate.state, call_id, now=gate.clock()), None)
-        if waiting is not None and waiting.decision is None:
-            _wake(gate, Refuse(call_id, ErrorKind.CANCELLED, 0.0))
-
-
 def _wait(gate: GateAdmission, call_id: CallId, waiting: WaitingCall) -> Admit | Refuse:
     # The threads that wait drive the ticks, so that an idle gate needs no timer.
     while not waiting.woken.wait(TICK_PERIOD_S):
--- a/src/daisywharf/_outcomes/_ticket.py
+++ b/src/daisywharf/_outcomes/_ticket.py
@@ -1,13 +1,11 @@
 """The ticket that names the one target incarnation that may run a non-idempotent call."""
 
-import math
 from enum import Enum
 from random import Random
 from typing import Final
 
 import msgspec
 
-from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import IdempotencyKey, Incarnation, TargetId
 
 CLOCK_BOUND_S: Final = 2.0
@@ -43,10 +41,6 @@
         is_caller_key = self.key.startswith(CALLER_KEY_PREFIX)
         return TicketKind.CALLER_KEY if is_caller_key else TicketKind.SINGLE_USE
 
-    def to_header(self) -> str:
-        """Write the ticket as a header value."""
-        return f"{self.target_id};{self.incarnation};{self.expires_at:.3f};{self.key}"
-
 
 def mint_ticket(
     target_id: TargetId, incarnation: Incarnation, *, deadline: float, rng: Random
@@ -55,18 +49,3 @@
     key = IdempotencyKey(f"{rng.getrandbits(KEY_RANDOM_BITS):032x}")
     expires_at = deadline + 2 * CLOCK_BOUND_S + TICKET_GRACE_S
     return Ticket(key, target_id, incarnation, round(expires_at, 3))
-
-
-def ticket_from_header(text: str) -> Ticket:
-    """Read a ticket; raise `RequestError` (bad request) on a malformed one."""
-    try:
-        target_id, incarnation, expires_at_text, key = text.split(";", 3)
-        expires_at = float(expires_at_text)
-        if not math.isfinite(expires_at) or not key:
-            raise ValueError(text)
-        return Ticket(
-            IdempotencyKey(key), TargetId(target_id), Incarnation(int(incarnation)), expires_at
-        )
-    except ValueError as error:
-        message = f"ticket {text[:80]!r} is malformed; send target;incarnation;expiry;key"
-        raise RequestError(ErrorKind.BAD_REQUEST, message) from error
--- a/tests/test_context.py
+++ b/tests/test_context.py
@@ -5,7 +5,17 @@
 from hypothesis import strategies as st
 
 from daisywharf import ErrorKind, Importance, RequestError
-from daisywharf._call._hop import context_in, hop_from_header, hop_to, ticket_in, to_header
+from daisywharf._call._hop import (
+    HopAnswer,
+    answer_from_header,
+    context_in,
+    hop_from_header,
+    hop_to,
+    level_in,
+    level_part,
+    ticket_in,
+    to_header,
+)
 from daisywharf._context import RequestContext
 from daisywharf._ids import (
     CallClassName,
@@ -19,6 +29,7 @@
     ZoneName,
 )
 from daisywharf._outcomes._ticket import Ticket
+from daisywharf._overload._level import OPEN_LEVEL, Level
 from daisywharf._topology import Address, Target
 
 CONTEXT = RequestContext(
@@ -69,3 +80,24 @@
     with pytest.raises(RequestError) as caught:
         hop_from_header(text)
     assert caught.value.kind is ErrorKind.BAD_REQUEST
+
+
+@pytest.mark.parametrize("expiry", ["NaN", "Infinity", "1e400", "-1", "null", '"x"'])
+def test_a_ticket_with_a_malformed_expiry_is_a_bad_request(expiry: str) -> None:
+    written = f"{TICKET.expires_at}"
+    assert written in HEADER
+    with pytest.raises(RequestError):
+        hop_from_header(HEADER.replace(written, expiry))
+
+
+def test_a_level_comes_back_on_an_answer() -> None:
+    level = Level(2, 1_234, 1.125, ServiceName("stock"))
+    answer = HopAnswer("call-1", 7, 0, level_part(level))
+    assert level_in(answer_from_header(to_header(answer))) == level
+    assert level_in(HopAnswer("call-1", 7, 0, level_part(OPEN_LEVEL))) == OPEN_LEVEL
+
+
+@pytest.mark.parametrize("level", ["[1]", '["x",2,0,""]', '[-1,2,0,"a"]', '[1,2,NaN,"a"]', "9"])
+def test_a_malformed_level_is_no_answer(level: str) -> None:
+    with pytest.raises(RequestError):
+        answer_from_header(f'["call-1",7,0,{level}]')
--- a/tests/test_outcomes_keys.py
+++ b/tests/test_outcomes_keys.py
@@ -21,7 +21,6 @@
     KEY_LIFETIME_S,
     TicketKind,
     mint_ticket,
-    ticket_from_header,
 )
 
 NOW = 1_800_000_000.0
@@ -68,13 +67,6 @@
     assert is_key_too_old(minted_at=NOW, now=NOW + latest + 0.1)
 
 
-def test_a_ticket_s_header_reads_back() -> None:
+def test_a_minted_ticket_is_for_one_use() -> None:
     ticket = mint_ticket(TargetId("orders-1"), Incarnation(7), deadline=NOW, rng=Random(1))
-    assert ticket_from_header(ticket.to_header()) == ticket
     assert ticket.kind is TicketKind.SINGLE_USE
-
-
-@pytest.mark.parametrize("text", ["", "a;1;2", "a;x;1;k", "a;1;nan;k", "a;1;inf;k", "a;1;2;"])
-def test_a_malformed_ticket_is_a_bad_request(text: str) -> None:
-    with pytest.raises(RequestError, match="malformed"):
-        ticket_from_header(text)
--- a/tests/test_overload_level.py
+++ b/tests/test_overload_level.py
@@ -1,4 +1,4 @@
-"""Levels: their header, how they merge, and how the demand sets them."""
+"""Levels: how they merge, and how the demand sets them."""
 
 import pytest
 
@@ -12,20 +12,10 @@
     note_let_in,
     note_refusals,
 )
-from daisywharf._overload._level import OPEN_LEVEL, Level, level_from_header, merge_levels
+from daisywharf._overload._level import OPEN_LEVEL, Level, merge_levels
 from daisywharf._overload._track import LevelTrack, move_towards, settled_level
 
 
-def test_a_header_gives_the_level_back() -> None:
-    level = Level(2, 1_234, 1.125, STOCK)
-    assert level_from_header(level.to_header()) == level
-
-
-@pytest.mark.parametrize("text", [None, "", "x", "1", "1.x", "-1.2", "1.2;nan;a", "²." + "9" * 400])
-def test_a_malformed_header_sheds_nothing_by_load(text: str | None) -> None:
-    assert level_from_header(text).load == 0.0
-
-
 def test_levels_merge_to_the_stricter_pair_and_the_busier_service() -> None:
     merged = merge_levels(Level(1, 5, 0.5, STOCK), Level(3, 0, 1.5))
     assert merged == Level(1, 5, 1.5)
