--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test setup format lint types
+.PHONY: demo test figures setup format lint types
 
 demo: setup
 	$(VENV)/bin/daisywharf demo
@@ -10,6 +10,9 @@
 test: setup
 	$(VENV)/bin/python -m pytest
 
+figures: setup
+	$(VENV)/bin/python -m benchmarks all
+
 setup: $(STAMP)
 
 $(STAMP): pyproject.toml requirements.lock
--- a/benchmarks/_all_cases.py
+++ b/benchmarks/_all_cases.py
@@ -46,17 +46,20 @@
 INVERSIONS = Target("priority_inversions", Limit.AT_MOST, 0, ISSUE_4)
 WASTED = Target("wasted_work_ratio", Limit.AT_MOST, 0.02, ISSUE_4)
 ATTEMPTS = Target("attempts_per_request", Limit.AT_MOST, 1.1, ISSUE_4)
+REFUSAL_DELAY = Target("refusal_delay_ms", Limit.AT_MOST, 1.0, ISSUE_4)
+# A greedy customer's cost takes a second run of the same surge; the tests have a case of it.
+ONE_RUN = ("--greedy", "1")
 CONTRACT_RETRIES = 3
 RETRIES = Target("max_retries_in_one_tree", Limit.AT_MOST, CONTRACT_RETRIES, ISSUE_4)
 
 
 def _surge(deployment: str, *arguments: str, important_fits: bool = True) -> Case:
     recovery_s = RECOVERY_MOST_S_BY_DEPLOYMENT[deployment]
-    targets = [GOODPUT, INVERSIONS, WASTED, RETRIES]
+    targets = [GOODPUT, INVERSIONS, WASTED, RETRIES, REFUSAL_DELAY]
     targets.append(Target("recovery_seconds", Limit.AT_MOST, recovery_s, ISSUE_4))
     if important_fits:
         targets.append(IMPORTANT)
-    return Case("overload", ("--deployment", deployment, *arguments), tuple(targets))
+    return Case("overload", ("--deployment", deployment, *arguments, *ONE_RUN), tuple(targets))
 
 
 OVERLOAD_CASES = (
@@ -77,11 +80,21 @@
         *("--slow-service", "stock", "--slow-factor", "3"),
         important_fits=False,
     ),
+    _surge(
+        "scheldezand",
+        *("--surge", "10", "--depth", "3", "--client-retries", "5", "--heed", "0", "--seed", "7"),
+    ),
+    _surge(
+        "scheldezand",
+        *("--surge", "6", "--depth", "5", "--client-retries", "4", "--heed", "0.2"),
+        *("--slow-service", "lockwatch", "--slow-factor", "2", "--seed", "32"),
+        important_fits=False,
+    ),
     Case(
         "overload",
         (
             *("--deployment", "scheldezand", "--surge", "4", "--depth", "9", "--seed", "1"),
-            *("--failing", "1", "--surge-seconds", "2"),
+            *("--failing", "1", "--surge-seconds", "2", *ONE_RUN),
         ),
         (ATTEMPTS, RETRIES, INVERSIONS),
     ),
--- a/benchmarks/_all_report.py
+++ b/benchmarks/_all_report.py
@@ -26,8 +26,9 @@
 estimate. `recovery_seconds` of 3 means that it had not recovered when the run ended.
 
 Not compared here: `benchmarks call`, `flat` and `size`, which are timed; 100,000 orders, 600 VMs,
-and surges at other depths, which take too long for each change; `refusal_delay_ms`, which the bench
-doesn't measure; `worst_customer_loss_ratio`, which it doesn't print.
+and surges at other depths, which take too long for each change. `worst_customer_loss_ratio` takes a
+second run and has its case in the tests, known red. `refusal_delay_ms` is worked out from the event
+and the gate's tick, not timed.
 """
 
 
