Use one real gate and one in-force report

Cause: the bench and the replay each wrapped the real admission in the same class, and the daemon's status and the command line each declared the same two structs of the same JSON. Change: _virtual/_real_gate.py serves both; _daemon/_in_force.py is written by one and read by the other. Behaviour stays. The whole suite was not run again after this change.

--- a/benchmarks/_overload_gates.py
+++ b/benchmarks/_overload_gates.py
@@ -6,10 +6,10 @@
 from daisywharf._context import RequestContext
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import ServiceName
-from daisywharf._overload import _admission as admission
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Enqueue, Refuse
 from daisywharf._overload._level import OPEN_LEVEL, Level
 from daisywharf._virtual._messages import CallerRules, Gate
+from daisywharf._virtual._real_gate import RealGate
 
 HOP_TIMEOUT_S = 1.0
 STATIC_LIMIT_PART = 0.9
@@ -17,45 +17,6 @@
 STATIC_RETRY_AFTER_S = 1.0
 
 
-class DaisywharfGate:
-    """Run the real admission."""
-
-    def __init__(self, slots: int, service: ServiceName) -> None:
-        self.state = admission.AdmissionState(slots=slots, service=service)
-
-    def offer(
-        self, call_id: CallId, context: RequestContext, *, now: float
-    ) -> list[AdmissionAction]:
-        """Decide on a call that arrives."""
-        return admission.offer(self.state, call_id, context, now=now)
-
-    def finish(
-        self, call_id: CallId, *, now: float, succeeded: bool, below: Level | None
-    ) -> list[AdmissionAction]:
-        """Take the end of a call."""
-        return admission.finish(self.state, call_id, now=now, succeeded=succeeded, below=below)
-
-    def suspend(self, call_id: CallId, *, now: float) -> list[AdmissionAction]:
-        """Take that a call waits for one below it."""
-        return admission.suspend(self.state, call_id, now=now)
-
-    def resume(self, call_id: CallId, *, now: float) -> None:
-        """Take that a call goes on."""
-        admission.resume(self.state, call_id, now=now)
-
-    def cancel(self, call_id: CallId, *, now: float) -> list[AdmissionAction]:
-        """Drop a waiting call."""
-        return admission.cancel(self.state, call_id, now=now)
-
-    def tick(self, *, now: float) -> list[AdmissionAction]:
-        """Do what time asks for."""
-        return admission.tick(self.state, now=now)
-
-    def level(self, *, now: float, below: Level | None) -> Level:
-        """Return the level of an answer."""
-        return admission.answer_level(self.state, now=now, below=below)
-
-
 class FixedGate:
     """Run calls in the order of their arrival under a fixed limit and a bounded queue."""
 
@@ -123,7 +84,7 @@
 
 
 GATE_MAKER_BY_POLICY: dict[str, Callable[[int, ServiceName], Gate]] = {
-    "daisywharf": DaisywharfGate,
+    "daisywharf": RealGate,
     "naive": _naive_gate,
     "static": _static_gate,
 }
--- a/src/daisywharf/_cli/daemon_client.py
+++ b/src/daisywharf/_cli/daemon_client.py
@@ -7,8 +7,9 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from daisywharf._daemon._in_force import ContractInForce
 from daisywharf._errors import ErrorKind, RequestError
-from daisywharf._ids import CustomerId, TargetId, Version, VmId, ZoneName
+from daisywharf._ids import CustomerId, TargetId, VmId, ZoneName
 from daisywharf._topology import Target
 
 MAX_MESSAGE_CHARS: Final = 400
@@ -16,23 +17,6 @@
 AnswerT = TypeVar("AnswerT")
 
 
-class ZoneInForce(msgspec.Struct, frozen=True):
-    """Tell in one zone how many daemons there are and how many confirmed a version."""
-
-    zone: ZoneName
-    daemons: int
-    confirmed: int
-    is_reachable: bool
-
-
-class ContractInForce(msgspec.Struct, frozen=True):
-    """Tell a customer's version that a daemon holds, and how far it has spread."""
-
-    customer: CustomerId
-    version: Version
-    zones: tuple[ZoneInForce, ...] = ()
-
-
 class DaemonView(msgspec.Struct, frozen=True):
     """Hold what a daemon knows of itself and of the contracts in force."""
 
--- a/src/daisywharf/_cli/in_force.py
+++ b/src/daisywharf/_cli/in_force.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from daisywharf._cli.daemon_client import DaemonView, ZoneInForce
+from daisywharf._cli.daemon_client import DaemonView
+from daisywharf._daemon._in_force import ZoneCount
 from daisywharf._errors import RequestError
 from daisywharf._ids import CustomerId, Version, ZoneName
 
@@ -18,7 +19,7 @@
 
     customer: CustomerId
     version: Version
-    zones: tuple[ZoneInForce, ...]
+    zones: tuple[ZoneCount, ...]
     is_in_force: bool
     unreachable: tuple[ZoneName, ...]
 
@@ -31,7 +32,7 @@
 
 def progress_of(view: DaemonView | None, customer: CustomerId, version: Version) -> Progress:
     """Read from a daemon's view how far a version, or a later one, is."""
-    zones: tuple[ZoneInForce, ...] = ()
+    zones: tuple[ZoneCount, ...] = ()
     for held in () if view is None else view.in_force:
         if held.customer == customer and held.version >= version:
             zones = held.zones
@@ -77,11 +78,11 @@
         return None
 
 
-def _is_whole(zone: ZoneInForce) -> bool:
+def _is_whole(zone: ZoneCount) -> bool:
     return zone.is_reachable and zone.confirmed >= zone.daemons
 
 
-def _zone_text(zone: ZoneInForce) -> str:
+def _zone_text(zone: ZoneCount) -> str:
     if not zone.is_reachable:
         return f"{zone.zone} can't be reached"
     return f"{zone.zone} {zone.confirmed} of {zone.daemons}"
--- a/src/daisywharf/_cli/status.py
+++ b/src/daisywharf/_cli/status.py
@@ -4,9 +4,10 @@
 
 import typer
 
-from daisywharf._cli.daemon_client import ContractInForce, DaemonClient, ZoneInForce
+from daisywharf._cli.daemon_client import DaemonClient
 from daisywharf._cli.options import AsJson, DaemonUrl, TimeoutS
 from daisywharf._cli.output import print_json, print_table
+from daisywharf._daemon._in_force import ContractInForce, ZoneCount
 from daisywharf._ids import CustomerId
 
 
@@ -47,5 +48,5 @@
     return [(held.customer, held.version, zone.zone, _confirmed_text(zone)) for zone in held.zones]
 
 
-def _confirmed_text(zone: ZoneInForce) -> str:
+def _confirmed_text(zone: ZoneCount) -> str:
     return f"{zone.confirmed} of {zone.daemons}" if zone.is_reachable else "can't be reached"
--- a/src/daisywharf/_daemon/_routes.py
+++ b/src/daisywharf/_daemon/_routes.py
@@ -16,19 +16,18 @@
 from daisywharf._daemon._fleet_actor import FleetView
 from daisywharf._daemon._forwarding import host_gate
 from daisywharf._daemon._http import Routes, json_reply
+from daisywharf._daemon._in_force import ContractInForce, ZoneCount
 from daisywharf._daemon._links import LinkCounts
 from daisywharf._daemon._metrics import metrics_reply
 from daisywharf._daemon._onward import ONWARD_PREFIX, call_onward
 from daisywharf._daemon._order_routes import add_order_routes
 from daisywharf._daemon._status import (
     AnnouncementTaken,
-    ContractInForce,
     DaemonStatus,
     DrainTaken,
     Health,
     HealthState,
     LinkStatus,
-    ZoneCount,
 )
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import CustomerId, TargetId
--- a/src/daisywharf/_daemon/_status.py
+++ b/src/daisywharf/_daemon/_status.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
+from daisywharf._daemon._in_force import ContractInForce
 from daisywharf._fleet._state import FleetStatus
-from daisywharf._ids import CustomerId, Incarnation, TargetId, Version, VmId, ZoneName
+from daisywharf._ids import Incarnation, TargetId, VmId, ZoneName
 
 
 class AnnouncementTaken(msgspec.Struct, frozen=True):
@@ -50,23 +51,6 @@
     silent_links: int
 
 
-class ZoneCount(msgspec.Struct, frozen=True):
-    """Tell in one zone how many daemons are known and how many confirmed a version."""
-
-    zone: ZoneName
-    daemons: int
-    confirmed: int
-    is_reachable: bool
-
-
-class ContractInForce(msgspec.Struct, frozen=True):
-    """Tell the version of a customer's contract here, and how far it has spread."""
-
-    customer: CustomerId
-    version: Version
-    zones: tuple[ZoneCount, ...] = ()
-
-
 class DaemonStatus(msgspec.Struct, frozen=True):
     """Describe one daemon; `is_confirmed` tells whether its contracts are known to be current."""
 
--- a/src/daisywharf/_replay/_requests.py
+++ b/src/daisywharf/_replay/_requests.py
@@ -17,7 +17,6 @@
     ZoneName,
 )
 from daisywharf._overload._level import OPEN_LEVEL
-from daisywharf._replay._gates import RealGate
 from daisywharf._replay._trace import CallLine
 from daisywharf._routing._kinds import outcome_of
 from daisywharf._routing._retries import (
@@ -34,6 +33,7 @@
 from daisywharf._virtual._chain import ChainCall, arrive, cancel_call, new_call
 from daisywharf._virtual._loop import call_later
 from daisywharf._virtual._messages import Answer, ChainSend
+from daisywharf._virtual._real_gate import RealGate
 from daisywharf._virtual._targets import Fakes, FakeTarget, Message, network_s, router_for
 
 MS_PER_S: Final = 1_000.0
--- a/src/daisywharf/_replay/_run.py
+++ b/src/daisywharf/_replay/_run.py
@@ -22,7 +22,6 @@
 )
 from daisywharf._overload._actions import AdmissionAction, Admit
 from daisywharf._replay._entry import Entered, EntryState, Refused, enter
-from daisywharf._replay._gates import RealGate
 from daisywharf._replay._orders import begin_order, end_order, make_records
 from daisywharf._replay._outcomes import CallEnd, Replayed
 from daisywharf._replay._requests import make_entry, send_request
@@ -32,6 +31,7 @@
 from daisywharf._virtual._chain import ChainCall, apply_actions
 from daisywharf._virtual._loop import call_later, run_until
 from daisywharf._virtual._messages import CallerRules
+from daisywharf._virtual._real_gate import RealGate
 from daisywharf._virtual._targets import Delays, Fakes, FakeTarget, add_target
 
 TICK_S: Final = 0.01
