--- /dev/null
+++ b/src/daisywharf/_mesh/_announcements.py
@@ -0,0 +1,28 @@
+"""Put a target's announcements in order: late ones and those of earlier incarnations change nothing."""
+
+from enum import Enum
+
+from daisywharf._mesh._model import Readiness, TargetNotice
+
+
+class Verdict(Enum):
+    """Name what becomes of an announcement."""
+
+    TAKEN = "taken"
+    LATE = "late"
+    EARLIER_INCARNATION = "earlier-incarnation"
+    LEAVING_IS_FINAL = "leaving-is-final"
+
+
+def judge_notice(known: TargetNotice | None, notice: TargetNotice) -> Verdict:
+    """Decide whether an announcement replaces the one that is known."""
+    if known is None:
+        return Verdict.TAKEN
+    if notice.born_ms != known.born_ms or notice.target_id != known.target_id:
+        is_later = notice.born_ms >= known.born_ms
+        return Verdict.TAKEN if is_later else Verdict.EARLIER_INCARNATION
+    if notice.sequence <= known.sequence:
+        return Verdict.LATE
+    if known.readiness is not Readiness.READY and notice.readiness is Readiness.READY:
+        return Verdict.LEAVING_IS_FINAL
+    return Verdict.TAKEN
--- /dev/null
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -0,0 +1,384 @@
+"""One daemon: its servers, its gate, its links, its start and its end."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any, Final
+
+from msgspec.structs import replace
+
+from daisywharf._configuration import Configuration
+from daisywharf._contract import Importance
+from daisywharf._ids import RequestId, VmId
+from daisywharf._mesh._announcements import Verdict, judge_notice
+from daisywharf._mesh._clock import Suspension, note_tick
+from daisywharf._mesh._configuration_frames import decode_configuration, encode_configuration
+from daisywharf._mesh._dialect import Dialect
+from daisywharf._mesh._entry import Entry, Way
+from daisywharf._mesh._frames import (
+    Call,
+    Cancel,
+    Frame,
+    Hello,
+    Members,
+    NewConfiguration,
+    Ping,
+    Pong,
+    Report,
+)
+from daisywharf._mesh._gate import Gate
+from daisywharf._mesh._http_server import HttpServer
+from daisywharf._mesh._links import CallResult, FrameProtocol, LinkServer, OutLink
+from daisywharf._mesh._membership import Membership
+from daisywharf._mesh._model import MemberRecord, Readiness, TargetNotice, TargetRecord
+from daisywharf._mesh._services import Services
+from daisywharf._mesh._settings import MeshSettings
+from daisywharf._mesh._store import Store
+from daisywharf._mesh._store_sync import StoreSync
+from daisywharf._mesh._watching import WatchReport
+from daisywharf._overload._actions import CallId
+from daisywharf._overload._calls_below import CallsBelow, calls_below, end_period
+from daisywharf._overload._chain import note_rows
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+
+TICK_S: Final = 0.025  # waiting calls are refused this late at most
+REPORT_S: Final = 0.5
+SWEEP_S: Final = 0.5
+# The record is written with the target's first announcement, or without one after this time.
+FIRST_WRITE_AFTER_S: Final = 1.0
+# Clients learn that a daemon isn't ready by its second missed check, a second apart.
+LEAST_STOPPING_S: Final = 2.6
+# Left of the grace period when what still runs is ended: the exit itself takes a moment.
+STOP_MARGIN_S: Final = 0.7
+
+
+class LocalWay:
+    """Lead to the gate beside this daemon."""
+
+    def __init__(self, gate: Gate) -> None:
+        self.gate = gate
+
+    def submit(self, call: Call, on_result: Callable[[CallResult], None]) -> object:
+        """Hand a call to the gate."""
+        return self.gate.submit(call, on_result)
+
+    def cancel(self, call_id: object) -> None:
+        """Give a call up."""
+        if isinstance(call_id, CallId):
+            self.gate.cancel(call_id)
+
+
+class MeshDaemon:
+    """Hold the parts of one daemon and what ties them together."""
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        *,
+        dialect: Dialect,
+        store: Store,
+        now: Callable[[], float],
+        steady_now: Callable[[], float],
+        started_ms: int,
+        rng: Random,
+    ) -> None:
+        self.settings = settings
+        self.now = now
+        self.steady_now = steady_now
+        self.configuration: Configuration | None = None
+        self.is_stopping = False
+        self.gate = Gate(dialect=dialect, now=now)
+        self.local_way = LocalWay(self.gate)
+        self.services = Services(zone=settings.zone)
+        own = MemberRecord(
+            settings.vm, settings.zone, str(settings.links_address), started_ms, 0, False, None
+        )
+        self.membership = Membership(
+            own,
+            services=self.services,
+            now=now,
+            rng=rng,
+            on_frame=self._take_from_peer,
+            version=lambda: self.version,
+        )
+        self.entry = Entry(
+            settings,
+            dialect=dialect,
+            services=self.services,
+            counts=self.gate.counts,
+            way_to=self._way_to,
+            now=now,
+            rng=rng,
+        )
+        self.sync = StoreSync(
+            store, membership=self.membership, put_in_force=self.put_in_force, now=now, rng=rng
+        )
+        self.clients = HttpServer(self.entry.handle, now=now)
+        self.links = LinkServer(on_frame=self._take_frame, on_lost=self._lose_link)
+        self.stopped = asyncio.Event()
+        self._vm_by_link: dict[FrameProtocol, VmId] = {}
+        self._calls_by_link: dict[FrameProtocol, dict[int, CallId]] = {}
+        self._suspension = Suspension(now() - steady_now(), now())
+        self._started_at = now()
+        self._reported_at = now()
+        self._swept_at = now()
+        self._has_written = False
+        self._tasks: list[asyncio.Task[Any]] = []
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force, or 0."""
+        return 0 if self.configuration is None else self.configuration.version
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether clients may send requests here."""
+        return self.configuration is not None and not self.is_stopping
+
+    async def start(self) -> None:
+        """Listen, join the others, and follow the store."""
+        await self.links.start(self.settings.links_address)
+        await self.clients.start(self.settings.entry_address)
+        for seed in self.settings.seeds:
+            self._open_seed(seed.host)
+        self._tasks = [
+            asyncio.ensure_future(self.sync.run_configuration()),
+            asyncio.ensure_future(self.sync.run_records()),
+        ]
+        self._tick()
+
+    def _open_seed(self, host: str) -> None:
+        # Ports are the same on all VMs.
+        address = self.settings.links_address
+        if host != address.host:
+            self.membership.open_seed(type(address)(host, address.port))
+
+    def _way_to(self, vm: VmId) -> Way | None:
+        if vm == self.settings.vm:
+            return self.local_way
+        link = self.membership.link_by_vm.get(vm)
+        return link if link is not None and link.is_up else None
+
+    def change_settings(self, settings: MeshSettings) -> None:
+        """Follow settings that changed; addresses stay as they were at the start."""
+        self.settings = self.entry.settings = settings
+        log_event(Event.SETTINGS_CHANGED, vm=settings.vm)
+        for seed in settings.seeds:
+            self._open_seed(seed.host)
+
+    # Configuration.
+
+    def put_in_force(self, configuration: Configuration) -> None:
+        """Put a newer version in force; an older one never comes back."""
+        if configuration.version <= self.version:
+            return
+        self.configuration = configuration
+        self.entry.put_in_force(configuration)
+        self.clients.limits = configuration.limits
+        importances = [route.importance for route in configuration.routes]
+        ceiling = float(max(importances, default=Importance.LOW) + 1)
+        self.services.ceiling = self.gate.ceiling = ceiling
+        log_event(Event.CONFIGURATION_IN_FORCE, version=configuration.version)
+        frame = NewConfiguration(configuration.version, encode_configuration(configuration))
+        for vm, link in self.membership.link_by_vm.items():
+            if self.membership.record_by_vm[vm].zone == self.settings.zone:
+                link.send(frame)
+
+    def _offer_configuration(self, version: int, send: Callable[[Frame], None]) -> None:
+        if self.configuration is not None and version < self.version:
+            send(NewConfiguration(self.version, encode_configuration(self.configuration)))
+
+    # The target beside this daemon.
+
+    def take_notice(self, notice: TargetNotice) -> Verdict:
+        """Take an announcement of the target; what is acknowledged is in force at the gate."""
+        known = self.gate.notice
+        verdict = judge_notice(known, notice)
+        if verdict is not Verdict.TAKEN:
+            log_event(Event.ANNOUNCEMENT_LATE, target=notice.target_id, verdict=verdict.value)
+            return verdict
+        is_news = known is None or (
+            known.target_id,
+            known.born_ms,
+            known.readiness,
+            known.slots,
+        ) != (notice.target_id, notice.born_ms, notice.readiness, notice.slots)
+        self.gate.take_notice(notice)
+        if is_news:
+            self._announce_target(notice)
+        return verdict
+
+    def _announce_target(self, notice: TargetNotice) -> None:
+        event = {
+            Readiness.READY: Event.TARGET_ANNOUNCED,
+            Readiness.DRAINING: Event.TARGET_DRAINING,
+            Readiness.LEFT: Event.TARGET_LEFT,
+        }[notice.readiness]
+        log_event(event, target=notice.target_id, service=notice.service, slots=notice.slots)
+        target = TargetRecord(
+            notice.target_id,
+            notice.service,
+            notice.slots,
+            notice.readiness,
+            notice.born_ms,
+            notice.sequence,
+            notice.cold_s,
+        )
+        self._change_own(target=target)
+
+    def _change_own(self, **changes: Any) -> None:
+        own = self.membership.own
+        own = replace(own, revision=own.revision + 1, **changes)
+        self.membership.announce(own)
+        self._has_written = True
+        self.sync.write(own)
+
+    # Frames.
+
+    def _take_from_peer(self, link: OutLink, frame: Frame) -> None:
+        """Take a frame on a link that this daemon opened."""
+        if isinstance(frame, NewConfiguration):
+            self._take_configuration(frame)
+        elif isinstance(frame, Members):
+            self._merge(frame.records)
+
+    def _take_frame(self, protocol: FrameProtocol, frame: Frame) -> None:
+        """Take a frame on a link that another daemon opened."""
+        if isinstance(frame, Call):
+            self._take_call(protocol, frame)
+        elif isinstance(frame, Cancel):
+            call_id = self._calls_by_link.get(protocol, {}).pop(frame.call_id, None)
+            if call_id is not None:
+                self.gate.cancel(call_id)
+        elif isinstance(frame, Report):
+            protocol.send(Pong())
+            self._take_report(protocol, frame)
+        elif isinstance(frame, Hello):
+            protocol.send(Pong())
+            self._take_hello(protocol, frame)
+        elif isinstance(frame, Members):
+            self._merge(frame.records)
+        elif isinstance(frame, NewConfiguration):
+            self._take_configuration(frame)
+        elif isinstance(frame, Ping):
+            protocol.send(Pong())
+
+    def _take_call(self, protocol: FrameProtocol, call: Call) -> None:
+        calls = self._calls_by_link.setdefault(protocol, {})
+
+        def answer(result: CallResult) -> None:
+            calls.pop(call.call_id, None)
+            protocol.send(result)
+
+        calls[call.call_id] = CallId(RequestId(call.request_id), 0)
+        call_id = self.gate.submit(call, answer)
+        if call.call_id in calls:
+            calls[call.call_id] = call_id
+
+    def _lose_link(self, protocol: FrameProtocol) -> None:
+        self._vm_by_link.pop(protocol, None)
+        for call_id in self._calls_by_link.pop(protocol, {}).values():
+            self.gate.cancel(call_id)
+
+    def _take_hello(self, protocol: FrameProtocol, hello: Hello) -> None:
+        self._vm_by_link[protocol] = hello.member.vm
+        known = self.membership.record_by_vm
+        if hello.known_members < len(known):
+            protocol.send(Members(tuple(known.values())))
+        self._merge((hello.member,))
+        self._offer_configuration(hello.version, protocol.send)
+
+    def _take_report(self, protocol: FrameProtocol, report: Report) -> None:
+        vm = self._vm_by_link.get(protocol)
+        if vm is None:
+            return
+        now = self.now()
+        self.sync.report_by_vm[vm] = WatchReport(report.is_watching, now)
+        note_rows(self.entry.chain, vm, report.calls_below)
+        target = self.services.target_of(vm)
+        if target is not None and report.load is not None:
+            self.entry.hear(target.service, target.target_id, report.load)
+        self._offer_configuration(report.version, protocol.send)
+
+    def _take_configuration(self, frame: NewConfiguration) -> None:
+        if frame.version > self.version:
+            self.put_in_force(decode_configuration(frame.body))
+
+    def _merge(self, records: tuple[MemberRecord, ...]) -> None:
+        if self.membership.merge(records):
+            newest = max(r.started_ms for r in records if r.vm == self.settings.vm)
+            # A record of an earlier process, written by a clock that was ahead of this one.
+            self._change_own(started_ms=newest + 1)
+
+    # Time.
+
+    def _tick(self) -> None:
+        now = self.now()
+        gap_s = note_tick(self._suspension, now=now, steady_now=self.steady_now())
+        if gap_s:
+            log_event(Event.CLOCK_GAP, gap_s=round(gap_s, 1))
+            for link in self.membership.link_by_vm.values():
+                link.forgive_pause(now=now)
+        self.gate.tick(now=now)
+        self.membership.tick(now=now)
+        if not self._has_written and now - self._started_at > FIRST_WRITE_AFTER_S:
+            self._change_own()
+        if now - self._reported_at >= REPORT_S:
+            self._reported_at = now
+            self._report(now=now)
+        if now - self._swept_at >= SWEEP_S:
+            self._swept_at = now
+            self.clients.sweep(now=now)
+            self.gate.sweep(now=now)
+        if not self.stopped.is_set():
+            asyncio.get_running_loop().call_later(TICK_S, self._tick)
+
+    def _report(self, *, now: float) -> None:
+        end_period(self.gate.counts, now=now)
+        rows = self._rows()
+        note_rows(self.entry.chain, self.settings.vm, rows)
+        load = self.gate.load() if self.gate.is_open else None
+        if load is not None and self.gate.notice is not None:
+            self.entry.hear(self.gate.notice.service, self.gate.notice.target_id, load)
+        report = Report(self.version, self.sync.is_counted_on(), load, rows)
+        up = [link for link in self.membership.link_by_vm.values() if link.is_up]
+        self.entry.daemons = len(self.membership.record_by_vm)
+        for link in up:
+            link.send(report)
+
+    def _rows(self) -> tuple[CallsBelow, ...]:
+        rows = []
+        for kind, callee, calls in calls_below(self.gate.counts):
+            route, _, service = kind.rpartition(" ")
+            callee_route, _, callee_service = callee.rpartition(" ")
+            rows.append(CallsBelow(service, route, callee_service, callee_route, round(calls, 3)))
+        return tuple(rows)
+
+    # The end.
+
+    async def stop(self) -> None:
+        """Take no new work, end what runs within the grace period, and go."""
+        if self.is_stopping:
+            return
+        self.is_stopping = True
+        began_at = self.now()
+        log_event(Event.DAEMON_STOPPING, vm=self.settings.vm, in_flight=len(self.entry.pending))
+        self.gate.start_stopping()
+        self._change_own(is_leaving=True)
+        self.clients.start_closing()
+        last = began_at + self.settings.bounds.grace_s - STOP_MARGIN_S
+        while self.now() < last:
+            has_rested = self.now() - began_at >= LEAST_STOPPING_S
+            if has_rested and not self.entry.pending and not self.gate.calls_by_id:
+                break
+            await asyncio.sleep(0.05)
+        cut_off = len(self.entry.pending)
+        self.clients.stop()
+        self.clients.close_idle()
+        self.stopped.set()
+        for task in self._tasks:
+            task.cancel()
+        self.links.stop()
+        self.membership.close()
+        log_event(Event.DAEMON_STOPPED, vm=self.settings.vm, cut_off=cut_off)
--- /dev/null
+++ b/src/daisywharf/_mesh/_entry.py
@@ -0,0 +1,398 @@
+"""Take requests in, place each at a gate, and answer each once and for all."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Final, Protocol
+
+from daisywharf._configuration import Configuration, Route
+from daisywharf._context import sub_order_of
+from daisywharf._contract import Importance
+from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind
+from daisywharf._ids import RequestId, ServiceName, TargetId, VmId
+from daisywharf._mesh._dialect import Dialect, RequestHead
+from daisywharf._mesh._frames import Answered, Call, GateLoad, Unanswered
+from daisywharf._mesh._http_server import Exchange
+from daisywharf._mesh._links import CallResult, OnCallResult
+from daisywharf._mesh._routes import RouteTable, find_route
+from daisywharf._mesh._services import Services
+from daisywharf._mesh._settings import MeshSettings
+from daisywharf._overload._calls_below import CallCounts, Callee, note_call
+from daisywharf._overload._chain import ChainState, Step, chain_level, visits_of
+from daisywharf._overload._come_back import come_back_s
+from daisywharf._overload._pressure import is_shed
+from daisywharf._routing._placement import (
+    Candidate,
+    hear_load,
+    note_bad,
+    note_ended,
+    note_sent,
+    note_success,
+    place,
+)
+from daisywharf._routing._repeat_budget import RepeatBudget, note_first, take_repeat
+from daisywharf._routing._split import SplitState, next_part
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+
+MS: Final = 1000.0
+# Gates that may refuse a request unrun before it is given up: each costs a round trip.
+MOST_GATES_TRIED: Final = 3
+# Part of the latency objective that a request may wait for a slot: it has to run in the rest.
+PATIENCE_PART: Final = 0.3
+# Part of its time that a call of a running request may wait: its request holds slots above.
+INNER_PATIENCE_PART: Final = 0.6
+NO_CONFIGURATION_RETRY_S: Final = 0.3
+DEFAULT_TIME_LEFT_S: Final = 30.0
+# With less time than this a repeat can't end; it isn't begun.
+LEAST_REPEAT_S: Final = 0.03
+
+
+class Way(Protocol):
+    """Lead to one gate: the link to its daemon, or the gate beside this one."""
+
+    def submit(self, call: Call, on_result: OnCallResult) -> object:
+        """Send a call; return what `cancel` takes."""
+
+    def cancel(self, call_id: object) -> None:
+        """Give a call up."""
+
+
+class Pending:
+    """Hold one request until it is answered."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        head: RequestHead,
+        route: Route,
+        service: ServiceName,
+        *,
+        deadline: float,
+        is_from_target: bool,
+    ) -> None:
+        self.exchange = exchange
+        self.head = head
+        self.route = route
+        self.service = service
+        self.deadline = deadline
+        self.is_from_target = is_from_target
+        self.sub_order = sub_order_of(RequestId(head.request_id))
+        self.excluded: set[TargetId] = set()
+        self.attempts = 0
+        self.gates_tried = 0
+        self.may_have_run = False
+        self.last_kind = ErrorKind.NO_TARGET
+        self.sent_at = 0.0
+        self.candidate: Candidate | None = None
+        self.way: Way | None = None
+        self.call_id: object = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Entry:
+    """Hold what one daemon needs to take requests in."""
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        *,
+        dialect: Dialect,
+        services: Services,
+        counts: CallCounts,
+        way_to: Callable[[VmId], Way | None],
+        now: Callable[[], float],
+        rng: Random,
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.services = services
+        self.counts = counts
+        self.way_to = way_to
+        self.now = now
+        self.rng = rng
+        self.table: RouteTable | None = None
+        self.chain = ChainState()
+        self.split = SplitState()
+        bounds = settings.bounds
+        self.budget = RepeatBudget(
+            ratio=bounds.retry_ratio, extra=bounds.retry_extra, window_s=bounds.retry_window_s
+        )
+        self.pending: set[Pending] = set()
+        self.daemons = 1
+
+    def put_in_force(self, configuration: Configuration) -> None:
+        """Route by this configuration from now on."""
+        self.table = RouteTable(configuration)
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take a request in."""
+        if self.table is None:
+            lines = self.dialect.refusal_lines(retry_after_s=NO_CONFIGURATION_RETRY_S)
+            exchange.respond(503, lines=lines)
+            return
+        head = self.dialect.read_request(exchange.headers)
+        path = exchange.target.decode("latin-1").partition("?")[0]
+        route = find_route(self.table, host=head.host, path=path)
+        if route is None:
+            log_event(
+                Event.REQUEST_WITHOUT_ROUTE,
+                request=head.request_id,
+                host=head.host,
+                path=path,
+                version=self.table.configuration.version,
+            )
+            exchange.respond(404)
+            return
+        self._begin(exchange, head, route)
+
+    def _begin(self, exchange: Exchange, head: RequestHead, route: Route) -> None:
+        now = exchange.arrived_at
+        time_left_s = DEFAULT_TIME_LEFT_S if head.time_left_s is None else head.time_left_s
+        pending = Pending(
+            exchange,
+            head,
+            route,
+            next_part(self.split, route, rng=self.rng),
+            deadline=now + min(time_left_s, route.timeout_s),
+            is_from_target=exchange.connection.peer_host == self.settings.target_address.host,
+        )
+        if pending.is_from_target:
+            note_call(self.counts, Callee(f"{route.name} {pending.service}"))
+        else:
+            note_first(self.budget, pending.service, now=now)
+            if self._is_shed(pending, now=now):
+                return
+        self.pending.add(pending)
+        exchange.on_gone = lambda: self._give_up(pending)
+        pending.timer = asyncio.get_running_loop().call_later(
+            max(0.0, pending.deadline - self.now()), self._time_out, pending
+        )
+        self._send(pending)
+
+    def _is_shed(self, pending: Pending, *, now: float) -> bool:
+        visits = visits_of(self.chain, Step(pending.route.name, pending.service), now=now)
+        level = chain_level(visits, self.services.level_by_service(now=now))
+        if not is_shed(pending.route.importance, pending.sub_order, level=level):
+            return False
+        log_event(
+            Event.REQUEST_SHED,
+            request=pending.head.request_id,
+            route=pending.route.name,
+            service=pending.service,
+            importance=pending.route.importance,
+            level=round(level, 3),
+        )
+        self._refuse(pending, ErrorKind.SHED, now=now)
+        return True
+
+    # One attempt.
+
+    def _send(self, pending: Pending) -> None:
+        now = self.now()
+        placement = self.services.placement_of(pending.service)
+        while True:
+            candidate = place(
+                placement, pending.route.name, excluded=pending.excluded, now=now, rng=self.rng
+            )
+            if candidate is None:
+                self._finish_unsent(pending, now=now)
+                return
+            way = self.way_to(candidate.vm)
+            if way is not None:
+                break
+            pending.excluded.add(candidate.record.target.target_id)
+        pending.candidate, pending.way, pending.sent_at = candidate, way, now
+        note_sent(candidate, now=now)
+        pending.call_id = None
+        call_id = way.submit(
+            self._call(pending, candidate, now=now), lambda result: self._take(pending, result)
+        )
+        if pending.way is way and pending.call_id is None:
+            pending.call_id = call_id
+
+    def _call(self, pending: Pending, candidate: Candidate, *, now: float) -> Call:
+        exchange, route, head = pending.exchange, pending.route, pending.head
+        left_s = pending.deadline - now
+        if pending.is_from_target:
+            patience_s = left_s * INNER_PATIENCE_PART
+        else:
+            patience_s = route.aim_s * PATIENCE_PART - (now - exchange.arrived_at)
+        return Call(
+            call_id=0,
+            target_id=candidate.record.target.target_id,
+            request_id=head.request_id,
+            caller_service=self.settings.service,
+            route=f"{route.name} {pending.service}",
+            time_left_ms=max(0, int(left_s * MS)),
+            patience_ms=max(1, int(patience_s * MS)),
+            importance=Importance.CRITICAL if pending.is_from_target else route.importance,
+            sub_order=pending.sub_order,
+            is_from_target=pending.is_from_target,
+            is_idempotent=route.is_idempotent,
+            head=b"%b %b HTTP/1.1\r\n%b" % (exchange.method, exchange.target, head.passed_on),
+            body=exchange.body,
+        )
+
+    def _take(self, pending: Pending, result: CallResult) -> None:
+        candidate = pending.candidate
+        assert candidate is not None
+        pending.way = None
+        note_ended(candidate)
+        if result.load is not None:
+            self.hear(pending.service, candidate.record.target.target_id, result.load)
+        if isinstance(result, Answered):
+            self._take_answer(pending, candidate, result)
+        else:
+            self._take_failure(pending, candidate, result)
+
+    def _take_answer(self, pending: Pending, candidate: Candidate, result: Answered) -> None:
+        now = self.now()
+        pending.attempts += 1
+        if result.status < 500 and not result.is_not_run:
+            latency_s = now - pending.sent_at
+            note_success(candidate, pending.route.name, latency_s=latency_s, now=now)
+            self._pass_on(pending, result)
+            return
+        if result.is_not_run:
+            note_bad(self.services.placement_of(pending.service), candidate, now=now)
+            pending.last_kind = ErrorKind.SHED
+            if result.status == 421:
+                candidate.is_refusing = True
+        else:
+            pending.may_have_run = True
+            pending.last_kind = ErrorKind.TARGET_FAILED
+        if not self._repeat(pending, candidate, now=now):
+            if result.is_not_run and not pending.may_have_run:
+                self._refuse(pending, ErrorKind.SHED, now=now)
+            else:
+                self._pass_on(pending, result)
+
+    def _take_failure(self, pending: Pending, candidate: Candidate, result: Unanswered) -> None:
+        now = self.now()
+        placement = self.services.placement_of(pending.service)
+        pending.last_kind = result.kind
+        if not result.has_begun:
+            pending.gates_tried += 1
+            pending.excluded.add(candidate.record.target.target_id)
+            if result.kind in (ErrorKind.DRAINING, ErrorKind.WRONG_INCARNATION):
+                candidate.is_refusing = True
+            elif result.kind in (ErrorKind.CONNECT_FAILED, ErrorKind.NO_TARGET):
+                note_bad(placement, candidate, now=now)
+            if pending.gates_tried < MOST_GATES_TRIED and now < pending.deadline:
+                self._send(pending)
+            else:
+                self._finish_unsent(pending, now=now)
+            return
+        note_bad(placement, candidate, now=now)
+        pending.attempts += 1
+        pending.may_have_run = True
+        if not self._repeat(pending, candidate, now=now):
+            self._fail(pending, ErrorKind.OUTCOME_UNKNOWN)
+
+    def _repeat(self, pending: Pending, candidate: Candidate, *, now: float) -> bool:
+        """Send the request to a second target, if its kind, its time and the budget allow it."""
+        route = pending.route
+        if pending.attempts >= route.max_attempts or pending.deadline - now < LEAST_REPEAT_S:
+            return False
+        if pending.may_have_run and not route.is_idempotent:
+            return False
+        visits = visits_of(self.chain, Step(route.name, pending.service), now=now)
+        if not take_repeat(self.budget, visits, daemons=self.daemons, now=now):
+            return False
+        log_event(
+            Event.REQUEST_REPEATED,
+            request=pending.head.request_id,
+            route=route.name,
+            target=candidate.record.target.target_id,
+            kind=pending.last_kind.value,
+        )
+        pending.excluded.add(candidate.record.target.target_id)
+        self._send(pending)
+        return True
+
+    # The end.
+
+    def _finish_unsent(self, pending: Pending, *, now: float) -> None:
+        if pending.may_have_run:
+            self._fail(pending, ErrorKind.OUTCOME_UNKNOWN)
+        else:
+            self._refuse(pending, pending.last_kind, now=now)
+
+    def _refuse(self, pending: Pending, kind: ErrorKind, *, now: float) -> None:
+        """Answer a request that hasn't run and never will, with when to come back."""
+        time_left_s = (pending.head.time_left_s or 0.0) - (now - pending.exchange.arrived_at)
+        retry_after_s = come_back_s(
+            aim_s=pending.route.aim_s, time_left_s=time_left_s, rng=self.rng
+        )
+        if kind is not ErrorKind.SHED or pending.gates_tried:
+            log_event(
+                Event.REQUEST_REFUSED,
+                request=pending.head.request_id,
+                route=pending.route.name,
+                service=pending.service,
+                kind=kind.value,
+                gates_tried=pending.gates_tried,
+            )
+        self._end(pending)
+        lines = self.dialect.refusal_lines(retry_after_s=retry_after_s)
+        pending.exchange.respond(ANSWERS_BY_KIND[ErrorKind.SHED].status, lines=lines)
+
+    def _fail(self, pending: Pending, kind: ErrorKind) -> None:
+        """Answer a request that may have run."""
+        log_event(
+            Event.REQUEST_FAILED,
+            request=pending.head.request_id,
+            route=pending.route.name,
+            service=pending.service,
+            kind=kind.value,
+            cause=pending.last_kind.value,
+            attempts=pending.attempts,
+        )
+        self._end(pending)
+        pending.exchange.respond(ANSWERS_BY_KIND[kind].status)
+
+    def _pass_on(self, pending: Pending, result: Answered) -> None:
+        self._end(pending)
+        if result.status >= 500:
+            log_event(
+                Event.REQUEST_FAILED,
+                request=pending.head.request_id,
+                route=pending.route.name,
+                service=pending.service,
+                kind=ErrorKind.TARGET_FAILED.value,
+                cause=str(result.status),
+                attempts=pending.attempts,
+            )
+        pending.exchange.respond_raw(result.status, result.reason, result.headers, result.body)
+
+    def _time_out(self, pending: Pending) -> None:
+        self._cancel_attempt(pending)
+        self._fail(pending, ErrorKind.TIMED_OUT)
+
+    def _give_up(self, pending: Pending) -> None:
+        self._cancel_attempt(pending)
+        self._end(pending)
+
+    def _cancel_attempt(self, pending: Pending) -> None:
+        way, pending.way = pending.way, None
+        if way is not None and pending.candidate is not None:
+            note_ended(pending.candidate)
+            way.cancel(pending.call_id)
+
+    def _end(self, pending: Pending) -> None:
+        self.pending.discard(pending)
+        pending.exchange.on_gone = None
+        if pending.timer is not None:
+            pending.timer.cancel()
+
+    def hear(self, service: ServiceName, target_id: TargetId, load: GateLoad) -> None:
+        """Take a load that a gate announced."""
+        hear_load(
+            self.services.placement_of(service),
+            target_id,
+            occupied=load.running + load.waiting,
+            limit=load.limit,
+            level=load.level,
+            now=self.now(),
+        )
--- /dev/null
+++ b/src/daisywharf/_mesh/_frames.py
@@ -0,0 +1,135 @@
+"""The frames that travel on a link between two daemons."""
+
+from typing import Final
+
+import msgspec
+
+from daisywharf._errors import ErrorKind
+from daisywharf._mesh._model import MemberRecord
+from daisywharf._overload._calls_below import CallsBelow
+
+LENGTH_BYTES: Final = 4
+
+
+class GateLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Announce a gate's load: calls running and waiting, its limit, and its shedding level.
+
+    A request whose importance and sub-order lie at or above `level` is refused at its entry.
+    """
+
+    running: int
+    waiting: int
+    limit: int
+    level: float
+
+
+class Call(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Ask a gate to run a call; `head` holds the request line and the headers passed on."""
+
+    call_id: int
+    target_id: str
+    request_id: str
+    caller_service: str
+    route: str
+    time_left_ms: int
+    patience_ms: int
+    importance: int
+    sub_order: int
+    is_from_target: bool
+    is_idempotent: bool
+    head: bytes
+    body: bytes
+
+
+class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Give a call up: its client has gone, or its time has run out."""
+
+    call_id: int
+
+
+class Answered(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Carry a target's whole answer as it came; `headers` are those to pass on."""
+
+    call_id: int
+    status: int
+    reason: bytes
+    headers: bytes
+    body: bytes
+    is_signed: bool
+    is_not_run: bool
+    load: GateLoad
+
+
+class Unanswered(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Say why a call got no answer; `has_begun` tells whether the target may have run it."""
+
+    call_id: int
+    kind: ErrorKind
+    has_begun: bool
+    load: GateLoad | None
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Open a link: who opens it, how many members it knows, its configuration's version."""
+
+    member: MemberRecord
+    known_members: int
+    version: int
+
+
+class Members(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Pass on records of members that changed."""
+
+    records: tuple[MemberRecord, ...]
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Report, now and then, a daemon's load, store contact and what its target's runs call."""
+
+    version: int
+    is_watching: bool
+    load: GateLoad | None
+    calls_below: tuple[CallsBelow, ...]
+
+
+class NewConfiguration(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Pass a version of the configuration on, encoded as `encode_configuration` does."""
+
+    version: int
+    body: bytes
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Ask the other end for a sign of life."""
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Give a sign of life."""
+
+
+Frame = (
+    Call
+    | Cancel
+    | Answered
+    | Unanswered
+    | Hello
+    | Members
+    | Report
+    | NewConfiguration
+    | Ping
+    | Pong
+)
+
+_encoder: Final = msgspec.msgpack.Encoder()
+_decoder: Final = msgspec.msgpack.Decoder(Frame)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame behind its length."""
+    body = _encoder.encode(frame)
+    return len(body).to_bytes(LENGTH_BYTES, "big") + body
+
+
+def decode_frame(body: bytes | memoryview) -> Frame:
+    """Decode a frame without its length; raise `msgspec.DecodeError` where it can't be read."""
+    return _decoder.decode(body)
--- /dev/null
+++ b/src/daisywharf/_mesh/_gate.py
@@ -0,0 +1,244 @@
+"""Run calls at the target beside this daemon, which no other process can reach."""
+
+from collections.abc import Callable, Sequence
+from typing import Final
+
+import msgspec
+
+from daisywharf._contract import Importance
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import CallClassName, RequestId
+from daisywharf._mesh._dialect import Dialect
+from daisywharf._mesh._frames import Answered, Call, GateLoad, Unanswered
+from daisywharf._mesh._headers import HeaderPair
+from daisywharf._mesh._http_client import Asked, HttpAnswer, HttpPool, HttpResult
+from daisywharf._mesh._links import CallResult, OnCallResult
+from daisywharf._mesh._model import Readiness, TargetNotice
+from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
+from daisywharf._overload._calls_below import CallCounts, Kind, note_run
+from daisywharf._overload._pressure import Pressure, move_pressure
+from daisywharf._overload._queue import WaitingCall
+from daisywharf._overload._slots import (
+    SlotGate,
+    arrive,
+    change_slots,
+    close_gate,
+    expire,
+    load_part,
+    release,
+    withdraw,
+)
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+
+# A call with less time than this can't be answered; it isn't offered to the target.
+LEAST_TIME_S: Final = 0.005
+MS: Final = 1000.0
+# What can't be repeated goes out on connections that were used a moment ago, or on new ones.
+FRESH_IDLE_S: Final = 1.0
+USUAL_IDLE_S: Final = 4.0
+# After a failed connection the target is tried again in this time, or with its next word.
+UNREACHABLE_S: Final = 0.5
+
+
+class GateCall(msgspec.Struct):
+    """Hold a call that waits or runs at the gate."""
+
+    call_id: CallId
+    call: Call
+    on_result: OnCallResult
+    deadline: float
+    asked: Asked | None = None
+    is_given_up: bool = False
+
+
+class Gate:
+    """Hold the target beside this daemon, its slots, and the calls at it."""
+
+    def __init__(self, *, dialect: Dialect, now: Callable[[], float]) -> None:
+        self.dialect = dialect
+        self.now = now
+        self.notice: TargetNotice | None = None
+        self.slots = SlotGate(slots=1)
+        self.pressure = Pressure(now=now())
+        self.counts = CallCounts(now=now())
+        self.ceiling = float(len(Importance))
+        self.calls_by_id: dict[CallId, GateCall] = {}
+        self.is_stopping = False
+        self.unreachable_until = 0.0
+        self._pool: HttpPool | None = None
+        self._last_number = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the gate takes calls."""
+        notice = self.notice
+        return (
+            notice is not None and notice.readiness is Readiness.READY and not self.slots.is_closed
+        )
+
+    def load(self) -> GateLoad:
+        """Return the load to announce."""
+        slots = self.slots
+        return GateLoad(
+            len(slots.running), slots.queue.size, slots.limit, round(self.pressure.level, 3)
+        )
+
+    def take_notice(self, notice: TargetNotice) -> None:
+        """Follow what the target says of itself; the caller has put notices in order."""
+        known = self.notice
+        is_same = known is not None and (known.target_id, known.born_ms, known.address) == (
+            notice.target_id,
+            notice.born_ms,
+            notice.address,
+        )
+        if not is_same:
+            self._replace_target(notice)
+        self.notice = notice
+        self.unreachable_until = 0.0
+        if notice.readiness is not Readiness.READY:
+            self._apply(close_gate(self.slots))
+        elif not self.is_stopping:
+            self.slots.is_closed = False
+            self._apply(change_slots(self.slots, notice.slots, now=self.now()))
+
+    def _replace_target(self, notice: TargetNotice) -> None:
+        if self._pool is not None:
+            self._apply(close_gate(self.slots))
+            self._pool.close()
+        self.slots = SlotGate(slots=notice.slots)
+        self.slots.is_closed = self.is_stopping
+        self.pressure = Pressure(now=self.now())
+        self._pool = HttpPool(notice.address, now=self.now, idle_s=self._idle_s)
+
+    def _idle_s(self, headers: Sequence[HeaderPair]) -> float | None:
+        return self.dialect.read_answer(headers).idle_s
+
+    def submit(self, call: Call, on_result: OnCallResult) -> CallId:
+        """Take a call; the result follows, at once or later."""
+        now = self.now()
+        self._last_number += 1
+        call_id = CallId(RequestId(call.request_id), self._last_number)
+        notice = self.notice
+        if notice is None or notice.target_id != call.target_id:
+            on_result(self._refusal(call, ErrorKind.WRONG_INCARNATION))
+            return call_id
+        if now < self.unreachable_until:
+            on_result(self._refusal(call, ErrorKind.NO_TARGET))
+            return call_id
+        deadline = now + call.time_left_ms / MS
+        self.calls_by_id[call_id] = GateCall(call_id, call, on_result, deadline)
+        waiting = WaitingCall(
+            call_id,
+            CallClassName(call.route),
+            Importance(call.importance),
+            call.sub_order,
+            0,
+            min(now + call.patience_ms / MS, deadline - LEAST_TIME_S),
+            now,
+        )
+        self._apply(arrive(self.slots, waiting, now=now))
+        return call_id
+
+    def cancel(self, call_id: CallId) -> None:
+        """Give a call up: drop it from the queue, or stop its run.
+
+        A run that can't be repeated goes on to its end, so that it isn't left half done.
+        """
+        gate_call = self.calls_by_id.get(call_id)
+        if gate_call is None:
+            return
+        if gate_call.asked is None:
+            withdraw(self.slots, call_id)
+            del self.calls_by_id[call_id]
+        elif gate_call.call.is_idempotent:
+            gate_call.asked.cancel()
+            del self.calls_by_id[call_id]
+            self._apply(release(self.slots, call_id, now=self.now()))
+        else:
+            gate_call.is_given_up = True
+
+    def tick(self, *, now: float) -> None:
+        """Refuse what waited too long and move the shedding level."""
+        self._apply(expire(self.slots, now=now))
+        move_pressure(self.pressure, load=load_part(self.slots), ceiling=self.ceiling, now=now)
+
+    def sweep(self, *, now: float) -> None:
+        """Close connections to the target that were idle for too long."""
+        if self._pool is not None:
+            self._pool.sweep(now=now)
+
+    def start_stopping(self) -> None:
+        """Refuse what waits and arrives; what runs goes on."""
+        self.is_stopping = True
+        self._apply(close_gate(self.slots))
+
+    def _apply(self, actions: list[AdmissionAction]) -> None:
+        for action in actions:
+            if isinstance(action, Admit):
+                self._start(self.calls_by_id[action.call_id])
+            elif isinstance(action, Refuse):
+                gate_call = self.calls_by_id.pop(action.call_id)
+                gate_call.on_result(self._refusal(gate_call.call, action.kind))
+
+    def _start(self, gate_call: GateCall) -> None:
+        pool, notice, call = self._pool, self.notice, gate_call.call
+        assert pool is not None and notice is not None
+        left_ms = int((gate_call.deadline - self.now()) * MS)
+        note_run(self.counts, Kind(call.route))
+        lines = self.dialect.target_lines(
+            target_id=notice.target_id, caller_service=call.caller_service, time_left_ms=left_ms
+        )
+        length = b"Content-Length: %d\r\n" % len(call.body) if call.body else b""
+        if not call.body and not call.head.startswith((b"GET ", b"HEAD ", b"DELETE ")):
+            length = b"Content-Length: 0\r\n"
+        request = b"".join((call.head, lines, length, b"\r\n", call.body))
+        request_id = call.request_id
+
+        def is_own(headers: Sequence[HeaderPair]) -> bool:
+            named = self.dialect.read_answer(headers).request_id
+            return not named or named == request_id
+
+        gate_call.asked = pool.ask(
+            request,
+            lambda result: self._finish(gate_call, result),
+            is_own=is_own,
+            most_idle_s=USUAL_IDLE_S if gate_call.call.is_idempotent else FRESH_IDLE_S,
+        )
+
+    def _finish(self, gate_call: GateCall, result: HttpResult) -> None:
+        self.calls_by_id.pop(gate_call.call_id, None)
+        self._apply(release(self.slots, gate_call.call_id, now=self.now()))
+        outcome = self._outcome(gate_call.call, result)
+        if not gate_call.is_given_up:
+            gate_call.on_result(outcome)
+
+    def _outcome(self, call: Call, result: HttpResult) -> CallResult:
+        if not isinstance(result, HttpAnswer):
+            if result.kind is ErrorKind.CONNECT_FAILED:
+                self._lose_target(result.detail)
+            return Unanswered(call.call_id, result.kind, result.has_begun, self.load())
+        head = self.dialect.read_answer(result.headers)
+        is_whole = head.is_signed and head.request_id == call.request_id and not head.is_encoded
+        if result.status < 300 and not is_whole:
+            return Unanswered(call.call_id, ErrorKind.CUT_ANSWER, has_begun=True, load=self.load())
+        return Answered(
+            call.call_id,
+            result.status,
+            result.reason,
+            head.passed_on,
+            result.body,
+            head.is_signed,
+            head.is_not_run or result.status == 421,
+            self.load(),
+        )
+
+    def _lose_target(self, detail: str) -> None:
+        now = self.now()
+        if now < self.unreachable_until or self.notice is None:
+            return
+        self.unreachable_until = now + UNREACHABLE_S
+        log_event(Event.TARGET_UNREACHABLE, target=self.notice.target_id, error=detail)
+
+    def _refusal(self, call: Call, kind: ErrorKind) -> Unanswered:
+        return Unanswered(call.call_id, kind, has_begun=False, load=self.load())
--- /dev/null
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -0,0 +1,304 @@
+"""Ask one server over HTTP/1.1 on the event loop, one request at a time on a connection."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+import httptools
+import msgspec
+
+from daisywharf._errors import ErrorKind
+from daisywharf._mesh._headers import HeaderPair
+from daisywharf._topology import Address
+
+CONNECT_TIMEOUT_S: Final = 1.0  # clients allow a new connection as long
+# A connection is used again only this long before its server may close it for idleness.
+IDLE_MARGIN: Final = 0.6
+DEFAULT_IDLE_S: Final = 4.0
+MOST_ANSWER_BYTES: Final = 67_108_864
+
+
+class HttpAnswer(msgspec.Struct, frozen=True):
+    """Hold a whole answer."""
+
+    status: int
+    reason: bytes
+    headers: list[HeaderPair]
+    body: bytes
+
+
+class HttpFailure(msgspec.Struct, frozen=True):
+    """Say why no whole answer came; `has_begun` tells whether the server may have read it."""
+
+    kind: ErrorKind
+    has_begun: bool
+    detail: str = ""
+
+
+HttpResult = HttpAnswer | HttpFailure
+OnResult = Callable[[HttpResult], None]
+# Tells whether an answer with these headers belongs to the request.
+IsOwn = Callable[[Sequence[HeaderPair]], bool]
+
+
+def any_answer(_headers: Sequence[HeaderPair]) -> bool:
+    """Take each answer for one's own."""
+    return True
+
+
+class Asked:
+    """Hold one request until its result is known."""
+
+    def __init__(self, request: bytes, on_result: OnResult, *, is_own: IsOwn) -> None:
+        self.request = request
+        self.is_own = is_own
+        self.connection: ClientConnection | None = None
+        self._on_result: OnResult | None = on_result
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the result is still awaited."""
+        return self._on_result is not None
+
+    def finish(self, result: HttpResult) -> None:
+        """Hand the result over, once."""
+        on_result, self._on_result = self._on_result, None
+        if on_result is not None:
+            on_result(result)
+
+    def cancel(self) -> None:
+        """Give the request up; a connection that carries it is closed."""
+        self._on_result = None
+        if self.connection is not None:
+            self.connection.abandon()
+
+
+class HttpPool:
+    """Hold the connections to one server; `idle_s` gives how long an idle one is used again."""
+
+    def __init__(
+        self,
+        address: Address,
+        *,
+        now: Callable[[], float],
+        idle_s: Callable[[Sequence[HeaderPair]], float | None] = lambda _headers: None,
+        most: int = 1_000_000,
+    ) -> None:
+        self.address = address
+        self.now = now
+        self.idle_s = idle_s
+        self.most = most
+        self.idle: list[ClientConnection] = []
+        self.open_connections: set[ClientConnection] = set()
+        self.opened = 0
+
+    def ask(
+        self,
+        request: bytes,
+        on_result: OnResult,
+        *,
+        is_own: IsOwn = any_answer,
+        most_idle_s: float = DEFAULT_IDLE_S,
+    ) -> Asked:
+        """Send a request, on a connection that was idle for at most `most_idle_s`, or a new one."""
+        asked = Asked(request, on_result, is_own=is_own)
+        connection = self._take_idle(most_idle_s)
+        if connection is not None:
+            connection.send(asked)
+        else:
+            asyncio.ensure_future(self._open(asked))
+        return asked
+
+    def _take_idle(self, most_idle_s: float) -> "ClientConnection | None":
+        now = self.now()
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_usable(now=now, most_idle_s=most_idle_s):
+                return connection
+            connection.abandon()
+        return None
+
+    async def _open(self, asked: Asked) -> None:
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(self), self.address.host, self.address.port
+                )
+        except (OSError, TimeoutError) as error:
+            asked.finish(HttpFailure(ErrorKind.CONNECT_FAILED, has_begun=False, detail=repr(error)))
+            return
+        if asked.is_open:
+            connection.send(asked)
+        else:
+            self.give_back(connection)
+
+    def give_back(self, connection: "ClientConnection") -> None:
+        """Keep a connection for the next request."""
+        if len(self.idle) < self.most:
+            self.idle.append(connection)
+        else:
+            connection.abandon()
+
+    def sweep(self, *, now: float) -> None:
+        """Close connections that were idle for too long."""
+        stale = [c for c in self.idle if not c.is_usable(now=now, most_idle_s=DEFAULT_IDLE_S)]
+        for connection in stale:
+            self.idle.remove(connection)
+            connection.abandon()
+
+    def close(self) -> None:
+        """Close all connections; requests on them fail."""
+        self.idle.clear()
+        for connection in list(self.open_connections):
+            connection.abandon()
+
+
+class ClientConnection(asyncio.Protocol):
+    """Carry one request at a time; any doubt about whose bytes came ends the connection."""
+
+    def __init__(self, pool: HttpPool) -> None:
+        self.pool = pool
+        self.transport: asyncio.Transport | None = None
+        self.asked: Asked | None = None
+        self._parser: Any = None
+        self._idle_since = pool.now()
+        self._idle_limit_s = DEFAULT_IDLE_S
+        self._reset_answer()
+        self._is_doubtful = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Be ready to send."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self._parser = httptools.HttpResponseParser(self)
+        self.pool.open_connections.add(self)
+
+    def is_usable(self, *, now: float, most_idle_s: float) -> bool:
+        """Tell whether the connection may carry another request."""
+        idle_s = now - self._idle_since
+        is_open = self.transport is not None and not self.transport.is_closing()
+        return is_open and idle_s < min(self._idle_limit_s, most_idle_s)
+
+    def send(self, asked: Asked) -> None:
+        """Send a request."""
+        assert self.transport is not None
+        self.asked = asked
+        asked.connection = self
+        self.transport.write(asked.request)
+
+    def abandon(self) -> None:
+        """Close at once; what was asked gets no result from here."""
+        self.asked = None
+        self.pool.open_connections.discard(self)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Read a part of an answer."""
+        if self.asked is None:
+            self.abandon()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._is_doubtful = True
+            self._fail(ErrorKind.CUT_ANSWER, f"unreadable answer: {error!r}")
+        if self._is_doubtful and self.asked is None:
+            self.abandon()
+
+    def eof_received(self) -> bool:
+        """Take the end for the end of an answer without a length."""
+        if self._ends_with_connection and self.asked is not None:
+            self._complete()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail what was asked."""
+        self.pool.open_connections.discard(self)
+        if self in self.pool.idle:
+            self.pool.idle.remove(self)
+        self.transport = None
+        self._fail(ErrorKind.CUT_ANSWER, f"connection ended: {exc!r}")
+
+    # Calls of the parser.
+
+    def on_message_begin(self) -> None:
+        """Begin an answer; one behind a whole answer belongs to no request."""
+        if self.asked is None:
+            self._is_doubtful = True
+        self._reset_answer()
+
+    def on_status(self, reason: bytes) -> None:
+        """Take the reason phrase."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self._headers.append((name, value or b""))
+
+    def on_headers_complete(self) -> None:
+        """Tell whether the answer's end shows."""
+        status = self._parser.get_status_code()
+        names = {name.lower() for name, _ in self._headers}
+        has_length = b"content-length" in names or b"transfer-encoding" in names
+        has_body = status >= 200 and status not in (204, 304)
+        self._ends_with_connection = has_body and not has_length
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > MOST_ANSWER_BYTES:
+            self._is_doubtful = True
+            self._fail(ErrorKind.TOO_LARGE, f"answer of over {MOST_ANSWER_BYTES} bytes")
+
+    def on_message_complete(self) -> None:
+        """Hand the whole answer over."""
+        if self._parser.get_status_code() >= 200:
+            self._complete()
+
+    def _complete(self) -> None:
+        asked = self.asked
+        if asked is None:
+            return
+        if not asked.is_own(self._headers):
+            # A late extra answer: the own one comes behind it, on a connection in doubt.
+            self._is_doubtful = True
+            self._ends_with_connection = False
+            return
+        status = self._parser.get_status_code()
+        keeps_alive = self._parser.should_keep_alive() and not self._ends_with_connection
+        answer = HttpAnswer(status, self._reason, self._headers, b"".join(self._body))
+        self.asked = None
+        limit_s = self.pool.idle_s(self._headers)
+        if limit_s is not None:
+            self._idle_limit_s = limit_s * IDLE_MARGIN
+        self._idle_since = self.pool.now()
+        asked.connection = None
+        if self._is_doubtful or not keeps_alive or self.transport is None:
+            self._is_doubtful = True
+        else:
+            # Bytes that follow in the same read put the connection in doubt first.
+            asyncio.get_running_loop().call_soon(self._settle)
+        asked.finish(answer)
+
+    def _settle(self) -> None:
+        if self._is_doubtful or self.transport is None or self.transport.is_closing():
+            self.abandon()
+        else:
+            self.pool.give_back(self)
+
+    def _fail(self, kind: ErrorKind, detail: str) -> None:
+        asked, self.asked = self.asked, None
+        if asked is not None:
+            asked.connection = None
+            asked.finish(HttpFailure(kind, has_begun=True, detail=detail))
+
+    def _reset_answer(self) -> None:
+        self._reason = b""
+        self._headers: list[HeaderPair] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._ends_with_connection = False
--- /dev/null
+++ b/src/daisywharf/_mesh/_http_server.py
@@ -0,0 +1,303 @@
+"""Serve HTTP/1.1 connections on the event loop: whole requests in, whole answers out, in order."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any, Final
+
+import httptools
+
+from daisywharf._configuration import ClientLimits
+from daisywharf._mesh._headers import HeaderPair
+from daisywharf._topology import Address
+
+# Clients pipeline a handful; more than this many unanswered requests pause the reading.
+MOST_PIPELINED: Final = 32
+BACKLOG: Final = 1_024
+BODYLESS: Final = frozenset({204, 304})
+PHRASES: Final[dict[int, bytes]] = {s.value: s.phrase.encode() for s in HTTPStatus}
+
+
+class Exchange:
+    """Hold one request of a client and the answer to it."""
+
+    def __init__(self, connection: "ServerConnection", *, arrived_at: float) -> None:
+        self.connection = connection
+        self.arrived_at = arrived_at
+        self.method = b""
+        self.target = b""
+        self.headers: list[HeaderPair] = []
+        self.body = b""
+        self.keeps_alive = True
+        self.answer: bytes | None = None
+        self.on_gone: Callable[[], None] | None = None
+
+    def respond(self, status: int, *, lines: bytes = b"", body: bytes = b"") -> None:
+        """Answer with a status, header lines that end with a line break, and a whole body."""
+        self.respond_raw(status, PHRASES.get(status, b""), lines, body)
+
+    def respond_raw(self, status: int, reason: bytes, lines: bytes, body: bytes) -> None:
+        """Answer as `respond`, with a reason phrase; later answers are dropped."""
+        if self.answer is not None:
+            return
+        head = b"HTTP/1.1 %d %b\r\n" % (status, reason)
+        if status not in BODYLESS:
+            lines += b"Content-Length: %d\r\n" % len(body)
+        self.answer = head + lines + (b"" if self.method == b"HEAD" else b"\r\n" + body)
+        if self.method == b"HEAD":
+            self.answer += b"\r\n"
+        self.on_gone = None
+        self.connection.flush()
+
+    @property
+    def is_answered(self) -> bool:
+        """Tell whether the answer is known."""
+        return self.answer is not None
+
+
+Handler = Callable[[Exchange], None]
+
+
+class HttpServer:
+    """Hold the connections of one listening address; `handle` answers each exchange in time."""
+
+    def __init__(self, handle: Handler, *, now: Callable[[], float]) -> None:
+        self.handle = handle
+        self.now = now
+        self.limits = ClientLimits()
+        self.connections: set[ServerConnection] = set()
+        self.is_closing = False
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: Address) -> None:
+        """Listen at an address."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self), address.host, address.port, backlog=BACKLOG
+        )
+
+    def sweep(self, *, now: float) -> None:
+        """End connections that are idle, or slow with a head, for too long."""
+        for connection in list(self.connections):
+            connection.sweep(now=now)
+
+    def start_closing(self) -> None:
+        """Close each connection with its next answer, and idle ones once no request can cross."""
+        self.is_closing = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is read or answered."""
+        for connection in list(self.connections):
+            if not connection.is_busy:
+                connection.close()
+
+    @property
+    def unanswered(self) -> int:
+        """Return how many exchanges wait for their answer."""
+        return sum(len(connection.exchanges) for connection in self.connections)
+
+    def stop(self) -> None:
+        """Stop listening; open connections stay."""
+        if self._server is not None:
+            self._server.close()
+
+
+class ServerConnection(asyncio.Protocol):
+    """Read the requests of one connection and write their answers in the order of requests."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self.server = server
+        self.exchanges: deque[Exchange] = deque()
+        self.transport: asyncio.Transport | None = None
+        self.peer_host = ""
+        self._parser: Any = None
+        self._reading: Exchange | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._has_head = False
+        self._active_at = server.now()
+        self._is_ending = False
+        self._is_blocked = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to read."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        peer = transport.get_extra_info("peername")
+        self.peer_host = peer[0] if peer else ""
+        self._parser = httptools.HttpRequestParser(self)
+        self.server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Give up what the client asked for."""
+        self.server.connections.discard(self)
+        self.transport = None
+        self._give_up()
+
+    def eof_received(self) -> bool:
+        """Take a client that closes its side for one that has gone."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Read what came; bytes behind the last request that is read are left alone."""
+        if self._is_ending:
+            return
+        self._active_at = self.server.now()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(HTTPStatus.NOT_IMPLEMENTED)
+        except httptools.HttpParserError:
+            if not self._is_ending:
+                self._refuse(HTTPStatus.BAD_REQUEST)
+
+    def pause_writing(self) -> None:
+        """Read no further request while the client reads no answer."""
+        self._is_blocked = True
+        self._pace()
+
+    def resume_writing(self) -> None:
+        """Go on."""
+        self._is_blocked = False
+        self._pace()
+
+    # Calls of the parser.
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._reading = Exchange(self, arrived_at=self.server.now())
+        self._body = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._has_head = False
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request's target."""
+        if self._reading is not None:
+            self._reading.target += url
+            self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        if self._reading is not None:
+            self._reading.headers.append((name, value or b""))
+            self._count_head(len(name) + len(value or b""))
+
+    def on_headers_complete(self) -> None:
+        """Let a client that waits for it send its body."""
+        exchange = self._reading
+        if exchange is None or self.transport is None:
+            return
+        self._has_head = True
+        exchange.method = self._parser.get_method()
+        exchange.keeps_alive = self._parser.should_keep_alive()
+        expects = any(name.lower() == b"expect" for name, _ in exchange.headers)
+        if expects and not self.exchanges:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self.server.limits.body_bytes:
+            self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Hand the whole request over."""
+        exchange, self._reading = self._reading, None
+        if exchange is None or self._is_ending:
+            return
+        exchange.body = b"".join(self._body)
+        self._body = []
+        if not exchange.keeps_alive:
+            self._is_ending = True
+        self.exchanges.append(exchange)
+        self._pace()
+        self.server.handle(exchange)
+
+    # Answers.
+
+    def flush(self) -> None:
+        """Write the answers that are due, in the order of the requests."""
+        if self.transport is None:
+            return
+        written = []
+        while self.exchanges and self.exchanges[0].answer is not None:
+            exchange = self.exchanges.popleft()
+            is_last = not exchange.keeps_alive or self._is_ending_with(exchange)
+            written.append(_with_connection(exchange.answer or b"", is_last=is_last))
+            if is_last:
+                self._is_ending = True
+                self._give_up()
+        if written:
+            self._active_at = self.server.now()
+            self.transport.write(b"".join(written))
+        if self._is_ending and not self.exchanges:
+            self.transport.close()
+        elif written:
+            self._pace()
+
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether a request is read or answered."""
+        return bool(self.exchanges) or self._reading is not None
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.transport is not None:
+            self._is_ending = True
+            self.transport.close()
+
+    def sweep(self, *, now: float) -> None:
+        """End the connection if it is idle, or slow with a head, for too long."""
+        limits = self.server.limits
+        reading = self._reading
+        if reading is not None and not self._has_head:
+            if now - reading.arrived_at > limits.header_timeout_s:
+                self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+        elif not self.exchanges and now - self._active_at > limits.idle_timeout_s:
+            self.close()
+
+    def _is_ending_with(self, exchange: Exchange) -> bool:
+        # Behind the last answer nothing may wait: it would count as unread.
+        return self.server.is_closing and not self.exchanges and self._reading is None
+
+    def _count_head(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > self.server.limits.header_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def _refuse(self, status: HTTPStatus) -> None:
+        """Answer what can't be read, behind the answers that are due, and end the connection."""
+        if self._is_ending:
+            return
+        self._is_ending = True
+        exchange = self._reading or Exchange(self, arrived_at=self.server.now())
+        self._reading = None
+        exchange.keeps_alive = False
+        self.exchanges.append(exchange)
+        exchange.respond(status)
+
+    def _give_up(self) -> None:
+        exchanges, self.exchanges = self.exchanges, deque()
+        for exchange in exchanges:
+            on_gone, exchange.on_gone = exchange.on_gone, None
+            if on_gone is not None:
+                on_gone()
+
+    def _pace(self) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self._is_blocked or len(self.exchanges) >= MOST_PIPELINED:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+
+def _with_connection(answer: bytes, *, is_last: bool) -> bytes:
+    if not is_last:
+        return answer
+    line_end = answer.index(b"\r\n") + 2
+    return answer[:line_end] + b"Connection: close\r\n" + answer[line_end:]
--- /dev/null
+++ b/src/daisywharf/_mesh/_links.py
@@ -0,0 +1,278 @@
+"""Links between daemons: calls go out on the link that their entry opened, answers come back."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from daisywharf._errors import ErrorKind
+from daisywharf._mesh._frames import (
+    LENGTH_BYTES,
+    Answered,
+    Call,
+    Cancel,
+    Frame,
+    Hello,
+    Ping,
+    Pong,
+    Report,
+    Unanswered,
+    decode_frame,
+    encode_frame,
+)
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+from daisywharf._topology import Address
+
+CONNECT_TIMEOUT_S: Final = 1.0
+# Longer than a quota'd core stands still (0.1 s) and than one lost packet takes.
+SILENCE_LIMIT_S: Final = 1.0
+# A quiet link on which answers are awaited is asked for a sign of life.
+PING_AFTER_S: Final = 0.25
+FIRST_BACKOFF_S: Final = 0.2
+LONGEST_BACKOFF_S: Final = 2.0
+MOST_FRAME_BYTES: Final = 80_000_000  # the largest body that a configuration allows, and a head
+BACKLOG: Final = 1_024
+
+# The other end answers each of these, if only with a pong.
+ANSWERED_FRAMES: Final = (Call, Hello, Ping, Report)
+
+CallResult = Answered | Unanswered
+OnCallResult = Callable[[CallResult], None]
+
+
+class FrameProtocol(asyncio.Protocol):
+    """Read frames and write them, all that one turn of the loop has for the link at once."""
+
+    def __init__(
+        self,
+        on_frame: Callable[["FrameProtocol", Frame], None],
+        on_lost: Callable[["FrameProtocol"], None],
+    ) -> None:
+        self.transport: asyncio.Transport | None = None
+        self._on_frame = on_frame
+        self._on_lost = on_lost
+        self._received = bytearray()
+        self._due: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Be ready to send."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the owner."""
+        self.transport = None
+        self._on_lost(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Hand over each whole frame; close the link where one can't be read."""
+        received = self._received
+        received += data
+        start = 0
+        while len(received) - start >= LENGTH_BYTES:
+            end = start + LENGTH_BYTES + int.from_bytes(received[start : start + LENGTH_BYTES], "big")
+            if end - start > MOST_FRAME_BYTES:
+                self._refuse(f"frame of {end - start} bytes")
+                return
+            if len(received) < end:
+                break
+            try:
+                frame = decode_frame(bytes(received[start + LENGTH_BYTES : end]))
+            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                self._refuse(str(error))
+                return
+            start = end
+            self._on_frame(self, frame)
+        if start:
+            del received[:start]
+
+    def send(self, frame: Frame) -> None:
+        """Send a frame with the others of this turn."""
+        if self.transport is None:
+            return
+        if not self._due:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._due.append(encode_frame(frame))
+
+    def close(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _flush(self) -> None:
+        due, self._due = self._due, []
+        if self.transport is not None:
+            self.transport.write(b"".join(due))
+
+    def _refuse(self, reason: str) -> None:
+        peer = self.transport.get_extra_info("peername") if self.transport else None
+        log_event(Event.BAD_FRAME, peer=str(peer), error=reason)
+        self.close()
+
+
+class OutLink:
+    """Hold the link that this daemon opened to another, and the calls on it."""
+
+    def __init__(
+        self,
+        address: Address,
+        *,
+        now: Callable[[], float],
+        on_up: Callable[["OutLink"], None],
+        on_down: Callable[["OutLink"], None],
+        on_frame: Callable[["OutLink", Frame], None],
+    ) -> None:
+        self.address = address
+        self.now = now
+        self.is_up = False
+        self.calls: dict[int, OnCallResult] = {}
+        self._on_up = on_up
+        self._on_down = on_down
+        self._on_frame = on_frame
+        self._protocol: FrameProtocol | None = None
+        self._last_call_id = 0
+        self._heard_at = 0.0
+        self._asked_at: float | None = None
+        self._backoff_s = FIRST_BACKOFF_S
+        self._retry_at = 0.0
+        self._is_connecting = False
+        self._is_closed = False
+
+    def submit(self, call: Call, on_result: OnCallResult) -> int:
+        """Send a call and return its id on this link."""
+        self._last_call_id += 1
+        call_id = self._last_call_id
+        self.calls[call_id] = on_result
+        self.send(msgspec.structs.replace(call, call_id=call_id))
+        return call_id
+
+    def cancel(self, call_id: int) -> None:
+        """Give a call up; its result is dropped."""
+        if self.calls.pop(call_id, None) is not None:
+            self.send(Cancel(call_id))
+
+    def send(self, frame: Frame) -> None:
+        """Send a frame, or drop it where the link is down."""
+        if self._protocol is not None:
+            if self._asked_at is None and isinstance(frame, ANSWERED_FRAMES):
+                self._asked_at = self.now()
+            self._protocol.send(frame)
+
+    def tick(self, *, now: float) -> None:
+        """Open the link, ask for a sign of life, or give a silent link up."""
+        if self._protocol is None:
+            if not self._is_connecting and not self._is_closed and now >= self._retry_at:
+                self._is_connecting = True
+                asyncio.ensure_future(self._connect())
+            return
+        if self._asked_at is None:
+            return
+        quiet_s = now - max(self._heard_at, self._asked_at)
+        if quiet_s > SILENCE_LIMIT_S:
+            log_event(Event.LINK_SILENT, peer=str(self.address))
+            self._protocol.close()
+        elif quiet_s > PING_AFTER_S and self.calls:
+            self.send(Ping())
+
+    def forgive_pause(self, *, now: float) -> None:
+        """Count no silence for the time in which this process stood still."""
+        self._heard_at = now
+        if self._asked_at is not None:
+            self._asked_at = now
+
+    def close(self) -> None:
+        """Close the link for good."""
+        self._is_closed = True
+        if self._protocol is not None:
+            self._protocol.close()
+
+    async def _connect(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, protocol = await loop.create_connection(
+                    lambda: FrameProtocol(self._receive, self._lose),
+                    self.address.host,
+                    self.address.port,
+                )
+        except (OSError, TimeoutError) as error:
+            log_event(Event.LINK_CLOSED, peer=str(self.address), error=repr(error))
+            self._back_off()
+            return
+        finally:
+            self._is_connecting = False
+        if protocol.transport is None:
+            self._back_off()
+            return
+        self._protocol = protocol
+        self._heard_at = self.now()
+        self._asked_at = None
+        self._backoff_s = FIRST_BACKOFF_S
+        self.is_up = True
+        self._on_up(self)
+
+    def _back_off(self) -> None:
+        self._retry_at = self.now() + self._backoff_s
+        self._backoff_s = min(LONGEST_BACKOFF_S, self._backoff_s * 2.0)
+
+    def _receive(self, _protocol: FrameProtocol, frame: Frame) -> None:
+        self._heard_at = self.now()
+        if isinstance(frame, Answered | Unanswered):
+            on_result = self.calls.pop(frame.call_id, None)
+            if on_result is not None:
+                on_result(frame)
+        elif not isinstance(frame, Pong):
+            self._on_frame(self, frame)
+        self._asked_at = self._heard_at if self.calls else None
+
+    def _lose(self, protocol: FrameProtocol) -> None:
+        if protocol is not self._protocol:
+            return
+        self._protocol = None
+        self.is_up = False
+        self._back_off()
+        calls, self.calls = self.calls, {}
+        self._on_down(self)
+        for call_id, on_result in calls.items():
+            # Whether the other end read the call isn't known.
+            on_result(Unanswered(call_id, ErrorKind.OUTCOME_UNKNOWN, has_begun=True, load=None))
+
+
+class LinkServer:
+    """Accept the links that other daemons open."""
+
+    def __init__(
+        self,
+        *,
+        on_frame: Callable[[FrameProtocol, Frame], None],
+        on_lost: Callable[[FrameProtocol], None],
+    ) -> None:
+        self._on_frame = on_frame
+        self._on_lost = on_lost
+        self._server: asyncio.Server | None = None
+        self.protocols: set[FrameProtocol] = set()
+
+    async def start(self, address: Address) -> None:
+        """Listen at an address."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, address.host, address.port, backlog=BACKLOG
+        )
+
+    def stop(self) -> None:
+        """Stop listening and close the links."""
+        if self._server is not None:
+            self._server.close()
+        for protocol in list(self.protocols):
+            protocol.close()
+
+    def _accept(self) -> FrameProtocol:
+        protocol = FrameProtocol(self._on_frame, self._lose)
+        self.protocols.add(protocol)
+        return protocol
+
+    def _lose(self, protocol: FrameProtocol) -> None:
+        self.protocols.discard(protocol)
+        self._on_lost(protocol)
--- /dev/null
+++ b/src/daisywharf/_mesh/_membership.py
@@ -0,0 +1,159 @@
+"""Know the other daemons: merge what they say, keep a link to each, follow their targets."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Final
+
+from daisywharf._ids import VmId
+from daisywharf._mesh._frames import Frame, Hello, Members
+from daisywharf._mesh._links import OutLink
+from daisywharf._mesh._model import MemberRecord, is_newer, parse_address
+from daisywharf._mesh._services import Services
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+from daisywharf._topology import Address
+
+# Daemons to which news of others are passed on, beside the origin's own word to all.
+PASSED_ON_TO: Final = 3
+# A daemon that can't be reached for this long is forgotten; its return makes it known again.
+FORGET_AFTER_S: Final = 60.0
+
+
+class Membership:
+    """Hold the records of all daemons and the links to them."""
+
+    def __init__(
+        self,
+        own: MemberRecord,
+        *,
+        services: Services,
+        now: Callable[[], float],
+        rng: Random,
+        on_frame: Callable[[OutLink, Frame], None],
+        version: Callable[[], int],
+    ) -> None:
+        self.own = own
+        self.services = services
+        self.now = now
+        self.rng = rng
+        self.record_by_vm: dict[VmId, MemberRecord] = {own.vm: own}
+        self.link_by_vm: dict[VmId, OutLink] = {}
+        self.seed_links: dict[Address, OutLink] = {}
+        self._unreachable_since: dict[VmId, float] = {}
+        self._on_frame = on_frame
+        self._version = version
+
+    def announce(self, own: MemberRecord) -> None:
+        """Say something new of this daemon to all others."""
+        self.own = own
+        self.record_by_vm[own.vm] = own
+        self.services.follow(own, is_reachable=True, now=self.now())
+        for link in self.link_by_vm.values():
+            link.send(Members((own,)))
+
+    def merge(self, records: Iterable[MemberRecord]) -> bool:
+        """Take in records; return whether this daemon's own was contradicted by a newer one."""
+        changed = []
+        is_contradicted = False
+        for record in records:
+            if record.vm == self.own.vm:
+                is_contradicted = is_contradicted or is_newer(record, self.own)
+            elif is_newer(record, self.record_by_vm.get(record.vm)):
+                self._take(record)
+                changed.append(record)
+        if changed:
+            up = [link for link in self.link_by_vm.values() if link.is_up]
+            for link in self.rng.sample(up, min(PASSED_ON_TO, len(up))):
+                link.send(Members(tuple(changed)))
+        return is_contradicted
+
+    def _take(self, record: MemberRecord) -> None:
+        known = self.record_by_vm.get(record.vm)
+        self.record_by_vm[record.vm] = record
+        if known is not None and known.address != record.address:
+            self._drop_link(record.vm)
+        for vm, other in list(self.record_by_vm.items()):
+            # An address that is used again belongs to whoever started there last.
+            if vm != record.vm and other.address == record.address:
+                older = vm if other.started_ms < record.started_ms else record.vm
+                self.forget(older)
+        if record.vm in self.record_by_vm:
+            link = self.link_by_vm.get(record.vm) or self._open(record)
+            self.services.follow(record, is_reachable=link.is_up, now=self.now())
+
+    def _open(self, record: MemberRecord) -> OutLink:
+        address = parse_address(record.address)
+        vm = record.vm
+        link = OutLink(
+            address,
+            now=self.now,
+            on_up=lambda link: self._note_up(vm, link),
+            on_down=lambda link: self._note_down(vm),
+            on_frame=self._on_frame,
+        )
+        self.link_by_vm[vm] = link
+        self._unreachable_since[vm] = self.now()
+        link.tick(now=self.now())
+        return link
+
+    def open_seed(self, address: Address) -> None:
+        """Ask a daemon of which only the address is known."""
+        known = {record.address for record in self.record_by_vm.values()}
+        if address in self.seed_links or str(address) in known:
+            return
+        self.seed_links[address] = OutLink(
+            address,
+            now=self.now,
+            on_up=self._greet,
+            on_down=lambda _link: None,
+            on_frame=self._on_frame,
+        )
+
+    def _greet(self, link: OutLink) -> None:
+        link.send(Hello(self.own, len(self.record_by_vm), self._version()))
+
+    def _note_up(self, vm: VmId, link: OutLink) -> None:
+        self._greet(link)
+        self._unreachable_since.pop(vm, None)
+        record = self.record_by_vm.get(vm)
+        if record is not None:
+            self.services.follow(record, is_reachable=True, now=self.now())
+
+    def _note_down(self, vm: VmId) -> None:
+        self._unreachable_since.setdefault(vm, self.now())
+        record = self.record_by_vm.get(vm)
+        if record is not None:
+            self.services.follow(record, is_reachable=False, now=self.now())
+            log_event(Event.DAEMON_LOST, peer=vm)
+
+    def tick(self, *, now: float) -> None:
+        """Keep the links up and forget who has been gone for long."""
+        for vm, since in list(self._unreachable_since.items()):
+            if now - since > FORGET_AFTER_S:
+                self.forget(vm)
+        for link in self.link_by_vm.values():
+            link.tick(now=now)
+        for address, link in list(self.seed_links.items()):
+            if any(r.address == str(address) for r in self.record_by_vm.values()):
+                link.close()
+                del self.seed_links[address]
+            else:
+                link.tick(now=now)
+
+    def forget(self, vm: VmId) -> None:
+        """Drop a daemon that is gone."""
+        record = self.record_by_vm.pop(vm, None)
+        if record is not None:
+            self.services.follow(record, is_reachable=False, now=self.now())
+        self._drop_link(vm)
+
+    def _drop_link(self, vm: VmId) -> None:
+        self._unreachable_since.pop(vm, None)
+        link = self.link_by_vm.pop(vm, None)
+        if link is not None:
+            link.close()
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in [*self.link_by_vm.values(), *self.seed_links.values()]:
+            link.close()
--- /dev/null
+++ b/src/daisywharf/_mesh/_settings.py
@@ -0,0 +1,37 @@
+"""Settings of a daemon's data path."""
+
+import msgspec
+
+from daisywharf._ids import ServiceName, VmId, ZoneName
+from daisywharf._topology import Address
+
+
+class MeshBounds(msgspec.Struct, frozen=True):
+    """Hold what the operators promise of the whole system; times in seconds.
+
+    `retry_ratio` and `retry_extra` bound the calls that a service gets again in `retry_window_s`,
+    over all daemons.
+    """
+
+    grace_s: float
+    drain_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_extra: float
+
+
+class MeshSettings(msgspec.Struct, frozen=True):
+    """Hold one daemon's addresses and bounds; `service` is the one that its VM's target runs."""
+
+    vm: VmId
+    zone: ZoneName
+    service: ServiceName
+    target_address: Address
+    entry_address: Address
+    links_address: Address
+    ready_address: Address
+    announcements_address: Address
+    store_address: Address
+    seeds: tuple[Address, ...]
+    bounds: MeshBounds
+    memory_mb: int
--- /dev/null
+++ b/src/daisywharf/_mesh/_store.py
@@ -0,0 +1,37 @@
+"""The interface behind which the platform's store stands for the data path."""
+
+from typing import Protocol
+
+import msgspec
+
+from daisywharf._configuration import Configuration
+from daisywharf._mesh._model import MemberRecord
+
+
+class ConfigurationRead(msgspec.Struct, frozen=True):
+    """Hold the configuration, if there is one, and the revision from which to watch."""
+
+    configuration: Configuration | None
+    revision: int
+
+
+class Store(Protocol):
+    """Keep what must last; each call raises `PlatformError` within a few seconds."""
+
+    async def read_configuration(self) -> ConfigurationRead:
+        """Read the latest configuration."""
+
+    async def watch_configuration(self, *, after: int, wait_s: float) -> ConfigurationRead:
+        """Wait for a configuration newer than a revision; return none when the wait ends.
+
+        The error kind gone says that the history after the revision is lost.
+        """
+
+    async def write_member(self, record: MemberRecord) -> None:
+        """Keep a daemon's own record."""
+
+    async def list_members(self) -> list[MemberRecord]:
+        """Read the records of all daemons."""
+
+    async def remove_member(self, record: MemberRecord) -> None:
+        """Remove a daemon's record."""
--- /dev/null
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -0,0 +1,153 @@
+"""Keep in step with the store: the configuration in force, and this daemon's own record."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Final, TypeVar
+
+from daisywharf._configuration import Configuration
+from daisywharf._errors import DaisywharfError, ErrorKind
+from daisywharf._mesh._membership import Membership
+from daisywharf._mesh._model import MemberRecord
+from daisywharf._mesh._store import Store
+from daisywharf._mesh._watching import WatchReport, must_watch
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+
+# A watch that waits longer hides a connection that went silent; each watch is paid for.
+WATCH_WAIT_S: Final = 3.0
+# Others' reports come in this time after a start, and tell whether one more watcher is needed.
+SETTLE_S: Final = 1.2
+FIRST_BACKOFF_S: Final = 0.2
+LONGEST_BACKOFF_S: Final = 1.0
+CONTACT_LIFETIME_S: Final = 4.5  # a wait, and the time that its answer may be late
+IDLE_CHECK_S: Final = 0.25
+
+
+ResultT = TypeVar("ResultT")
+
+
+class StoreSync:
+    """Hold what this daemon knows of the store."""
+
+    def __init__(
+        self,
+        store: Store,
+        *,
+        membership: Membership,
+        put_in_force: Callable[[Configuration], None],
+        now: Callable[[], float],
+        rng: Random,
+    ) -> None:
+        self.store = store
+        self.membership = membership
+        self.put_in_force = put_in_force
+        self.now = now
+        self.rng = rng
+        self.report_by_vm: dict[str, WatchReport] = {}
+        self.contacted_at = float("-inf")
+        self.is_watching = False
+        self.has_listed = False
+        self._unavailable_since: float | None = None
+        self._backoff_s = FIRST_BACKOFF_S
+        self._unwritten: MemberRecord | None = None
+        self._has_work = asyncio.Event()
+        self._writes = 0
+
+    def is_counted_on(self) -> bool:
+        """Tell whether the others may rely on this daemon's watch."""
+        return self.is_watching and self.now() - self.contacted_at < CONTACT_LIFETIME_S
+
+    def write(self, record: MemberRecord) -> None:
+        """Write this daemon's record as soon as the store takes it."""
+        self._unwritten = record
+        self._has_work.set()
+
+    async def run_configuration(self) -> None:
+        """Read the configuration, and watch it while this daemon is one of those that do."""
+        revision: int | None = None
+        while True:
+            if revision is None:
+                read = await self._retried(self.store.read_configuration)
+                self._take(read.configuration)
+                revision = read.revision
+                await asyncio.sleep(SETTLE_S)
+            if not must_watch(self.membership.own.vm, self._zone_reports(), now=self.now()):
+                self.is_watching = False
+                await asyncio.sleep(IDLE_CHECK_S)
+                # What changed meanwhile came from others; the store's history may be shorter.
+                continue
+            revision = await self._watch(revision)
+
+    async def _watch(self, revision: int) -> int | None:
+        try:
+            read = await self.store.watch_configuration(after=revision, wait_s=WATCH_WAIT_S)
+        except DaisywharfError as error:
+            self.is_watching = False
+            self._note_failure(error)
+            if error.kind is ErrorKind.PLATFORM_GONE:
+                log_event(Event.WATCH_GONE, version=revision)
+                return None
+            await self._back_off()
+            return revision
+        self.is_watching = True
+        self._note_contact()
+        self._take(read.configuration)
+        return read.revision
+
+    async def run_records(self) -> None:
+        """Write this daemon's record, then read those of all, and write what changes later."""
+        while True:
+            await self._has_work.wait()
+            self._has_work.clear()
+            record = self._unwritten
+            if record is None:
+                continue
+            await self._retried(lambda: self.store.write_member(record))
+            if self._unwritten is record:
+                self._unwritten = None
+            if not self.has_listed:
+                records = await self._retried(self.store.list_members)
+                self.has_listed = True
+                self.membership.merge(records)
+
+    async def _retried(self, call: Callable[[], Awaitable[ResultT]]) -> ResultT:
+        while True:
+            try:
+                result = await call()
+            except DaisywharfError as error:
+                self._note_failure(error)
+                await self._back_off()
+            else:
+                self._note_contact()
+                return result
+
+    async def _back_off(self) -> None:
+        await asyncio.sleep(self._backoff_s * (0.5 + self.rng.random()))
+        self._backoff_s = min(LONGEST_BACKOFF_S, self._backoff_s * 1.6)
+
+    def _take(self, configuration: Configuration | None) -> None:
+        if configuration is not None:
+            self.put_in_force(configuration)
+
+    def _note_contact(self) -> None:
+        self.contacted_at = self.now()
+        self._backoff_s = FIRST_BACKOFF_S
+        if self._unavailable_since is not None:
+            outage_s = round(self.now() - self._unavailable_since, 1)
+            self._unavailable_since = None
+            log_event(Event.PLATFORM_BACK, outage_s=outage_s)
+
+    def _note_failure(self, error: DaisywharfError) -> None:
+        if self._unavailable_since is None:
+            self._unavailable_since = self.now()
+        log_event(Event.PLATFORM_UNAVAILABLE, error=str(error))
+
+    def _zone_reports(self) -> dict[str, WatchReport]:
+        own = self.membership.own
+        return {
+            vm: report
+            for vm, report in self.report_by_vm.items()
+            if vm in self.membership.record_by_vm
+            and self.membership.record_by_vm[vm].zone == own.zone
+        }
--- /dev/null
+++ b/src/daisywharf/_mesh/_watching.py
@@ -0,0 +1,29 @@
+"""Decide which daemons of a zone watch the configuration; the others hear of it from them."""
+
+from typing import Final
+
+import msgspec
+
+from daisywharf._ids import VmId
+
+# One that dies, or loses the store without knowing it, leaves another.
+WATCHERS_A_ZONE: Final = 2
+# Reports come twice a second; a watcher that missed three is not counted on.
+REPORT_LIFETIME_S: Final = 1.6
+
+
+class WatchReport(msgspec.Struct, frozen=True):
+    """Hold whether a daemon of the zone watches with success, and when it said so."""
+
+    is_watching: bool
+    heard_at: float
+
+
+def must_watch(own: VmId, report_by_vm: dict[VmId, WatchReport], *, now: float) -> bool:
+    """Tell whether this daemon watches: too few daemons before it in the order do."""
+    before = [
+        vm
+        for vm, report in report_by_vm.items()
+        if vm < own and report.is_watching and now - report.heard_at < REPORT_LIFETIME_S
+    ]
+    return len(before) < WATCHERS_A_ZONE
--- /dev/null
+++ b/src/daisywharf/_overload/_calls_below.py
@@ -0,0 +1,121 @@
+"""Learn how many calls one run of a route makes, from counts at the VM where it runs.
+
+Load pattern: a service deep in the chain is short of room, and only the entry can refuse the
+requests that will end there. A call doesn't tell which request made it, so the counts of runs and
+calls over many short periods are fitted (recursive least squares, old periods forgotten).
+"""
+
+from typing import Final, NewType
+
+import msgspec
+
+Kind = NewType("Kind", str)
+Callee = NewType("Callee", str)
+
+PERIOD_S: Final = 0.25
+# Part of a period's weight that is left one period later: about 12 s of memory.
+KEPT_PART: Final = 0.98
+# Variance of a coefficient that nothing is known of: calls a run, squared.
+FIRST_VARIANCE: Final = 1.0
+MOST_KINDS: Final = 24
+MOST_CALLEES: Final = 24
+# Fewer calls a run than this are taken for chance.
+LEAST_CALLS: Final = 0.15
+
+
+class CallsBelow(msgspec.Struct, frozen=True, array_like=True):
+    """Say how many calls of a route one run of another route makes at its target."""
+
+    service: str
+    route: str
+    callee_service: str
+    callee_route: str
+    calls: float
+
+
+class Fit(msgspec.Struct):
+    """Hold what is known of the kinds of runs at one target and of the calls they make."""
+
+    place_by_kind: dict[Kind, int]
+    covariance: list[list[float]]
+    calls_by_callee: dict[Callee, list[float]]
+
+
+class CallCounts:
+    """Hold the counts of the present and the last period, and the fit."""
+
+    def __init__(self, *, now: float) -> None:
+        self.runs_by_kind: dict[Kind, int] = {}
+        self.last_runs_by_kind: dict[Kind, int] = {}
+        self.calls_by_callee: dict[Callee, int] = {}
+        self.fit = Fit({}, [], {})
+        self.period_started_at = now
+
+
+def note_run(counts: CallCounts, kind: Kind) -> None:
+    """Count a run that starts."""
+    counts.runs_by_kind[kind] = counts.runs_by_kind.get(kind, 0) + 1
+
+
+def note_call(counts: CallCounts, callee: Callee) -> None:
+    """Count a call that a run made."""
+    counts.calls_by_callee[callee] = counts.calls_by_callee.get(callee, 0) + 1
+
+
+def end_period(counts: CallCounts, *, now: float) -> None:
+    """Fit the period that ends, if it has lasted."""
+    if now - counts.period_started_at < PERIOD_S:
+        return
+    counts.period_started_at = now
+    fit = counts.fit
+    for kind in counts.runs_by_kind:
+        _add_kind(fit, kind)
+    for callee in counts.calls_by_callee:
+        if len(fit.calls_by_callee) < MOST_CALLEES:
+            fit.calls_by_callee.setdefault(callee, [0.0] * len(fit.place_by_kind))
+    # A run's calls come while it lasts, so half of its weight lies in the period after its start.
+    runs = [
+        (counts.runs_by_kind.get(kind, 0) + counts.last_runs_by_kind.get(kind, 0)) / 2.0
+        for kind in fit.place_by_kind
+    ]
+    if any(runs):
+        _learn(fit, runs, counts.calls_by_callee)
+    counts.last_runs_by_kind, counts.runs_by_kind = counts.runs_by_kind, {}
+    counts.calls_by_callee = {}
+
+
+def calls_below(counts: CallCounts) -> list[tuple[Kind, Callee, float]]:
+    """Return how many calls a run of each kind makes, without those taken for chance."""
+    fit = counts.fit
+    return [
+        (kind, callee, calls[place])
+        for kind, place in fit.place_by_kind.items()
+        for callee, calls in fit.calls_by_callee.items()
+        if calls[place] >= LEAST_CALLS
+    ]
+
+
+def _add_kind(fit: Fit, kind: Kind) -> None:
+    size = len(fit.place_by_kind)
+    if kind in fit.place_by_kind or size >= MOST_KINDS:
+        return
+    fit.place_by_kind[kind] = size
+    for row in fit.covariance:
+        row.append(0.0)
+    fit.covariance.append([0.0] * size + [FIRST_VARIANCE])
+    for calls in fit.calls_by_callee.values():
+        calls.append(0.0)
+
+
+def _learn(fit: Fit, runs: list[float], calls_by_callee: dict[Callee, int]) -> None:
+    spread = [sum(p * n for p, n in zip(row, runs, strict=True)) for row in fit.covariance]
+    scale = KEPT_PART * sum(runs) + sum(s * n for s, n in zip(spread, runs, strict=True))
+    gain = [s / scale for s in spread]
+    for callee, calls in fit.calls_by_callee.items():
+        expected = sum(c * n for c, n in zip(calls, runs, strict=True))
+        error = calls_by_callee.get(callee, 0) - expected
+        for place, part in enumerate(gain):
+            calls[place] = max(0.0, calls[place] + part * error)
+    for row, part in zip(fit.covariance, gain, strict=True):
+        for place, value in enumerate(spread):
+            row[place] = min((row[place] - part * value) / KEPT_PART, FIRST_VARIANCE)
--- /dev/null
+++ b/src/daisywharf/_overload/_chain.py
@@ -0,0 +1,94 @@
+"""Refuse a request at its entry by what every service of its chain can bear.
+
+Load pattern: requests that need a deep service many times over, beside others that end sooner. Only
+those whose chain meets the loaded service are refused, the least important first, before any work
+is done for them; calls of what was let in go on.
+"""
+
+from typing import Final
+
+import msgspec
+
+from daisywharf._configuration import RouteName
+from daisywharf._ids import ServiceName
+from daisywharf._overload._calls_below import CallsBelow
+from daisywharf._overload._pressure import OPEN
+
+# Visits of a service by one request below which the service doesn't count as part of the chain.
+LEAST_VISITS: Final = 0.2
+MOST_DEPTH: Final = 27  # the deepest chain that the users plan for
+VISITS_LIFETIME_S: Final = 1.0
+
+
+class Step(msgspec.Struct, frozen=True):
+    """Name a route at one of the services that it leads to."""
+
+    route: RouteName
+    service: ServiceName
+
+
+class ChainState:
+    """Hold what was learned of calls below, by the reporting VM, and the visits worked out."""
+
+    def __init__(self) -> None:
+        self.rows_by_reporter: dict[str, tuple[CallsBelow, ...]] = {}
+        self.visits_by_step: dict[Step, dict[ServiceName, float]] = {}
+        self.worked_out_at = float("-inf")
+
+
+def note_rows(state: ChainState, reporter: str, rows: tuple[CallsBelow, ...]) -> None:
+    """Take what one VM learned."""
+    if rows:
+        state.rows_by_reporter[reporter] = rows
+
+
+def visits_of(state: ChainState, step: Step, *, now: float) -> dict[ServiceName, float]:
+    """Return how often one request visits each service, the one that it is for included."""
+    if now - state.worked_out_at > VISITS_LIFETIME_S:
+        state.worked_out_at = now
+        state.visits_by_step.clear()
+    visits = state.visits_by_step.get(step)
+    if visits is None:
+        visits = state.visits_by_step[step] = _work_out(_mean_rows(state), step)
+    return visits
+
+
+def chain_level(visits: dict[ServiceName, float], level_by_service: dict[ServiceName, float]) -> float:
+    """Return the strictest level on a request's way."""
+    return min(
+        (
+            level_by_service.get(service, OPEN)
+            for service, count in visits.items()
+            if count >= LEAST_VISITS
+        ),
+        default=OPEN,
+    )
+
+
+def _mean_rows(state: ChainState) -> dict[Step, dict[Step, float]]:
+    sums: dict[Step, dict[Step, list[float]]] = {}
+    for rows in state.rows_by_reporter.values():
+        for row in rows:
+            step = Step(RouteName(row.route), ServiceName(row.service))
+            callee = Step(RouteName(row.callee_route), ServiceName(row.callee_service))
+            sums.setdefault(step, {}).setdefault(callee, []).append(row.calls)
+    return {
+        step: {callee: sum(calls) / len(calls) for callee, calls in callees.items()}
+        for step, callees in sums.items()
+    }
+
+
+def _work_out(rows: dict[Step, dict[Step, float]], first: Step) -> dict[ServiceName, float]:
+    visits = {first.service: 1.0}
+    level = {first: 1.0}
+    for _ in range(MOST_DEPTH):
+        below: dict[Step, float] = {}
+        for step, count in level.items():
+            for callee, calls in rows.get(step, {}).items():
+                below[callee] = below.get(callee, 0.0) + count * calls
+        if not below:
+            break
+        for step, count in below.items():
+            visits[step.service] = visits.get(step.service, 0.0) + count
+        level = {step: count for step, count in below.items() if count >= LEAST_VISITS}
+    return visits
--- /dev/null
+++ b/src/daisywharf/_routing/_placement.py
@@ -0,0 +1,198 @@
+"""Place a call at one of a service's targets by the load that their gates announce.
+
+Load pattern: targets of one service differ in speed and room, and many entries place calls at the
+same moment by what they heard a moment ago. An entry adds the calls it sent since to what a gate
+announced, compares a few gates, and keeps to its own zone while there is room.
+"""
+
+from random import Random
+from typing import Final
+
+import msgspec
+
+from daisywharf._ids import TargetId, VmId, ZoneName
+from daisywharf._routing._ejection import is_probe_due, note_answer, note_failure, note_probe
+from daisywharf._routing._record import FAILED_PENALTY, TargetRecord, freshness, learn
+from daisywharf._topology import Target
+
+# Gates compared for one call; all of them in a service of up to this many targets.
+MOST_COMPARED: Final = 6
+# Factor on the expected time of a target in another zone: bytes between zones are paid for.
+OTHER_ZONE_FACTOR: Final = 1.3
+OTHER_ZONE_S: Final = 0.003
+# Occupied part from which on a call must expect to wait, and how steeply the wait grows.
+WAIT_FROM_LOAD: Final = 0.65
+WAIT_FACTOR: Final = 8.0
+# An announced load loses its meaning in this time where no answer brings a newer one.
+LOAD_LIFETIME_S: Final = 1.0
+LATENCY_UNKNOWN_S: Final = 0.05
+COLD_FACTOR: Final = 2.0
+EXPLORED_PART: Final = 0.02
+
+
+class AnnouncedLoad(msgspec.Struct):
+    """Hold what a gate said of itself last, and what was sent to it and came back since."""
+
+    occupied: int
+    limit: int
+    level: float
+    heard_at: float
+    sent_since: int = 0
+
+
+class Candidate:
+    """Hold one target of the service with the VM whose daemon leads to it."""
+
+    def __init__(self, vm: VmId, record: TargetRecord, *, cold_until: float) -> None:
+        self.vm = vm
+        self.record = record
+        self.cold_until = cold_until
+        self.load: AnnouncedLoad | None = None
+        self.latency_by_kind: dict[str, float] = {}
+        self.is_refusing = False
+
+
+class Placement:
+    """Hold the targets of one service as one entry knows them."""
+
+    def __init__(self, *, zone: ZoneName) -> None:
+        self.zone = zone
+        self.candidate_by_id: dict[TargetId, Candidate] = {}
+        self.candidates: list[Candidate] = []
+
+
+def set_target(
+    placement: Placement, vm: VmId, target: Target, *, cold_s: float, now: float
+) -> None:
+    """Add a target that takes calls, or update it."""
+    known = placement.candidate_by_id.get(target.target_id)
+    if known is not None and known.record.target.incarnation == target.incarnation:
+        known.record.target = target
+        known.vm = vm
+        known.is_refusing = False
+        return
+    is_own = target.zone == placement.zone
+    record = TargetRecord(target, is_own_zone=is_own, warm_at=float("-inf"))
+    placement.candidate_by_id[target.target_id] = Candidate(vm, record, cold_until=now + cold_s)
+    placement.candidates = list(placement.candidate_by_id.values())
+
+
+def remove_target(placement: Placement, target_id: TargetId) -> None:
+    """Drop a target that takes no calls."""
+    if placement.candidate_by_id.pop(target_id, None) is not None:
+        placement.candidates = list(placement.candidate_by_id.values())
+
+
+def hear_load(
+    placement: Placement,
+    target_id: TargetId,
+    *,
+    occupied: int,
+    limit: int,
+    level: float,
+    now: float,
+) -> None:
+    """Take the load that a gate announced."""
+    candidate = placement.candidate_by_id.get(target_id)
+    if candidate is not None:
+        candidate.load = AnnouncedLoad(occupied, limit, level, now)
+
+
+def place(
+    placement: Placement, kind: str, *, excluded: set[TargetId], now: float, rng: Random
+) -> Candidate | None:
+    """Choose a target for a call of a kind, or none where no target takes calls."""
+    usable = [
+        c
+        for c in placement.candidates
+        if not c.is_refusing and c.record.target.target_id not in excluded
+    ]
+    if not usable:
+        return None
+    probe = next((c for c in usable if is_probe_due(c.record, now=now)), None)
+    if probe is not None:
+        return probe
+    sound = [c for c in usable if not c.record.is_ejected] or usable
+    if len(sound) > 1 and rng.random() < EXPLORED_PART:
+        return rng.choice(sound)
+    if len(sound) > MOST_COMPARED:
+        sound = _sample(sound, rng)
+    typical_s = _typical_latency(sound, kind)
+    return min(sound, key=lambda c: _expected_s(c, kind, typical_s, now) * (1.0 + 0.05 * rng.random()))
+
+
+def note_sent(candidate: Candidate, *, now: float) -> None:
+    """Count a call that leaves for a target."""
+    candidate.record.in_flight += 1
+    if candidate.load is not None:
+        candidate.load.sent_since += 1
+    if candidate.record.is_ejected:
+        note_probe(candidate.record, now=now)
+
+
+def note_ended(candidate: Candidate) -> None:
+    """Count a call that is no longer in flight."""
+    candidate.record.in_flight = max(0, candidate.record.in_flight - 1)
+
+
+def note_success(candidate: Candidate, kind: str, *, latency_s: float, now: float) -> None:
+    """Learn from an answer."""
+    known = candidate.latency_by_kind.get(kind)
+    gain = 0.1
+    candidate.latency_by_kind[kind] = (
+        latency_s if known is None else known + gain * (latency_s - known)
+    )
+    learn(candidate.record, failed=0.0, refused=0.0, latency_s=latency_s, now=now)
+    note_answer(candidate.record, now=now)
+
+
+def note_bad(placement: Placement, candidate: Candidate, *, now: float) -> None:
+    """Learn from a call that failed at the target or on its way."""
+    learn(candidate.record, failed=1.0, refused=0.0, latency_s=None, now=now)
+    note_failure(candidate.record, [c.record for c in placement.candidates], now=now)
+
+
+def service_level(placement: Placement, *, ceiling: float, now: float) -> float:
+    """Return the service's shedding level: the mean of its gates', weighted by their limits."""
+    weight = level = 0.0
+    for candidate in placement.candidates:
+        load = candidate.load
+        if load is not None and now - load.heard_at < LOAD_LIFETIME_S:
+            weight += load.limit
+            level += load.limit * min(load.level, ceiling)
+    return level / weight if weight else ceiling
+
+
+def _sample(candidates: list[Candidate], rng: Random) -> list[Candidate]:
+    own = [c for c in candidates if c.record.is_own_zone]
+    half = MOST_COMPARED // 2
+    chosen = rng.sample(own, min(half, len(own)))
+    return chosen + rng.sample(candidates, MOST_COMPARED - len(chosen))
+
+
+def _typical_latency(candidates: list[Candidate], kind: str) -> float:
+    known = [c.latency_by_kind[kind] for c in candidates if kind in c.latency_by_kind]
+    return sum(known) / len(known) if known else LATENCY_UNKNOWN_S
+
+
+def _expected_s(candidate: Candidate, kind: str, typical_s: float, now: float) -> float:
+    record = candidate.record
+    seconds = candidate.latency_by_kind.get(kind, typical_s)
+    fresh = freshness(record, now)
+    seconds = typical_s + (seconds - typical_s) * fresh
+    load = candidate.load
+    if load is None:
+        occupied_part = record.in_flight / max(1, record.target.slots)
+    else:
+        occupied_part = (load.occupied + load.sent_since) / load.limit
+        if now - load.heard_at > LOAD_LIFETIME_S:
+            occupied_part = min(occupied_part, WAIT_FROM_LOAD)
+    if occupied_part > WAIT_FROM_LOAD:
+        seconds *= 1.0 + WAIT_FACTOR * (occupied_part - WAIT_FROM_LOAD)
+    else:
+        seconds *= 0.7 + 0.3 * occupied_part / WAIT_FROM_LOAD
+    if not record.is_own_zone:
+        seconds = seconds * OTHER_ZONE_FACTOR + OTHER_ZONE_S
+    if now < candidate.cold_until:
+        seconds *= COLD_FACTOR
+    return seconds * (1.0 + FAILED_PENALTY * record.failed_part * fresh)
--- /dev/null
+++ b/src/daisywharf/_routing/_split.py
@@ -0,0 +1,31 @@
+"""Share a route's requests out among its parts by weight, without chance but in the first."""
+
+from random import Random
+
+from daisywharf._configuration import Route, RouteName, SplitPart
+from daisywharf._ids import ServiceName
+
+
+class SplitState:
+    """Hold, for each route, the parts as they stand and what each is owed of the next request."""
+
+    def __init__(self) -> None:
+        self.owed_by_route: dict[RouteName, dict[ServiceName, float]] = {}
+        self.parts_by_route: dict[RouteName, tuple[SplitPart, ...]] = {}
+
+
+def next_part(state: SplitState, route: Route, *, rng: Random) -> ServiceName:
+    """Return the part that gets a route's next request."""
+    if len(route.parts) == 1:
+        return route.parts[0].service
+    if state.parts_by_route.get(route.name) != route.parts:
+        state.parts_by_route[route.name] = route.parts
+        # Daemons that all began with the same part would add up to another split.
+        state.owed_by_route[route.name] = {part.service: rng.random() for part in route.parts}
+    owed = state.owed_by_route[route.name]
+    total = sum(part.weight for part in route.parts)
+    for part in route.parts:
+        owed[part.service] += part.weight / total if total > 0 else 1.0 / len(route.parts)
+    chosen = max(owed, key=lambda service: owed[service])
+    owed[chosen] -= 1.0
+    return chosen
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -57,6 +57,12 @@
         204, EventLevel.WARNING, "target {target} stopped renewing its announcement"
     )
     ANNOUNCEMENT_REFUSED = EventForm(205, EventLevel.WARNING, "announcement refused: {error}")
+    ANNOUNCEMENT_LATE = EventForm(
+        206, EventLevel.INFO, "announcement of target {target} changes nothing: {verdict}"
+    )
+    TARGET_UNREACHABLE = EventForm(
+        207, EventLevel.WARNING, "target {target} takes no connection: {error}"
+    )
 
     CONTRACT_IN_FORCE = EventForm(
         301, EventLevel.INFO, "contract {customer} is in force here at version {version}"
@@ -72,6 +78,16 @@
     COPY_CONFIRMED = EventForm(
         304, EventLevel.INFO, "the copy of the contracts is confirmed at version {version}"
     )
+    CONFIGURATION_IN_FORCE = EventForm(
+        305, EventLevel.INFO, "configuration is in force here at version {version}"
+    )
+    ENTRY_UNREADABLE = EventForm(
+        306, EventLevel.ERROR, "entry {entry} can't be read and is left out: {error}"
+    )
+    SETTINGS_CHANGED = EventForm(307, EventLevel.INFO, "settings of {vm} have changed")
+    SETTINGS_UNREADABLE = EventForm(
+        308, EventLevel.ERROR, "settings can't be read, the former stay: {error}"
+    )
 
     PLATFORM_UNAVAILABLE = EventForm(
         401, EventLevel.WARNING, "platform can't be reached, serving goes on: {error}"
@@ -103,6 +119,30 @@
         603, EventLevel.ERROR, "outcome of {key} at target {target} is unknown: {error}"
     )
 
+    REQUEST_SHED = EventForm(
+        701,
+        EventLevel.INFO,
+        "request {request} of {route} refused at its entry: importance {importance},"
+        " level {level} of {service}",
+    )
+    REQUEST_REFUSED = EventForm(
+        702,
+        EventLevel.WARNING,
+        "request {request} of {route} was not run at {service}: {kind} after {gates_tried} gates",
+    )
+    REQUEST_FAILED = EventForm(
+        703,
+        EventLevel.WARNING,
+        "request {request} of {route} failed at {service}: {kind}, {cause},"
+        " after {attempts} attempts",
+    )
+    REQUEST_REPEATED = EventForm(
+        704, EventLevel.INFO, "request {request} of {route} is sent again after {target}: {kind}"
+    )
+    REQUEST_WITHOUT_ROUTE = EventForm(
+        705, EventLevel.WARNING, "request {request} for {host}{path} has no route in {version}"
+    )
+
     @property
     def label(self) -> str:
         """Return the event's name as logs write it."""
--- a/src/daisywharf/_signals/_log.py
+++ b/src/daisywharf/_signals/_log.py
@@ -59,6 +59,12 @@
 _log: Final = _Log()
 
 
+def set_writer(write: Write) -> None:
+    """Hand each event that is admitted to `write`."""
+    _log.limiter = EventLimiter()
+    _log.write = write
+
+
 def log_event(event: Event, **fields: FieldValue) -> None:
     """Log an event with its fields, unless too many of its kind came lately."""
     if _log.write is None:
@@ -102,8 +108,7 @@
         bound = logger.bind(event=event, fields=whole)
         bound.log(event.value.level.value, "{}", message)
 
-    _log.limiter = EventLimiter()
-    _log.write = write
+    set_writer(write)
 
 
 def _json_line(record: Any) -> str:
--- /dev/null
+++ b/src/daisywharf/platform/_control.py
@@ -0,0 +1,96 @@
+"""Answer the platform's own calls to a daemon: readiness, and what the target says of itself."""
+
+from collections.abc import Callable
+from typing import Final
+
+from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._ids import ServiceName, TargetId
+from daisywharf._mesh._http_server import Exchange, Handler
+from daisywharf._mesh._model import Readiness, TargetNotice
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+from daisywharf.platform._heartbeats import (
+    DEREGISTER,
+    HEARTBEAT,
+    acknowledgement,
+    announcement_of,
+    error_body,
+    read_deregistration,
+    read_heartbeat,
+)
+
+READINESS_PATH: Final = b"/-/readiness"
+JSON_LINES: Final = b"Content-Type: application/json\r\n"
+
+
+def readiness_handler(is_ready: Callable[[], bool]) -> Handler:
+    """Answer whether clients may send requests here."""
+
+    def handle(exchange: Exchange) -> None:
+        if exchange.target.partition(b"?")[0] != READINESS_PATH:
+            exchange.respond(404)
+        else:
+            exchange.respond(200 if is_ready() else 503)
+
+    return handle
+
+
+def control_handler(
+    *,
+    service: Callable[[], ServiceName],
+    known: Callable[[], TargetNotice | None],
+    take: Callable[[TargetNotice], object],
+) -> Handler:
+    """Take heartbeats and deregistrations of the target of this VM's service."""
+
+    def handle(exchange: Exchange) -> None:
+        path = exchange.target.decode("latin-1").partition("?")[0]
+        try:
+            notice = _notice(path, exchange.body, known())
+            if notice is not None and notice.service != service():
+                _refuse_service(notice, service())
+        except RequestError as error:
+            log_event(Event.ANNOUNCEMENT_REFUSED, error=str(error))
+            exchange.respond(
+                error.answer.status, lines=JSON_LINES, body=error_body(str(error))
+            )
+            return
+        if notice is None and announcement_of(path, DEREGISTER) is None:
+            exchange.respond(404)
+            return
+        if notice is not None:
+            take(notice)
+        exchange.respond(200, lines=JSON_LINES, body=acknowledgement())
+
+    return handle
+
+
+def _refuse_service(notice: TargetNotice, service: ServiceName) -> None:
+    """Refuse the word of a target that doesn't belong to this VM."""
+    raise RequestError(
+        ErrorKind.BAD_REQUEST,
+        f"target {notice.target_id} is of service {notice.service!r}, this VM's is {service!r}",
+    )
+
+
+def _notice(path: str, body: bytes, known: TargetNotice | None) -> TargetNotice | None:
+    target_id = announcement_of(path, HEARTBEAT)
+    if target_id is not None:
+        return read_heartbeat(target_id, body)
+    target_id = announcement_of(path, DEREGISTER)
+    if target_id is None or known is None or known.target_id != TargetId(target_id):
+        return None
+    left = read_deregistration(body)
+    if left.born is not None and left.born < known.born_ms:
+        return None
+    return TargetNotice(
+        target_id=known.target_id,
+        service=known.service,
+        address=known.address,
+        slots=known.slots,
+        readiness=Readiness.LEFT,
+        cold_s=0.0,
+        born_ms=known.born_ms,
+        # A deregistration without a count comes after all that was said before it.
+        sequence=max(known.sequence + 1, left.sequence or 0),
+    )
--- /dev/null
+++ b/src/daisywharf/platform/_headers.py
@@ -0,0 +1,91 @@
+"""The headers that the platform's clients and targets speak."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from daisywharf._mesh._dialect import AnswerHead, RequestHead
+from daisywharf._mesh._headers import HeaderPair, head_block
+
+REQUEST_ID: Final = b"attempt-id"
+TIME_LEFT: Final = b"deadline-ms"  # a duration, for all that its name says
+CALLER: Final = b"caller-service"
+EXPECTED: Final = b"expected-instance"
+SIGNATURE: Final = b"server-signature"
+NOT_RUN: Final = b"not-executed"
+
+SET_BY_SYSTEM: Final = frozenset({TIME_LEFT, CALLER, EXPECTED})
+LONGEST_TIME_LEFT_S: Final = 3_600.0
+
+
+def _milliseconds(value: bytes) -> float | None:
+    try:
+        seconds = int(value) / 1000.0
+    except ValueError:
+        return None
+    return min(max(seconds, 0.0), LONGEST_TIME_LEFT_S)
+
+
+def _keep_alive_s(value: bytes) -> float | None:
+    for token in value.split(b","):
+        name, _, number = token.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return float(number)
+    return None
+
+
+class PlatformDialect:
+    """Read and write the platform's headers."""
+
+    def read_request(self, headers: Sequence[HeaderPair]) -> RequestHead:
+        """Read a client's headers."""
+        host = request_id = b""
+        time_left_s = None
+        for name, value in headers:
+            lowered = name.lower()
+            if lowered == b"host":
+                host = value
+            elif lowered == REQUEST_ID:
+                request_id = value
+            elif lowered == TIME_LEFT:
+                time_left_s = _milliseconds(value)
+        passed_on = head_block(headers, dropped=SET_BY_SYSTEM)
+        return RequestHead(
+            host.decode("latin-1"), request_id.decode("latin-1"), time_left_s, passed_on
+        )
+
+    def target_lines(self, *, target_id: str, caller_service: str, time_left_ms: int) -> bytes:
+        """Write the header lines that the system adds to a request for a target."""
+        return (
+            f"Deadline-Ms: {time_left_ms}\r\nExpected-Instance: {target_id}\r\n"
+            f"Caller-Service: {caller_service}\r\n"
+        ).encode("latin-1")
+
+    def read_answer(self, headers: Sequence[HeaderPair]) -> AnswerHead:
+        """Read a target's headers."""
+        request_id = b""
+        is_signed = is_not_run = is_encoded = False
+        idle_s = None
+        for name, value in headers:
+            lowered = name.lower()
+            if lowered == REQUEST_ID:
+                request_id = value
+            elif lowered == SIGNATURE:
+                is_signed = True
+            elif lowered == NOT_RUN:
+                is_not_run = True
+            elif lowered == b"content-encoding":
+                is_encoded = True
+            elif lowered == b"keep-alive":
+                idle_s = _keep_alive_s(value)
+        return AnswerHead(
+            request_id.decode("latin-1"),
+            is_signed,
+            is_not_run,
+            is_encoded,
+            idle_s,
+            head_block(headers, dropped=frozenset()),
+        )
+
+    def refusal_lines(self, *, retry_after_s: float) -> bytes:
+        """Write the header lines of a refusal that tells when to come back."""
+        return f"Retry-After: {retry_after_s:.3f}\r\n".encode()
--- /dev/null
+++ b/src/daisywharf/platform/_heartbeats.py
@@ -0,0 +1,93 @@
+"""Decode what a target says of itself at the address for the platform's control calls."""
+
+import re
+from typing import Final
+
+import msgspec
+
+from daisywharf._errors import ErrorKind, RequestError
+from daisywharf._ids import ServiceName, TargetId
+from daisywharf._limits import MAX_SLOTS
+from daisywharf._mesh._model import Readiness, TargetNotice, parse_address
+
+HEARTBEAT: Final = re.compile(r"/-/instances/([^/]+)/heartbeat\Z")
+DEREGISTER: Final = re.compile(r"/-/instances/([^/]+)/deregister\Z")
+# `state` has a word for each of these; a target that left says so by the call, not the state.
+READINESS_BY_STATE: Final = {"ready": Readiness.READY, "draining": Readiness.DRAINING}
+MS: Final = 1000.0
+
+
+class HeartbeatBody(msgspec.Struct):
+    """Hold a heartbeat as it is on the wire."""
+
+    service: str
+    address: str
+    slots: int
+    state: str
+    sequence: int
+    cold_remaining_ms: float = msgspec.field(name="coldRemainingMs", default=0)
+    born: int = 0
+
+
+class DeregistrationBody(msgspec.Struct):
+    """Hold a deregistration as it is on the wire; it may be empty."""
+
+    sequence: int | None = None
+    born: int | None = None
+
+
+_heartbeats: Final = msgspec.json.Decoder(HeartbeatBody)
+_deregistrations: Final = msgspec.json.Decoder(DeregistrationBody)
+
+
+def read_heartbeat(target_id: str, body: bytes) -> TargetNotice:
+    """Decode a heartbeat; raise `RequestError` (bad request) where it names no target to use."""
+    try:
+        beat = _heartbeats.decode(body)
+        readiness = READINESS_BY_STATE[beat.state]
+        address = parse_address(beat.address)
+        if not 0 < beat.slots <= MAX_SLOTS:
+            raise ValueError(f"{beat.slots} slots; give 1 to {MAX_SLOTS}")
+    except (msgspec.DecodeError, UnicodeDecodeError, KeyError, ValueError) as error:
+        raise RequestError(
+            ErrorKind.BAD_REQUEST, f"heartbeat of {target_id} can't be read: {error}"
+        ) from error
+    return TargetNotice(
+        target_id=TargetId(target_id),
+        service=ServiceName(beat.service),
+        address=address,
+        slots=beat.slots,
+        readiness=readiness,
+        cold_s=beat.cold_remaining_ms / MS,
+        born_ms=beat.born,
+        sequence=beat.sequence,
+    )
+
+
+def read_deregistration(body: bytes) -> DeregistrationBody:
+    """Decode a deregistration; raise `RequestError` (bad request) where it can't be read."""
+    if not body:
+        return DeregistrationBody()
+    try:
+        return _deregistrations.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RequestError(
+            ErrorKind.BAD_REQUEST, f"deregistration can't be read: {error}"
+        ) from error
+
+
+def acknowledgement() -> bytes:
+    """Return the body of an answer that acknowledges an announcement."""
+    return b"{}"
+
+
+def error_body(message: str) -> bytes:
+    """Return the body of an answer that refuses an announcement."""
+    return msgspec.json.encode({"error": message})
+
+
+def announcement_of(path: str, pattern: re.Pattern[str]) -> str | None:
+    """Return the target's id in a path, or none where the path is another call's."""
+    match = pattern.match(path)
+    return match.group(1) if match else None
+
--- /dev/null
+++ b/src/daisywharf/platform/_program.py
@@ -0,0 +1,103 @@
+"""The daemon's program: settings, signals, servers."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from random import Random
+
+from daisywharf._errors import ConfigurationError
+from daisywharf._mesh._clock import boot_now, wall_ms
+from daisywharf._mesh._daemon import MeshDaemon
+from daisywharf._mesh._http_server import HttpServer
+from daisywharf._mesh._log_writer import LogWriter
+from daisywharf._mesh._settings import MeshSettings
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+from daisywharf.platform._control import control_handler, readiness_handler
+from daisywharf.platform._headers import PlatformDialect
+from daisywharf.platform._settings import SETTINGS_VARIABLE, read_settings
+from daisywharf.platform._store import ObjectStore
+
+SETTINGS_CHECK_S = 1.0  # the file may change without a signal
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> None:
+    """Run until SIGTERM."""
+    path = Path(os.environ[SETTINGS_VARIABLE])
+    try:
+        settings = read_settings(path)
+    except ConfigurationError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(EXIT_BAD_SETTINGS)
+    gc.freeze()
+    # Most objects are freed by their counts; collecting seldom keeps pauses out of calls.
+    gc.set_threshold(50_000, 20, 50)
+    asyncio.run(_run(path, settings))
+
+
+async def _run(path: Path, settings: MeshSettings) -> None:
+    writer = LogWriter({"vm": settings.vm, "zone": settings.zone}, now=boot_now)
+    writer.start()
+    loop = asyncio.get_running_loop()
+    dialect = PlatformDialect()
+    daemon = MeshDaemon(
+        settings,
+        dialect=dialect,
+        store=ObjectStore(settings.store_address, now=boot_now),
+        now=boot_now,
+        steady_now=time.monotonic,
+        started_ms=wall_ms(),
+        rng=Random(),
+    )
+    ready = HttpServer(readiness_handler(lambda: daemon.is_ready), now=boot_now)
+    control = HttpServer(
+        control_handler(
+            service=lambda: daemon.settings.service,
+            known=lambda: daemon.gate.notice,
+            take=daemon.take_notice,
+        ),
+        now=boot_now,
+    )
+    await ready.start(settings.ready_address)
+    await control.start(settings.announcements_address)
+    await daemon.start()
+    log_event(
+        Event.DAEMON_STARTED,
+        vm=settings.vm,
+        zone=settings.zone,
+        http=str(settings.entry_address),
+        links=str(settings.links_address),
+    )
+    loop.add_signal_handler(signal.SIGTERM, lambda: asyncio.ensure_future(daemon.stop()))
+    reload_now = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, reload_now.set)
+    watcher = asyncio.ensure_future(_follow_settings(path, daemon, reload_now))
+    await daemon.stopped.wait()
+    watcher.cancel()
+    writer.flush()
+
+
+async def _follow_settings(path: Path, daemon: MeshDaemon, reload_now: asyncio.Event) -> None:
+    content = path.read_bytes()
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_CHECK_S):
+                await reload_now.wait()
+        except TimeoutError:
+            pass
+        reload_now.clear()
+        try:
+            fresh = path.read_bytes()
+            if fresh == content:
+                continue
+            settings = read_settings(path)
+        except (OSError, ConfigurationError) as error:
+            log_event(Event.SETTINGS_UNREADABLE, error=str(error))
+            continue
+        content = fresh
+        daemon.change_settings(settings)
--- /dev/null
+++ b/src/daisywharf/platform/_settings.py
@@ -0,0 +1,114 @@
+"""Decode the settings file that the platform places on each VM."""
+
+from pathlib import Path
+from typing import Any, Final
+
+import yaml
+
+from daisywharf._errors import ConfigurationError, ErrorKind
+from daisywharf._ids import ServiceName, VmId, ZoneName
+from daisywharf._mesh._model import parse_address
+from daisywharf._mesh._settings import MeshBounds, MeshSettings
+from daisywharf._topology import Address
+
+SETTINGS_VARIABLE: Final = "DAISYWHARF_SETTINGS"
+DEFAULT_GRACE_S: Final = 6.0  # what every site file gives as `gracePeriodS`
+DEFAULT_DRAIN_MS: Final = 2_000.0
+DEFAULT_RATIO: Final = 0.2
+DEFAULT_WINDOW_S: Final = 10.0
+DEFAULT_EXTRA: Final = 0.0
+MS: Final = 1000.0
+
+
+def read_settings(path: Path) -> MeshSettings:
+    """Read a settings file; raise `ConfigurationError` that names each fault in it."""
+    try:
+        document = yaml.load(path.read_bytes(), Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
+    except (OSError, yaml.YAMLError, UnicodeDecodeError) as error:
+        raise ConfigurationError(ErrorKind.INVALID_SETTINGS, f"{path}: {error}") from error
+    return decode_settings(document)
+
+
+def decode_settings(document: Any) -> MeshSettings:
+    """Decode settings; raise `ConfigurationError` that names each fault in them."""
+    faults: list[str] = []
+    text = _Table(document, faults)
+    own, network = text.table("self"), text.table("network")
+    listen = network.table("listenAddresses")
+    store = text.table("platform").table("platform")
+    settings = MeshSettings(
+        vm=VmId(own.text("nodeName")),
+        zone=ZoneName(own.text("zone")),
+        service=ServiceName(own.text("service")),
+        target_address=own.address("applicationAddress"),
+        # `outbound` takes what leaves this VM: its clients' requests and its target's calls.
+        entry_address=listen.address("outbound"),
+        links_address=listen.address("inbound"),
+        ready_address=listen.address("ready"),
+        announcements_address=listen.address("controlPlane"),
+        store_address=store.address("address"),
+        # Control addresses of other daemons: only their hosts are of use here.
+        seeds=tuple(a for a in (_seed(s) for s in network.items("seedNodes")) if a is not None),
+        bounds=_bounds(text.table("terms").table("bounds")),
+        memory_mb=int(own.table("limits").number("memoryMb", 300)),
+    )
+    if faults:
+        raise ConfigurationError(ErrorKind.INVALID_SETTINGS, "; ".join(faults))
+    return settings
+
+
+def _bounds(table: "_Table") -> MeshBounds:
+    return MeshBounds(
+        grace_s=table.number("gracePeriodS", DEFAULT_GRACE_S),
+        drain_s=table.number("drainMs", DEFAULT_DRAIN_MS) / MS,
+        retry_ratio=table.number("retryBudgetRatio", DEFAULT_RATIO),
+        retry_window_s=table.number("budgetWindowS", DEFAULT_WINDOW_S),
+        retry_extra=table.number("retryBudgetExtra", DEFAULT_EXTRA),
+    )
+
+
+def _seed(value: Any) -> Address | None:
+    try:
+        return parse_address(str(value))
+    except ValueError:
+        return None
+
+
+class _Table:
+    """Hold one table of the document and the faults found so far."""
+
+    def __init__(self, content: Any, faults: list[str], path: str = "") -> None:
+        self.content = content if isinstance(content, dict) else {}
+        self.faults = faults
+        self.path = path
+        if not isinstance(content, dict):
+            faults.append(f"{path or 'the file'} is {content!r}; write a table")
+
+    def table(self, name: str) -> "_Table":
+        return _Table(self.content.get(name), self.faults, f"{self.path}{name}.")
+
+    def items(self, name: str) -> list[Any]:
+        value = self.content.get(name) or []
+        return value if isinstance(value, list) else []
+
+    def text(self, name: str) -> str:
+        value = self.content.get(name)
+        if not isinstance(value, str) or not value:
+            self.faults.append(f"{self.path}{name} is {value!r}; write a text")
+            return ""
+        return value
+
+    def number(self, name: str, default: float) -> float:
+        value = self.content.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            self.faults.append(f"{self.path}{name} is {value!r}; write a number")
+            return default
+        return float(value)
+
+    def address(self, name: str) -> Address:
+        value = self.content.get(name)
+        try:
+            return parse_address(str(value))
+        except ValueError:
+            self.faults.append(f"{self.path}{name} is {value!r}; write an address and a port")
+            return Address("", 0)
--- /dev/null
+++ b/src/daisywharf/platform/_store.py
@@ -0,0 +1,155 @@
+"""Reach the platform's metadata store from the event loop."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Final
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from daisywharf._errors import ErrorKind, PlatformError
+from daisywharf._mesh._http_client import HttpAnswer, HttpFailure, HttpPool, HttpResult
+from daisywharf._mesh._model import MemberRecord
+from daisywharf._mesh._store import ConfigurationRead
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+from daisywharf._topology import Address
+from daisywharf.platform._configuration import read_configuration
+
+CONFIGURATION_KIND: Final = "config"
+CONFIGURATION_NAME: Final = "main"
+MEMBER_KIND: Final = "daisywharf-daemons"
+# Many times the store's usual answer (4 ms); slower, another try does better.
+TIMEOUT_S: Final = 1.5
+MS: Final = 1000.0
+MOST_PAGES: Final = 100
+
+# 503 says that nothing was done, 429 that the rate is spent.
+KINDS_BY_STATUS: Final[dict[int, ErrorKind]] = {
+    404: ErrorKind.PLATFORM_GONE,
+    409: ErrorKind.PLATFORM_CONFLICT,
+    410: ErrorKind.PLATFORM_GONE,
+    429: ErrorKind.PLATFORM_UNAVAILABLE,
+    503: ErrorKind.PLATFORM_UNAVAILABLE,
+}
+
+
+class ObjectStore:
+    """Call the store; one call at a time on a connection, a silent one is given up."""
+
+    def __init__(self, address: Address, *, now: Callable[[], float]) -> None:
+        self._host = str(address)
+        self._pool = HttpPool(address, now=now, most=4)
+        self._own_revision: int | None = None
+        self.calls = 0
+
+    async def read_configuration(self) -> ConfigurationRead:
+        """Read the latest configuration."""
+        try:
+            found = await self._call("GET", f"/{CONFIGURATION_KIND}/{CONFIGURATION_NAME}")
+        except PlatformError as error:
+            if error.kind is not ErrorKind.PLATFORM_GONE:
+                raise
+            listing = await self._call("GET", f"/{CONFIGURATION_KIND}")
+            return ConfigurationRead(None, int(listing["at"]))
+        configuration = read_configuration(found["specification"])
+        return ConfigurationRead(configuration, int(found["metadata"]["revision"]))
+
+    async def watch_configuration(self, *, after: int, wait_s: float) -> ConfigurationRead:
+        """Wait for a configuration newer than a revision; return none when the wait ends."""
+        query = urlencode({"watch": after, "waitMs": int(wait_s * MS)})
+        found = await self._call("GET", f"/{CONFIGURATION_KIND}?{query}", timeout_s=wait_s + 1.0)
+        latest = None
+        for event in found["events"]:
+            entry = event["object"]
+            is_ours = entry["metadata"]["name"] == CONFIGURATION_NAME
+            if is_ours and not event.get("deleted"):
+                latest = read_configuration(entry["specification"])
+        return ConfigurationRead(latest, int(found["at"]))
+
+    async def write_member(self, record: MemberRecord) -> None:
+        """Keep a daemon's own record, on the condition that it is as this daemon left it."""
+        content = {"record": msgspec.to_builtins(record)}
+        try:
+            written = await self._put_member(record, content)
+        except PlatformError as error:
+            if error.kind is not ErrorKind.PLATFORM_CONFLICT:
+                raise
+            # An earlier process, or a write whose answer was lost.
+            found = await self._call("GET", f"/{MEMBER_KIND}/{quote(record.vm, safe='')}")
+            self._own_revision = int(found["metadata"]["revision"])
+            written = await self._put_member(record, content)
+        self._own_revision = int(written["metadata"]["revision"])
+
+    async def _put_member(self, record: MemberRecord, content: dict[str, Any]) -> Any:
+        metadata: dict[str, Any] = {"name": record.vm}
+        if self._own_revision is None:
+            body = {"metadata": metadata, "specification": content}
+            return await self._call("POST", f"/{MEMBER_KIND}", body)
+        metadata["revision"] = self._own_revision
+        body = {"metadata": metadata, "specification": content}
+        return await self._call("PUT", f"/{MEMBER_KIND}/{quote(record.vm, safe='')}", body)
+
+    async def list_members(self) -> list[MemberRecord]:
+        """Read the records of all daemons; one that can't be read is left out and logged."""
+        records: list[MemberRecord] = []
+        after = ""
+        for _ in range(MOST_PAGES):
+            query = "?" + urlencode({"after": after}) if after else ""
+            page = await self._call("GET", f"/{MEMBER_KIND}{query}")
+            for entry in page["items"]:
+                after = entry["metadata"]["name"]
+                try:
+                    records.append(msgspec.convert(entry["specification"]["record"], MemberRecord))
+                except (msgspec.ValidationError, KeyError, TypeError) as error:
+                    log_event(Event.ENTRY_UNREADABLE, entry=after, error=repr(error))
+            if not page.get("hasMore"):
+                break
+        return records
+
+    async def remove_member(self, record: MemberRecord) -> None:
+        """Remove a daemon's record."""
+        await self._call("DELETE", f"/{MEMBER_KIND}/{quote(record.vm, safe='')}")
+        self._own_revision = None
+
+    async def _call(
+        self, method: str, path: str, content: Any = None, *, timeout_s: float = TIMEOUT_S
+    ) -> Any:
+        body = b"" if content is None else msgspec.json.encode(content)
+        head = f"{method} /-/objects{path} HTTP/1.1\r\nHost: {self._host}\r\n"
+        if body:
+            head += "Content-Type: application/json\r\n"
+        if body or method != "GET":
+            head += f"Content-Length: {len(body)}\r\n"
+        self.calls += 1
+        future: asyncio.Future[HttpResult] = asyncio.get_running_loop().create_future()
+
+        def settle(result: HttpResult) -> None:
+            if not future.done():
+                future.set_result(result)
+
+        asked = self._pool.ask(head.encode() + b"\r\n" + body, settle)
+        try:
+            async with asyncio.timeout(timeout_s):
+                result = await future
+        except TimeoutError:
+            asked.cancel()
+            raise _error(method, f"no answer in {timeout_s} s") from None
+        if isinstance(result, HttpFailure):
+            raise _error(method, result.detail)
+        return _content(method, path, result)
+
+
+def _error(method: str, detail: str) -> PlatformError:
+    kind = ErrorKind.PLATFORM_UNAVAILABLE if method == "GET" else ErrorKind.PLATFORM_OUTCOME_UNKNOWN
+    return PlatformError(kind, f"{method} at the store: {detail}")
+
+
+def _content(method: str, path: str, answer: HttpAnswer) -> Any:
+    if answer.status >= 300:
+        kind = KINDS_BY_STATUS.get(answer.status, ErrorKind.PLATFORM_OUTCOME_UNKNOWN)
+        raise PlatformError(kind, f"{method} {path} was answered {answer.status}")
+    try:
+        return msgspec.json.decode(answer.body) if answer.body else {}
+    except msgspec.DecodeError as error:
+        raise _error(method, f"unreadable answer: {error}") from error
