Tell targets' calls from clients' requests by the services whose VMs send them

Cause: clients and the target of a VM share an address and a peer host, so every request was taken for a call, and a chain seemed to call itself (126 million visits learned, no repeat ever allowed). Routes that VMs of a service never send are those of calls.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -39,6 +39,7 @@
 from daisywharf._overload._actions import CallId
 from daisywharf._overload._calls_below import CallsBelow, calls_below, end_period
 from daisywharf._overload._chain import note_rows
+from daisywharf._overload._origins import note_counts
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 
@@ -296,6 +297,7 @@
         now = self.now()
         self.sync.report_by_vm[vm] = WatchReport(report.is_watching, now)
         note_rows(self.entry.chain, vm, report.calls_below)
+        note_counts(self.entry.origins, report.service, report.entered)
         target = self.services.target_of(vm)
         if target is not None and report.load is not None:
             self.entry.hear(target.service, target.target_id, report.load)
@@ -341,7 +343,12 @@
         load = self.gate.load() if self.gate.is_open else None
         if load is not None and self.gate.notice is not None:
             self.entry.hear(self.gate.notice.service, self.gate.notice.target_id, load)
-        report = Report(self.version, self.sync.is_counted_on(), load, rows)
+        entered = self.entry.take_entered()
+        note_counts(self.entry.origins, self.settings.service, entered)
+        self.entry.judge_origins(now=now)
+        report = Report(
+            self.version, self.sync.is_counted_on(), load, rows, self.settings.service, entered
+        )
         up = [link for link in self.membership.link_by_vm.values() if link.is_up]
         self.entry.daemons = len(self.membership.record_by_vm)
         for link in up:
@@ -374,11 +381,15 @@
                 break
             await asyncio.sleep(0.05)
         cut_off = len(self.entry.pending)
+        self.close()
+        log_event(Event.DAEMON_STOPPED, vm=self.settings.vm, cut_off=cut_off)
+
+    def close(self) -> None:
+        """Close everything at once."""
+        self.stopped.set()
         self.clients.stop()
         self.clients.close_idle()
-        self.stopped.set()
         for task in self._tasks:
             task.cancel()
         self.links.stop()
         self.membership.close()
-        log_event(Event.DAEMON_STOPPED, vm=self.settings.vm, cut_off=cut_off)
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Final, Protocol
 
-from daisywharf._configuration import Configuration, Route
+from daisywharf._configuration import Configuration, Route, RouteName
 from daisywharf._context import sub_order_of
 from daisywharf._contract import Importance
 from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind
@@ -20,6 +20,13 @@
 from daisywharf._overload._calls_below import CallCounts, Callee, note_call
 from daisywharf._overload._chain import ChainState, Step, chain_level, visits_of
 from daisywharf._overload._come_back import come_back_s
+from daisywharf._overload._origins import (
+    Origins,
+    RouteCount,
+    is_call,
+    is_request,
+    judge_routes,
+)
 from daisywharf._overload._pressure import is_shed
 from daisywharf._routing._placement import (
     Candidate,
@@ -113,6 +120,9 @@
         self.rng = rng
         self.table: RouteTable | None = None
         self.chain = ChainState()
+        self.origins = Origins(now=now())
+        self.request_routes: frozenset[RouteName] = frozenset()
+        self.entered_by_route: dict[RouteName, int] = {}
         self.split = SplitState()
         bounds = settings.bounds
         self.budget = RepeatBudget(
@@ -155,12 +165,14 @@
             route,
             next_part(self.split, route, rng=self.rng),
             deadline=now + min(time_left_s, route.timeout_s),
-            is_from_target=exchange.connection.peer_host == self.settings.target_address.host,
+            is_from_target=is_call(self.origins, route.name),
         )
+        self.entered_by_route[route.name] = self.entered_by_route.get(route.name, 0) + 1
         if pending.is_from_target:
             note_call(self.counts, Callee(f"{route.name} {pending.service}"))
         else:
-            note_first(self.budget, pending.service, now=now)
+            if route.name in self.request_routes:
+                note_first(self.budget, pending.service, now=now)
             if self._is_shed(pending, now=now):
                 return
         self.pending.add(pending)
@@ -386,6 +398,18 @@
         if pending.timer is not None:
             pending.timer.cancel()
 
+    def take_entered(self) -> tuple[RouteCount, ...]:
+        """Return what entered since the last time."""
+        entered, self.entered_by_route = self.entered_by_route, {}
+        return tuple(RouteCount(route, count) for route, count in entered.items())
+
+    def judge_origins(self, *, now: float) -> None:
+        """Decide anew which routes are those of targets' own calls."""
+        judge_routes(self.origins, now=now)
+        self.request_routes = frozenset(
+            route for route in self.origins.counts_by_route if is_request(self.origins, route)
+        )
+
     def hear(self, service: ServiceName, target_id: TargetId, load: GateLoad) -> None:
         """Take a load that a gate announced."""
         hear_load(
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -5,8 +5,10 @@
 import msgspec
 
 from daisywharf._errors import ErrorKind
+from daisywharf._ids import ServiceName
 from daisywharf._mesh._model import MemberRecord
 from daisywharf._overload._calls_below import CallsBelow
+from daisywharf._overload._origins import RouteCount
 
 LENGTH_BYTES: Final = 4
 
@@ -84,12 +86,14 @@
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """Report, now and then, a daemon's load, store contact and what its target's runs call."""
+    """Report, now and then, a daemon's load, store contact, and what runs and enters there."""
 
     version: int
     is_watching: bool
     load: GateLoad | None
     calls_below: tuple[CallsBelow, ...]
+    service: ServiceName
+    entered: tuple[RouteCount, ...]
 
 
 class NewConfiguration(msgspec.Struct, frozen=True, array_like=True, tag=8):
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -15,7 +15,7 @@
 from daisywharf._mesh._links import CallResult, OnCallResult
 from daisywharf._mesh._model import Readiness, TargetNotice
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
-from daisywharf._overload._calls_below import CallCounts, Kind, note_run
+from daisywharf._overload._calls_below import CallCounts, Kind, note_half_run
 from daisywharf._overload._pressure import Pressure, move_pressure
 from daisywharf._overload._queue import WaitingCall
 from daisywharf._overload._slots import (
@@ -185,7 +185,7 @@
         pool, notice, call = self._pool, self.notice, gate_call.call
         assert pool is not None and notice is not None
         left_ms = int((gate_call.deadline - self.now()) * MS)
-        note_run(self.counts, Kind(call.route))
+        note_half_run(self.counts, Kind(call.route))
         lines = self.dialect.target_lines(
             target_id=notice.target_id, caller_service=call.caller_service, time_left_ms=left_ms
         )
@@ -208,6 +208,7 @@
 
     def _finish(self, gate_call: GateCall, result: HttpResult) -> None:
         self.calls_by_id.pop(gate_call.call_id, None)
+        note_half_run(self.counts, Kind(gate_call.call.route))
         self._apply(release(self.slots, gate_call.call_id, now=self.now()))
         outcome = self._outcome(gate_call.call, result)
         if not gate_call.is_given_up:
--- a/src/daisywharf/_overload/_calls_below.py
+++ b/src/daisywharf/_overload/_calls_below.py
@@ -12,15 +12,15 @@
 Kind = NewType("Kind", str)
 Callee = NewType("Callee", str)
 
-PERIOD_S: Final = 0.25
-# Part of a period's weight that is left one period later: about 12 s of memory.
+PERIOD_S: Final = 0.5
+# Part of a period's weight that is left one period later: about 25 s of memory.
 KEPT_PART: Final = 0.98
 # Variance of a coefficient that nothing is known of: calls a run, squared.
 FIRST_VARIANCE: Final = 1.0
 MOST_KINDS: Final = 24
 MOST_CALLEES: Final = 24
-# Fewer calls a run than this are taken for chance.
-LEAST_CALLS: Final = 0.15
+# Fewer calls a run than this aren't worth a place in a report.
+LEAST_CALLS: Final = 0.02
 
 
 class CallsBelow(msgspec.Struct, frozen=True, array_like=True):
@@ -42,19 +42,18 @@
 
 
 class CallCounts:
-    """Hold the counts of the present and the last period, and the fit."""
+    """Hold the counts of the present period, and the fit."""
 
     def __init__(self, *, now: float) -> None:
-        self.runs_by_kind: dict[Kind, int] = {}
-        self.last_runs_by_kind: dict[Kind, int] = {}
+        self.runs_by_kind: dict[Kind, float] = {}
         self.calls_by_callee: dict[Callee, int] = {}
         self.fit = Fit({}, [], {})
         self.period_started_at = now
 
 
-def note_run(counts: CallCounts, kind: Kind) -> None:
-    """Count a run that starts."""
-    counts.runs_by_kind[kind] = counts.runs_by_kind.get(kind, 0) + 1
+def note_half_run(counts: CallCounts, kind: Kind) -> None:
+    """Count a run that starts or ends: its calls come in between."""
+    counts.runs_by_kind[kind] = counts.runs_by_kind.get(kind, 0.0) + 0.5
 
 
 def note_call(counts: CallCounts, callee: Callee) -> None:
@@ -63,8 +62,8 @@
 
 
 def end_period(counts: CallCounts, *, now: float) -> None:
-    """Fit the period that ends, if it has lasted."""
-    if now - counts.period_started_at < PERIOD_S:
+    """Fit the period that ends, if it has lasted (ticks come a little early at times)."""
+    if now - counts.period_started_at < PERIOD_S * 0.9:
         return
     counts.period_started_at = now
     fit = counts.fit
@@ -73,19 +72,15 @@
     for callee in counts.calls_by_callee:
         if len(fit.calls_by_callee) < MOST_CALLEES:
             fit.calls_by_callee.setdefault(callee, [0.0] * len(fit.place_by_kind))
-    # A run's calls come while it lasts, so half of its weight lies in the period after its start.
-    runs = [
-        (counts.runs_by_kind.get(kind, 0) + counts.last_runs_by_kind.get(kind, 0)) / 2.0
-        for kind in fit.place_by_kind
-    ]
+    runs = [counts.runs_by_kind.get(kind, 0.0) for kind in fit.place_by_kind]
     if any(runs):
         _learn(fit, runs, counts.calls_by_callee)
-    counts.last_runs_by_kind, counts.runs_by_kind = counts.runs_by_kind, {}
+    counts.runs_by_kind = {}
     counts.calls_by_callee = {}
 
 
 def calls_below(counts: CallCounts) -> list[tuple[Kind, Callee, float]]:
-    """Return how many calls a run of each kind makes, without those taken for chance."""
+    """Return how many calls a run of each kind makes, without the very few."""
     fit = counts.fit
     return [
         (kind, callee, calls[place])
@@ -118,4 +113,4 @@
             calls[place] = max(0.0, calls[place] + part * error)
     for row, part in zip(fit.covariance, gain, strict=True):
         for place, value in enumerate(spread):
-            row[place] = min((row[place] - part * value) / KEPT_PART, FIRST_VARIANCE)
+            row[place] = (row[place] - part * value) / KEPT_PART
--- a/src/daisywharf/_overload/_chain.py
+++ b/src/daisywharf/_overload/_chain.py
@@ -14,10 +14,13 @@
 from daisywharf._overload._calls_below import CallsBelow
 from daisywharf._overload._pressure import OPEN
 
-# Visits of a service by one request below which the service doesn't count as part of the chain.
-LEAST_VISITS: Final = 0.2
+# Mean calls of a run, and visits of a service by a request, that are taken for chance below.
+LEAST_CALLS: Final = 0.4
+LEAST_VISITS: Final = 0.3
 MOST_DEPTH: Final = 27  # the deepest chain that the users plan for
 VISITS_LIFETIME_S: Final = 1.0
+# A chain that seems to make more calls than this was learned wrongly.
+MOST_VISITS: Final = 1_000.0
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -66,14 +69,21 @@
 
 
 def _mean_rows(state: ChainState) -> dict[Step, dict[Step, float]]:
-    sums: dict[Step, dict[Step, list[float]]] = {}
-    for rows in state.rows_by_reporter.values():
+    sums: dict[Step, dict[Step, float]] = {}
+    reporters: dict[Step, set[str]] = {}
+    for reporter, rows in state.rows_by_reporter.items():
         for row in rows:
             step = Step(RouteName(row.route), ServiceName(row.service))
             callee = Step(RouteName(row.callee_route), ServiceName(row.callee_service))
-            sums.setdefault(step, {}).setdefault(callee, []).append(row.calls)
+            calls_by_callee = sums.setdefault(step, {})
+            calls_by_callee[callee] = calls_by_callee.get(callee, 0.0) + row.calls
+            reporters.setdefault(step, set()).add(reporter)
     return {
-        step: {callee: sum(calls) / len(calls) for callee, calls in callees.items()}
+        step: {
+            callee: calls / len(reporters[step])
+            for callee, calls in callees.items()
+            if calls / len(reporters[step]) >= LEAST_CALLS
+        }
         for step, callees in sums.items()
     }
 
@@ -91,4 +101,6 @@
         for step, count in below.items():
             visits[step.service] = visits.get(step.service, 0.0) + count
         level = {step: count for step, count in below.items() if count >= LEAST_VISITS}
+        if sum(level.values()) > MOST_VISITS:
+            break
     return visits
--- /dev/null
+++ b/tests/builders_mesh.py
@@ -0,0 +1,312 @@
+"""Build daemons of the data path on loopback, with stand-ins of store, targets and clients."""
+
+import asyncio
+import json
+import socket
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from daisywharf._contract import Importance
+from daisywharf._configuration import (
+    ClientLimits,
+    Configuration,
+    Route,
+    RouteName,
+    SplitPart,
+)
+from daisywharf._errors import ErrorKind, PlatformError
+from daisywharf._ids import ServiceName, TargetId, Version, VmId, ZoneName
+from daisywharf._mesh._daemon import MeshDaemon
+from daisywharf._mesh._http_client import HttpAnswer, HttpPool, HttpResult
+from daisywharf._mesh._http_server import Exchange, HttpServer
+from daisywharf._mesh._model import MemberRecord, Readiness, TargetNotice
+from daisywharf._mesh._settings import MeshBounds, MeshSettings
+from daisywharf._mesh._store import ConfigurationRead
+from daisywharf._topology import Address
+from daisywharf.platform._headers import PlatformDialect
+
+HOST = "127.0.0.1"
+NOWHERE = Address(HOST, 9)
+
+
+def free_address() -> Address:
+    """Return an address whose port the kernel chose."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return Address(HOST, probe.getsockname()[1])
+
+
+def route(name: str = "r", **changes: Any) -> Route:
+    """Build a route to the service `stock` under `/NAME/`."""
+    given: dict[str, Any] = {
+        "name": RouteName(name),
+        "host": "shop.example",
+        "path_prefix": f"/{name}/",
+        "parts": (SplitPart(ServiceName("stock"), 1.0),),
+        "is_idempotent": True,
+        "max_attempts": 2,
+        "timeout_s": 5.0,
+        "aim_s": 1.0,
+        "importance": Importance.NORMAL,
+    }
+    return Route(**{**given, **changes})
+
+
+def configuration(*routes: Route, version: int = 1) -> Configuration:
+    """Build a configuration of these routes."""
+    return Configuration(Version(version), routes, ClientLimits(), {})
+
+
+def settings(vm: str = "vm-1", zone: str = "a", service: str = "stock") -> MeshSettings:
+    """Build settings with addresses on loopback."""
+    return MeshSettings(
+        vm=VmId(vm),
+        zone=ZoneName(zone),
+        service=ServiceName(service),
+        target_address=NOWHERE,
+        entry_address=free_address(),
+        links_address=free_address(),
+        ready_address=NOWHERE,
+        announcements_address=NOWHERE,
+        store_address=NOWHERE,
+        seeds=(),
+        bounds=MeshBounds(
+            grace_s=1.0, drain_s=2.0, retry_ratio=0.2, retry_window_s=10.0, retry_extra=50.0
+        ),
+        memory_mb=300,
+    )
+
+
+def notice(address: Address, **changes: Any) -> TargetNotice:
+    """Build an announcement of the target `t-1` of `stock`."""
+    given: dict[str, Any] = {
+        "target_id": TargetId("t-1"),
+        "service": ServiceName("stock"),
+        "address": address,
+        "slots": 10,
+        "readiness": Readiness.READY,
+        "cold_s": 0.0,
+        "born_ms": 1,
+        "sequence": 1,
+    }
+    return TargetNotice(**{**given, **changes})
+
+
+class MemoryStore:
+    """Stand in for the platform's store; `is_down` makes each call fail."""
+
+    def __init__(self, first: Configuration | None = None) -> None:
+        self.configuration = first
+        self.revision = 1
+        self.record_by_vm: dict[str, MemberRecord] = {}
+        self.is_down = False
+        self.calls = 0
+        self._changed = asyncio.Event()
+
+    def change(self, configuration: Configuration) -> None:
+        """Write a configuration as the operator does."""
+        self.configuration = configuration
+        self.revision += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _note_call(self) -> None:
+        self.calls += 1
+        if self.is_down:
+            raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "the store is down")
+
+    async def read_configuration(self) -> ConfigurationRead:
+        self._note_call()
+        return ConfigurationRead(self.configuration, self.revision)
+
+    async def watch_configuration(self, *, after: int, wait_s: float) -> ConfigurationRead:
+        self._note_call()
+        if self.revision <= after:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                return ConfigurationRead(None, self.revision)
+        return ConfigurationRead(self.configuration, self.revision)
+
+    async def write_member(self, record: MemberRecord) -> None:
+        self._note_call()
+        self.record_by_vm[record.vm] = record
+
+    async def list_members(self) -> list[MemberRecord]:
+        self._note_call()
+        return list(self.record_by_vm.values())
+
+    async def remove_member(self, record: MemberRecord) -> None:
+        self._note_call()
+        self.record_by_vm.pop(record.vm, None)
+
+
+class Seen:
+    """Hold one request as a target saw it."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+        self.method = exchange.method.decode()
+        self.path = exchange.target.decode()
+        self.body = exchange.body
+        self.header = {name.decode().lower(): value.decode() for name, value in exchange.headers}
+
+    def answer(self, status: int = 200, body: bytes = b"whole", **headers: str) -> None:
+        """Answer as a target does, signed and under the request's id."""
+        lines = f"Attempt-Id: {self.header.get('attempt-id', '')}\r\nServer-Signature: s\r\n"
+        lines += "".join(f"{n.replace('_', '-')}: {v}\r\n" for n, v in headers.items())
+        self.exchange.respond(status, lines=lines.encode(), body=body)
+
+
+class TargetStandIn:
+    """Stand in for a target: `behave` answers each request, or leaves it open."""
+
+    def __init__(self, behave: Callable[[Seen], None] = lambda seen: seen.answer()) -> None:
+        self.behave = behave
+        self.seen: list[Seen] = []
+        self.gone = 0
+        self.address = free_address()
+        self.server = HttpServer(self._handle, now=time.monotonic)
+
+    def _handle(self, exchange: Exchange) -> None:
+        seen = Seen(exchange)
+        self.seen.append(seen)
+        exchange.on_gone = self._note_gone
+        self.behave(seen)
+
+    def _note_gone(self) -> None:
+        self.gone += 1
+
+
+class MeshWorld:
+    """Hold daemons, targets and the store of one test."""
+
+    def __init__(self, *routes: Route) -> None:
+        self.store = MemoryStore(configuration(*(routes or (route(),))))
+        self.daemons: list[MeshDaemon] = []
+        self.targets: list[TargetStandIn] = []
+
+    async def add(
+        self,
+        target: TargetStandIn | None = None,
+        *,
+        zone: str = "a",
+        service: str = "stock",
+        **announced: Any,
+    ) -> MeshDaemon:
+        """Start a daemon, and announce the target beside it."""
+        vm = f"vm-{len(self.daemons) + 1}"
+        daemon = MeshDaemon(
+            settings(vm, zone, service),
+            dialect=PlatformDialect(),
+            store=self.store,
+            now=time.monotonic,
+            steady_now=time.monotonic,
+            started_ms=1,
+            rng=Random(7),
+        )
+        self.daemons.append(daemon)
+        await daemon.start()
+        if target is not None:
+            self.targets.append(target)
+            await target.server.start(target.address)
+            announced = {"target_id": f"t-{vm}", "service": service, **announced}
+            daemon.take_notice(notice(target.address, **announced))
+        return daemon
+
+    async def settle(self) -> None:
+        """Wait until each daemon has a configuration and knows all targets of the others."""
+        await eventually(
+            lambda: all(
+                d.is_ready
+                and len(d.membership.record_by_vm) == len(self.daemons)
+                and all(link.is_up for link in d.membership.link_by_vm.values())
+                and _targets_known(d) == len(self.targets)
+                for d in self.daemons
+            )
+        )
+
+    async def close(self) -> None:
+        """End everything that was started."""
+        for daemon in self.daemons:
+            daemon.close()
+        for target in self.targets:
+            target.server.stop()
+            for connection in list(target.server.connections):
+                connection.close()
+        await asyncio.sleep(0)
+
+
+def _targets_known(daemon: MeshDaemon) -> int:
+    return sum(len(p.candidates) for p in daemon.services.placement_by_service.values())
+
+
+async def eventually(holds: Callable[[], bool], *, within_s: float = 20.0) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(within_s):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+class Client:
+    """Ask daemons as a client does."""
+
+    def __init__(self, daemon: MeshDaemon) -> None:
+        self.pool = HttpPool(daemon.settings.entry_address, now=time.monotonic)
+        self.number = 0
+
+    async def ask(
+        self,
+        path: str = "/r/x",
+        *,
+        method: str = "GET",
+        body: bytes = b"",
+        host: str = "shop.example",
+        **headers: str,
+    ) -> HttpResult:
+        """Send a request and return its result."""
+        future: asyncio.Future[HttpResult] = asyncio.get_running_loop().create_future()
+        self.send(path, future.set_result, method=method, body=body, host=host, **headers)
+        async with asyncio.timeout(20.0):
+            return await future
+
+    def send(
+        self,
+        path: str,
+        on_result: Callable[[HttpResult], None],
+        *,
+        method: str = "GET",
+        body: bytes = b"",
+        host: str = "shop.example",
+        **headers: str,
+    ) -> Any:
+        """Send a request; return what can be cancelled."""
+        self.number += 1
+        given = {"Host": host, "Attempt-Id": f"id-{self.number}", "Deadline-Ms": "5000"}
+        given |= {name.replace("_", "-"): value for name, value in headers.items()}
+        if body:
+            given["Content-Length"] = str(len(body))
+        head = f"{method} {path} HTTP/1.1\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in given.items())
+        return self.pool.ask(head.encode() + b"\r\n" + body, on_result)
+
+
+def header_of(answer: HttpAnswer, name: str) -> str | None:
+    """Return a header of an answer."""
+    for found, value in answer.headers:
+        if found.decode().lower() == name.lower():
+            return value.decode()
+    return None
+
+
+def in_loop(scenario: Callable[[], Any]) -> None:
+    """Run a scenario on a loop of its own."""
+    asyncio.run(scenario())
+
+
+def json_of(answer: HttpAnswer) -> Any:
+    """Decode an answer's body."""
+    return json.loads(answer.body)
