--- a/src/daisywharf/_overload/_pressure.py
+++ b/src/daisywharf/_overload/_pressure.py
@@ -10,8 +10,8 @@
 from daisywharf._contract import Importance
 
 OPEN: Final = float(len(Importance))
-# Occupied part of the limit that the level steers to: room for the spread of arrivals.
-AIM_LOAD: Final = 0.9
+# Occupied part of the limit that the level steers to; the limit itself leaves a target room.
+AIM_LOAD: Final = 0.97
 # Importances a second by which the level falls and rises, for a load off by 1.
 FALL_PER_S: Final = 3.0
 RISE_PER_S: Final = 1.2
