--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -25,6 +25,7 @@
     Ping,
     Pong,
     Report,
+    WriteAgain,
 )
 from daisywharf._mesh._gate import Gate
 from daisywharf._mesh._http_server import HttpServer
@@ -46,6 +47,8 @@
 TICK_S: Final = 0.025  # waiting calls are refused this late at most
 REPORT_S: Final = 0.5
 SWEEP_S: Final = 0.5
+# A daemon that has known no target for this long serves what it can: refusals say so.
+READY_WITHOUT_TARGETS_S: Final = 3.0
 # The record is written with the target's first announcement, or without one after this time.
 FIRST_WRITE_AFTER_S: Final = 1.0
 # Clients learn that a daemon isn't ready by its second missed check, a second apart.
@@ -113,7 +116,12 @@
             rng=rng,
         )
         self.sync = StoreSync(
-            store, membership=self.membership, put_in_force=self.put_in_force, now=now, rng=rng
+            store,
+            membership=self.membership,
+            put_in_force=self.put_in_force,
+            take_earlier=self._take_earlier,
+            now=now,
+            rng=rng,
         )
         self.clients = HttpServer(self.entry.handle, now=now)
         self.links = LinkServer(on_frame=self._take_frame, on_lost=self._lose_link)
@@ -135,7 +143,10 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether clients may send requests here."""
-        return self.configuration is not None and not self.is_stopping
+        if self.configuration is None or self.is_stopping:
+            return False
+        knows_targets = any(p.candidates for p in self.services.placement_by_service.values())
+        return knows_targets or self.now() - self._started_at > READY_WITHOUT_TARGETS_S
 
     async def start(self) -> None:
         """Listen, join the others, and follow the store."""
@@ -235,6 +246,22 @@
         self._has_written = True
         self.sync.write(own)
 
+    def _take_earlier(self, earlier: MemberRecord) -> None:
+        """Go on from the record of this VM's earlier process."""
+        own, said, notice = self.membership.own, earlier.target, self.gate.notice
+        if earlier.started_ms >= own.started_ms:
+            self._change_own(started_ms=earlier.started_ms + 1)
+        is_leaving = said is not None and said.readiness is not Readiness.READY
+        if said is None or notice is None or not is_leaving:
+            return
+        if (said.target_id, said.born_ms) == (notice.target_id, notice.born_ms):
+            # A late announcement came in before the acknowledged leaving was read.
+            leaving = replace(
+                notice, readiness=said.readiness, sequence=max(said.sequence, notice.sequence)
+            )
+            self.gate.take_notice(leaving)
+            self._announce_target(leaving)
+
     # Frames.
 
     def _take_from_peer(self, link: OutLink, frame: Frame) -> None:
@@ -264,6 +291,8 @@
             self._take_configuration(frame)
         elif isinstance(frame, Ping):
             protocol.send(Pong())
+        elif isinstance(frame, WriteAgain):
+            self.sync.write(self.membership.own)
 
     def _take_call(self, protocol: FrameProtocol, call: Call) -> None:
         calls = self._calls_by_link.setdefault(protocol, {})
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -243,7 +243,6 @@
             patience_ms=max(1, int(patience_s * MS)),
             importance=CALLS_IMPORTANCE if pending.is_from_target else route.importance,
             sub_order=pending.sub_order,
-            is_from_target=pending.is_from_target,
             is_idempotent=route.is_idempotent,
             head=b"%b %b HTTP/1.1\r\n%b" % (exchange.method, exchange.target, head.passed_on),
             body=exchange.body,
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -37,7 +37,6 @@
     patience_ms: int
     importance: int
     sub_order: int
-    is_from_target: bool
     is_idempotent: bool
     head: bytes
     body: bytes
@@ -111,6 +110,10 @@
     """Give a sign of life."""
 
 
+class WriteAgain(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Tell a daemon that the store has lost its record."""
+
+
 Frame = (
     Call
     | Cancel
@@ -122,6 +125,7 @@
     | NewConfiguration
     | Ping
     | Pong
+    | WriteAgain
 )
 
 _encoder: Final = msgspec.msgpack.Encoder()
--- a/src/daisywharf/_mesh/_http_server.py
+++ b/src/daisywharf/_mesh/_http_server.py
@@ -110,7 +110,6 @@
         self.server = server
         self.exchanges: deque[Exchange] = deque()
         self.transport: asyncio.Transport | None = None
-        self.peer_host = ""
         self._parser: Any = None
         self._reading: Exchange | None = None
         self._body: list[bytes] = []
@@ -125,8 +124,6 @@
         """Start to read."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        peer = transport.get_extra_info("peername")
-        self.peer_host = peer[0] if peer else ""
         self._parser = httptools.HttpRequestParser(self)
         self.server.connections.add(self)
 
--- a/src/daisywharf/_mesh/_membership.py
+++ b/src/daisywharf/_mesh/_membership.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from daisywharf._ids import VmId
-from daisywharf._mesh._frames import Frame, Hello, Members
+from daisywharf._mesh._frames import Frame, Hello, Members, WriteAgain
 from daisywharf._mesh._links import OutLink
 from daisywharf._mesh._model import MemberRecord, is_newer, parse_address
 from daisywharf._mesh._services import Services
@@ -126,6 +126,12 @@
             self.services.follow(record, is_reachable=False, now=self.now())
             log_event(Event.DAEMON_LOST, peer=vm)
 
+    def ask_to_write(self, kept: set[VmId]) -> None:
+        """Tell the daemons whose records aren't among those that the store kept."""
+        for vm, link in self.link_by_vm.items():
+            if vm not in kept:
+                link.send(WriteAgain())
+
     def tick(self, *, now: float) -> None:
         """Keep the links up and forget who has been gone for long."""
         for vm, since in list(self._unreachable_since.items()):
--- a/src/daisywharf/_mesh/_store.py
+++ b/src/daisywharf/_mesh/_store.py
@@ -27,11 +27,8 @@
         The error kind gone says that the history after the revision is lost.
         """
 
-    async def write_member(self, record: MemberRecord) -> None:
-        """Keep a daemon's own record."""
+    async def write_member(self, record: MemberRecord) -> MemberRecord | None:
+        """Keep a daemon's own record; return that of an earlier process which it replaced."""
 
     async def list_members(self) -> list[MemberRecord]:
         """Read the records of all daemons."""
-
-    async def remove_member(self, record: MemberRecord) -> None:
-        """Remove a daemon's record."""
--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -38,12 +38,14 @@
         *,
         membership: Membership,
         put_in_force: Callable[[Configuration], None],
+        take_earlier: Callable[[MemberRecord], None],
         now: Callable[[], float],
         rng: Random,
     ) -> None:
         self.store = store
         self.membership = membership
         self.put_in_force = put_in_force
+        self.take_earlier = take_earlier
         self.now = now
         self.rng = rng
         self.report_by_vm: dict[VmId, WatchReport] = {}
@@ -93,10 +95,22 @@
             await self._back_off()
             return revision
         self.is_watching = True
-        self._note_contact()
+        if self._note_contact():
+            await self._restore_records()
         self._take(read.configuration)
         return read.revision
 
+    async def _restore_records(self) -> None:
+        """Have the records written again that the store lost while it was away."""
+        try:
+            kept = {record.vm for record in await self.store.list_members()}
+        except DaisywharfError as error:
+            self._note_failure(error)
+            return
+        if self.membership.own.vm not in kept:
+            self.write(self.membership.own)
+        self.membership.ask_to_write(kept)
+
     async def run_records(self) -> None:
         """Write this daemon's record, then read those of all, and write what changes later."""
         while True:
@@ -105,7 +119,9 @@
             record = self._unwritten
             if record is None:
                 continue
-            await self._retried(partial(self.store.write_member, record))
+            earlier = await self._retried(partial(self.store.write_member, record))
+            if earlier is not None:
+                self.take_earlier(earlier)
             if self._unwritten is record:
                 self._unwritten = None
             if not self.has_listed:
@@ -132,13 +148,16 @@
         if configuration is not None:
             self.put_in_force(configuration)
 
-    def _note_contact(self) -> None:
+    def _note_contact(self) -> bool:
+        """Note that the store answered; return whether it had been away."""
         self.contacted_at = self.now()
         self._backoff_s = FIRST_BACKOFF_S
         if self._unavailable_since is not None:
             outage_s = round(self.now() - self._unavailable_since, 1)
             self._unavailable_since = None
             log_event(Event.PLATFORM_BACK, outage_s=outage_s)
+            return True
+        return False
 
     def _note_failure(self, error: DaisywharfError) -> None:
         if self._unavailable_since is None:
--- a/src/daisywharf/platform/_store.py
+++ b/src/daisywharf/platform/_store.py
@@ -67,28 +67,39 @@
                 latest = read_configuration(entry["specification"])
         return ConfigurationRead(latest, int(found["at"]))
 
-    async def write_member(self, record: MemberRecord) -> None:
-        """Keep a daemon's own record, on the condition that it is as this daemon left it."""
-        content = {"record": msgspec.to_builtins(record)}
+    async def write_member(self, record: MemberRecord) -> MemberRecord | None:
+        """Keep a daemon's own record, on the condition that it is as this daemon left it.
+
+        A write whose answer was lost may be done much later; the condition then stops it.
+        """
+        earlier = None
         try:
-            written = await self._put_member(record, content)
+            written = await self._put_member(record)
         except PlatformError as error:
-            if error.kind is not ErrorKind.PLATFORM_CONFLICT:
+            if error.kind is ErrorKind.PLATFORM_CONFLICT:
+                earlier = await self._read_own(record)
+            elif error.kind is ErrorKind.PLATFORM_GONE:
+                self._own_revision = None
+            else:
                 raise
-            # An earlier process, or a write whose answer was lost.
-            found = await self._call("GET", f"/{MEMBER_KIND}/{quote(record.vm, safe='')}")
-            self._own_revision = int(found["metadata"]["revision"])
-            written = await self._put_member(record, content)
+            written = await self._put_member(record)
         self._own_revision = int(written["metadata"]["revision"])
+        return earlier
+
+    async def _read_own(self, record: MemberRecord) -> MemberRecord | None:
+        found = await self._call("GET", _member_path(record))
+        self._own_revision = int(found["metadata"]["revision"])
+        return _member(found)
 
-    async def _put_member(self, record: MemberRecord, content: dict[str, Any]) -> Any:
+    async def _put_member(self, record: MemberRecord) -> Any:
         metadata: dict[str, Any] = {"name": record.vm}
+        content = {"record": msgspec.to_builtins(record)}
         if self._own_revision is None:
             body = {"metadata": metadata, "specification": content}
             return await self._call("POST", f"/{MEMBER_KIND}", body)
         metadata["revision"] = self._own_revision
         body = {"metadata": metadata, "specification": content}
-        return await self._call("PUT", f"/{MEMBER_KIND}/{quote(record.vm, safe='')}", body)
+        return await self._call("PUT", _member_path(record), body)
 
     async def list_members(self) -> list[MemberRecord]:
         """Read the records of all daemons; one that can't be read is left out and logged."""
@@ -99,19 +110,13 @@
             page = await self._call("GET", f"/{MEMBER_KIND}{query}")
             for entry in page["items"]:
                 after = entry["metadata"]["name"]
-                try:
-                    records.append(msgspec.convert(entry["specification"]["record"], MemberRecord))
-                except (msgspec.ValidationError, KeyError, TypeError) as error:
-                    log_event(Event.ENTRY_UNREADABLE, entry=after, error=repr(error))
+                record = _member(entry)
+                if record is not None:
+                    records.append(record)
             if not page.get("hasMore"):
                 break
         return records
 
-    async def remove_member(self, record: MemberRecord) -> None:
-        """Remove a daemon's record."""
-        await self._call("DELETE", f"/{MEMBER_KIND}/{quote(record.vm, safe='')}")
-        self._own_revision = None
-
     async def _call(
         self, method: str, path: str, content: Any = None, *, timeout_s: float = TIMEOUT_S
     ) -> Any:
@@ -140,6 +145,18 @@
         return _content(method, path, result)
 
 
+def _member_path(record: MemberRecord) -> str:
+    return f"/{MEMBER_KIND}/{quote(record.vm, safe='')}"
+
+
+def _member(entry: Any) -> MemberRecord | None:
+    try:
+        return msgspec.convert(entry["specification"]["record"], MemberRecord)
+    except (msgspec.ValidationError, KeyError, TypeError) as error:
+        log_event(Event.ENTRY_UNREADABLE, entry=repr(entry), error=repr(error))
+        return None
+
+
 def _error(method: str, detail: str) -> PlatformError:
     kind = ErrorKind.PLATFORM_UNAVAILABLE if method == "GET" else ErrorKind.PLATFORM_OUTCOME_UNKNOWN
     return PlatformError(kind, f"{method} at the store: {detail}")
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -131,18 +131,17 @@
                 return ConfigurationRead(None, self.revision)
         return ConfigurationRead(self.configuration, self.revision)
 
-    async def write_member(self, record: MemberRecord) -> None:
+    async def write_member(self, record: MemberRecord) -> MemberRecord | None:
         self._note_call()
+        earlier = self.record_by_vm.get(record.vm)
         self.record_by_vm[record.vm] = record
+        is_own = earlier is not None and earlier.started_ms == record.started_ms
+        return None if is_own else earlier
 
     async def list_members(self) -> list[MemberRecord]:
         self._note_call()
         return list(self.record_by_vm.values())
 
-    async def remove_member(self, record: MemberRecord) -> None:
-        self._note_call()
-        self.record_by_vm.pop(record.vm, None)
-
 
 class Seen:
     """Hold one request as a target saw it."""
