Notice silent targets, wake up ignorant, rename the object API's package, and test daemons together

Cause: a target that went dark while it ran calls kept them until their deadlines, and a process that had stood still ran calls whose entry had long given up. The object API's interface and its stand-ins move from _platform to _objects, so that platform/ is the only folder of that name.

--- a/benchmarks/_processes_fleet.py
+++ b/benchmarks/_processes_fleet.py
@@ -4,8 +4,8 @@
 from daisywharf import CallClass, Contract, Importance
 from daisywharf._contracts import contract_to_json
 from daisywharf._ids import CallClassName, CustomerId, EditId, ServiceName
-from daisywharf._platform._http_client import HttpPlatform
-from daisywharf._platform._interface import ObjectKind
+from daisywharf._objects._http_client import HttpPlatform
+from daisywharf._objects._interface import ObjectKind
 
 KEY = "a-shared-key"
 PLATFORM_TIMEOUT_S = 5.0
--- a/benchmarks/_size_fleet.py
+++ b/benchmarks/_size_fleet.py
@@ -20,8 +20,8 @@
 from daisywharf._daemon._announcement import Announcement
 from daisywharf._embedded._target import Announcer
 from daisywharf._ids import CustomerId, EditId
-from daisywharf._platform._http_client import HttpPlatform
-from daisywharf._platform._interface import ObjectKind
+from daisywharf._objects._http_client import HttpPlatform
+from daisywharf._objects._interface import ObjectKind
 from daisywharf._topology import Address
 
 ZONES = ("zone-a", "zone-b", "zone-c")
--- a/src/daisywharf/_cli/options.py
+++ b/src/daisywharf/_cli/options.py
@@ -5,8 +5,8 @@
 import typer
 
 from daisywharf._errors import DaisywharfError
-from daisywharf._platform._http_client import HttpPlatform
-from daisywharf._platform._interface import ObjectKind, Platform
+from daisywharf._objects._http_client import HttpPlatform
+from daisywharf._objects._interface import ObjectKind, Platform
 
 COMPLETION_TIMEOUT_S = 1.0
 
--- a/src/daisywharf/_cli/platform_standin.py
+++ b/src/daisywharf/_cli/platform_standin.py
@@ -5,7 +5,7 @@
 import threading
 from pathlib import Path
 
-from daisywharf._platform._standin import Standin
+from daisywharf._objects._standin import Standin
 
 
 def main(arguments: list[str]) -> int:
--- a/src/daisywharf/_cli/settings.py
+++ b/src/daisywharf/_cli/settings.py
@@ -22,10 +22,26 @@
 def check(
     file: Annotated[Path, typer.Argument(help="settings file of a daemon")],
     as_json: AsJson = False,
+    is_platform_s: Annotated[
+        bool, typer.Option("--platform", help="read the file as the users' platform places it")
+    ] = False,
 ) -> None:
     """Check a settings file; with --json, print it with its defaults and without its keys."""
+    if is_platform_s:
+        _check_platform_s(file, as_json=as_json)
+        return
     settings = load_settings(file)
     if as_json:
         print_json(msgspec.structs.replace(settings, keys=()))
         return
     typer.echo(f"{file}: sound, for {settings.vm} in {settings.zone}")
+
+
+def _check_platform_s(file: Path, *, as_json: bool) -> None:
+    from daisywharf.platform._settings import read_settings
+
+    settings = read_settings(file)
+    if as_json:
+        print_json(settings)
+        return
+    typer.echo(f"{file}: sound, for {settings.vm} in {settings.zone}, beside {settings.service}")
--- a/src/daisywharf/_contracts/_edits.py
+++ b/src/daisywharf/_contracts/_edits.py
@@ -23,7 +23,7 @@
 from daisywharf._contracts._schema import Edit, WrittenClass, written_classes
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._ids import CustomerId, EditId, Version
-from daisywharf._platform._interface import ObjectKind, Platform, PlatformObject
+from daisywharf._objects._interface import ObjectKind, Platform, PlatformObject
 
 ATTEMPTS: Final = 5
 FIRST_PAUSE_S: Final = 0.2
--- a/src/daisywharf/_contracts/_history.py
+++ b/src/daisywharf/_contracts/_history.py
@@ -13,7 +13,7 @@
 from daisywharf._errors import ConfigurationError, ErrorKind, PlatformError
 from daisywharf._ids import CustomerId, EditId, Version
 from daisywharf._limits import MAX_BODY_BYTES
-from daisywharf._platform._interface import ObjectKind, Platform, PlatformObject
+from daisywharf._objects._interface import ObjectKind, Platform, PlatformObject
 
 HISTORY_ENTRIES: Final = 20
 ATTEMPTS: Final = 8
--- a/src/daisywharf/_daemon/_claim_sweep.py
+++ b/src/daisywharf/_daemon/_claim_sweep.py
@@ -5,8 +5,8 @@
 
 from daisywharf._errors import PlatformError
 from daisywharf._ids import EditId
+from daisywharf._objects._interface import ObjectKind, Platform
 from daisywharf._outcomes._claim import lapsed_claims
-from daisywharf._platform._interface import ObjectKind, Platform
 
 SWEEP_PERIOD_S: Final = 600.0
 # A sweep stays far under the several hundred writes a second that the platform takes.
--- a/src/daisywharf/_daemon/_claims.py
+++ b/src/daisywharf/_daemon/_claims.py
@@ -10,6 +10,7 @@
 from daisywharf._call._keyed import ClaimKey
 from daisywharf._errors import ErrorKind, PlatformError, RequestError
 from daisywharf._ids import EditId, IdempotencyKey
+from daisywharf._objects._interface import ObjectKind, Platform
 from daisywharf._outcomes._claim import (
     Claim,
     ClaimAction,
@@ -30,7 +31,6 @@
     claim_step,
 )
 from daisywharf._outcomes._keys import scoped_key
-from daisywharf._platform._interface import ObjectKind, Platform
 from daisywharf._topology import Target
 
 CLAIM_TIMEOUT_S: Final = 2.0
--- a/src/daisywharf/_daemon/_daemon.py
+++ b/src/daisywharf/_daemon/_daemon.py
@@ -24,8 +24,8 @@
 from daisywharf._fleet._state import FleetAction, FleetState, PlatformResult, WatchContracts
 from daisywharf._http_server import HttpServer
 from daisywharf._ids import Incarnation
+from daisywharf._objects._interface import Platform
 from daisywharf._outcomes._pause import PauseState, pause_tick
-from daisywharf._platform._interface import Platform
 from daisywharf._settings import DaemonSettings
 from daisywharf._signals import Event, log_event
 
@@ -177,9 +177,9 @@
 
 def _platform_at(url: str | None) -> Platform:
     if url is None:
-        from daisywharf._platform._absent import AbsentPlatform
+        from daisywharf._objects._absent import AbsentPlatform
 
         return AbsentPlatform()
-    from daisywharf._platform._http_client import HttpPlatform
+    from daisywharf._objects._http_client import HttpPlatform
 
     return HttpPlatform(url)
--- a/src/daisywharf/_daemon/_orders.py
+++ b/src/daisywharf/_daemon/_orders.py
@@ -27,9 +27,9 @@
     ServiceName,
     TargetId,
 )
+from daisywharf._objects._interface import Platform
 from daisywharf._outcomes._keys import KeyMint, is_minted, mint_key, scoped_key
 from daisywharf._outcomes._ticket import KEY_LIFETIME_S, Ticket
-from daisywharf._platform._interface import Platform
 from daisywharf._topology import Target
 
 LOOK_UP_TIMEOUT_S: Final = 2.0
--- a/src/daisywharf/_daemon/_platform_actor.py
+++ b/src/daisywharf/_daemon/_platform_actor.py
@@ -24,7 +24,7 @@
     WriteContact,
 )
 from daisywharf._ids import CustomerId, EditId, Version
-from daisywharf._platform._interface import ObjectKind, Platform, PlatformObject
+from daisywharf._objects._interface import ObjectKind, Platform, PlatformObject
 from daisywharf._signals import Event, log_event
 from daisywharf._signals._counts import OutcomeCounts
 
--- a/src/daisywharf/_demo/_fleet.py
+++ b/src/daisywharf/_demo/_fleet.py
@@ -12,8 +12,8 @@
 from daisywharf._embedded._caller import EmbeddedCaller
 from daisywharf._embedded._target import TargetServer
 from daisywharf._ids import EditId, ServiceName, VmId, ZoneName
-from daisywharf._platform._embedded import EmbeddedPlatform
-from daisywharf._platform._interface import ObjectKind
+from daisywharf._objects._embedded import EmbeddedPlatform
+from daisywharf._objects._interface import ObjectKind
 from daisywharf._settings import DaemonSettings
 from daisywharf._topology import Address
 
--- a/src/daisywharf/_mesh/_clock.py
+++ b/src/daisywharf/_mesh/_clock.py
@@ -1,6 +1,7 @@
 """The clock of a daemon's data path."""
 
 import time
+from typing import Final
 
 import msgspec
 
@@ -15,6 +16,10 @@
     return time.time_ns() // 1_000_000
 
 
+# Longer than a core may stand still for its quota, shorter than any client waits.
+PAUSE_LIMIT_S: Final = 1.0
+
+
 class Suspension(msgspec.Struct):
     """Hold by how much the clock that counts suspensions was ahead of the one that doesn't."""
 
@@ -22,9 +27,6 @@
     ticked_at: float
 
 
-PAUSE_LIMIT_S = 1.0
-
-
 def note_tick(state: Suspension, *, now: float, steady_now: float) -> float:
     """Return the seconds for which the process stood still since the last tick, or 0."""
     gap_s = max(now - steady_now - state.ahead_s, now - state.ticked_at)
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -9,9 +9,10 @@
 
 from daisywharf._configuration import Configuration
 from daisywharf._contract import Importance
+from daisywharf._errors import ErrorKind
 from daisywharf._ids import RequestId, VmId
 from daisywharf._mesh._announcements import Verdict, judge_notice
-from daisywharf._mesh._clock import Suspension, note_tick
+from daisywharf._mesh._clock import PAUSE_LIMIT_S, Suspension, note_tick
 from daisywharf._mesh._configuration_frames import decode_configuration, encode_configuration
 from daisywharf._mesh._dialect import Dialect
 from daisywharf._mesh._entry import Entry, Way
@@ -25,10 +26,11 @@
     Ping,
     Pong,
     Report,
+    Unanswered,
     WriteAgain,
 )
 from daisywharf._mesh._gate import Gate
-from daisywharf._mesh._http_server import HttpServer
+from daisywharf._mesh._http_server import Exchange, HttpServer
 from daisywharf._mesh._links import CallResult, FrameProtocol, LinkServer, OutLink
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord, Readiness, TargetNotice, TargetRecord
@@ -123,7 +125,7 @@
             now=now,
             rng=rng,
         )
-        self.clients = HttpServer(self.entry.handle, now=now)
+        self.clients = HttpServer(self._take_request, now=now)
         self.links = LinkServer(on_frame=self._take_frame, on_lost=self._lose_link)
         self.stopped = asyncio.Event()
         self._vm_by_link: dict[FrameProtocol, VmId] = {}
@@ -294,7 +296,26 @@
         elif isinstance(frame, WriteAgain):
             self.sync.write(self.membership.own)
 
+    def _has_just_woken(self) -> bool:
+        """Tell whether this process stood still and hasn't noticed yet."""
+        return self.now() - self._suspension.ticked_at > PAUSE_LIMIT_S
+
+    def _take_request(self, exchange: Exchange) -> None:
+        if self._has_just_woken():
+            # It came in while this process stood still: its client may have left long ago.
+            asyncio.get_running_loop().call_later(TICK_S, self._take_late_request, exchange)
+        else:
+            self.entry.handle(exchange)
+
+    def _take_late_request(self, exchange: Exchange) -> None:
+        if exchange.is_wanted:
+            self.entry.handle(exchange)
+
     def _take_call(self, protocol: FrameProtocol, call: Call) -> None:
+        if self._has_just_woken():
+            refusal = Unanswered(call.call_id, ErrorKind.TOO_LATE, has_begun=False, load=None)
+            protocol.send(refusal)
+            return
         calls = self._calls_by_link.setdefault(protocol, {})
 
         def answer(result: CallResult) -> None:
@@ -405,14 +426,16 @@
         self.clients.start_closing()
         last = began_at + self.settings.bounds.grace_s - STOP_MARGIN_S
         while self.now() < last:
-            has_rested = self.now() - began_at >= LEAST_STOPPING_S
-            if has_rested and not self.entry.pending and not self.gate.calls_by_id:
+            if self.now() - began_at >= LEAST_STOPPING_S and self._is_idle():
                 break
             await asyncio.sleep(0.05)
         cut_off = len(self.entry.pending)
         self.close()
         log_event(Event.DAEMON_STOPPED, vm=self.settings.vm, cut_off=cut_off)
 
+    def _is_idle(self) -> bool:
+        return not (self.entry.pending or self.gate.calls_by_id or self.clients.has_unsent)
+
     def close(self) -> None:
         """Close everything at once."""
         self.stopped.set()
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -56,6 +56,8 @@
 DEFAULT_TIME_LEFT_S: Final = 30.0
 # With less time than this a repeat can't end; it isn't begun.
 LEAST_REPEAT_S: Final = 0.03
+# A target that held a request for this long until its time was over counts as failing.
+SLOW_ATTEMPT_S: Final = 0.3
 
 
 class Way(Protocol):
@@ -381,6 +383,9 @@
         pending.exchange.respond_raw(result.status, result.reason, result.headers, result.body)
 
     def _time_out(self, pending: Pending) -> None:
+        now = self.now()
+        if pending.candidate is not None and now - pending.sent_at > SLOW_ATTEMPT_S:
+            note_bad(self.services.placement_of(pending.service), pending.candidate, now=now)
         self._cancel_attempt(pending)
         self._fail(pending, ErrorKind.TIMED_OUT)
 
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -1,5 +1,6 @@
 """Run calls at the target beside this daemon, which no other process can reach."""
 
+import asyncio
 from collections.abc import Callable, Sequence
 from typing import Final
 
@@ -35,10 +36,15 @@
 LEAST_TIME_S: Final = 0.005
 MS: Final = 1000.0
 # What can't be repeated goes out on connections that were used a moment ago, or on new ones.
-FRESH_IDLE_S: Final = 1.0
+FRESH_IDLE_S: Final = 0.25
 USUAL_IDLE_S: Final = 4.0
 # After a failed connection the target is tried again in this time, or with its next word.
 UNREACHABLE_S: Final = 0.5
+LONGEST_UNREACHABLE_S: Final = 4.0
+# A target that runs calls and says nothing for this long is asked for a connection: ten times the
+# work of a usual call.
+SILENT_S: Final = 1.0
+PROBE_S: Final = 0.4
 
 
 class GateCall(msgspec.Struct):
@@ -67,6 +73,9 @@
         self.calls_by_id: dict[CallId, GateCall] = {}
         self.is_stopping = False
         self.unreachable_until = 0.0
+        self._unreachable_s = UNREACHABLE_S
+        self._is_probing = False
+        self._running_since = now()
         self._pool: HttpPool | None = None
         self._last_number = 0
 
@@ -97,6 +106,7 @@
             self._replace_target(notice)
         self.notice = notice
         self.unreachable_until = 0.0
+        self._unreachable_s = UNREACHABLE_S
         if notice.readiness is not Readiness.READY:
             self._apply(close_gate(self.slots))
         elif not self.is_stopping:
@@ -160,6 +170,24 @@
         """Refuse what waited too long and move the shedding level."""
         self._apply(expire(self.slots, now=now))
         move_pressure(self.pressure, load=load_part(self.slots), ceiling=self.ceiling, now=now)
+        self._probe_if_silent(now=now)
+
+    def _probe_if_silent(self, *, now: float) -> None:
+        pool = self._pool
+        if pool is None or not self.slots.running:
+            self._running_since = now
+        elif now - max(pool.heard_at, self._running_since) > SILENT_S and not self._is_probing:
+            self._is_probing = True
+            asyncio.ensure_future(self._probe(pool))
+
+    async def _probe(self, pool: HttpPool) -> None:
+        """End the calls of a target that is gone without a word."""
+        is_there = await pool.can_connect(within_s=PROBE_S)
+        self._is_probing = False
+        self._running_since = self.now()
+        if not is_there and pool is self._pool:
+            self._lose_target(f"silent for {SILENT_S} s, and no connection in {PROBE_S} s")
+            pool.close("the target is silent")
 
     def sweep(self, *, now: float) -> None:
         """Close connections to the target that were idle for too long."""
@@ -237,7 +265,8 @@
         now = self.now()
         if now < self.unreachable_until or self.notice is None:
             return
-        self.unreachable_until = now + UNREACHABLE_S
+        self.unreachable_until = now + self._unreachable_s
+        self._unreachable_s = min(LONGEST_UNREACHABLE_S, self._unreachable_s * 2.0)
         log_event(Event.TARGET_UNREACHABLE, target=self.notice.target_id, error=detail)
 
     def _refusal(self, call: Call, kind: ErrorKind) -> Unanswered:
--- a/src/daisywharf/_mesh/_headers.py
+++ b/src/daisywharf/_mesh/_headers.py
@@ -28,12 +28,14 @@
 
     Names are expected in lower case in `dropped`.
     """
-    lines = []
-    named: frozenset[bytes] = frozenset()
+    named: set[bytes] = set()
+    kept = []
     for name, value in headers:
         lowered = name.lower()
         if lowered == b"connection":
-            named |= {token.strip().lower() for token in value.split(b",")}
+            named.update(token.strip().lower() for token in value.split(b","))
         elif lowered not in CONNECTION_HEADERS and lowered not in dropped:
-            lines.append((lowered, name + b": " + value + b"\r\n"))
-    return b"".join(line for lowered, line in lines if lowered not in named)
+            kept.append((name, value))
+    if named:
+        kept = [(name, value) for name, value in kept if name.lower() not in named]
+    return b"".join([b"%b: %b\r\n" % pair for pair in kept])
--- a/src/daisywharf/_mesh/_http_client.py
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -97,7 +97,7 @@
         self.most = most
         self.idle: list[ClientConnection] = []
         self.open_connections: set[ClientConnection] = set()
-        self.opened = 0
+        self.heard_at = now()
 
     def ask(
         self,
@@ -127,7 +127,6 @@
 
     async def _open(self, asked: Asked) -> None:
         loop = asyncio.get_running_loop()
-        self.opened += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
@@ -155,10 +154,24 @@
             self.idle.remove(connection)
             connection.abandon()
 
-    def close(self) -> None:
-        """Close all connections; requests on them fail."""
+    async def can_connect(self, *, within_s: float) -> bool:
+        """Tell whether the server takes a connection."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(within_s):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(self), self.address.host, self.address.port
+                )
+        except (OSError, TimeoutError):
+            return False
+        self.give_back(connection)
+        return True
+
+    def close(self, detail: str = "") -> None:
+        """Close all connections; requests on them fail, and may have been read."""
         self.idle.clear()
         for connection in list(self.open_connections):
+            connection.fail(ErrorKind.OUTCOME_UNKNOWN, detail)
             connection.abandon()
 
 
@@ -204,6 +217,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Read a part of an answer."""
+        self.pool.heard_at = self.pool.now()
         if self.asked is None:
             self.abandon()
             return
@@ -211,7 +225,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._is_doubtful = True
-            self._fail(ErrorKind.CUT_ANSWER, f"unreadable answer: {error!r}")
+            self.fail(ErrorKind.CUT_ANSWER, f"unreadable answer: {error!r}")
         if self._is_doubtful and self.asked is None:
             self.abandon()
 
@@ -227,7 +241,7 @@
         if self in self.pool.idle:
             self.pool.idle.remove(self)
         self.transport = None
-        self._fail(ErrorKind.CUT_ANSWER, f"connection ended: {exc!r}")
+        self.fail(ErrorKind.CUT_ANSWER, f"connection ended: {exc!r}")
 
     # Calls of the parser.
 
@@ -259,7 +273,7 @@
         self._body_bytes += len(body)
         if self._body_bytes > MOST_ANSWER_BYTES:
             self._is_doubtful = True
-            self._fail(ErrorKind.TOO_LARGE, f"answer of over {MOST_ANSWER_BYTES} bytes")
+            self.fail(ErrorKind.TOO_LARGE, f"answer of over {MOST_ANSWER_BYTES} bytes")
 
     def on_message_complete(self) -> None:
         """Hand the whole answer over."""
@@ -297,7 +311,8 @@
         else:
             self.pool.give_back(self)
 
-    def _fail(self, kind: ErrorKind, detail: str) -> None:
+    def fail(self, kind: ErrorKind, detail: str) -> None:
+        """End what was asked without an answer."""
         asked, self.asked = self.asked, None
         if asked is not None:
             asked.connection = None
--- a/src/daisywharf/_mesh/_http_server.py
+++ b/src/daisywharf/_mesh/_http_server.py
@@ -51,9 +51,9 @@
         self.connection.flush()
 
     @property
-    def is_answered(self) -> bool:
-        """Tell whether the answer is known."""
-        return self.answer is not None
+    def is_wanted(self) -> bool:
+        """Tell whether the client still waits for the answer."""
+        return self.answer is None and self in self.connection.exchanges
 
 
 Handler = Callable[[Exchange], None]
@@ -93,9 +93,9 @@
                 connection.close()
 
     @property
-    def unanswered(self) -> int:
-        """Return how many exchanges wait for their answer."""
-        return sum(len(connection.exchanges) for connection in self.connections)
+    def has_unsent(self) -> bool:
+        """Tell whether a client hasn't read all of its answer yet."""
+        return any(connection.has_unsent for connection in self.connections)
 
     def stop(self) -> None:
         """Stop listening; open connections stay."""
@@ -119,6 +119,7 @@
         self._active_at = server.now()
         self._is_ending = False
         self._is_blocked = False
+        self._is_paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to read."""
@@ -174,13 +175,16 @@
         """Take a part of the request's target."""
         if self._reading is not None:
             self._reading.target += url
-            self._count_head(len(url))
+            self._head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header."""
         if self._reading is not None:
-            self._reading.headers.append((name, value or b""))
-            self._count_head(len(name) + len(value or b""))
+            value = value or b""
+            self._reading.headers.append((name, value))
+            self._head_bytes += len(name) + len(value)
+            if self._head_bytes > self.server.limits.header_bytes:
+                self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
         """Let a client that waits for it send its body."""
@@ -241,6 +245,11 @@
         """Tell whether a request is read or answered."""
         return bool(self.exchanges) or self._reading is not None
 
+    @property
+    def has_unsent(self) -> bool:
+        """Tell whether the client hasn't read all that was written."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def close(self) -> None:
         """Close the connection."""
         if self.transport is not None:
@@ -261,11 +270,6 @@
         # Behind the last answer nothing may wait: it would count as unread.
         return self.server.is_closing and not self.exchanges and self._reading is None
 
-    def _count_head(self, count: int) -> None:
-        self._head_bytes += count
-        if self._head_bytes > self.server.limits.header_bytes:
-            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
     def _refuse(self, status: HTTPStatus) -> None:
         """Answer what can't be read, behind the answers that are due, and end the connection."""
         if self._is_ending:
@@ -285,9 +289,11 @@
                 on_gone()
 
     def _pace(self) -> None:
-        if self.transport is None or self.transport.is_closing():
+        must_pause = self._is_blocked or len(self.exchanges) >= MOST_PIPELINED
+        if must_pause == self._is_paused or self.transport is None or self.transport.is_closing():
             return
-        if self._is_blocked or len(self.exchanges) >= MOST_PIPELINED:
+        self._is_paused = must_pause
+        if must_pause:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -62,6 +62,11 @@
         """Tell whether the others may rely on this daemon's watch."""
         return self.is_watching and self.now() - self.contacted_at < CONTACT_LIFETIME_S
 
+    @property
+    def is_away(self) -> bool:
+        """Tell whether the store didn't answer the last call."""
+        return self._unavailable_since is not None
+
     def write(self, record: MemberRecord) -> None:
         """Write this daemon's record as soon as the store takes it."""
         self._unwritten = record
--- a/src/daisywharf/_platform/_embedded.py
+++ b/src/daisywharf/_objects/_embedded.py
@@ -7,7 +7,7 @@
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._ids import EditId, Version
 from daisywharf._limits import MAX_BODY_BYTES, MAX_NAME_CHARS
-from daisywharf._platform._interface import Change, Changes, Listing, ObjectKind, PlatformObject
+from daisywharf._objects._interface import Change, Changes, Listing, ObjectKind, PlatformObject
 
 HISTORY_CHANGES: Final = 4_096
 
--- a/src/daisywharf/_platform/_faults.py
+++ b/src/daisywharf/_objects/_faults.py
@@ -10,7 +10,7 @@
 
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._ids import EditId, Version
-from daisywharf._platform._interface import (
+from daisywharf._objects._interface import (
     Changes,
     Listing,
     ObjectKind,
--- a/src/daisywharf/_platform/_http_client.py
+++ b/src/daisywharf/_objects/_http_client.py
@@ -11,7 +11,7 @@
 
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._ids import EditId, Version
-from daisywharf._platform._interface import Changes, Listing, ObjectKind, PlatformObject
+from daisywharf._objects._interface import Changes, Listing, ObjectKind, PlatformObject
 
 MAX_ANSWER_BYTES: Final = 33_554_432
 CHUNK_BYTES: Final = 65_536
--- a/src/daisywharf/_platform/_standin.py
+++ b/src/daisywharf/_objects/_standin.py
@@ -14,10 +14,10 @@
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._ids import EditId, Version
 from daisywharf._limits import MAX_BODY_BYTES, MAX_HEADER_VALUE_CHARS
-from daisywharf._platform._embedded import EmbeddedPlatform
-from daisywharf._platform._faults import AnswerLostError, Faults, FaultyPlatform
-from daisywharf._platform._http_client import Deletion, ErrorBody
-from daisywharf._platform._interface import ObjectKind
+from daisywharf._objects._embedded import EmbeddedPlatform
+from daisywharf._objects._faults import AnswerLostError, Faults, FaultyPlatform
+from daisywharf._objects._http_client import Deletion, ErrorBody
+from daisywharf._objects._interface import ObjectKind
 
 THREADS: Final = 64
 # The rest of the threads answer at once, however many watches wait.
--- a/src/daisywharf/_outcomes/_claim.py
+++ b/src/daisywharf/_outcomes/_claim.py
@@ -13,9 +13,9 @@
 
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import EditId, IdempotencyKey, Incarnation, TargetId
+from daisywharf._objects._interface import PlatformObject
 from daisywharf._outcomes._keys import CLAIM_KEPT_S
 from daisywharf._outcomes._ticket import CLOCK_BOUND_S, KEY_LIFETIME_S, Ticket
-from daisywharf._platform._interface import PlatformObject
 
 MAX_CLAIM_READS: Final = 4
 
--- a/src/daisywharf/platform/_settings.py
+++ b/src/daisywharf/platform/_settings.py
@@ -84,7 +84,7 @@
         self.faults = faults
         self.path = path
         if not isinstance(content, dict):
-            faults.append(f"{path or 'the file'} is {content!r}; write a table")
+            faults.append(f"{path.rstrip('.') or 'the file'} is {content!r}; write a table")
 
     def table(self, name: str) -> "_Table":
         return _Table(self.content.get(name), self.faults, f"{self.path}{name}.")
--- a/tests/builders_edits.py
+++ b/tests/builders_edits.py
@@ -9,8 +9,8 @@
 from daisywharf._contracts._edits import EditCall
 from daisywharf._contracts._schema import Edit
 from daisywharf._ids import CallClassName, CustomerId, EditId, ServiceName, Version
-from daisywharf._platform._embedded import EmbeddedPlatform
-from daisywharf._platform._interface import (
+from daisywharf._objects._embedded import EmbeddedPlatform
+from daisywharf._objects._interface import (
     Change,
     Changes,
     Listing,
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -129,6 +129,8 @@
                     await self._changed.wait()
             except TimeoutError:
                 return ConfigurationRead(None, self.revision)
+            if self.is_down:
+                raise PlatformError(ErrorKind.PLATFORM_UNAVAILABLE, "the store went down")
         return ConfigurationRead(self.configuration, self.revision)
 
     async def write_member(self, record: MemberRecord) -> MemberRecord | None:
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -6,9 +6,9 @@
 from contextlib import contextmanager
 
 from daisywharf._ids import EditId
-from daisywharf._platform._http_client import HttpPlatform
-from daisywharf._platform._interface import ObjectKind, Platform, PlatformObject
-from daisywharf._platform._standin import Standin
+from daisywharf._objects._http_client import HttpPlatform
+from daisywharf._objects._interface import ObjectKind, Platform, PlatformObject
+from daisywharf._objects._standin import Standin
 
 TIMEOUT_S = 5.0
 
--- a/tests/test_claim_sweep.py
+++ b/tests/test_claim_sweep.py
@@ -4,11 +4,11 @@
 
 from daisywharf._daemon._claim_sweep import sweep_claims
 from daisywharf._ids import EditId, Incarnation, TargetId
+from daisywharf._objects._embedded import EmbeddedPlatform
+from daisywharf._objects._interface import ObjectKind
 from daisywharf._outcomes._claim import ClaimBody
 from daisywharf._outcomes._keys import CLAIM_KEPT_S
 from daisywharf._outcomes._ticket import CLOCK_BOUND_S, KEY_LIFETIME_S
-from daisywharf._platform._embedded import EmbeddedPlatform
-from daisywharf._platform._interface import ObjectKind
 
 CREATED_AT = 1_000_000.0
 
--- a/tests/test_cli_contract.py
+++ b/tests/test_cli_contract.py
@@ -10,9 +10,9 @@
 from builders_platform import running_standin
 from daisywharf._cli.exit_codes import ExitCode
 from daisywharf._ids import Version
-from daisywharf._platform._faults import Faults
-from daisywharf._platform._interface import ObjectKind
-from daisywharf._platform._standin import Standin
+from daisywharf._objects._faults import Faults
+from daisywharf._objects._interface import ObjectKind
+from daisywharf._objects._standin import Standin
 
 SHIPPED = Path(__file__).parent.parent / "contracts" / "karri-ridge"
 ONE = SHIPPED / "counter-staff.yaml"
--- a/tests/test_contracts_races.py
+++ b/tests/test_contracts_races.py
@@ -24,7 +24,7 @@
 )
 from daisywharf._contracts._history import HISTORY_ENTRIES, read_history
 from daisywharf._ids import EditId, Version
-from daisywharf._platform._interface import ObjectKind
+from daisywharf._objects._interface import ObjectKind
 
 FAULTS = st.lists(st.sampled_from(WriteFault), max_size=6)
 OPERATORS = st.sampled_from(["anna", "bram"])
--- a/tests/test_mesh_answers.py
+++ b/tests/test_mesh_answers.py
@@ -7,7 +7,16 @@
 
 import pytest
 
-from builders_mesh import Client, MeshWorld, TargetStandIn, free_address, in_loop, notice, route
+from builders_mesh import (
+    Client,
+    MeshWorld,
+    TargetStandIn,
+    eventually,
+    free_address,
+    in_loop,
+    notice,
+    route,
+)
 from daisywharf._mesh._http_client import HttpAnswer
 from daisywharf._topology import Address
 
@@ -197,3 +206,30 @@
         await world.close()
 
     in_loop(scenario)
+
+
+def test_calls_at_a_target_that_is_gone_without_a_word_go_to_another() -> None:
+    async def scenario() -> None:
+        world = MeshWorld()
+        asked = asyncio.Event()
+
+        async def never(_number: int, _request_id: str, _writer: asyncio.StreamWriter) -> None:
+            asked.set()
+
+        target = RawTarget(never)
+        await target.start()
+        daemon = await world.add()
+        daemon.take_notice(notice(target.address))
+        await world.settle_without_targets()
+        results: list[object] = []
+        Client(daemon).send("/r/x", results.append)
+        await asked.wait()
+        target.stop()
+        await world.add(TargetStandIn())
+        await eventually(lambda: len(results) == 1)
+        (got,) = results
+        assert isinstance(got, HttpAnswer)
+        assert got.status == 200
+        await world.close()
+
+    in_loop(scenario)
--- /dev/null
+++ b/tests/test_mesh_fleet.py
@@ -0,0 +1,251 @@
+"""Daemons together: drains, the configuration in force, outages of the store, starts and stops."""
+
+import asyncio
+
+from builders_mesh import (
+    Client,
+    MeshWorld,
+    Seen,
+    TargetStandIn,
+    configuration,
+    eventually,
+    in_loop,
+    notice,
+    route,
+)
+from daisywharf._configuration import SplitPart
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import ServiceName, VmId
+from daisywharf._mesh._announcements import Verdict, judge_notice
+from daisywharf._mesh._clock import Suspension, note_tick
+from daisywharf._mesh._frames import Call, Unanswered
+from daisywharf._mesh._http_client import HttpAnswer
+from daisywharf._mesh._links import CallResult
+from daisywharf._mesh._model import Readiness
+from daisywharf._mesh._watching import WatchReport, must_watch
+from daisywharf._topology import Address
+
+ADDRESS = Address("127.0.0.1", 9)
+
+
+def test_a_target_that_drains_gets_nothing_new_and_ends_what_it_runs() -> None:
+    async def scenario() -> None:
+        held: list[Seen] = []
+        leaving, staying = TargetStandIn(held.append), TargetStandIn()
+        world = MeshWorld()
+        gate_side = await world.add(leaving)
+        await world.settle()
+        results: list[object] = []
+        Client(gate_side).send("/r/x", results.append)
+        await eventually(lambda: len(held) == 1)
+        await world.add(staying)
+        await world.settle()
+        gate_side.take_notice(
+            notice(
+                leaving.address,
+                target_id="t-vm-1",
+                readiness=Readiness.DRAINING,
+                sequence=2,
+            )
+        )
+        client = Client(gate_side)
+        for _ in range(10):
+            got = await client.ask()
+            assert isinstance(got, HttpAnswer)
+            assert got.status == 200
+        assert len(leaving.seen) == 1
+        held[0].answer()
+        await eventually(lambda: len(results) == 1)
+        await world.close()
+
+    in_loop(scenario)
+
+
+def test_an_entry_that_hasn_t_heard_of_a_drain_is_told_by_the_gate() -> None:
+    async def scenario() -> None:
+        leaving = TargetStandIn()
+        world = MeshWorld()
+        gate_side = await world.add(leaving)
+        await world.settle()
+        gate_side.gate.slots.is_closed = True
+        results: list[CallResult] = []
+        gate_side.gate.submit(_call("t-vm-1"), results.append)
+        (refused,) = results
+        assert isinstance(refused, Unanswered)
+        assert (refused.kind, refused.has_begun) == (ErrorKind.DRAINING, False)
+        await world.close()
+
+    in_loop(scenario)
+
+
+def _call(target_id: str) -> Call:
+    return Call(
+        call_id=1,
+        target_id=target_id,
+        request_id="id",
+        caller_service="stock",
+        route="r stock",
+        time_left_ms=1000,
+        patience_ms=100,
+        importance=2,
+        sub_order=0,
+        is_idempotent=True,
+        head=b"GET /r/x HTTP/1.1\r\n",
+        body=b"",
+    )
+
+
+def test_a_call_for_an_earlier_incarnation_isn_t_run() -> None:
+    async def scenario() -> None:
+        target = TargetStandIn()
+        world = MeshWorld()
+        daemon = await world.add(target)
+        results: list[CallResult] = []
+        daemon.gate.submit(_call("t-of-before"), results.append)
+        (refused,) = results
+        assert isinstance(refused, Unanswered)
+        assert refused.kind is ErrorKind.WRONG_INCARNATION
+        assert not target.seen
+        await world.close()
+
+    in_loop(scenario)
+
+
+def test_a_changed_configuration_is_in_force_everywhere_and_never_goes_back() -> None:
+    async def scenario() -> None:
+        world = MeshWorld()
+        for zone in ("a", "a", "a", "b"):
+            await world.add(TargetStandIn() if zone == "b" else None, zone=zone)
+        await world.settle()
+        world.store.change(configuration(route("new"), version=9))
+        await eventually(lambda: all(d.version == 9 for d in world.daemons))
+        world.store.change(configuration(route("old"), version=4))
+        await asyncio.sleep(0.1)
+        assert [d.version for d in world.daemons] == [9, 9, 9, 9]
+        await world.close()
+
+    in_loop(scenario)
+
+
+def test_a_daemon_that_can_t_reach_the_store_hears_the_configuration_from_the_others() -> None:
+    async def scenario() -> None:
+        world = MeshWorld()
+        first = await world.add(TargetStandIn())
+        await eventually(lambda: first.is_ready)
+        world.store.is_down = True
+        late = await world.add()
+        late.membership.open_seed(first.settings.links_address)
+        await eventually(lambda: late.version == 1)
+        await world.settle()
+        got = await Client(late).ask()
+        assert isinstance(got, HttpAnswer)
+        assert got.status == 200
+        await world.close()
+
+    in_loop(scenario)
+
+
+def test_records_that_the_store_lost_in_an_outage_are_written_again() -> None:
+    async def scenario() -> None:
+        world = MeshWorld()
+        for _ in range(3):
+            await world.add(TargetStandIn())
+        await world.settle()
+        await eventually(lambda: len(world.store.record_by_vm) == 3)
+        world.store.is_down = True
+        # Watches that wait end with an error, as the store's connections do.
+        world.store.change(configuration(route(), version=2))
+        await eventually(lambda: any(d.sync.is_away for d in world.daemons))
+        world.store.record_by_vm.clear()
+        world.store.is_down = False
+        await eventually(lambda: len(world.store.record_by_vm) == 3)
+        await world.close()
+
+    in_loop(scenario)
+
+
+def test_a_stopping_daemon_ends_what_runs_and_is_avoided() -> None:
+    async def scenario() -> None:
+        held: list[Seen] = []
+        world = MeshWorld()
+        stopping = await world.add(TargetStandIn(held.append))
+        await world.settle()
+        results: list[object] = []
+        Client(stopping).send("/r/x", results.append)
+        await eventually(lambda: len(held) == 1)
+        other = await world.add(TargetStandIn())
+        await world.settle()
+        stop = asyncio.ensure_future(stopping.stop())
+        await asyncio.sleep(0)
+        assert not stopping.is_ready
+        client = Client(other)
+        for _ in range(5):
+            got = await client.ask()
+            assert isinstance(got, HttpAnswer)
+            assert got.status == 200
+        assert len(held) == 1
+        held[0].answer()
+        await eventually(lambda: len(results) == 1)
+        await stop
+        await world.close()
+
+    in_loop(scenario)
+
+
+def test_parts_of_a_split_get_their_share_over_daemons() -> None:
+    async def scenario() -> None:
+        parts = (SplitPart(ServiceName("stock"), 75.0), SplitPart(ServiceName("orders"), 25.0))
+        world = MeshWorld(route(parts=parts))
+        stock, orders = TargetStandIn(), TargetStandIn()
+        await world.add(stock)
+        await world.add(orders, service="orders")
+        await world.settle()
+        for daemon in world.daemons:
+            client = Client(daemon)
+            for _ in range(40):
+                await client.ask()
+        assert 18 <= len(orders.seen) <= 22
+        await world.close()
+
+    in_loop(scenario)
+
+
+def test_late_announcements_change_nothing() -> None:
+    known = notice(ADDRESS, born_ms=10, sequence=5)
+    assert judge_notice(None, known) is Verdict.TAKEN
+    assert judge_notice(known, notice(ADDRESS, born_ms=10, sequence=4)) is Verdict.LATE
+    assert judge_notice(known, notice(ADDRESS, born_ms=10, sequence=6)) is Verdict.TAKEN
+    before = notice(ADDRESS, target_id="t-0", born_ms=9, sequence=50)
+    assert judge_notice(known, before) is Verdict.EARLIER_INCARNATION
+    again = notice(ADDRESS, born_ms=11, sequence=1)
+    assert judge_notice(known, again) is Verdict.TAKEN
+
+
+def test_a_target_that_leaves_doesn_t_come_back_as_the_same_incarnation() -> None:
+    leaving = notice(ADDRESS, readiness=Readiness.DRAINING, sequence=5)
+    assert judge_notice(leaving, notice(ADDRESS, sequence=6)) is Verdict.LEAVING_IS_FINAL
+
+
+def test_two_daemons_of_a_zone_watch_and_others_take_their_place() -> None:
+    vms = [VmId(f"vm-{n}") for n in range(5)]
+    reports = {vm: WatchReport(is_watching=True, heard_at=10.0) for vm in vms}
+
+    def watchers(now: float) -> list[VmId]:
+        return [
+            vm
+            for vm in vms
+            if must_watch(vm, {v: r for v, r in reports.items() if v != vm}, now=now)
+        ]
+
+    assert watchers(10.5) == vms[:2]
+    reports[vms[0]] = WatchReport(is_watching=False, heard_at=10.4)
+    assert watchers(10.5) == [vms[0], vms[1], vms[2]]
+    assert watchers(20.0) == vms
+
+
+def test_a_suspension_shows_even_where_the_steady_clock_didn_t_count_it() -> None:
+    state = Suspension(0.0, 100.0)
+    assert note_tick(state, now=100.1, steady_now=100.1) == 0.0
+    assert note_tick(state, now=104.2, steady_now=100.2) > 3.5
+    assert note_tick(state, now=104.3, steady_now=100.3) == 0.0
+    assert note_tick(state, now=107.3, steady_now=103.3) > 2.5
--- /dev/null
+++ b/tests/test_mesh_placement.py
@@ -0,0 +1,122 @@
+"""Placement: targets of one service that differ in room, speed, zone and health."""
+
+from collections import Counter
+from random import Random
+
+from daisywharf._ids import Incarnation, ServiceName, TargetId, VmId, ZoneName
+from daisywharf._routing._placement import (
+    Placement,
+    hear_load,
+    note_bad,
+    note_ended,
+    note_sent,
+    note_success,
+    place,
+    remove_target,
+    service_level,
+    set_target,
+)
+from daisywharf._topology import Address, Target
+
+
+def _placement(*zones: str) -> Placement:
+    """Build a placement in zone `a` with a target in each of the zones."""
+    placement = Placement(zone=ZoneName("a"))
+    for number, zone in enumerate(zones):
+        target = Target(
+            target_id=TargetId(f"t-{number}"),
+            service=ServiceName("stock"),
+            vm=VmId(f"vm-{number}"),
+            zone=ZoneName(zone),
+            incarnation=Incarnation(1),
+            address=Address("10.0.0.1", 80),
+            slots=43,
+            connections=43,
+        )
+        set_target(placement, target.vm, target, cold_s=0.0, now=0.0)
+        _load(placement, number, 0, now=0.0)
+    return placement
+
+
+def _load(placement: Placement, number: int, occupied: int, *, now: float) -> None:
+    hear_load(placement, TargetId(f"t-{number}"), occupied=occupied, limit=40, level=3.0, now=now)
+
+
+def _chosen(placement: Placement, *, times: int = 400, now: float = 0.1) -> Counter[str]:
+    rng = Random(5)
+    chosen: Counter[str] = Counter()
+    for _ in range(times):
+        candidate = place(placement, "r", excluded=set(), now=now, rng=rng)
+        assert candidate is not None
+        chosen[candidate.record.target.target_id] += 1
+    return chosen
+
+
+def test_calls_stay_in_their_own_zone_while_it_has_room() -> None:
+    chosen = _chosen(_placement("a", "b", "c"))
+    assert chosen["t-0"] >= 0.95 * 400
+
+
+def test_calls_leave_a_zone_that_is_full() -> None:
+    placement = _placement("a", "b", "c")
+    _load(placement, 0, 40, now=0.1)
+    chosen = _chosen(placement)
+    assert chosen["t-0"] <= 0.05 * 400
+
+
+def test_what_was_sent_since_counts_before_the_gate_says_so() -> None:
+    placement = _placement("a", "a")
+    rng = Random(2)
+    for _ in range(40):
+        candidate = place(placement, "r", excluded=set(), now=0.1, rng=rng)
+        assert candidate is not None
+        note_sent(candidate, now=0.1)
+    in_flight = [c.record.in_flight for c in placement.candidates]
+    assert min(in_flight) >= 15
+
+
+def test_a_slow_target_gets_little() -> None:
+    placement = _placement("a", "a")
+    for number, latency_s in ((0, 0.02), (1, 0.2)):
+        candidate = placement.candidate_by_id[TargetId(f"t-{number}")]
+        for _ in range(20):
+            note_sent(candidate, now=0.1)
+            note_ended(candidate)
+            note_success(candidate, "r", latency_s=latency_s, now=0.1)
+        _load(placement, number, 5, now=0.1)
+    assert _chosen(placement)["t-1"] <= 0.05 * 400
+
+
+def test_a_target_that_fails_is_ejected_while_another_does_better() -> None:
+    placement = _placement("a", "a", "a")
+    failing = placement.candidate_by_id[TargetId("t-0")]
+    for candidate in placement.candidates[1:]:
+        note_success(candidate, "r", latency_s=0.02, now=0.1)
+    for _ in range(5):
+        note_bad(placement, failing, now=0.1)
+    assert _chosen(placement, now=0.2)["t-0"] == 0
+
+
+def test_targets_that_were_tried_or_left_aren_t_chosen() -> None:
+    placement = _placement("a", "a")
+    tried = {TargetId("t-0"), TargetId("t-1")}
+    assert place(placement, "r", excluded=tried, now=0.1, rng=Random(1)) is None
+    remove_target(placement, TargetId("t-0"))
+    assert set(_chosen(placement, times=20)) == {"t-1"}
+
+
+def test_a_new_target_gets_its_share_once_it_is_warm() -> None:
+    placement = _placement("a", "a")
+    for _ in range(20):
+        note_success(placement.candidates[0], "r", latency_s=0.03, now=0.1)
+    _load(placement, 0, 20, now=0.1)
+    assert _chosen(placement)["t-1"] >= 100
+
+
+def test_the_service_s_level_is_that_of_its_gates_by_their_room() -> None:
+    placement = _placement("a", "a")
+    for number, (limit, level) in enumerate(((40, 2.0), (120, 3.0))):
+        target_id = TargetId(f"t-{number}")
+        hear_load(placement, target_id, occupied=0, limit=limit, level=level, now=1.0)
+    assert service_level(placement, ceiling=3.0, now=1.0) == 2.75
+    assert service_level(placement, ceiling=3.0, now=9.0) == 3.0
--- a/tests/test_outcomes_claims.py
+++ b/tests/test_outcomes_claims.py
@@ -15,11 +15,11 @@
 
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import EditId, IdempotencyKey, Incarnation, TargetId, Version
+from daisywharf._objects._interface import ObjectKind, PlatformObject
 from daisywharf._outcomes import _claim
 from daisywharf._outcomes._claim import Claim, ClaimState, CreateClaim, ReadClaim
 from daisywharf._outcomes._keys import CLAIM_KEPT_S, is_key_too_old
 from daisywharf._outcomes._ticket import CLOCK_BOUND_S, KEY_LIFETIME_S, Ticket
-from daisywharf._platform._interface import ObjectKind, PlatformObject
 
 NOW = 1_800_000_000.0
 KEY = IdempotencyKey("k.1")
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -9,8 +9,8 @@
 from daisywharf import ErrorKind, PlatformError
 from daisywharf._ids import EditId, Version
 from daisywharf._limits import MAX_BODY_BYTES
-from daisywharf._platform._embedded import EmbeddedPlatform
-from daisywharf._platform._interface import Change, ObjectKind, Platform
+from daisywharf._objects._embedded import EmbeddedPlatform
+from daisywharf._objects._interface import Change, ObjectKind, Platform
 
 CONTRACT = ObjectKind.CONTRACT
 EDIT = EditId("e-2")
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -9,10 +9,10 @@
 from builders_platform import TIMEOUT_S, answer_once, client_of, created, running_standin
 from daisywharf import ErrorKind, PlatformError
 from daisywharf._ids import EditId, Version
-from daisywharf._platform._faults import Faults, Verb, WatchFault
-from daisywharf._platform._http_client import HttpPlatform
-from daisywharf._platform._interface import ObjectKind
-from daisywharf._platform._standin import Standin
+from daisywharf._objects._faults import Faults, Verb, WatchFault
+from daisywharf._objects._http_client import HttpPlatform
+from daisywharf._objects._interface import ObjectKind
+from daisywharf._objects._standin import Standin
 
 CONTRACT = ObjectKind.CONTRACT
 
--- a/tests/test_signals_metrics.py
+++ b/tests/test_signals_metrics.py
@@ -16,8 +16,8 @@
 from daisywharf._daemon._platform_actor import PlatformActor, PlatformCounts
 from daisywharf._fleet._state import ListContacts, ListContracts
 from daisywharf._ids import VmId, ZoneName
-from daisywharf._platform._embedded import EmbeddedPlatform
-from daisywharf._platform._faults import Faults, FaultyPlatform
+from daisywharf._objects._embedded import EmbeddedPlatform
+from daisywharf._objects._faults import Faults, FaultyPlatform
 from daisywharf._settings import DaemonSettings
 from daisywharf._signals._counts import MAX_SERIES, RequestCounts, RequestLabels
 from daisywharf._signals._gate_metrics import gate_exposition, gate_numbers
