Log each decision with its inputs, count outcomes and latencies, and explain a request by its id

Cause: a refused or failed request left a line at its entry only, without the age of the level that refused it, and nothing counted outcomes. Its price in processor time isn't measured yet.

--- a/src/daisywharf/_cli/app.py
+++ b/src/daisywharf/_cli/app.py
@@ -8,6 +8,7 @@
 MODULE_BY_PLAIN_COMMAND: Final = {
     "daemon": "daisywharf._cli.daemon",
     "demo": "daisywharf._cli.demo",
+    "explain": "daisywharf._cli.explain",
     "platform-standin": "daisywharf._cli.platform_standin",
     "replay": "daisywharf._cli.replay",
     "target-standin": "daisywharf._cli.target_standin",
--- /dev/null
+++ b/src/daisywharf/_mesh/_counts.py
@@ -0,0 +1,89 @@
+"""Counters and latency histograms of one daemon, kept as plain numbers and written when asked."""
+
+from bisect import bisect_left
+from typing import Final
+
+from daisywharf._configuration import RouteName
+from daisywharf._ids import ServiceName
+from daisywharf._signals._metrics import Metric, Sample, counter, gauge
+
+# Upper ends of the buckets, in seconds: from a quick read to the longest deadline of a site.
+BUCKETS_S: Final = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
+MOST_SERIES: Final = 512
+OTHER: Final = "other"
+
+EndLabels = tuple[str, str, str]
+
+
+class MeshCounts:
+    """Hold how requests ended, by route, service and outcome, and how long the served took."""
+
+    def __init__(self) -> None:
+        self.ended_by_labels: dict[EndLabels, int] = {}
+        self.buckets_by_route: dict[str, list[int]] = {}
+        self.seconds_by_route: dict[str, float] = {}
+
+    def note_end(self, route: RouteName, service: ServiceName, outcome: str) -> None:
+        """Count a request that ended."""
+        labels = (str(route), str(service), outcome)
+        if labels not in self.ended_by_labels and len(self.ended_by_labels) >= MOST_SERIES:
+            labels = (OTHER, OTHER, outcome)
+        self.ended_by_labels[labels] = self.ended_by_labels.get(labels, 0) + 1
+
+    def note_latency(self, route: RouteName, seconds: float) -> None:
+        """Count how long a served request took."""
+        name: str = route
+        buckets = self.buckets_by_route.get(name)
+        if buckets is None:
+            name = name if len(self.buckets_by_route) < MOST_SERIES else OTHER
+            buckets = self.buckets_by_route.setdefault(name, [0] * (len(BUCKETS_S) + 1))
+        buckets[bisect_left(BUCKETS_S, seconds)] += 1
+        self.seconds_by_route[name] = self.seconds_by_route.get(name, 0.0) + seconds
+
+
+def request_metrics(counts: MeshCounts) -> list[Metric]:
+    """Describe how requests ended and how long the served ones took."""
+    ended = [
+        Sample(count, {"route": route, "service": service, "outcome": outcome})
+        for (route, service, outcome), count in sorted(counts.ended_by_labels.items())
+    ]
+    buckets, sums, totals = [], [], []
+    for route, counted in sorted(counts.buckets_by_route.items()):
+        below = 0
+        for end_s, count in zip([*map(str, BUCKETS_S), "+Inf"], counted, strict=True):
+            below += count
+            buckets.append(Sample(below, {"route": route, "le": end_s}))
+        sums.append(Sample(counts.seconds_by_route[route], {"route": route}))
+        totals.append(Sample(below, {"route": route}))
+    name = "daisywharf_request_seconds"
+    return [
+        counter("daisywharf_requests_total", "Requests entered, by how they ended.", *ended),
+        counter(f"{name}_bucket", "Served requests by latency, up to each end.", *buckets),
+        counter(f"{name}_sum", "Seconds that served requests took.", *sums),
+        counter(f"{name}_count", "Served requests.", *totals),
+    ]
+
+
+def daemon_metrics(
+    *,
+    running: int,
+    waiting: int,
+    limit: int,
+    level: float,
+    version: int,
+    members: int,
+    links_up: int,
+    store_contact_s: float,
+) -> list[Metric]:
+    """Describe the state of a daemon; times in seconds."""
+    given = (
+        ("daisywharf_gate_running", "Calls that run at the target.", running),
+        ("daisywharf_gate_waiting", "Calls that wait for a slot.", waiting),
+        ("daisywharf_gate_limit", "Slots that are used at once.", limit),
+        ("daisywharf_gate_level", "Importance from which requests are refused.", level),
+        ("daisywharf_configuration_version", "Version in force.", version),
+        ("daisywharf_members", "Daemons known, this one included.", members),
+        ("daisywharf_links_up", "Links to other daemons that are up.", links_up),
+        ("daisywharf_store_contact_age_seconds", "Time since the store answered.", store_contact_s),
+    )
+    return [gauge(name, text, Sample(value)) for name, text, value in given]
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -14,6 +14,7 @@
 from daisywharf._mesh._announcements import Verdict, judge_notice
 from daisywharf._mesh._clock import PAUSE_LIMIT_S, Suspension, note_tick
 from daisywharf._mesh._configuration_frames import decode_configuration, encode_configuration
+from daisywharf._mesh._counts import daemon_metrics, request_metrics
 from daisywharf._mesh._dialect import Dialect
 from daisywharf._mesh._entry import Entry, Way
 from daisywharf._mesh._frames import (
@@ -45,6 +46,7 @@
 from daisywharf._overload._origins import note_counts
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
+from daisywharf._signals._metrics import Metric
 
 TICK_S: Final = 0.025  # waiting calls are refused this late at most
 REPORT_S: Final = 0.5
@@ -412,6 +414,21 @@
             rows.append(CallsBelow(service, route, callee_service, callee_route, round(calls, 3)))
         return tuple(rows)
 
+    def metrics(self) -> list[Metric]:
+        """Describe how requests end here and the daemon's state."""
+        load = self.gate.load()
+        state = daemon_metrics(
+            running=load.running,
+            waiting=load.waiting,
+            limit=load.limit,
+            level=load.level,
+            version=self.version,
+            members=len(self.membership.record_by_vm),
+            links_up=sum(link.is_up for link in self.membership.link_by_vm.values()),
+            store_contact_s=self.now() - max(self.sync.contacted_at, self._started_at),
+        )
+        return [*request_metrics(self.entry.ended), *state]
+
     # The end.
 
     async def stop(self) -> None:
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -10,6 +10,7 @@
 from daisywharf._contract import Importance
 from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind
 from daisywharf._ids import RequestId, ServiceName, TargetId, VmId
+from daisywharf._mesh._counts import MeshCounts
 from daisywharf._mesh._dialect import Dialect, RequestHead
 from daisywharf._mesh._frames import Answered, Call, GateLoad, Unanswered
 from daisywharf._mesh._http_server import Exchange
@@ -135,6 +136,12 @@
         )
         self.pending: set[Pending] = set()
         self.daemons = 1
+        self.ended = MeshCounts()
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force, or 0."""
+        return 0 if self.table is None else self.table.configuration.version
 
     def put_in_force(self, configuration: Configuration) -> None:
         """Route by this configuration from now on."""
@@ -155,7 +162,7 @@
                 request=head.request_id,
                 host=head.host,
                 path=path,
-                version=self.table.configuration.version,
+                version=self.version,
             )
             exchange.respond(404)
             return
@@ -199,6 +206,8 @@
             service=pending.service,
             importance=pending.route.importance,
             level=round(level, 3),
+            age_s=round(self.services.levels_age_s(now=now), 3),
+            version=self.version,
         )
         self._refuse(pending, ErrorKind.SHED, now=now)
         return True
@@ -349,8 +358,9 @@
                 service=pending.service,
                 kind=kind.value,
                 gates_tried=pending.gates_tried,
+                held_ms=_held_ms(pending, now),
             )
-        self._end(pending)
+        self._end(pending, outcome=kind.value)
         lines = self.dialect.refusal_lines(retry_after_s=retry_after_s)
         pending.exchange.respond(ANSWERS_BY_KIND[ErrorKind.SHED].status, lines=lines)
 
@@ -363,14 +373,27 @@
             service=pending.service,
             kind=kind.value,
             cause=pending.last_kind.value,
+            target=_target_of(pending),
             attempts=pending.attempts,
+            held_ms=_held_ms(pending, self.now()),
         )
-        self._end(pending)
+        self._end(pending, outcome=kind.value)
         pending.exchange.respond(ANSWERS_BY_KIND[kind].status)
 
     def _pass_on(self, pending: Pending, result: Answered) -> None:
-        self._end(pending)
-        if result.status >= 500:
+        now = self.now()
+        self._end(pending, outcome=f"{result.status // 100}xx")
+        if result.status < 500:
+            self.ended.note_latency(pending.route.name, now - pending.exchange.arrived_at)
+            log_event(
+                Event.REQUEST_ANSWERED,
+                request=pending.head.request_id,
+                route=pending.route.name,
+                target=_target_of(pending),
+                status=result.status,
+                held_ms=_held_ms(pending, now),
+            )
+        else:
             log_event(
                 Event.REQUEST_FAILED,
                 request=pending.head.request_id,
@@ -378,7 +401,9 @@
                 service=pending.service,
                 kind=ErrorKind.TARGET_FAILED.value,
                 cause=str(result.status),
+                target=_target_of(pending),
                 attempts=pending.attempts,
+                held_ms=_held_ms(pending, now),
             )
         pending.exchange.respond_raw(result.status, result.reason, result.headers, result.body)
 
@@ -390,8 +415,15 @@
         self._fail(pending, ErrorKind.TIMED_OUT)
 
     def _give_up(self, pending: Pending) -> None:
+        log_event(
+            Event.REQUEST_GIVEN_UP,
+            request=pending.head.request_id,
+            route=pending.route.name,
+            target=_target_of(pending),
+            held_ms=_held_ms(pending, self.now()),
+        )
         self._cancel_attempt(pending)
-        self._end(pending)
+        self._end(pending, outcome=ErrorKind.CANCELLED.value)
 
     def _cancel_attempt(self, pending: Pending) -> None:
         way, pending.way = pending.way, None
@@ -399,7 +431,8 @@
             note_ended(pending.candidate)
             way.cancel(pending.call_id)
 
-    def _end(self, pending: Pending) -> None:
+    def _end(self, pending: Pending, *, outcome: str) -> None:
+        self.ended.note_end(pending.route.name, pending.service, outcome)
         self.pending.discard(pending)
         pending.exchange.on_gone = None
         if pending.timer is not None:
@@ -427,3 +460,11 @@
             level=load.level,
             now=self.now(),
         )
+
+
+def _held_ms(pending: Pending, now: float) -> float:
+    return round((now - pending.exchange.arrived_at) * MS, 1)
+
+
+def _target_of(pending: Pending) -> str:
+    return "none" if pending.candidate is None else pending.candidate.record.target.target_id
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -57,6 +57,7 @@
     asked: Asked | None = None
     is_given_up: bool = False
     answer_head: AnswerHead | None = None
+    started_at: float = 0.0
 
 
 class Gate:
@@ -205,12 +206,14 @@
                 self._start(self.calls_by_id[action.call_id])
             elif isinstance(action, Refuse):
                 gate_call = self.calls_by_id.pop(action.call_id)
+                self._log_refusal(gate_call, action.kind)
                 gate_call.on_result(self._refusal(gate_call.call, action.kind))
 
     def _start(self, gate_call: GateCall) -> None:
         pool, notice, call = self._pool, self.notice, gate_call.call
         assert pool is not None and notice is not None
-        left_ms = int((gate_call.deadline - self.now()) * MS)
+        gate_call.started_at = self.now()
+        left_ms = int((gate_call.deadline - gate_call.started_at) * MS)
         note_half_run(self.counts, Kind(call.route))
         lines = self.dialect.target_lines(
             target_id=notice.target_id, caller_service=call.caller_service, time_left_ms=left_ms
@@ -243,6 +246,7 @@
     def _outcome(self, gate_call: GateCall, result: HttpResult) -> CallResult:
         call, head = gate_call.call, gate_call.answer_head
         if isinstance(result, HttpFailure):
+            self._log_failure(gate_call, result)
             if result.kind is ErrorKind.CONNECT_FAILED:
                 self._lose_target(result.detail)
             return Unanswered(call.call_id, result.kind, result.has_begun, self.load())
@@ -261,6 +265,33 @@
             self.load(),
         )
 
+    def _log_refusal(self, gate_call: GateCall, kind: ErrorKind) -> None:
+        call, load = gate_call.call, self.load()
+        arrived_at = gate_call.deadline - call.time_left_ms / MS
+        log_event(
+            Event.CALL_REFUSED,
+            request=call.request_id,
+            route=call.route,
+            target=call.target_id,
+            kind=kind.value,
+            waited_ms=round((self.now() - arrived_at) * MS, 1),
+            running=load.running,
+            waiting=load.waiting,
+            limit=load.limit,
+        )
+
+    def _log_failure(self, gate_call: GateCall, failure: HttpFailure) -> None:
+        call = gate_call.call
+        log_event(
+            Event.CALL_FAILED,
+            request=call.request_id,
+            route=call.route,
+            target=call.target_id,
+            kind=failure.kind.value,
+            error=failure.detail,
+            ran_ms=round((self.now() - gate_call.started_at) * MS, 1),
+        )
+
     def _lose_target(self, detail: str) -> None:
         now = self.now()
         if now < self.unreachable_until or self.notice is None:
--- a/src/daisywharf/_mesh/_log_writer.py
+++ b/src/daisywharf/_mesh/_log_writer.py
@@ -18,9 +18,9 @@
 class LogWriter:
     """Hold the lines that wait to be written, and how many were dropped."""
 
-    def __init__(self, context: dict[str, str], *, now: Callable[[], float]) -> None:
+    def __init__(self, context: dict[str, str], *, wall_ms: Callable[[], int]) -> None:
         self.context = context
-        self.now = now
+        self.wall_ms = wall_ms
         self.dropped = 0
         self._held: list[bytes] = []
         self._held_bytes = 0
@@ -37,7 +37,7 @@
         whole = self.context | fields
         cleaned = {name: clean_field(value) for name, value in whole.items()}
         line = {
-            "at": round(self.now(), 4),
+            "time": self.wall_ms() / 1000.0,
             "number": event.value.number,
             "event": event.label,
             "level": event.value.level.value,
--- a/src/daisywharf/_mesh/_services.py
+++ b/src/daisywharf/_mesh/_services.py
@@ -39,6 +39,10 @@
             }
         return self._levels
 
+    def levels_age_s(self, *, now: float) -> float:
+        """Return the seconds since the levels were worked out."""
+        return now - self._levels_at
+
     def target_of(self, vm: VmId) -> Target | None:
         """Return the target that takes calls on a VM."""
         return self._target_by_vm.get(vm)
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -19,12 +19,23 @@
     ERROR = "ERROR"
 
 
+# Lines a second of an event that touches a request; each kind of trouble keeps its own.
+REQUEST_LINES_PER_S: Final = 20.0
+# A served request needs no explaining; a few show what is usual.
+SERVED_LINES_PER_S: Final = 2.0
+USUAL_LINES_PER_S: Final = 2.0
+
+
 class EventForm(msgspec.Struct, frozen=True):
-    """Hold an event's number, its level, and its message with the names of its fields."""
+    """Hold an event's number, its level, and its message with the names of its fields.
+
+    `lines_per_s` bounds how many of its lines are written a second.
+    """
 
     number: int
     level: EventLevel
     template: str
+    lines_per_s: float = USUAL_LINES_PER_S
 
 
 class Event(Enum):
@@ -123,25 +134,57 @@
         701,
         EventLevel.INFO,
         "request {request} of {route} refused at its entry: importance {importance},"
-        " level {level} of {service}",
+        " level {level} heard {age_s} s ago, version {version}",
+        REQUEST_LINES_PER_S,
     )
     REQUEST_REFUSED = EventForm(
         702,
         EventLevel.WARNING,
-        "request {request} of {route} was not run at {service}: {kind} after {gates_tried} gates",
+        "request {request} of {route} was not run at {service}: {kind} after {gates_tried} gates,"
+        " in {held_ms} ms",
+        REQUEST_LINES_PER_S,
     )
     REQUEST_FAILED = EventForm(
         703,
         EventLevel.WARNING,
         "request {request} of {route} failed at {service}: {kind}, {cause},"
-        " after {attempts} attempts",
+        " last at {target}, after {attempts} attempts in {held_ms} ms",
+        REQUEST_LINES_PER_S,
     )
     REQUEST_REPEATED = EventForm(
-        704, EventLevel.INFO, "request {request} of {route} is sent again after {target}: {kind}"
+        704,
+        EventLevel.INFO,
+        "request {request} of {route} is sent again after {target}: {kind}",
+        REQUEST_LINES_PER_S,
     )
     REQUEST_WITHOUT_ROUTE = EventForm(
         705, EventLevel.WARNING, "request {request} for {host}{path} has no route in {version}"
     )
+    CALL_REFUSED = EventForm(
+        706,
+        EventLevel.INFO,
+        "gate of {target} refused {request} of {route} unrun: {kind}, after {waited_ms} ms,"
+        " {running} running and {waiting} waiting of {limit}",
+        REQUEST_LINES_PER_S,
+    )
+    CALL_FAILED = EventForm(
+        707,
+        EventLevel.WARNING,
+        "target {target} didn't answer {request} of {route}: {kind}, {error}, after {ran_ms} ms",
+        REQUEST_LINES_PER_S,
+    )
+    REQUEST_GIVEN_UP = EventForm(
+        708,
+        EventLevel.INFO,
+        "client of request {request} of {route} left after {held_ms} ms, sent to {target}",
+        REQUEST_LINES_PER_S,
+    )
+    REQUEST_ANSWERED = EventForm(
+        709,
+        EventLevel.INFO,
+        "request {request} of {route} was answered {status} by {target} in {held_ms} ms",
+        SERVED_LINES_PER_S,
+    )
 
     @property
     def label(self) -> str:
--- a/src/daisywharf/_signals/_log.py
+++ b/src/daisywharf/_signals/_log.py
@@ -11,7 +11,6 @@
 from daisywharf._signals._events import Event, FieldValue, clean_field, message_of
 
 BURST: Final = 20
-REFILL_PER_S: Final = 2.0
 
 Write = Callable[[Event, dict[str, FieldValue]], None]
 
@@ -36,7 +35,7 @@
     allowance = state.allowance_by_event.get(event)
     if allowance is None:
         allowance = state.allowance_by_event[event] = EventAllowance(float(BURST), now)
-    gained = max(0.0, now - allowance.refilled_at) * REFILL_PER_S
+    gained = max(0.0, now - allowance.refilled_at) * event.value.lines_per_s
     allowance.left = min(float(BURST), allowance.left + gained)
     allowance.refilled_at = now
     if allowance.left < 1.0:
--- a/src/daisywharf/platform/_control.py
+++ b/src/daisywharf/platform/_control.py
@@ -9,6 +9,7 @@
 from daisywharf._mesh._model import Readiness, TargetNotice
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
+from daisywharf._signals._metrics import Metric, render
 from daisywharf.platform._heartbeats import (
     DEREGISTER,
     HEARTBEAT,
@@ -35,6 +36,17 @@
     return handle
 
 
+def metrics_handler(gather: Callable[[], list[Metric]]) -> Handler:
+    """Answer with the daemon's metrics in the exposition format."""
+
+    def handle(exchange: Exchange) -> None:
+        exposition = render(gather())
+        lines = f"Content-Type: {exposition.content_type}\r\n".encode()
+        exchange.respond(200, lines=lines, body=exposition.body)
+
+    return handle
+
+
 def control_handler(
     *,
     service: Callable[[], ServiceName],
--- a/src/daisywharf/platform/_program.py
+++ b/src/daisywharf/platform/_program.py
@@ -17,13 +17,15 @@
 from daisywharf._mesh._settings import MeshSettings
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
-from daisywharf.platform._control import control_handler, readiness_handler
+from daisywharf._topology import Address
+from daisywharf.platform._control import control_handler, metrics_handler, readiness_handler
 from daisywharf.platform._headers import PlatformDialect
 from daisywharf.platform._settings import SETTINGS_VARIABLE, read_settings
 from daisywharf.platform._store import ObjectStore
 
 SETTINGS_CHECK_S = 1.0  # the file may change without a signal
 EXIT_BAD_SETTINGS = 2
+METRICS_PORT = 9464  # as `metrics` in deploy/system.toml
 
 
 def main() -> None:
@@ -41,7 +43,7 @@
 
 
 async def _run(path: Path, settings: MeshSettings) -> None:
-    writer = LogWriter({"vm": settings.vm, "zone": settings.zone}, now=boot_now)
+    writer = LogWriter({"vm": settings.vm, "zone": settings.zone}, wall_ms=wall_ms)
     writer.start()
     loop = asyncio.get_running_loop()
     dialect = PlatformDialect()
@@ -65,6 +67,8 @@
     )
     await ready.start(settings.ready_address)
     await control.start(settings.announcements_address)
+    metrics = HttpServer(metrics_handler(daemon.metrics), now=boot_now)
+    await metrics.start(Address(settings.links_address.host, METRICS_PORT))
     await daemon.start()
     log_event(
         Event.DAEMON_STARTED,
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -12,10 +12,9 @@
 import pytest
 
 from daisywharf._signals import _log
-from daisywharf._signals._events import MAX_FIELD_CHARS, Event
+from daisywharf._signals._events import MAX_FIELD_CHARS, USUAL_LINES_PER_S, Event
 from daisywharf._signals._log import (
     BURST,
-    REFILL_PER_S,
     EventLimiter,
     admit_event,
     configure_events,
@@ -91,7 +90,7 @@
     admitted = [admit_event(state, Event.BAD_FRAME, now=10.0) for _ in range(1000)]
     assert admitted == [0] * BURST + [None] * (1000 - BURST)
     assert admit_event(state, Event.LINK_OPENED, now=10.0) == 0
-    assert admit_event(state, Event.BAD_FRAME, now=10.0 + 1 / REFILL_PER_S) == 1000 - BURST
+    assert admit_event(state, Event.BAD_FRAME, now=10.0 + 1 / USUAL_LINES_PER_S) == 1000 - BURST
 
 
 def test_a_process_that_configures_no_events_imports_no_loguru() -> None:
