--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -44,12 +44,17 @@
 from daisywharf._overload._calls_below import CallsBelow, calls_below, end_period
 from daisywharf._overload._chain import note_rows
 from daisywharf._overload._origins import note_counts
+from daisywharf._overload._slots import load_part
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 from daisywharf._signals._metrics import Metric
 
-TICK_S: Final = 0.025  # waiting calls are refused this late at most
-REPORT_S: Final = 0.5
+TICK_S: Final = 0.05  # waiting calls are refused this late at most
+# A loaded gate, and a daemon that has yet to learn who calls whom, report twice as often.
+REPORT_S: Final = 1.0
+OFTEN_REPORT_S: Final = 0.5
+LOADED_PART: Final = 0.5
+LEARNING_S: Final = 30.0
 SWEEP_S: Final = 0.5
 # A daemon that has known no target for this long serves what it can: refusals say so.
 READY_WITHOUT_TARGETS_S: Final = 3.0
@@ -378,7 +383,7 @@
         self.membership.tick(now=now)
         if not self._has_written and now - self._started_at > FIRST_WRITE_AFTER_S:
             self._change_own()
-        if now - self._reported_at >= REPORT_S:
+        if now - self._reported_at >= self._report_period_s(now=now):
             self._reported_at = now
             self._report(now=now)
         if now - self._swept_at >= SWEEP_S:
@@ -388,6 +393,11 @@
         if not self.stopped.is_set():
             asyncio.get_running_loop().call_later(TICK_S, self._tick)
 
+    def _report_period_s(self, *, now: float) -> float:
+        is_learning = now - self._started_at < LEARNING_S
+        is_loaded = load_part(self.gate.slots) > LOADED_PART
+        return OFTEN_REPORT_S if is_learning or is_loaded else REPORT_S
+
     def _report(self, *, now: float) -> None:
         end_period(self.gate.counts, now=now)
         rows = self._rows()
--- a/src/daisywharf/_mesh/_http_client.py
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -187,6 +187,7 @@
         self._idle_limit_s = DEFAULT_IDLE_S
         self._reset_answer()
         self._is_doubtful = False
+        self._answer: HttpAnswer | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Be ready to send."""
@@ -221,18 +222,26 @@
         if self.asked is None:
             self.abandon()
             return
+        asked = self.asked
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._is_doubtful = True
             self.fail(ErrorKind.CUT_ANSWER, f"unreadable answer: {error!r}")
-        if self._is_doubtful and self.asked is None:
-            self.abandon()
+        if self.asked is None and self.transport is not None:
+            self._settle()
+        answer, self._answer = self._answer, None
+        if answer is not None:
+            asked.finish(answer)
 
     def eof_received(self) -> bool:
         """Take the end for the end of an answer without a length."""
-        if self._ends_with_connection and self.asked is not None:
+        asked = self.asked
+        if self._ends_with_connection and asked is not None:
             self._complete()
+            answer, self._answer = self._answer, None
+            if answer is not None:
+                asked.finish(answer)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -298,12 +307,9 @@
             self._idle_limit_s = ownership.idle_s * IDLE_MARGIN
         self._idle_since = self.pool.now()
         asked.connection = None
-        if self._is_doubtful or not keeps_alive or self.transport is None:
-            self._is_doubtful = True
-        else:
-            # Bytes that follow in the same read put the connection in doubt first.
-            asyncio.get_running_loop().call_soon(self._settle)
-        asked.finish(answer)
+        self._is_doubtful = self._is_doubtful or not keeps_alive
+        # Handed over once all bytes of this read are seen: more of them put it in doubt.
+        self._answer = answer
 
     def _settle(self) -> None:
         if self._is_doubtful or self.transport is None or self.transport.is_closing():
--- a/src/daisywharf/_mesh/_links.py
+++ b/src/daisywharf/_mesh/_links.py
@@ -43,7 +43,7 @@
 
 
 class FrameProtocol(asyncio.Protocol):
-    """Read frames and write them, all that one turn of the loop has for the link at once."""
+    """Read frames and write them."""
 
     def __init__(
         self,
@@ -54,7 +54,6 @@
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._received = bytearray()
-        self._due: list[bytes] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Be ready to send."""
@@ -91,23 +90,15 @@
             del received[:start]
 
     def send(self, frame: Frame) -> None:
-        """Send a frame with the others of this turn."""
-        if self.transport is None:
-            return
-        if not self._due:
-            asyncio.get_running_loop().call_soon(self._flush)
-        self._due.append(encode_frame(frame))
+        """Send a frame at once: to gather those of a turn costs the loop another turn."""
+        if self.transport is not None:
+            self.transport.write(encode_frame(frame))
 
     def close(self) -> None:
         """Close at once."""
         if self.transport is not None:
             self.transport.abort()
 
-    def _flush(self) -> None:
-        due, self._due = self._due, []
-        if self.transport is not None:
-            self.transport.write(b"".join(due))
-
     def _refuse(self, reason: str) -> None:
         peer = self.transport.get_extra_info("peername") if self.transport else None
         log_event(Event.BAD_FRAME, peer=str(peer), error=reason)
--- a/src/daisywharf/_mesh/_membership.py
+++ b/src/daisywharf/_mesh/_membership.py
@@ -39,6 +39,7 @@
         self.record_by_vm: dict[VmId, MemberRecord] = {own.vm: own}
         self.link_by_vm: dict[VmId, OutLink] = {}
         self.seed_links: dict[Address, OutLink] = {}
+        self._vm_by_address: dict[str, VmId] = {own.address: own.vm}
         self._unreachable_since: dict[VmId, float] = {}
         self._on_frame = on_frame
         self._version = version
@@ -58,7 +59,7 @@
         for record in records:
             if record.vm == self.own.vm:
                 is_contradicted = is_contradicted or is_newer(record, self.own)
-            elif is_newer(record, self.record_by_vm.get(record.vm)):
+            elif self._is_news(record):
                 self._take(record)
                 changed.append(record)
         if changed:
@@ -67,19 +68,24 @@
                 link.send(Members(tuple(changed)))
         return is_contradicted
 
+    def _is_news(self, record: MemberRecord) -> bool:
+        if not is_newer(record, self.record_by_vm.get(record.vm)):
+            return False
+        # An address that is used again belongs to whoever started there last.
+        holder = self.record_by_vm.get(self._vm_by_address.get(record.address, record.vm))
+        return holder is None or holder.vm == record.vm or holder.started_ms < record.started_ms
+
     def _take(self, record: MemberRecord) -> None:
         known = self.record_by_vm.get(record.vm)
-        self.record_by_vm[record.vm] = record
         if known is not None and known.address != record.address:
-            self._drop_link(record.vm)
-        for vm, other in list(self.record_by_vm.items()):
-            # An address that is used again belongs to whoever started there last.
-            if vm != record.vm and other.address == record.address:
-                older = vm if other.started_ms < record.started_ms else record.vm
-                self.forget(older)
-        if record.vm in self.record_by_vm:
-            link = self.link_by_vm.get(record.vm) or self._open(record)
-            self.services.follow(record, is_reachable=link.is_up, now=self.now())
+            self.forget(record.vm)
+        self.record_by_vm[record.vm] = record
+        holder = self._vm_by_address.get(record.address)
+        if holder is not None and holder != record.vm:
+            self.forget(holder)
+        self._vm_by_address[record.address] = record.vm
+        link = self.link_by_vm.get(record.vm) or self._open(record)
+        self.services.follow(record, is_reachable=link.is_up, now=self.now())
 
     def _open(self, record: MemberRecord) -> OutLink:
         address = parse_address(record.address)
@@ -151,6 +157,8 @@
         record = self.record_by_vm.pop(vm, None)
         if record is not None:
             self.services.follow(record, is_reachable=False, now=self.now())
+            if self._vm_by_address.get(record.address) == vm:
+                del self._vm_by_address[record.address]
         self._drop_link(vm)
 
     def _drop_link(self, vm: VmId) -> None:
--- a/src/daisywharf/_mesh/_watching.py
+++ b/src/daisywharf/_mesh/_watching.py
@@ -8,8 +8,8 @@
 
 # One that dies, or loses the store without knowing it, leaves another.
 WATCHERS_A_ZONE: Final = 2
-# Reports come twice a second; a watcher that missed three is not counted on.
-REPORT_LIFETIME_S: Final = 1.6
+# Reports come once a second; a watcher that missed two is not counted on.
+REPORT_LIFETIME_S: Final = 2.2
 
 
 class WatchReport(msgspec.Struct, frozen=True):
--- a/src/daisywharf/_routing/_placement.py
+++ b/src/daisywharf/_routing/_placement.py
@@ -24,7 +24,7 @@
 WAIT_FROM_LOAD: Final = 0.65
 WAIT_FACTOR: Final = 8.0
 # An announced load loses its meaning in this time where no answer brings a newer one.
-LOAD_LIFETIME_S: Final = 1.0
+LOAD_LIFETIME_S: Final = 1.5
 LATENCY_UNKNOWN_S: Final = 0.05
 COLD_FACTOR: Final = 2.0
 EXPLORED_PART: Final = 0.02
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -94,6 +94,11 @@
     return TargetNotice(**{**given, **changes})
 
 
+def member(vm: str, *, started_ms: int) -> MemberRecord:
+    """Build the record of a daemon without a target at an address where nobody listens."""
+    return MemberRecord(VmId(vm), ZoneName("a"), str(NOWHERE), started_ms, 0, False, None)
+
+
 class MemoryStore:
     """Stand in for the platform's store; `is_down` makes each call fail."""
 
--- a/tests/test_mesh_fleet.py
+++ b/tests/test_mesh_fleet.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from builders_mesh import (
     Client,
     MeshWorld,
@@ -10,6 +12,7 @@
     configuration,
     eventually,
     in_loop,
+    member,
     notice,
     route,
 )
@@ -249,3 +252,24 @@
     assert note_tick(state, now=104.2, steady_now=100.2) > 3.5
     assert note_tick(state, now=104.3, steady_now=100.3) == 0.0
     assert note_tick(state, now=107.3, steady_now=103.3) > 2.5
+
+
+def test_an_address_that_is_used_again_belongs_to_whoever_started_there_last() -> None:
+    async def scenario() -> None:
+        world = MeshWorld()
+        daemon = await world.add(TargetStandIn())
+        membership = daemon.membership
+        before = member("vm-before", started_ms=10)
+        after = member("vm-after", started_ms=20)
+        membership.merge([before])
+        membership.merge([after])
+        assert VmId("vm-before") not in membership.record_by_vm
+        # Others that haven't heard yet go on telling of the former one.
+        membership.merge([before])
+        membership.merge([msgspec.structs.replace(before, revision=5)])
+        assert VmId("vm-before") not in membership.record_by_vm
+        assert membership.record_by_vm[VmId("vm-after")] == after
+        assert set(membership.link_by_vm) == {VmId("vm-after")}
+        await world.close()
+
+    in_loop(scenario)
