Make the test of reused addresses watch what is passed on

The test of the commit before passed on the old code too, against what its message says: the records came out right there, and only the endless passing on was wrong. It now watches that, and fails on the old code.

--- a/tests/test_mesh_fleet.py
+++ b/tests/test_mesh_fleet.py
@@ -21,7 +21,7 @@
 from daisywharf._ids import ServiceName, VmId
 from daisywharf._mesh._announcements import Verdict, judge_notice
 from daisywharf._mesh._clock import Suspension, note_tick
-from daisywharf._mesh._frames import Call, Unanswered
+from daisywharf._mesh._frames import Call, Frame, Unanswered
 from daisywharf._mesh._http_client import HttpAnswer
 from daisywharf._mesh._links import CallResult
 from daisywharf._mesh._model import Readiness
@@ -264,8 +264,13 @@
         membership.merge([before])
         membership.merge([after])
         assert VmId("vm-before") not in membership.record_by_vm
-        # Others that haven't heard yet go on telling of the former one.
+        # Others that haven't heard yet go on telling of the former one; that is no news.
+        link = membership.link_by_vm[VmId("vm-after")]
+        link.is_up = True
+        passed_on: list[Frame] = []
+        link.send = passed_on.append  # type: ignore[method-assign]
         membership.merge([before])
+        assert not passed_on
         membership.merge([msgspec.structs.replace(before, revision=5)])
         assert VmId("vm-before") not in membership.record_by_vm
         assert membership.record_by_vm[VmId("vm-after")] == after
