--- a/src/daisywharf/platform/_program.py
+++ b/src/daisywharf/platform/_program.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from random import Random
 
+import uvloop
+
 from daisywharf._errors import ConfigurationError
 from daisywharf._mesh._clock import boot_now, wall_ms
 from daisywharf._mesh._daemon import MeshDaemon
@@ -39,7 +41,8 @@
     gc.freeze()
     # Most objects are freed by their counts; collecting seldom keeps pauses out of calls.
     gc.set_threshold(50_000, 20, 50)
-    asyncio.run(_run(path, settings))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_run(path, settings))
 
 
 async def _run(path: Path, settings: MeshSettings) -> None:
