--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -127,7 +127,6 @@
         self.table: RouteTable | None = None
         self.chain = ChainState()
         self.origins = Origins(now=now())
-        self.request_routes: frozenset[RouteName] = frozenset()
         self.entered_by_route: dict[RouteName, int] = {}
         self.split = SplitState()
         bounds = settings.bounds
@@ -183,7 +182,7 @@
         if pending.is_from_target:
             note_call(self.counts, Callee(f"{route.name} {pending.service}"))
         else:
-            if route.name in self.request_routes:
+            if is_request(self.origins, route.name):
                 note_first(self.budget, pending.service, now=now)
             if self._is_shed(pending, now=now):
                 return
@@ -446,9 +445,6 @@
     def judge_origins(self, *, now: float) -> None:
         """Decide anew which routes are those of targets' own calls."""
         judge_routes(self.origins, now=now)
-        self.request_routes = frozenset(
-            route for route in self.origins.counts_by_route if is_request(self.origins, route)
-        )
 
     def hear(self, service: ServiceName, target_id: TargetId, load: GateLoad) -> None:
         """Take a load that a gate announced."""
--- a/src/daisywharf/_overload/_origins.py
+++ b/src/daisywharf/_overload/_origins.py
@@ -30,9 +30,9 @@
     """Hold, by route and by the service of the VMs where they entered, faded counts."""
 
     def __init__(self, *, now: float) -> None:
-        self.count_by_service: dict[ServiceName, float] = {}
         self.counts_by_route: dict[RouteName, dict[ServiceName, float]] = {}
         self.called: frozenset[RouteName] = frozenset()
+        self.requested: frozenset[RouteName] = frozenset()
         self.faded_at = now
 
 
@@ -59,6 +59,12 @@
         elif _is_sent_everywhere(by_service, senders):
             called.discard(route)
     origins.called = frozenset(called)
+    senders = _client_shares(origins, called)
+    origins.requested = frozenset(
+        route
+        for route, by_service in origins.counts_by_route.items()
+        if route not in called and _is_sent_everywhere(by_service, senders)
+    )
 
 
 def is_call(origins: Origins, route: RouteName) -> bool:
@@ -68,10 +74,7 @@
 
 def is_request(origins: Origins, route: RouteName) -> bool:
     """Tell whether a route is known as one of clients' requests."""
-    by_service = origins.counts_by_route.get(route)
-    if by_service is None or route in origins.called:
-        return False
-    return _is_sent_everywhere(by_service, _client_shares(origins, set(origins.called)))
+    return route in origins.requested
 
 
 def _client_shares(origins: Origins, called: set[RouteName]) -> dict[ServiceName, float]:
--- a/src/daisywharf/platform/_store.py
+++ b/src/daisywharf/platform/_store.py
@@ -44,16 +44,16 @@
         self.calls = 0
 
     async def read_configuration(self) -> ConfigurationRead:
-        """Read the latest configuration."""
-        try:
-            found = await self._call("GET", f"/{CONFIGURATION_KIND}/{CONFIGURATION_NAME}")
-        except PlatformError as error:
-            if error.kind is not ErrorKind.PLATFORM_GONE:
-                raise
-            listing = await self._call("GET", f"/{CONFIGURATION_KIND}")
-            return ConfigurationRead(None, int(listing["at"]))
-        configuration = read_configuration(found["specification"])
-        return ConfigurationRead(configuration, int(found["metadata"]["revision"]))
+        """Read the latest configuration.
+
+        A listing gives the store's own revision; that of the object may be older than the history.
+        """
+        listing = await self._call("GET", f"/{CONFIGURATION_KIND}")
+        latest = None
+        for entry in listing["items"]:
+            if entry["metadata"]["name"] == CONFIGURATION_NAME:
+                latest = read_configuration(entry["specification"])
+        return ConfigurationRead(latest, int(listing["at"]))
 
     async def watch_configuration(self, *, after: int, wait_s: float) -> ConfigurationRead:
         """Wait for a configuration newer than a revision; return none when the wait ends."""
