Keep on the platform what the fleet has learned of its calls

Ruled out: targets (they ran on), links (up within a second). What was learned is one object in the store now, read at the start and dropped once runs show their calls.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -32,6 +32,7 @@
 )
 from daisywharf._mesh._gate import Gate
 from daisywharf._mesh._http_server import Exchange, HttpServer
+from daisywharf._mesh._learned import KEPT_S, drop_kept, learned_now, take_learned
 from daisywharf._mesh._links import CallResult, FrameProtocol, LinkServer, OutLink
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord, Readiness, TargetNotice, TargetRecord
@@ -129,6 +130,10 @@
             membership=self.membership,
             put_in_force=self.put_in_force,
             take_earlier=self._take_earlier,
+            learned=lambda: learned_now(self.entry.chain, self.entry.origins),
+            take_learned=lambda learned: take_learned(
+                learned, self.entry.chain, self.entry.origins
+            ),
             now=now,
             rng=rng,
         )
@@ -166,6 +171,7 @@
         self._tasks = [
             asyncio.ensure_future(self.sync.run_configuration()),
             asyncio.ensure_future(self.sync.run_records()),
+            asyncio.ensure_future(self.sync.run_learned()),
         ]
         self._tick()
 
@@ -400,6 +406,8 @@
 
     def _report(self, *, now: float) -> None:
         end_period(self.gate.counts, now=now)
+        if now - self._started_at > KEPT_S:
+            drop_kept(self.entry.chain)
         rows = self._rows()
         note_rows(self.entry.chain, self.settings.vm, rows)
         load = self.gate.load() if self.gate.is_open else None
--- a/src/daisywharf/_mesh/_store.py
+++ b/src/daisywharf/_mesh/_store.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from daisywharf._configuration import Configuration
+from daisywharf._mesh._learned import Learned
 from daisywharf._mesh._model import MemberRecord
 
 
@@ -30,5 +31,11 @@
     async def write_member(self, record: MemberRecord) -> MemberRecord | None:
         """Keep a daemon's own record; return that of an earlier process which it replaced."""
 
+    async def read_learned(self) -> Learned:
+        """Read what the fleet has learned of its calls; nothing where it has kept nothing."""
+
+    async def write_learned(self, learned: Learned) -> None:
+        """Keep what the fleet has learned."""
+
     async def list_members(self) -> list[MemberRecord]:
         """Read the records of all daemons."""
--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -9,6 +9,7 @@
 from daisywharf._configuration import Configuration
 from daisywharf._errors import DaisywharfError, ErrorKind
 from daisywharf._ids import VmId
+from daisywharf._mesh._learned import WRITE_PERIOD_S, Learned, writes_learned
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord
 from daisywharf._mesh._store import Store
@@ -39,6 +40,8 @@
         membership: Membership,
         put_in_force: Callable[[Configuration], None],
         take_earlier: Callable[[MemberRecord], None],
+        learned: Callable[[], Learned],
+        take_learned: Callable[[Learned], None],
         now: Callable[[], float],
         rng: Random,
     ) -> None:
@@ -46,6 +49,8 @@
         self.membership = membership
         self.put_in_force = put_in_force
         self.take_earlier = take_earlier
+        self.learned = learned
+        self.take_learned = take_learned
         self.now = now
         self.rng = rng
         self.report_by_vm: dict[VmId, WatchReport] = {}
@@ -133,6 +138,19 @@
                 records = await self._retried(self.store.list_members)
                 self.has_listed = True
                 self.membership.merge(records)
+                self.take_learned(await self._retried(self.store.read_learned))
+
+    async def run_learned(self) -> None:
+        """Keep what the fleet learns, if this is the daemon that does."""
+        kept = Learned()
+        while True:
+            await asyncio.sleep(WRITE_PERIOD_S)
+            up = [vm for vm, link in self.membership.link_by_vm.items() if link.is_up]
+            learned = self.learned()
+            is_news = learned not in (kept, Learned())
+            if is_news and self.has_listed and writes_learned(self.membership.own.vm, up):
+                await self._retried(partial(self.store.write_learned, learned))
+                kept = learned
 
     async def _retried(self, call: Callable[[], Awaitable[ResultT]]) -> ResultT:
         while True:
--- a/src/daisywharf/_overload/_chain.py
+++ b/src/daisywharf/_overload/_chain.py
@@ -45,6 +45,21 @@
         state.rows_by_reporter[reporter] = rows
 
 
+def forget_reporter(state: ChainState, reporter: str) -> None:
+    """Drop what one VM learned."""
+    state.rows_by_reporter.pop(reporter, None)
+
+
+def known_rows(state: ChainState) -> list[CallsBelow]:
+    """Return the mean calls of runs over all VMs, in a fixed order."""
+    rows = [
+        CallsBelow(step.service, step.route, callee.service, callee.route, calls)
+        for step, calls_by_callee in _mean_rows(state).items()
+        for callee, calls in calls_by_callee.items()
+    ]
+    return sorted(rows, key=lambda row: (row.service, row.route, row.callee_route))
+
+
 def visits_of(state: ChainState, step: Step, *, now: float) -> dict[ServiceName, float]:
     """Return how often one request visits each service, the one that it is for included."""
     if now - state.worked_out_at > VISITS_LIFETIME_S:
--- a/src/daisywharf/platform/_store.py
+++ b/src/daisywharf/platform/_store.py
@@ -9,6 +9,7 @@
 
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._mesh._http_client import HttpAnswer, HttpFailure, HttpPool, HttpResult
+from daisywharf._mesh._learned import Learned
 from daisywharf._mesh._model import MemberRecord
 from daisywharf._mesh._store import ConfigurationRead
 from daisywharf._signals._events import Event
@@ -19,6 +20,8 @@
 CONFIGURATION_KIND: Final = "config"
 CONFIGURATION_NAME: Final = "main"
 MEMBER_KIND: Final = "daisywharf-daemons"
+LEARNED_KIND: Final = "daisywharf-learned"
+LEARNED_NAME: Final = "calls"
 # Many times the store's usual answer (4 ms); slower, another try does better.
 TIMEOUT_S: Final = 1.5
 MS: Final = 1000.0
@@ -101,6 +104,29 @@
         body = {"metadata": metadata, "specification": content}
         return await self._call("PUT", _member_path(record), body)
 
+    async def read_learned(self) -> Learned:
+        """Read what the fleet has learned of its calls; nothing where it has kept nothing."""
+        try:
+            found = await self._call("GET", f"/{LEARNED_KIND}/{LEARNED_NAME}")
+            return msgspec.convert(found["specification"], Learned)
+        except PlatformError as error:
+            if error.kind is not ErrorKind.PLATFORM_GONE:
+                raise
+        except (msgspec.ValidationError, KeyError, TypeError) as error:
+            log_event(Event.ENTRY_UNREADABLE, entry=LEARNED_NAME, error=repr(error))
+        return Learned()
+
+    async def write_learned(self, learned: Learned) -> None:
+        """Keep what the fleet has learned; the last writer's word stands."""
+        metadata = {"name": LEARNED_NAME}
+        body = {"metadata": metadata, "specification": msgspec.to_builtins(learned)}
+        try:
+            await self._call("PUT", f"/{LEARNED_KIND}/{LEARNED_NAME}", body)
+        except PlatformError as error:
+            if error.kind is not ErrorKind.PLATFORM_GONE:
+                raise
+            await self._call("POST", f"/{LEARNED_KIND}", body)
+
     async def list_members(self) -> list[MemberRecord]:
         """Read the records of all daemons; one that can't be read is left out and logged."""
         records: list[MemberRecord] = []
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -21,6 +21,7 @@
 from daisywharf._mesh._daemon import MeshDaemon
 from daisywharf._mesh._http_client import HttpAnswer, HttpPool, HttpResult
 from daisywharf._mesh._http_server import Exchange, HttpServer
+from daisywharf._mesh._learned import Learned
 from daisywharf._mesh._model import MemberRecord, Readiness, TargetNotice
 from daisywharf._mesh._settings import MeshBounds, MeshSettings
 from daisywharf._mesh._store import ConfigurationRead
@@ -106,6 +107,7 @@
         self.configuration = first
         self.revision = 1
         self.record_by_vm: dict[str, MemberRecord] = {}
+        self.learned = Learned()
         self.is_down = False
         self.calls = 0
         self._changed = asyncio.Event()
@@ -145,6 +147,14 @@
         is_own = earlier is not None and earlier.started_ms == record.started_ms
         return None if is_own else earlier
 
+    async def read_learned(self) -> Learned:
+        self._note_call()
+        return self.learned
+
+    async def write_learned(self, learned: Learned) -> None:
+        self._note_call()
+        self.learned = learned
+
     async def list_members(self) -> list[MemberRecord]:
         self._note_call()
         return list(self.record_by_vm.values())
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -10,9 +10,12 @@
 import pytest
 
 from builders_mesh import free_address, in_loop, member
+from daisywharf._configuration import RouteName
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._ids import VmId
 from daisywharf._mesh._http_server import Exchange, HttpServer
+from daisywharf._mesh._learned import Learned
+from daisywharf._overload._calls_below import CallsBelow
 from daisywharf.platform._store import ObjectStore
 
 CONFIGURATION = {"version": 7, "resources": []}
@@ -179,3 +182,16 @@
         assert caught.value.kind is ErrorKind.PLATFORM_OUTCOME_UNKNOWN
 
     _with_store(play)
+
+
+def test_what_was_learned_is_kept_and_read_back() -> None:
+    async def play(stand_in: StoreStandIn, store: ObjectStore) -> None:
+        assert await store.read_learned() == Learned()
+        first = Learned((CallsBelow("catalogue", "browse", "orders", "lookup", 1.0),), ())
+        for learned in (first, Learned(first.rows, (RouteName("lookup"),))):
+            await store.write_learned(learned)
+            assert await store.read_learned() == learned
+        stand_in.put("daisywharf-learned", "calls", {"rows": "nonsense"})
+        assert await store.read_learned() == Learned()
+
+    _with_store(play)
