--- a/src/daisywharf/_mesh/_http_client.py
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -265,11 +265,13 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
-        self._headers.append((name, value or b""))
+        """Take a header; trailers, which come behind the body, are left out."""
+        if not self._has_head:
+            self._headers.append((name, value or b""))
 
     def on_headers_complete(self) -> None:
         """Tell whether the answer's end shows."""
+        self._has_head = True
         status = self._parser.get_status_code()
         names = {name.lower() for name, _ in self._headers}
         has_length = b"content-length" in names or b"transfer-encoding" in names
@@ -325,6 +327,7 @@
             asked.finish(HttpFailure(kind, has_begun=True, detail=detail))
 
     def _reset_answer(self) -> None:
+        self._has_head = False
         self._reason = b""
         self._headers: list[HeaderPair] = []
         self._body: list[bytes] = []
--- a/src/daisywharf/_mesh/_http_server.py
+++ b/src/daisywharf/_mesh/_http_server.py
@@ -146,7 +146,11 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._refuse(HTTPStatus.NOT_IMPLEMENTED)
+            # The request is answered as any other; no other protocol follows it.
+            if self.exchanges:
+                self.exchanges[-1].keeps_alive = False
+            self._is_ending = True
+            self.flush()
         except httptools.HttpParserError:
             if not self._is_ending:
                 self._refuse(HTTPStatus.BAD_REQUEST)
@@ -178,8 +182,8 @@
             self._head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
-        if self._reading is not None:
+        """Take a header; trailers, which come behind the body, are left out."""
+        if self._reading is not None and not self._has_head:
             value = value or b""
             self._reading.headers.append((name, value))
             self._head_bytes += len(name) + len(value)
--- a/src/daisywharf/_mesh/_routes.py
+++ b/src/daisywharf/_mesh/_routes.py
@@ -4,20 +4,29 @@
 
 
 class RouteTable:
-    """Hold the routes of each host, the longest prefix first."""
+    """Hold the routes by host and path prefix."""
 
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
-        self.routes_by_host: dict[str, list[Route]] = {}
-        for route in configuration.routes:
-            self.routes_by_host.setdefault(route.host.lower(), []).append(route)
-        for routes in self.routes_by_host.values():
-            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self.route_by_place: dict[tuple[str, str], Route] = {
+            (route.host.lower(), route.path_prefix): route for route in configuration.routes
+        }
 
 
 def find_route(table: RouteTable, *, host: str, path: str) -> Route | None:
-    """Return the route with the longest prefix that begins the path, or none."""
-    routes = table.routes_by_host.get(host.lower())
-    if routes is None:
-        routes = table.routes_by_host.get(host.rpartition(":")[0].lower(), [])
-    return next((route for route in routes if path.startswith(route.path_prefix)), None)
+    """Return the route with the longest prefix that begins the path, or none.
+
+    Each prefix begins and ends with a slash, so a path has as many candidates as slashes.
+    """
+    name = host.lower()
+    return _longest(table, name, path) or _longest(table, name.rpartition(":")[0], path)
+
+
+def _longest(table: RouteTable, host: str, path: str) -> Route | None:
+    end = path.rfind("/")
+    while end >= 0:
+        route = table.route_by_place.get((host, path[: end + 1]))
+        if route is not None:
+            return route
+        end = path.rfind("/", 0, end)
+    return None
