--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -56,6 +56,8 @@
 OFTEN_REPORT_S: Final = 0.5
 LOADED_PART: Final = 0.5
 LEARNING_S: Final = 30.0
+# Reports a period: more would cost a daemon of a large fleet more than its share of a core.
+MOST_REPORTS: Final = 32
 SWEEP_S: Final = 0.5
 # A daemon that has known no target for this long serves what it can: refusals say so.
 READY_WITHOUT_TARGETS_S: Final = 3.0
@@ -146,6 +148,7 @@
         self._started_at = now()
         self._reported_at = now()
         self._swept_at = now()
+        self._reported_to = 0
         self._has_written = False
         self._tasks: list[asyncio.Task[Any]] = []
 
@@ -419,11 +422,19 @@
         report = Report(
             self.version, self.sync.is_counted_on(), load, rows, self.settings.service, entered
         )
-        up = [link for link in self.membership.link_by_vm.values() if link.is_up]
         self.entry.daemons = len(self.membership.record_by_vm)
-        for link in up:
+        for link in self._next_to_report_to():
             link.send(report)
 
+    def _next_to_report_to(self) -> list[OutLink]:
+        """Return all links of a small fleet; of a large one, the next in turn."""
+        up = [link for link in self.membership.link_by_vm.values() if link.is_up]
+        if len(up) <= MOST_REPORTS:
+            return up
+        start = self._reported_to % len(up)
+        self._reported_to += MOST_REPORTS
+        return (up + up)[start : start + MOST_REPORTS]
+
     def _rows(self) -> tuple[CallsBelow, ...]:
         rows = []
         for kind, callee, calls in calls_below(self.gate.counts):
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -195,8 +195,8 @@
 
     def _is_shed(self, pending: Pending, *, now: float) -> bool:
         visits = visits_of(self.chain, Step(pending.route.name, pending.service), now=now)
-        level = chain_level(visits, self.services.level_by_service(now=now))
-        if not is_shed(pending.route.importance, pending.sub_order, level=level):
+        strictest = chain_level(visits, self.services.level_by_service(now=now))
+        if not is_shed(pending.route.importance, pending.sub_order, level=strictest.level):
             return False
         log_event(
             Event.REQUEST_SHED,
@@ -204,7 +204,8 @@
             route=pending.route.name,
             service=pending.service,
             importance=pending.route.importance,
-            level=round(level, 3),
+            level=round(strictest.level, 3),
+            loaded=strictest.service,
             age_s=round(self.services.levels_age_s(now=now), 3),
             version=self.version,
         )
--- a/src/daisywharf/_overload/_chain.py
+++ b/src/daisywharf/_overload/_chain.py
@@ -19,6 +19,7 @@
 LEAST_VISITS: Final = 0.3
 MOST_DEPTH: Final = 27  # the deepest chain that the users plan for
 VISITS_LIFETIME_S: Final = 1.0
+NO_SERVICE: Final = ServiceName("")
 # A chain that seems to make more calls than this was learned wrongly.
 MOST_VISITS: Final = 1_000.0
 
@@ -71,18 +72,23 @@
     return visits
 
 
+class ChainLevel(msgspec.Struct, frozen=True):
+    """Hold the strictest level on a request's way and the service that asks for it."""
+
+    level: float
+    service: ServiceName
+
+
 def chain_level(
     visits: dict[ServiceName, float], level_by_service: dict[ServiceName, float]
-) -> float:
+) -> ChainLevel:
     """Return the strictest level on a request's way."""
-    return min(
-        (
-            level_by_service.get(service, OPEN)
-            for service, count in visits.items()
-            if count >= LEAST_VISITS
-        ),
-        default=OPEN,
-    )
+    strictest = ChainLevel(OPEN, NO_SERVICE)
+    for service, count in visits.items():
+        level = level_by_service.get(service, OPEN)
+        if count >= LEAST_VISITS and level < strictest.level:
+            strictest = ChainLevel(level, service)
+    return strictest
 
 
 def _mean_rows(state: ChainState) -> dict[Step, dict[Step, float]]:
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -134,7 +134,7 @@
         701,
         EventLevel.INFO,
         "request {request} of {route} refused at its entry: importance {importance},"
-        " level {level} heard {age_s} s ago, version {version}",
+        " level {level} of {loaded}, {age_s} s old, version {version}",
         REQUEST_LINES_PER_S,
     )
     REQUEST_REFUSED = EventForm(
--- a/tests/test_overload_learning.py
+++ b/tests/test_overload_learning.py
@@ -114,8 +114,9 @@
 
 def test_the_strictest_level_on_the_way_holds() -> None:
     levels = {ServiceName("catalogue"): 3.0, ServiceName("stock"): 2.4}
-    assert chain_level({ServiceName("catalogue"): 1.0, ServiceName("stock"): 4.0}, levels) == 2.4
-    assert chain_level({ServiceName("catalogue"): 1.0}, levels) == 3.0
+    deep = chain_level({ServiceName("catalogue"): 1.0, ServiceName("stock"): 4.0}, levels)
+    assert (deep.level, deep.service) == (2.4, "stock")
+    assert chain_level({ServiceName("catalogue"): 1.0}, levels).level == 3.0
 
 
 def test_a_fleet_of_daemons_keeps_the_ratio_of_repeats() -> None:
