--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -40,7 +40,7 @@
 )
 from daisywharf._routing._repeat_budget import RepeatBudget, note_first, take_repeat
 from daisywharf._routing._split import SplitState, next_part
-from daisywharf._signals._events import Event
+from daisywharf._signals._events import SERVED_LINES_PER_S, Event
 from daisywharf._signals._log import log_event
 
 MS: Final = 1000.0
@@ -59,6 +59,8 @@
 LEAST_REPEAT_S: Final = 0.03
 # A target that held a request for this long until its time was over counts as failing.
 SLOW_ATTEMPT_S: Final = 0.3
+# One served request in this time leaves a line.
+SAMPLE_PERIOD_S: Final = 1.0 / SERVED_LINES_PER_S
 
 
 class Way(Protocol):
@@ -136,6 +138,7 @@
         self.pending: set[Pending] = set()
         self.daemons = 1
         self.ended = MeshCounts()
+        self.sampled_at = float("-inf")
 
     @property
     def version(self) -> int:
@@ -385,14 +388,7 @@
         self._end(pending, outcome=f"{result.status // 100}xx")
         if result.status < 500:
             self.ended.note_latency(pending.route.name, now - pending.exchange.arrived_at)
-            log_event(
-                Event.REQUEST_ANSWERED,
-                request=pending.head.request_id,
-                route=pending.route.name,
-                target=_target_of(pending),
-                status=result.status,
-                held_ms=_held_ms(pending, now),
-            )
+            self._log_sample(pending, result.status, now=now)
         else:
             log_event(
                 Event.REQUEST_FAILED,
@@ -407,6 +403,20 @@
             )
         pending.exchange.respond_raw(result.status, result.reason, result.headers, result.body)
 
+    def _log_sample(self, pending: Pending, status: int, *, now: float) -> None:
+        # Served requests are most of all: the budget is looked at before a line is put together.
+        if now - self.sampled_at < SAMPLE_PERIOD_S:
+            return
+        self.sampled_at = now
+        log_event(
+            Event.REQUEST_ANSWERED,
+            request=pending.head.request_id,
+            route=pending.route.name,
+            target=_target_of(pending),
+            status=status,
+            held_ms=_held_ms(pending, now),
+        )
+
     def _time_out(self, pending: Pending) -> None:
         now = self.now()
         if pending.candidate is not None and now - pending.sent_at > SLOW_ATTEMPT_S:
--- a/src/daisywharf/_mesh/_http_server.py
+++ b/src/daisywharf/_mesh/_http_server.py
@@ -15,6 +15,7 @@
 # Clients pipeline a handful; more than this many unanswered requests pause the reading.
 MOST_PIPELINED: Final = 32
 BACKLOG: Final = 1_024
+BODYLESS_METHODS: Final = frozenset({b"GET", b"HEAD", b"DELETE"})
 BODYLESS: Final = frozenset({204, 304})
 PHRASES: Final[dict[int, bytes]] = {s.value: s.phrase.encode() for s in HTTPStatus}
 
@@ -198,8 +199,9 @@
         self._has_head = True
         exchange.method = self._parser.get_method()
         exchange.keeps_alive = self._parser.should_keep_alive()
-        expects = any(name.lower() == b"expect" for name, _ in exchange.headers)
-        if expects and not self.exchanges:
+        if exchange.method in BODYLESS_METHODS or self.exchanges:
+            return
+        if any(name.lower() == b"expect" for name, _ in exchange.headers):
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
