--- a/src/daisywharf/_routing/_placement.py
+++ b/src/daisywharf/_routing/_placement.py
@@ -17,8 +17,9 @@
 
 # Gates compared for one call; all of them in a service of up to this many targets.
 MOST_COMPARED: Final = 6
-# Factor on the expected time of a target in another zone: bytes between zones are paid for.
-OTHER_ZONE_FACTOR: Final = 1.3
+# Factor on the expected time of a target in another zone: bytes between zones are paid for. It
+# outweighs the gain of an idle gate over one that is loaded but has room.
+OTHER_ZONE_FACTOR: Final = 1.5
 OTHER_ZONE_S: Final = 0.003
 # Occupied part from which on a call must expect to wait, and how steeply the wait grows.
 WAIT_FROM_LOAD: Final = 0.65
