Decide what follows an attempt apart from its shell

The entry mixed the decision with sockets and lines. _outcomes/_next_step.py holds it now, with the two promises as properties: no refusal of what may have run, nothing that must happen once sent after it may have run. One answer changes: a repeat that a target turns away unrun, after an attempt that may have run, is 502 and no longer the target's 503. Failures that a target answers with cost it calls.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -16,7 +16,7 @@
 from daisywharf._mesh._configuration_frames import decode_configuration, encode_configuration
 from daisywharf._mesh._counts import daemon_metrics, request_metrics
 from daisywharf._mesh._dialect import Dialect
-from daisywharf._mesh._entry import Entry, Way
+from daisywharf._mesh._entry import Entry
 from daisywharf._mesh._frames import (
     Call,
     Cancel,
@@ -36,6 +36,7 @@
 from daisywharf._mesh._links import CallResult, FrameProtocol, LinkServer, OutLink
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord, Readiness, TargetNotice, TargetRecord
+from daisywharf._mesh._pending import Way
 from daisywharf._mesh._services import Services
 from daisywharf._mesh._settings import MeshSettings
 from daisywharf._mesh._store import Store
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -3,21 +3,38 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from typing import Final, Protocol
+from typing import Final
 
 from daisywharf._configuration import Configuration, Route, RouteName
-from daisywharf._context import sub_order_of
 from daisywharf._contract import Importance
 from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind
-from daisywharf._ids import RequestId, ServiceName, TargetId, VmId
+from daisywharf._ids import ServiceName, TargetId, VmId
 from daisywharf._mesh._counts import MeshCounts
 from daisywharf._mesh._dialect import Dialect, RequestHead
 from daisywharf._mesh._frames import Answered, Call, GateLoad, Unanswered
 from daisywharf._mesh._http_server import Exchange
-from daisywharf._mesh._links import CallResult, OnCallResult
+from daisywharf._mesh._links import CallResult
+from daisywharf._mesh._pending import (
+    MS,
+    Pending,
+    Way,
+    log_answered,
+    log_failed,
+    log_given_up,
+    log_refused,
+    log_repeated,
+    log_shed,
+)
 from daisywharf._mesh._routes import RouteTable, find_route
 from daisywharf._mesh._services import Services
 from daisywharf._mesh._settings import MeshSettings
+from daisywharf._outcomes._next_step import (
+    AttemptEnd,
+    NextStep,
+    next_step,
+    note_end,
+    without_repeat,
+)
 from daisywharf._overload._calls_below import CallCounts, Callee, note_call
 from daisywharf._overload._chain import ChainState, Step, chain_level, visits_of
 from daisywharf._overload._come_back import come_back_s
@@ -34,6 +51,7 @@
     hear_load,
     note_bad,
     note_ended,
+    note_failed_answer,
     note_sent,
     note_success,
     place,
@@ -43,9 +61,6 @@
 from daisywharf._signals._events import SERVED_LINES_PER_S, Event
 from daisywharf._signals._log import log_event
 
-MS: Final = 1000.0
-# Gates that may refuse a request unrun before it is given up: each costs a round trip.
-MOST_GATES_TRIED: Final = 3
 # Part of the latency objective that a request may wait for a slot: it has to run in the rest.
 PATIENCE_PART: Final = 0.3
 # Part of its time that a call of a running request may wait: its request holds slots above.
@@ -55,56 +70,15 @@
 CALLS_IMPORTANCE: Final = Importance.HIGH
 NO_CONFIGURATION_RETRY_S: Final = 0.3
 DEFAULT_TIME_LEFT_S: Final = 30.0
-# With less time than this a repeat can't end; it isn't begun.
-LEAST_REPEAT_S: Final = 0.03
+# These say that the target takes no calls any more, whatever its record still says.
+LEAVING_KINDS: Final = frozenset({ErrorKind.DRAINING, ErrorKind.WRONG_INCARNATION})
+MISDIRECTED: Final = 421
 # A target that held a request for this long until its time was over counts as failing.
 SLOW_ATTEMPT_S: Final = 0.3
 # One served request in this time leaves a line.
 SAMPLE_PERIOD_S: Final = 1.0 / SERVED_LINES_PER_S
 
 
-class Way(Protocol):
-    """Lead to one gate: the link to its daemon, or the gate beside this one."""
-
-    def submit(self, call: Call, on_result: OnCallResult) -> object:
-        """Send a call; return what `cancel` takes."""
-
-    def cancel(self, call_id: object) -> None:
-        """Give a call up."""
-
-
-class Pending:
-    """Hold one request until it is answered."""
-
-    def __init__(
-        self,
-        exchange: Exchange,
-        head: RequestHead,
-        route: Route,
-        service: ServiceName,
-        *,
-        deadline: float,
-        is_from_target: bool,
-    ) -> None:
-        self.exchange = exchange
-        self.head = head
-        self.route = route
-        self.service = service
-        self.deadline = deadline
-        self.is_from_target = is_from_target
-        self.sub_order = sub_order_of(RequestId(head.request_id))
-        self.excluded: set[TargetId] = set()
-        self.attempts = 0
-        self.gates_tried = 0
-        self.may_have_run = False
-        self.last_kind = ErrorKind.NO_TARGET
-        self.sent_at = 0.0
-        self.candidate: Candidate | None = None
-        self.way: Way | None = None
-        self.call_id: object = None
-        self.timer: asyncio.TimerHandle | None = None
-
-
 class Entry:
     """Hold what one daemon needs to take requests in."""
 
@@ -201,17 +175,8 @@
         strictest = chain_level(visits, self.services.level_by_service(now=now))
         if not is_shed(pending.route.importance, pending.sub_order, level=strictest.level):
             return False
-        log_event(
-            Event.REQUEST_SHED,
-            request=pending.head.request_id,
-            route=pending.route.name,
-            service=pending.service,
-            importance=pending.route.importance,
-            level=round(strictest.level, 3),
-            loaded=strictest.service,
-            age_s=round(self.services.levels_age_s(now=now), 3),
-            version=self.version,
-        )
+        age_s = self.services.levels_age_s(now=now)
+        log_shed(pending, strictest, age_s=age_s, version=self.version)
         self._refuse(pending, ErrorKind.SHED, now=now)
         return True
 
@@ -265,84 +230,65 @@
     def _take(self, pending: Pending, result: CallResult) -> None:
         candidate = pending.candidate
         assert candidate is not None
+        now = self.now()
         pending.way = None
         note_ended(candidate)
         if result.load is not None:
             self.hear(pending.service, candidate.record.target.target_id, result.load)
-        if isinstance(result, Answered):
-            self._take_answer(pending, candidate, result)
+        end = _end_of(result)
+        pending.last_kind = _kind_of(result)
+        self._learn(pending, candidate, end, now=now)
+        note_end(pending.progress, end)
+        step = next_step(
+            pending.progress,
+            end,
+            is_idempotent=pending.route.is_idempotent,
+            max_attempts=pending.route.max_attempts,
+            time_left_s=pending.deadline - now,
+        )
+        if step is NextStep.REPEAT and not self._may_repeat(pending, now=now):
+            step = without_repeat(pending.progress, end)
+        self._follow(pending, step, result, now=now)
+
+    def _follow(self, pending: Pending, step: NextStep, result: CallResult, *, now: float) -> None:
+        if step in (NextStep.ANOTHER_GATE, NextStep.REPEAT):
+            if step is NextStep.REPEAT:
+                log_repeated(pending)
+            assert pending.candidate is not None
+            pending.excluded.add(pending.candidate.record.target.target_id)
+            self._send(pending)
+        elif step is NextStep.PASS_ON and isinstance(result, Answered):
+            self._pass_on(pending, result)
+        elif step is NextStep.REFUSE:
+            self._refuse(pending, pending.last_kind, now=now)
         else:
-            self._take_failure(pending, candidate, result)
+            self._fail(pending, ErrorKind.OUTCOME_UNKNOWN)
 
-    def _take_answer(self, pending: Pending, candidate: Candidate, result: Answered) -> None:
-        now = self.now()
-        pending.attempts += 1
-        if result.status < 500 and not result.is_not_run:
+    def _learn(
+        self, pending: Pending, candidate: Candidate, end: AttemptEnd, *, now: float
+    ) -> None:
+        kind = pending.last_kind
+        if end is AttemptEnd.ANSWERED:
             latency_s = now - pending.sent_at
             note_success(candidate, pending.route.name, latency_s=latency_s, now=now)
-            self._pass_on(pending, result)
-            return
-        if result.is_not_run:
+        elif end is AttemptEnd.FAILED_BY_TARGET:
+            note_failed_answer(candidate, now=now)
+        elif kind in LEAVING_KINDS:
+            candidate.is_refusing = True
+        elif end in (AttemptEnd.TURNED_AWAY_BY_TARGET, AttemptEnd.OUTCOME_UNKNOWN) or kind in (
+            ErrorKind.CONNECT_FAILED,
+            ErrorKind.NO_TARGET,
+        ):
             note_bad(self.services.placement_of(pending.service), candidate, now=now)
-            pending.last_kind = ErrorKind.SHED
-            if result.status == 421:
-                candidate.is_refusing = True
-        else:
-            pending.may_have_run = True
-            pending.last_kind = ErrorKind.TARGET_FAILED
-        if not self._repeat(pending, candidate, now=now):
-            if result.is_not_run and not pending.may_have_run:
-                self._refuse(pending, ErrorKind.SHED, now=now)
-            else:
-                self._pass_on(pending, result)
-
-    def _take_failure(self, pending: Pending, candidate: Candidate, result: Unanswered) -> None:
-        now = self.now()
-        placement = self.services.placement_of(pending.service)
-        pending.last_kind = result.kind
-        if not result.has_begun:
-            pending.gates_tried += 1
-            pending.excluded.add(candidate.record.target.target_id)
-            if result.kind in (ErrorKind.DRAINING, ErrorKind.WRONG_INCARNATION):
-                candidate.is_refusing = True
-            elif result.kind in (ErrorKind.CONNECT_FAILED, ErrorKind.NO_TARGET):
-                note_bad(placement, candidate, now=now)
-            if pending.gates_tried < MOST_GATES_TRIED and now < pending.deadline:
-                self._send(pending)
-            else:
-                self._finish_unsent(pending, now=now)
-            return
-        note_bad(placement, candidate, now=now)
-        pending.attempts += 1
-        pending.may_have_run = True
-        if not self._repeat(pending, candidate, now=now):
-            self._fail(pending, ErrorKind.OUTCOME_UNKNOWN)
 
-    def _repeat(self, pending: Pending, candidate: Candidate, *, now: float) -> bool:
-        """Send the request to a second target, if its kind, its time and the budget allow it."""
-        route = pending.route
-        if pending.attempts >= route.max_attempts or pending.deadline - now < LEAST_REPEAT_S:
-            return False
-        if pending.may_have_run and not route.is_idempotent:
-            return False
-        visits = visits_of(self.chain, Step(route.name, pending.service), now=now)
-        if not take_repeat(self.budget, visits, daemons=self.daemons, now=now):
-            return False
-        log_event(
-            Event.REQUEST_REPEATED,
-            request=pending.head.request_id,
-            route=route.name,
-            target=candidate.record.target.target_id,
-            kind=pending.last_kind.value,
-        )
-        pending.excluded.add(candidate.record.target.target_id)
-        self._send(pending)
-        return True
+    def _may_repeat(self, pending: Pending, *, now: float) -> bool:
+        visits = visits_of(self.chain, Step(pending.route.name, pending.service), now=now)
+        return take_repeat(self.budget, visits, daemons=self.daemons, now=now)
 
     # The end.
 
     def _finish_unsent(self, pending: Pending, *, now: float) -> None:
-        if pending.may_have_run:
+        if pending.progress.may_have_run:
             self._fail(pending, ErrorKind.OUTCOME_UNKNOWN)
         else:
             self._refuse(pending, pending.last_kind, now=now)
@@ -353,33 +299,15 @@
         retry_after_s = come_back_s(
             aim_s=pending.route.aim_s, time_left_s=time_left_s, rng=self.rng
         )
-        if kind is not ErrorKind.SHED or pending.gates_tried:
-            log_event(
-                Event.REQUEST_REFUSED,
-                request=pending.head.request_id,
-                route=pending.route.name,
-                service=pending.service,
-                kind=kind.value,
-                gates_tried=pending.gates_tried,
-                held_ms=_held_ms(pending, now),
-            )
+        if kind is not ErrorKind.SHED or pending.progress.gates_tried:
+            log_refused(pending, kind, now=now)
         self._end(pending, outcome=kind.value)
         lines = self.dialect.refusal_lines(retry_after_s=retry_after_s)
         pending.exchange.respond(ANSWERS_BY_KIND[ErrorKind.SHED].status, lines=lines)
 
     def _fail(self, pending: Pending, kind: ErrorKind) -> None:
         """Answer a request that may have run."""
-        log_event(
-            Event.REQUEST_FAILED,
-            request=pending.head.request_id,
-            route=pending.route.name,
-            service=pending.service,
-            kind=kind.value,
-            cause=pending.last_kind.value,
-            target=_target_of(pending),
-            attempts=pending.attempts,
-            held_ms=_held_ms(pending, self.now()),
-        )
+        log_failed(pending, kind, pending.last_kind.value, now=self.now())
         self._end(pending, outcome=kind.value)
         pending.exchange.respond(ANSWERS_BY_KIND[kind].status)
 
@@ -390,17 +318,7 @@
             self.ended.note_latency(pending.route.name, now - pending.exchange.arrived_at)
             self._log_sample(pending, result.status, now=now)
         else:
-            log_event(
-                Event.REQUEST_FAILED,
-                request=pending.head.request_id,
-                route=pending.route.name,
-                service=pending.service,
-                kind=ErrorKind.TARGET_FAILED.value,
-                cause=str(result.status),
-                target=_target_of(pending),
-                attempts=pending.attempts,
-                held_ms=_held_ms(pending, now),
-            )
+            log_failed(pending, ErrorKind.TARGET_FAILED, str(result.status), now=now)
         pending.exchange.respond_raw(result.status, result.reason, result.headers, result.body)
 
     def _log_sample(self, pending: Pending, status: int, *, now: float) -> None:
@@ -408,14 +326,7 @@
         if now - self.sampled_at < SAMPLE_PERIOD_S:
             return
         self.sampled_at = now
-        log_event(
-            Event.REQUEST_ANSWERED,
-            request=pending.head.request_id,
-            route=pending.route.name,
-            target=_target_of(pending),
-            status=status,
-            held_ms=_held_ms(pending, now),
-        )
+        log_answered(pending, status, now=now)
 
     def _time_out(self, pending: Pending) -> None:
         now = self.now()
@@ -425,13 +336,7 @@
         self._fail(pending, ErrorKind.TIMED_OUT)
 
     def _give_up(self, pending: Pending) -> None:
-        log_event(
-            Event.REQUEST_GIVEN_UP,
-            request=pending.head.request_id,
-            route=pending.route.name,
-            target=_target_of(pending),
-            held_ms=_held_ms(pending, self.now()),
-        )
+        log_given_up(pending, now=self.now())
         self._cancel_attempt(pending)
         self._end(pending, outcome=ErrorKind.CANCELLED.value)
 
@@ -469,9 +374,18 @@
         )
 
 
-def _held_ms(pending: Pending, now: float) -> float:
-    return round((now - pending.exchange.arrived_at) * MS, 1)
-
-
-def _target_of(pending: Pending) -> str:
-    return "none" if pending.candidate is None else pending.candidate.record.target.target_id
+def _end_of(result: CallResult) -> AttemptEnd:
+    if isinstance(result, Answered):
+        if result.is_not_run:
+            return AttemptEnd.TURNED_AWAY_BY_TARGET
+        return AttemptEnd.ANSWERED if result.status < 500 else AttemptEnd.FAILED_BY_TARGET
+    return AttemptEnd.OUTCOME_UNKNOWN if result.has_begun else AttemptEnd.REFUSED_BY_GATE
+
+
+def _kind_of(result: CallResult) -> ErrorKind:
+    if isinstance(result, Unanswered):
+        return result.kind
+    if result.is_not_run:
+        is_other = result.status == MISDIRECTED
+        return ErrorKind.WRONG_INCARNATION if is_other else ErrorKind.SHED
+    return ErrorKind.TARGET_FAILED
--- /dev/null
+++ b/src/daisywharf/_mesh/_pending.py
@@ -0,0 +1,146 @@
+"""A request at its entry until it is answered, and the lines that tell of it."""
+
+import asyncio
+from typing import Final, Protocol
+
+from daisywharf._configuration import Route
+from daisywharf._context import sub_order_of
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import RequestId, ServiceName, TargetId
+from daisywharf._mesh._dialect import RequestHead
+from daisywharf._mesh._frames import Call
+from daisywharf._mesh._http_server import Exchange
+from daisywharf._mesh._links import OnCallResult
+from daisywharf._outcomes._next_step import Progress
+from daisywharf._overload._chain import ChainLevel
+from daisywharf._routing._placement import Candidate
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+
+MS: Final = 1000.0
+
+
+class Way(Protocol):
+    """Lead to one gate: the link to its daemon, or the gate beside this one."""
+
+    def submit(self, call: Call, on_result: OnCallResult) -> object:
+        """Send a call; return what `cancel` takes."""
+
+    def cancel(self, call_id: object) -> None:
+        """Give a call up."""
+
+
+class Pending:
+    """Hold one request until it is answered."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        head: RequestHead,
+        route: Route,
+        service: ServiceName,
+        *,
+        deadline: float,
+        is_from_target: bool,
+    ) -> None:
+        self.exchange = exchange
+        self.head = head
+        self.route = route
+        self.service = service
+        self.deadline = deadline
+        self.is_from_target = is_from_target
+        self.sub_order = sub_order_of(RequestId(head.request_id))
+        self.excluded: set[TargetId] = set()
+        self.progress = Progress()
+        self.last_kind = ErrorKind.NO_TARGET
+        self.sent_at = 0.0
+        self.candidate: Candidate | None = None
+        self.way: Way | None = None
+        self.call_id: object = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    @property
+    def target(self) -> str:
+        """Return the id of the target that it was sent to last."""
+        return "none" if self.candidate is None else self.candidate.record.target.target_id
+
+    def held_ms(self, now: float) -> float:
+        """Return for how long the request has been here."""
+        return round((now - self.exchange.arrived_at) * MS, 1)
+
+
+def log_shed(pending: Pending, strictest: ChainLevel, *, age_s: float, version: int) -> None:
+    """Tell of a request that was refused for a loaded service of its chain."""
+    log_event(
+        Event.REQUEST_SHED,
+        request=pending.head.request_id,
+        route=pending.route.name,
+        service=pending.service,
+        importance=pending.route.importance,
+        level=round(strictest.level, 3),
+        loaded=strictest.service,
+        age_s=round(age_s, 3),
+        version=version,
+    )
+
+
+def log_refused(pending: Pending, kind: ErrorKind, *, now: float) -> None:
+    """Tell of a request that no gate took."""
+    log_event(
+        Event.REQUEST_REFUSED,
+        request=pending.head.request_id,
+        route=pending.route.name,
+        service=pending.service,
+        kind=kind.value,
+        gates_tried=pending.progress.gates_tried,
+        held_ms=pending.held_ms(now),
+    )
+
+
+def log_failed(pending: Pending, kind: ErrorKind, cause: str, *, now: float) -> None:
+    """Tell of a request that may have run, or ran, and failed."""
+    log_event(
+        Event.REQUEST_FAILED,
+        request=pending.head.request_id,
+        route=pending.route.name,
+        service=pending.service,
+        kind=kind.value,
+        cause=cause,
+        target=pending.target,
+        attempts=pending.progress.attempts,
+        held_ms=pending.held_ms(now),
+    )
+
+
+def log_repeated(pending: Pending) -> None:
+    """Tell of a request that is sent again."""
+    log_event(
+        Event.REQUEST_REPEATED,
+        request=pending.head.request_id,
+        route=pending.route.name,
+        target=pending.target,
+        kind=pending.last_kind.value,
+    )
+
+
+def log_given_up(pending: Pending, *, now: float) -> None:
+    """Tell of a request whose client left."""
+    log_event(
+        Event.REQUEST_GIVEN_UP,
+        request=pending.head.request_id,
+        route=pending.route.name,
+        target=pending.target,
+        held_ms=pending.held_ms(now),
+    )
+
+
+def log_answered(pending: Pending, status: int, *, now: float) -> None:
+    """Tell of a request that was served."""
+    log_event(
+        Event.REQUEST_ANSWERED,
+        request=pending.head.request_id,
+        route=pending.route.name,
+        target=pending.target,
+        status=status,
+        held_ms=pending.held_ms(now),
+    )
--- /dev/null
+++ b/src/daisywharf/_outcomes/_next_step.py
@@ -0,0 +1,80 @@
+"""Decide what follows the end of an attempt: pass on, try another gate, repeat, refuse or fail.
+
+Two promises rest here: what must happen once is never sent after it may have run, and a refusal is
+only said of what hasn't run.
+"""
+
+from enum import Enum
+from typing import Final
+
+import msgspec
+
+# Gates that may refuse a request unrun before it is given up: each costs a round trip.
+MOST_GATES_TRIED: Final = 3
+# With less time than this a repeat can't end; it isn't begun.
+LEAST_REPEAT_S: Final = 0.03
+
+
+class AttemptEnd(Enum):
+    """Name how an attempt ended."""
+
+    ANSWERED = "answered"
+    FAILED_BY_TARGET = "failed-by-target"
+    TURNED_AWAY_BY_TARGET = "turned-away-by-target"
+    REFUSED_BY_GATE = "refused-by-gate"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+
+
+class NextStep(Enum):
+    """Name what follows; a repeat needs the budget's leave, else `without_repeat` follows."""
+
+    PASS_ON = "pass-on"
+    ANOTHER_GATE = "another-gate"
+    REPEAT = "repeat"
+    REFUSE = "refuse"
+    FAIL = "fail"
+
+
+class Progress(msgspec.Struct):
+    """Hold what became of a request so far; attempts are those that reached a target."""
+
+    attempts: int = 0
+    gates_tried: int = 0
+    may_have_run: bool = False
+
+
+def note_end(progress: Progress, end: AttemptEnd) -> None:
+    """Count an attempt that ended."""
+    if end is AttemptEnd.REFUSED_BY_GATE:
+        progress.gates_tried += 1
+        return
+    progress.attempts += 1
+    if end is not AttemptEnd.TURNED_AWAY_BY_TARGET:
+        progress.may_have_run = True
+
+
+def next_step(
+    progress: Progress,
+    end: AttemptEnd,
+    *,
+    is_idempotent: bool,
+    max_attempts: int,
+    time_left_s: float,
+) -> NextStep:
+    """Decide after `note_end` what follows."""
+    if end is AttemptEnd.ANSWERED:
+        return NextStep.PASS_ON
+    if end is AttemptEnd.REFUSED_BY_GATE:
+        has_gates_left = progress.gates_tried < MOST_GATES_TRIED and time_left_s > 0.0
+        return NextStep.ANOTHER_GATE if has_gates_left else without_repeat(progress, end)
+    is_allowed = is_idempotent or not progress.may_have_run
+    if is_allowed and progress.attempts < max_attempts and time_left_s >= LEAST_REPEAT_S:
+        return NextStep.REPEAT
+    return without_repeat(progress, end)
+
+
+def without_repeat(progress: Progress, end: AttemptEnd) -> NextStep:
+    """Decide what follows where no further attempt is made."""
+    if end is AttemptEnd.FAILED_BY_TARGET:
+        return NextStep.PASS_ON
+    return NextStep.FAIL if progress.may_have_run else NextStep.REFUSE
--- a/src/daisywharf/_routing/_placement.py
+++ b/src/daisywharf/_routing/_placement.py
@@ -155,6 +155,14 @@
     note_failure(candidate.record, [c.record for c in placement.candidates], now=now)
 
 
+def note_failed_answer(candidate: Candidate, *, now: float) -> None:
+    """Learn from a failure that a target answered with; its calls below may be the cause.
+
+    It costs the target calls, but doesn't eject it: where a deep service fails, all above it do.
+    """
+    learn(candidate.record, failed=1.0, refused=0.0, latency_s=None, now=now)
+
+
 def service_level(placement: Placement, *, ceiling: float, now: float) -> float:
     """Return the service's shedding level: the mean of its gates', weighted by their limits."""
     weight = level = 0.0
--- a/tests/test_mesh_placement.py
+++ b/tests/test_mesh_placement.py
@@ -9,6 +9,7 @@
     hear_load,
     note_bad,
     note_ended,
+    note_failed_answer,
     note_sent,
     note_success,
     place,
@@ -97,6 +98,17 @@
     assert _chosen(placement, now=0.2)["t-0"] == 0
 
 
+def test_a_target_whose_answers_fail_gets_less_but_isn_t_ejected() -> None:
+    placement = _placement("a", "a")
+    failing = placement.candidate_by_id[TargetId("t-0")]
+    for candidate in placement.candidates:
+        note_success(candidate, "r", latency_s=0.02, now=0.1)
+    for _ in range(5):
+        note_failed_answer(failing, now=0.1)
+    assert not failing.record.is_ejected
+    assert _chosen(placement)["t-0"] <= 0.05 * 400
+
+
 def test_targets_that_were_tried_or_left_aren_t_chosen() -> None:
     placement = _placement("a", "a")
     tried = {TargetId("t-0"), TargetId("t-1")}
--- /dev/null
+++ b/tests/test_outcomes_next_step.py
@@ -0,0 +1,113 @@
+"""What follows an attempt: the two promises of what must happen once and of what hasn't run."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from daisywharf._outcomes._next_step import (
+    MOST_GATES_TRIED,
+    AttemptEnd,
+    NextStep,
+    Progress,
+    next_step,
+    note_end,
+    without_repeat,
+)
+
+RAN = (AttemptEnd.ANSWERED, AttemptEnd.FAILED_BY_TARGET, AttemptEnd.OUTCOME_UNKNOWN)
+
+
+class Played:
+    """Hold what a request went through: the ends of its attempts, and its final step."""
+
+    def __init__(self) -> None:
+        self.ends: list[AttemptEnd] = []
+        self.final: NextStep | None = None
+
+
+def _play(
+    ends: list[AttemptEnd], *, is_idempotent: bool, max_attempts: int, has_budget: bool
+) -> Played:
+    """Let attempts end in these ways until the request gets its final answer."""
+    progress, played = Progress(), Played()
+    for end in ends:
+        played.ends.append(end)
+        note_end(progress, end)
+        step = next_step(
+            progress,
+            end,
+            is_idempotent=is_idempotent,
+            max_attempts=max_attempts,
+            time_left_s=1.0,
+        )
+        if step is NextStep.REPEAT and not has_budget:
+            step = without_repeat(progress, end)
+        if step not in (NextStep.REPEAT, NextStep.ANOTHER_GATE):
+            played.final = step
+            break
+    return played
+
+
+ENDS = st.lists(st.sampled_from(AttemptEnd), min_size=1, max_size=12)
+
+
+@given(
+    ends=ENDS, is_idempotent=st.booleans(), max_attempts=st.integers(1, 4), has_budget=st.booleans()
+)
+def test_a_refusal_is_only_said_of_what_has_not_run(
+    ends: list[AttemptEnd], is_idempotent: bool, max_attempts: int, has_budget: bool
+) -> None:
+    played = _play(
+        ends, is_idempotent=is_idempotent, max_attempts=max_attempts, has_budget=has_budget
+    )
+    if played.final is NextStep.REFUSE:
+        assert not any(end in RAN for end in played.ends)
+
+
+@given(ends=ENDS, max_attempts=st.integers(1, 4))
+def test_what_must_happen_once_is_never_sent_after_it_may_have_run(
+    ends: list[AttemptEnd], max_attempts: int
+) -> None:
+    played = _play(ends, is_idempotent=False, max_attempts=max_attempts, has_budget=True)
+    assert not any(end in RAN for end in played.ends[:-1])
+
+
+@given(ends=ENDS, is_idempotent=st.booleans(), max_attempts=st.integers(1, 4))
+def test_attempts_and_gates_are_bounded(
+    ends: list[AttemptEnd], is_idempotent: bool, max_attempts: int
+) -> None:
+    played = _play(ends, is_idempotent=is_idempotent, max_attempts=max_attempts, has_budget=True)
+    refused = played.ends.count(AttemptEnd.REFUSED_BY_GATE)
+    assert refused <= MOST_GATES_TRIED
+    assert len(played.ends) - refused <= max_attempts
+
+
+def test_a_ready_answer_is_passed_on_whatever_time_is_left() -> None:
+    progress = Progress()
+    note_end(progress, AttemptEnd.ANSWERED)
+    step = next_step(
+        progress, AttemptEnd.ANSWERED, is_idempotent=False, max_attempts=1, time_left_s=-1.0
+    )
+    assert step is NextStep.PASS_ON
+
+
+def test_a_request_turned_away_after_it_may_have_run_is_a_failure() -> None:
+    played = _play(
+        [AttemptEnd.OUTCOME_UNKNOWN, AttemptEnd.TURNED_AWAY_BY_TARGET],
+        is_idempotent=True,
+        max_attempts=2,
+        has_budget=True,
+    )
+    assert played.final is NextStep.FAIL
+
+
+def test_a_repeat_that_can_t_end_in_time_isn_t_begun() -> None:
+    progress = Progress()
+    note_end(progress, AttemptEnd.OUTCOME_UNKNOWN)
+    step = next_step(
+        progress,
+        AttemptEnd.OUTCOME_UNKNOWN,
+        is_idempotent=True,
+        max_attempts=3,
+        time_left_s=0.01,
+    )
+    assert step is NextStep.FAIL
