--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -9,8 +9,7 @@
 
 from daisywharf._configuration import Configuration
 from daisywharf._contract import Importance
-from daisywharf._errors import ErrorKind
-from daisywharf._ids import RequestId, VmId
+from daisywharf._ids import VmId
 from daisywharf._mesh._announcements import Verdict, judge_notice
 from daisywharf._mesh._clock import PAUSE_LIMIT_S, Suspension, note_tick
 from daisywharf._mesh._configuration_frames import decode_configuration, encode_configuration
@@ -27,38 +26,30 @@
     Ping,
     Pong,
     Report,
-    Unanswered,
     WriteAgain,
 )
 from daisywharf._mesh._gate import Gate
 from daisywharf._mesh._http_server import Exchange, HttpServer
-from daisywharf._mesh._learned import KEPT_S, drop_kept, learned_now, take_learned
+from daisywharf._mesh._incoming import IncomingCalls
+from daisywharf._mesh._learned import learned_now, take_learned
 from daisywharf._mesh._links import CallResult, FrameProtocol, LinkServer, OutLink
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord, Readiness, TargetNotice, TargetRecord
 from daisywharf._mesh._pending import Way
+from daisywharf._mesh._reporting import Reporter
 from daisywharf._mesh._services import Services
 from daisywharf._mesh._settings import MeshSettings
 from daisywharf._mesh._store import Store
 from daisywharf._mesh._store_sync import StoreSync
 from daisywharf._mesh._watching import WatchReport
 from daisywharf._overload._actions import CallId
-from daisywharf._overload._calls_below import CallsBelow, calls_below, end_period
 from daisywharf._overload._chain import note_rows
 from daisywharf._overload._origins import note_counts
-from daisywharf._overload._slots import load_part
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 from daisywharf._signals._metrics import Metric
 
 TICK_S: Final = 0.05  # waiting calls are refused this late at most
-# A loaded gate, and a daemon that has yet to learn who calls whom, report twice as often.
-REPORT_S: Final = 1.0
-OFTEN_REPORT_S: Final = 0.5
-LOADED_PART: Final = 0.5
-LEARNING_S: Final = 30.0
-# Reports a period: more would cost a daemon of a large fleet more than its share of a core.
-MOST_REPORTS: Final = 32
 SWEEP_S: Final = 0.5
 # A daemon that has known no target for this long serves what it can: refusals say so.
 READY_WITHOUT_TARGETS_S: Final = 3.0
@@ -140,16 +131,21 @@
             now=now,
             rng=rng,
         )
+        self.reporter = Reporter(
+            gate=self.gate,
+            entry=self.entry,
+            membership=self.membership,
+            sync=self.sync,
+            now=now(),
+        )
+        self.incoming = IncomingCalls(self.gate, has_just_woken=self._has_just_woken)
         self.clients = HttpServer(self._take_request, now=now)
         self.links = LinkServer(on_frame=self._take_frame, on_lost=self._lose_link)
         self.stopped = asyncio.Event()
         self._vm_by_link: dict[FrameProtocol, VmId] = {}
-        self._calls_by_link: dict[FrameProtocol, dict[int, CallId]] = {}
         self._suspension = Suspension(now() - steady_now(), now())
         self._started_at = now()
-        self._reported_at = now()
         self._swept_at = now()
-        self._reported_to = 0
         self._has_written = False
         self._tasks: list[asyncio.Task[Any]] = []
 
@@ -293,11 +289,9 @@
     def _take_frame(self, protocol: FrameProtocol, frame: Frame) -> None:
         """Take a frame on a link that another daemon opened."""
         if isinstance(frame, Call):
-            self._take_call(protocol, frame)
+            self.incoming.take(protocol, frame)
         elif isinstance(frame, Cancel):
-            call_id = self._calls_by_link.get(protocol, {}).pop(frame.call_id, None)
-            if call_id is not None:
-                self.gate.cancel(call_id)
+            self.incoming.cancel(protocol, frame.call_id)
         elif isinstance(frame, Report):
             protocol.send(Pong())
             self._take_report(protocol, frame)
@@ -328,26 +322,9 @@
         if exchange.is_wanted:
             self.entry.handle(exchange)
 
-    def _take_call(self, protocol: FrameProtocol, call: Call) -> None:
-        if self._has_just_woken():
-            refusal = Unanswered(call.call_id, ErrorKind.TOO_LATE, has_begun=False, load=None)
-            protocol.send(refusal)
-            return
-        calls = self._calls_by_link.setdefault(protocol, {})
-
-        def answer(result: CallResult) -> None:
-            calls.pop(call.call_id, None)
-            protocol.send(result)
-
-        calls[call.call_id] = CallId(RequestId(call.request_id), 0)
-        call_id = self.gate.submit(call, answer)
-        if call.call_id in calls:
-            calls[call.call_id] = call_id
-
     def _lose_link(self, protocol: FrameProtocol) -> None:
         self._vm_by_link.pop(protocol, None)
-        for call_id in self._calls_by_link.pop(protocol, {}).values():
-            self.gate.cancel(call_id)
+        self.incoming.lose(protocol)
 
     def _take_hello(self, protocol: FrameProtocol, hello: Hello) -> None:
         self._vm_by_link[protocol] = hello.member.vm
@@ -393,9 +370,7 @@
         self.membership.tick(now=now)
         if not self._has_written and now - self._started_at > FIRST_WRITE_AFTER_S:
             self._change_own()
-        if now - self._reported_at >= self._report_period_s(now=now):
-            self._reported_at = now
-            self._report(now=now)
+        self.reporter.tick(now=now)
         if now - self._swept_at >= SWEEP_S:
             self._swept_at = now
             self.clients.sweep(now=now)
@@ -403,47 +378,6 @@
         if not self.stopped.is_set():
             asyncio.get_running_loop().call_later(TICK_S, self._tick)
 
-    def _report_period_s(self, *, now: float) -> float:
-        is_learning = now - self._started_at < LEARNING_S
-        is_loaded = load_part(self.gate.slots) > LOADED_PART
-        return OFTEN_REPORT_S if is_learning or is_loaded else REPORT_S
-
-    def _report(self, *, now: float) -> None:
-        end_period(self.gate.counts, now=now)
-        if now - self._started_at > KEPT_S:
-            drop_kept(self.entry.chain)
-        rows = self._rows()
-        note_rows(self.entry.chain, self.settings.vm, rows)
-        load = self.gate.load() if self.gate.is_open else None
-        if load is not None and self.gate.notice is not None:
-            self.entry.hear(self.gate.notice.service, self.gate.notice.target_id, load)
-        entered = self.entry.take_entered()
-        note_counts(self.entry.origins, self.settings.service, entered)
-        self.entry.judge_origins(now=now)
-        report = Report(
-            self.version, self.sync.is_counted_on(), load, rows, self.settings.service, entered
-        )
-        self.entry.daemons = len(self.membership.record_by_vm)
-        for link in self._next_to_report_to():
-            link.send(report)
-
-    def _next_to_report_to(self) -> list[OutLink]:
-        """Return all links of a small fleet; of a large one, the next in turn."""
-        up = [link for link in self.membership.link_by_vm.values() if link.is_up]
-        if len(up) <= MOST_REPORTS:
-            return up
-        start = self._reported_to % len(up)
-        self._reported_to += MOST_REPORTS
-        return (up + up)[start : start + MOST_REPORTS]
-
-    def _rows(self) -> tuple[CallsBelow, ...]:
-        rows = []
-        for kind, callee, calls in calls_below(self.gate.counts):
-            route, _, service = kind.rpartition(" ")
-            callee_route, _, callee_service = callee.rpartition(" ")
-            rows.append(CallsBelow(service, route, callee_service, callee_route, round(calls, 3)))
-        return tuple(rows)
-
     def metrics(self) -> list[Metric]:
         """Describe how requests end here and the daemon's state."""
         load = self.gate.load()
--- /dev/null
+++ b/src/daisywharf/_mesh/_incoming.py
@@ -0,0 +1,48 @@
+"""Calls that other daemons send for the target of this VM."""
+
+from collections.abc import Callable
+
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import RequestId
+from daisywharf._mesh._frames import Call, Unanswered
+from daisywharf._mesh._gate import Gate
+from daisywharf._mesh._links import CallResult, FrameProtocol
+from daisywharf._overload._actions import CallId
+
+
+class IncomingCalls:
+    """Hold the calls of each link, so that they end with it."""
+
+    def __init__(self, gate: Gate, *, has_just_woken: Callable[[], bool]) -> None:
+        self.gate = gate
+        self.has_just_woken = has_just_woken
+        self._calls_by_link: dict[FrameProtocol, dict[int, CallId]] = {}
+
+    def take(self, link: FrameProtocol, call: Call) -> None:
+        """Hand a call to the gate and its result to the link."""
+        if self.has_just_woken():
+            # It lay in a buffer while this process stood still: its entry has long given it up.
+            refusal = Unanswered(call.call_id, ErrorKind.TOO_LATE, has_begun=False, load=None)
+            link.send(refusal)
+            return
+        calls = self._calls_by_link.setdefault(link, {})
+
+        def answer(result: CallResult) -> None:
+            calls.pop(call.call_id, None)
+            link.send(result)
+
+        calls[call.call_id] = CallId(RequestId(call.request_id), 0)
+        call_id = self.gate.submit(call, answer)
+        if call.call_id in calls:
+            calls[call.call_id] = call_id
+
+    def cancel(self, link: FrameProtocol, number: int) -> None:
+        """Give a call up, as its entry did."""
+        call_id = self._calls_by_link.get(link, {}).pop(number, None)
+        if call_id is not None:
+            self.gate.cancel(call_id)
+
+    def lose(self, link: FrameProtocol) -> None:
+        """Give up the calls of a link that ended."""
+        for call_id in self._calls_by_link.pop(link, {}).values():
+            self.gate.cancel(call_id)
--- a/src/daisywharf/_mesh/_membership.py
+++ b/src/daisywharf/_mesh/_membership.py
@@ -121,6 +121,7 @@
     def _note_up(self, vm: VmId, link: OutLink) -> None:
         self._greet(link)
         self._unreachable_since.pop(vm, None)
+        log_event(Event.LINK_OPENED, peer=vm)
         record = self.record_by_vm.get(vm)
         if record is not None:
             self.services.follow(record, is_reachable=True, now=self.now())
