--- a/tests/test_hosted_gate.py
+++ b/tests/test_hosted_gate.py
@@ -67,6 +67,13 @@
     contract = one_class_contract(CUSTOMER, service="plain", idempotent=False)
     apply_contract(small_fleet.platform, contract)
     target.announcer.announce(target.announcement)
+
+    def has_share() -> bool:
+        # Without a share of its rate yet, a customer has four requests at each daemon.
+        target.announcer.announce(target.announcement)
+        return all(ask(small_fleet, small_fleet.second).status == 200 for _ in range(6))
+
+    eventually(has_share)
     yield target
     target.announcer.withdraw(target.announcement)
     target.server.stop()
