Keep ticking after an error, log what was unexpected, and name unreadable answers of the store

Cause: read through with failures in mind. An error in a tick ended all later ticks; an answer of the store without its fields ended the task that follows it, without a line. The stand-in's nonsense in tests/test_platform_store.py raised KeyError and TypeError before.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -360,6 +360,10 @@
     # Time.
 
     def _tick(self) -> None:
+        if self.stopped.is_set():
+            return
+        # Before the work, so that no error in it ends the ticks.
+        asyncio.get_running_loop().call_later(TICK_S, self._tick)
         now = self.now()
         gap_s = note_tick(self._suspension, now=now, steady_now=self.steady_now())
         if gap_s:
@@ -375,8 +379,6 @@
             self._swept_at = now
             self.clients.sweep(now=now)
             self.gate.sweep(now=now)
-        if not self.stopped.is_set():
-            asyncio.get_running_loop().call_later(TICK_S, self._tick)
 
     def metrics(self) -> list[Metric]:
         """Describe how requests end here and the daemon's state."""
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -202,10 +202,13 @@
 
     def _apply(self, actions: list[AdmissionAction]) -> None:
         for action in actions:
+            gate_call = self.calls_by_id.get(action.call_id)
+            if gate_call is None:
+                continue
             if isinstance(action, Admit):
-                self._start(self.calls_by_id[action.call_id])
+                self._start(gate_call)
             elif isinstance(action, Refuse):
-                gate_call = self.calls_by_id.pop(action.call_id)
+                del self.calls_by_id[action.call_id]
                 self._log_refusal(gate_call, action.kind)
                 gate_call.on_result(self._refusal(gate_call.call, action.kind))
 
--- a/src/daisywharf/platform/_program.py
+++ b/src/daisywharf/platform/_program.py
@@ -8,6 +8,7 @@
 import time
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import uvloop
 
@@ -49,6 +50,7 @@
     writer = LogWriter({"vm": settings.vm, "zone": settings.zone}, wall_ms=wall_ms)
     writer.start()
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(_log_unexpected)
     dialect = PlatformDialect()
     daemon = MeshDaemon(
         settings,
@@ -89,6 +91,11 @@
     writer.flush()
 
 
+def _log_unexpected(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    error = context.get("exception") or context["message"]
+    log_event(Event.UNEXPECTED_ERROR, part=context["message"], error=repr(error))
+
+
 async def _follow_settings(path: Path, daemon: MeshDaemon, reload_now: asyncio.Event) -> None:
     content = path.read_bytes()
     while True:
--- a/src/daisywharf/platform/_store.py
+++ b/src/daisywharf/platform/_store.py
@@ -1,12 +1,14 @@
 """Reach the platform's metadata store from the event loop."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any, Final
 from urllib.parse import quote, urlencode
 
 import msgspec
 
+from daisywharf._configuration import Configuration
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._mesh._http_client import HttpAnswer, HttpFailure, HttpPool, HttpResult
 from daisywharf._mesh._learned import Learned
@@ -52,23 +54,17 @@
         A listing gives the store's own revision; that of the object may be older than the history.
         """
         listing = await self._call("GET", f"/{CONFIGURATION_KIND}")
-        latest = None
-        for entry in listing["items"]:
-            if entry["metadata"]["name"] == CONFIGURATION_NAME:
-                latest = read_configuration(entry["specification"])
-        return ConfigurationRead(latest, int(listing["at"]))
+        with _reading():
+            latest = _latest_configuration(listing["items"])
+            return ConfigurationRead(latest, int(listing["at"]))
 
     async def watch_configuration(self, *, after: int, wait_s: float) -> ConfigurationRead:
         """Wait for a configuration newer than a revision; return none when the wait ends."""
         query = urlencode({"watch": after, "waitMs": int(wait_s * MS)})
         found = await self._call("GET", f"/{CONFIGURATION_KIND}?{query}", timeout_s=wait_s + 1.0)
-        latest = None
-        for event in found["events"]:
-            entry = event["object"]
-            is_ours = entry["metadata"]["name"] == CONFIGURATION_NAME
-            if is_ours and not event.get("deleted"):
-                latest = read_configuration(entry["specification"])
-        return ConfigurationRead(latest, int(found["at"]))
+        with _reading():
+            written = [event["object"] for event in found["events"] if not event.get("deleted")]
+            return ConfigurationRead(_latest_configuration(written), int(found["at"]))
 
     async def write_member(self, record: MemberRecord) -> MemberRecord | None:
         """Keep a daemon's own record, on the condition that it is as this daemon left it.
@@ -86,12 +82,14 @@
             else:
                 raise
             written = await self._put_member(record)
-        self._own_revision = int(written["metadata"]["revision"])
+        with _reading():
+            self._own_revision = int(written["metadata"]["revision"])
         return earlier
 
     async def _read_own(self, record: MemberRecord) -> MemberRecord | None:
         found = await self._call("GET", _member_path(record))
-        self._own_revision = int(found["metadata"]["revision"])
+        with _reading():
+            self._own_revision = int(found["metadata"]["revision"])
         return _member(found)
 
     async def _put_member(self, record: MemberRecord) -> Any:
@@ -134,13 +132,12 @@
         for _ in range(MOST_PAGES):
             query = "?" + urlencode({"after": after}) if after else ""
             page = await self._call("GET", f"/{MEMBER_KIND}{query}")
-            for entry in page["items"]:
-                after = entry["metadata"]["name"]
-                record = _member(entry)
-                if record is not None:
-                    records.append(record)
-            if not page.get("hasMore"):
-                break
+            with _reading():
+                found = [_member(entry) for entry in page["items"]]
+                records.extend(record for record in found if record is not None)
+                if not page.get("hasMore"):
+                    break
+                after = page["items"][-1]["metadata"]["name"]
         return records
 
     async def _call(
@@ -171,6 +168,23 @@
         return _content(method, path, result)
 
 
+@contextmanager
+def _reading() -> Iterator[None]:
+    """Report an answer without what it should have as unreadable."""
+    try:
+        yield
+    except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
+        raise _error("GET", f"unreadable answer: {error!r}") from error
+
+
+def _latest_configuration(entries: list[Any]) -> Configuration | None:
+    latest = None
+    for entry in entries:
+        if entry["metadata"]["name"] == CONFIGURATION_NAME:
+            latest = read_configuration(entry["specification"])
+    return latest
+
+
 def _member_path(record: MemberRecord) -> str:
     return f"/{MEMBER_KIND}/{quote(record.vm, safe='')}"
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -32,6 +32,7 @@
         self.object_by_place: dict[tuple[str, str], dict[str, Any]] = {}
         self.status: int | None = None
         self.is_silent = False
+        self.nonsense: dict[str, Any] | None = None
         self.calls: list[str] = []
 
     def put(self, kind: str, name: str, specification: Any) -> dict[str, Any]:
@@ -50,6 +51,9 @@
         if self.status is not None:
             exchange.respond(self.status)
             return
+        if self.nonsense is not None:
+            exchange.respond(200, body=msgspec.json.encode(self.nonsense))
+            return
         status, content = self._answer(method, target.path, parse_qs(target.query), exchange.body)
         exchange.respond(status, body=msgspec.json.encode(content))
 
@@ -195,3 +199,15 @@
         assert await store.read_learned() == Learned()
 
     _with_store(play)
+
+
+def test_an_answer_without_what_it_should_have_is_unreadable() -> None:
+    async def play(stand_in: StoreStandIn, store: ObjectStore) -> None:
+        stand_in.nonsense = {"items": 7}
+        for ask in (store.read_configuration, store.list_members):
+            with pytest.raises(PlatformError, match="unreadable"):
+                await ask()
+        with pytest.raises(PlatformError, match="unreadable"):
+            await store.watch_configuration(after=1, wait_s=0.1)
+
+    _with_store(play)
