--- a/src/daisywharf/_mesh/_settings.py
+++ b/src/daisywharf/_mesh/_settings.py
@@ -14,7 +14,6 @@
     """
 
     grace_s: float
-    drain_s: float
     retry_ratio: float
     retry_window_s: float
     retry_extra: float
@@ -34,4 +33,3 @@
     store_address: Address
     seeds: tuple[Address, ...]
     bounds: MeshBounds
-    memory_mb: int
--- a/src/daisywharf/platform/_settings.py
+++ b/src/daisywharf/platform/_settings.py
@@ -13,11 +13,9 @@
 
 SETTINGS_VARIABLE: Final = "DAISYWHARF_SETTINGS"
 DEFAULT_GRACE_S: Final = 6.0  # what every site file gives as `gracePeriodS`
-DEFAULT_DRAIN_MS: Final = 2_000.0
 DEFAULT_RATIO: Final = 0.2
 DEFAULT_WINDOW_S: Final = 10.0
 DEFAULT_EXTRA: Final = 0.0
-MS: Final = 1000.0
 
 
 def read_settings(path: Path) -> MeshSettings:
@@ -52,7 +50,6 @@
         # Control addresses of other daemons: only their hosts are of use here.
         seeds=tuple(a for a in (_seed(s) for s in network.items("seedNodes")) if a is not None),
         bounds=_bounds(text.table("terms").table("bounds")),
-        memory_mb=int(own.table("limits").number("memoryMb", 300)),
     )
     if faults:
         raise ConfigurationError(ErrorKind.INVALID_SETTINGS, "; ".join(faults))
@@ -62,7 +59,6 @@
 def _bounds(table: "_Table") -> MeshBounds:
     return MeshBounds(
         grace_s=table.number("gracePeriodS", DEFAULT_GRACE_S),
-        drain_s=table.number("drainMs", DEFAULT_DRAIN_MS) / MS,
         retry_ratio=table.number("retryBudgetRatio", DEFAULT_RATIO),
         retry_window_s=table.number("budgetWindowS", DEFAULT_WINDOW_S),
         retry_extra=table.number("retryBudgetExtra", DEFAULT_EXTRA),
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -73,10 +73,7 @@
         announcements_address=NOWHERE,
         store_address=NOWHERE,
         seeds=(),
-        bounds=MeshBounds(
-            grace_s=1.0, drain_s=2.0, retry_ratio=0.2, retry_window_s=10.0, retry_extra=50.0
-        ),
-        memory_mb=300,
+        bounds=MeshBounds(grace_s=1.0, retry_ratio=0.2, retry_window_s=10.0, retry_extra=50.0),
     )
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -54,7 +54,6 @@
             "zone": "perth-a",
             "applicationAddress": "10.1.0.8:8301",
             "service": "huvo11a",
-            "limits": {"memoryMb": 300},
         },
         "network": {
             "listenAddresses": {
@@ -66,7 +65,7 @@
             "seedNodes": ["10.1.0.9:8306", "nonsense"],
         },
         "platform": {"platform": {"address": "10.200.1.7:8309"}},
-        "terms": {"bounds": {"gracePeriodS": 6, "drainMs": 2000, "retryBudgetExtra": 50}},
+        "terms": {"bounds": {"gracePeriodS": 6, "retryBudgetExtra": 50}},
     }
 
 
@@ -180,13 +179,13 @@
     document = _settings_document()
     del document["self"]["service"]
     document["network"]["listenAddresses"]["ready"] = "nowhere"
-    document["terms"]["bounds"]["drainMs"] = "soon"
+    document["terms"]["bounds"]["gracePeriodS"] = "soon"
     with pytest.raises(ConfigurationError) as caught:
         decode_settings(document)
     message = str(caught.value)
     assert "self.service" in message
     assert "network.listenAddresses.ready is 'nowhere'" in message
-    assert "terms.bounds.drainMs is 'soon'" in message
+    assert "terms.bounds.gracePeriodS is 'soon'" in message
 
 
 def test_a_request_s_headers_are_read_and_those_of_the_system_aren_t_passed_on() -> None:
