Leave a target that turned slow before its answers tell

Calls that are out beyond what a target's latency explains now count against it. The test fails on the code before.

--- a/src/daisywharf/_routing/_placement.py
+++ b/src/daisywharf/_routing/_placement.py
@@ -5,6 +5,7 @@
 announced, compares a few gates, and keeps to its own zone while there is room.
 """
 
+from math import exp
 from random import Random
 from typing import Final
 
@@ -26,6 +27,11 @@
 WAIT_FACTOR: Final = 8.0
 # An announced load loses its meaning in this time where no answer brings a newer one.
 LOAD_LIFETIME_S: Final = 1.5
+# Calls out at a target are overdue beyond this many times those that its latency explains, and a
+# few: answers of a target that has just turned slow are still to come.
+OVERDUE_FROM: Final = 2.0
+OVERDUE_SLACK: Final = 1.5
+SENT_MEMORY_S: Final = 1.0
 LATENCY_UNKNOWN_S: Final = 0.05
 COLD_FACTOR: Final = 2.0
 EXPLORED_PART: Final = 0.02
@@ -51,6 +57,8 @@
         self.load: AnnouncedLoad | None = None
         self.latency_by_kind: dict[str, float] = {}
         self.is_refusing = False
+        self.sent_lately = 0.0
+        self.sent_at = 0.0
 
 
 class Placement:
@@ -119,14 +127,19 @@
     if len(sound) > MOST_COMPARED:
         sound = _sample(sound, rng)
     typical_s = _typical_latency(sound, kind)
-    return min(
-        sound, key=lambda c: _expected_s(c, kind, typical_s, now) * (1.0 + 0.05 * rng.random())
-    )
+
+    def cost(candidate: Candidate) -> float:
+        seconds = _expected_s(candidate, kind, typical_s, now)
+        return seconds * (1.0 + _overdue_calls(candidate, now)) * (1.0 + 0.05 * rng.random())
+
+    return min(sound, key=cost)
 
 
 def note_sent(candidate: Candidate, *, now: float) -> None:
     """Count a call that leaves for a target."""
     candidate.record.in_flight += 1
+    candidate.sent_lately = _still_lately(candidate, now) + 1.0
+    candidate.sent_at = now
     if candidate.load is not None:
         candidate.load.sent_since += 1
     if candidate.record.is_ejected:
@@ -174,6 +187,18 @@
     return level / weight if weight else ceiling
 
 
+def _still_lately(candidate: Candidate, now: float) -> float:
+    return candidate.sent_lately * exp(-(now - candidate.sent_at) / SENT_MEMORY_S)
+
+
+def _overdue_calls(candidate: Candidate, now: float) -> float:
+    latency_s = candidate.record.latency_s
+    if latency_s is None or candidate.record.in_flight <= OVERDUE_SLACK:
+        return 0.0
+    explained = _still_lately(candidate, now) / SENT_MEMORY_S * latency_s
+    return max(0.0, candidate.record.in_flight - OVERDUE_FROM * explained - OVERDUE_SLACK)
+
+
 def _sample(candidates: list[Candidate], rng: Random) -> list[Candidate]:
     own = [c for c in candidates if c.record.is_own_zone]
     half = MOST_COMPARED // 2
--- a/tests/test_mesh_placement.py
+++ b/tests/test_mesh_placement.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from random import Random
 
+from builders_slow_target import SlowTargets
 from daisywharf._ids import Incarnation, ServiceName, TargetId, VmId, ZoneName
 from daisywharf._routing._placement import (
     Placement,
@@ -19,6 +20,9 @@
 )
 from daisywharf._topology import Address, Target
 
+# The latency objective of lock windows.
+AIM_S = 0.2
+
 
 def _placement(*zones: str) -> Placement:
     """Build a placement in zone `a` with a target in each of the zones."""
@@ -132,3 +136,22 @@
         hear_load(placement, target_id, occupied=0, limit=limit, level=level, now=1.0)
     assert service_level(placement, ceiling=3.0, now=1.0) == 2.75
     assert service_level(placement, ceiling=3.0, now=9.0) == 3.0
+
+
+def _late_part(latencies: list[float]) -> float:
+    return sum(latency_s > AIM_S for latency_s in latencies) / len(latencies)
+
+
+def test_a_target_that_turns_slow_is_left_before_its_answers_come() -> None:
+    """Replay szv-wharf trouble-2: one of three targets of a busy service slows down twelvefold."""
+    late = []
+    for seed in (1, 2, 3):
+        played = SlowTargets(work_s=(0.04, 0.04, 0.04), entries=13, seed=seed)
+        played.run(calls_per_s=1400.0, lasts_s=3.0)
+        # Work of 40 ms, spread exponentially, is over 0.2 s for one call in 148.
+        assert _late_part(played.latencies) <= 0.01
+        played.latencies.clear()
+        played.work_s[0] = 0.48
+        played.run(calls_per_s=1400.0, lasts_s=7.0)
+        late.append(_late_part(played.latencies))
+    assert sum(late) / len(late) <= 0.03
