--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -61,7 +61,6 @@
         self._backoff_s = FIRST_BACKOFF_S
         self._unwritten: MemberRecord | None = None
         self._has_work = asyncio.Event()
-        self._writes = 0
 
     def is_counted_on(self) -> bool:
         """Tell whether the others may rely on this daemon's watch."""
@@ -98,10 +97,11 @@
             read = await self.store.watch_configuration(after=revision, wait_s=WATCH_WAIT_S)
         except DaisywharfError as error:
             self.is_watching = False
-            self._note_failure(error)
             if error.kind is ErrorKind.PLATFORM_GONE:
+                # The store is there; only its history is shorter than this watch.
                 log_event(Event.WATCH_GONE, version=revision)
                 return None
+            self._note_failure(error)
             await self._back_off()
             return revision
         self.is_watching = True
