Let one pause detector serve both daemons

Found on reading the change again: _mesh/_clock.py had written the pause detector of _outcomes/_pause.py once more, with a second clock that added nothing: on the clock that counts suspensions a gap between ticks already holds them. The steady clock and its argument go; the test's assertions are the same on pause_tick. The daemon's version is the entry's, and links take their connect time-out and backlog from where the servers have them. Behaviour is as before.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -11,7 +11,6 @@
 from daisywharf._contract import Importance
 from daisywharf._ids import VmId
 from daisywharf._mesh._announcements import Verdict, judge_notice
-from daisywharf._mesh._clock import PAUSE_LIMIT_S, Suspension, note_tick
 from daisywharf._mesh._configuration_frames import decode_configuration, encode_configuration
 from daisywharf._mesh._counts import daemon_metrics, request_metrics
 from daisywharf._mesh._dialect import Dialect
@@ -42,6 +41,7 @@
 from daisywharf._mesh._store import Store
 from daisywharf._mesh._store_sync import StoreSync
 from daisywharf._mesh._watching import WatchReport
+from daisywharf._outcomes._pause import PAUSE_LIMIT_S, PauseState, pause_tick
 from daisywharf._overload._actions import CallId
 from daisywharf._overload._chain import note_rows
 from daisywharf._overload._origins import note_counts
@@ -87,13 +87,11 @@
         dialect: Dialect,
         store: Store,
         now: Callable[[], float],
-        steady_now: Callable[[], float],
         started_ms: int,
         rng: Random,
     ) -> None:
         self.settings = settings
         self.now = now
-        self.steady_now = steady_now
         self.configuration: Configuration | None = None
         self.is_stopping = False
         self.gate = Gate(dialect=dialect, now=now)
@@ -143,7 +141,7 @@
         self.links = LinkServer(on_frame=self._take_frame, on_lost=self._lose_link)
         self.stopped = asyncio.Event()
         self._vm_by_link: dict[FrameProtocol, VmId] = {}
-        self._suspension = Suspension(now() - steady_now(), now())
+        self._pause = PauseState(now=now())
         self._started_at = now()
         self._swept_at = now()
         self._has_written = False
@@ -152,7 +150,7 @@
     @property
     def version(self) -> int:
         """Return the version of the configuration in force, or 0."""
-        return 0 if self.configuration is None else self.configuration.version
+        return self.entry.version
 
     @property
     def is_ready(self) -> bool:
@@ -309,7 +307,7 @@
 
     def _has_just_woken(self) -> bool:
         """Tell whether this process stood still and hasn't noticed yet."""
-        return self.now() - self._suspension.ticked_at > PAUSE_LIMIT_S
+        return self.now() - self._pause.ticked_at > PAUSE_LIMIT_S
 
     def _take_request(self, exchange: Exchange) -> None:
         if self._has_just_woken():
@@ -365,7 +363,7 @@
         # Before the work, so that no error in it ends the ticks.
         asyncio.get_running_loop().call_later(TICK_S, self._tick)
         now = self.now()
-        gap_s = note_tick(self._suspension, now=now, steady_now=self.steady_now())
+        gap_s = pause_tick(self._pause, now=now)
         if gap_s:
             log_event(Event.CLOCK_GAP, gap_s=round(gap_s, 1))
             for link in self.membership.link_by_vm.values():
--- a/src/daisywharf/_mesh/_links.py
+++ b/src/daisywharf/_mesh/_links.py
@@ -21,11 +21,12 @@
     decode_frame,
     encode_frame,
 )
+from daisywharf._mesh._http_client import CONNECT_TIMEOUT_S
+from daisywharf._mesh._http_server import BACKLOG
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 from daisywharf._topology import Address
 
-CONNECT_TIMEOUT_S: Final = 1.0
 # Longer than a quota'd core stands still (0.1 s) and than one lost packet takes.
 SILENCE_LIMIT_S: Final = 1.0
 # A quiet link on which answers are awaited is asked for a sign of life.
@@ -33,7 +34,6 @@
 FIRST_BACKOFF_S: Final = 0.2
 LONGEST_BACKOFF_S: Final = 2.0
 MOST_FRAME_BYTES: Final = 80_000_000  # the largest body that a configuration allows, and a head
-BACKLOG: Final = 1_024
 
 # The other end answers each of these, if only with a pong.
 ANSWERED_FRAMES: Final = (Call, Hello, Ping, Report)
--- a/src/daisywharf/platform/_program.py
+++ b/src/daisywharf/platform/_program.py
@@ -5,7 +5,6 @@
 import os
 import signal
 import sys
-import time
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -57,7 +56,6 @@
         dialect=dialect,
         store=ObjectStore(settings.store_address, now=boot_now),
         now=boot_now,
-        steady_now=time.monotonic,
         started_ms=wall_ms(),
         rng=Random(),
     )
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -217,7 +217,6 @@
             dialect=PlatformDialect(),
             store=self.store,
             now=time.monotonic,
-            steady_now=time.monotonic,
             started_ms=1,
             rng=Random(7),
         )
--- a/tests/test_mesh_fleet.py
+++ b/tests/test_mesh_fleet.py
@@ -20,12 +20,12 @@
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import ServiceName, VmId
 from daisywharf._mesh._announcements import Verdict, judge_notice
-from daisywharf._mesh._clock import Suspension, note_tick
 from daisywharf._mesh._frames import Call, Frame, Unanswered
 from daisywharf._mesh._http_client import HttpAnswer
 from daisywharf._mesh._links import CallResult
 from daisywharf._mesh._model import Readiness
 from daisywharf._mesh._watching import WatchReport, must_watch
+from daisywharf._outcomes._pause import PauseState, pause_tick
 from daisywharf._topology import Address
 
 ADDRESS = Address("127.0.0.1", 9)
@@ -246,12 +246,12 @@
     assert watchers(20.0) == vms
 
 
-def test_a_suspension_shows_even_where_the_steady_clock_didn_t_count_it() -> None:
-    state = Suspension(0.0, 100.0)
-    assert note_tick(state, now=100.1, steady_now=100.1) == 0.0
-    assert note_tick(state, now=104.2, steady_now=100.2) > 3.5
-    assert note_tick(state, now=104.3, steady_now=100.3) == 0.0
-    assert note_tick(state, now=107.3, steady_now=103.3) > 2.5
+def test_a_suspension_shows_on_the_clock_that_counts_it() -> None:
+    state = PauseState(now=100.0)
+    assert pause_tick(state, now=100.1) == 0.0
+    assert pause_tick(state, now=104.2) > 3.5
+    assert pause_tick(state, now=104.3) == 0.0
+    assert pause_tick(state, now=107.3) > 2.5
 
 
 def test_an_address_that_is_used_again_belongs_to_whoever_started_there_last() -> None:
