Keep the gate of a stopping daemon open while its target is sound

Cause: at SIGTERM a daemon closed its gate at once though it stays for 2.6 s and its target serves on. A target that already leaves closes its gate at once, as before. The older test waits for the gate to close and then checks the same five calls; two new ones, of which the first failed before.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -57,6 +57,11 @@
 FIRST_WRITE_AFTER_S: Final = 1.0
 # Clients learn that a daemon isn't ready by its second missed check, a second apart.
 LEAST_STOPPING_S: Final = 2.6
+# The gate stays open for this long: a sound target keeps serving while its daemon is still here,
+# and the rest of the least time lets other entries hear of the leaving and calls end.
+OPEN_WHILE_STOPPING_S: Final = 1.8
+# Part of a short grace period for the same; three such parts remain for the calls that run.
+OPEN_PART_OF_GRACE: Final = 0.25
 # Left of the grace period when what still runs is ended: the exit itself takes a moment.
 STOP_MARGIN_S: Final = 0.7
 
@@ -402,10 +407,12 @@
         self.is_stopping = True
         began_at = self.now()
         log_event(Event.DAEMON_STOPPING, vm=self.settings.vm, in_flight=len(self.entry.pending))
+        self.clients.start_closing()
+        grace_s = self.settings.bounds.grace_s
+        await self._keep_gate_open(min(OPEN_WHILE_STOPPING_S, OPEN_PART_OF_GRACE * grace_s))
         self.gate.start_stopping()
         self._change_own(is_leaving=True)
-        self.clients.start_closing()
-        last = began_at + self.settings.bounds.grace_s - STOP_MARGIN_S
+        last = began_at + grace_s - STOP_MARGIN_S
         while self.now() < last:
             if self.now() - began_at >= LEAST_STOPPING_S and self._is_idle():
                 break
@@ -414,6 +421,11 @@
         self.close()
         log_event(Event.DAEMON_STOPPED, vm=self.settings.vm, cut_off=cut_off)
 
+    async def _keep_gate_open(self, seconds: float) -> None:
+        until = self.now() + seconds
+        while self.gate.is_open and self.now() < until:
+            await asyncio.sleep(TICK_S)
+
     def _is_idle(self) -> bool:
         return not (self.entry.pending or self.gate.calls_by_id or self.clients.has_unsent)
 
--- a/tests/test_mesh_fleet.py
+++ b/tests/test_mesh_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import msgspec
+from msgspec.structs import replace
 
 from builders_mesh import (
     Client,
@@ -181,6 +182,7 @@
         stop = asyncio.ensure_future(stopping.stop())
         await asyncio.sleep(0)
         assert not stopping.is_ready
+        await eventually(lambda: stopping.gate.is_stopping)
         client = Client(other)
         for _ in range(5):
             got = await client.ask()
@@ -195,6 +197,52 @@
     in_loop(scenario)
 
 
+def test_a_sound_target_serves_on_while_its_daemon_begins_to_stop() -> None:
+    # A rolling restart of the daemons of a service that has just lost its other targets: a gate
+    # that closed at the signal left the service without a target for seconds (szv-wharf inc-5799).
+    async def scenario() -> None:
+        world = MeshWorld()
+        stopping = await world.add(TargetStandIn())
+        other = await world.add(None)
+        await world.settle()
+        bounds = replace(stopping.settings.bounds, grace_s=20.0)
+        stopping.settings = replace(stopping.settings, bounds=bounds)
+        stop = asyncio.ensure_future(stopping.stop())
+        await asyncio.sleep(0)
+        assert not stopping.is_ready
+        got = await Client(other).ask()
+        assert isinstance(got, HttpAnswer)
+        assert got.status == 200
+        stop.cancel()
+        await world.close()
+
+    in_loop(scenario)
+
+
+def test_a_stopping_daemon_with_a_leaving_target_tells_the_others_at_once() -> None:
+    async def scenario() -> None:
+        world = MeshWorld()
+        target = TargetStandIn()
+        stopping = await world.add(target)
+        other = await world.add(TargetStandIn())
+        await world.settle()
+        stopping.take_notice(
+            notice(target.address, target_id="t-vm-1", readiness=Readiness.DRAINING, sequence=2)
+        )
+        stop = asyncio.ensure_future(stopping.stop())
+        await asyncio.sleep(0)
+        assert stopping.gate.is_stopping
+        for _ in range(5):
+            got = await Client(other).ask()
+            assert isinstance(got, HttpAnswer)
+            assert got.status == 200
+        assert not target.seen
+        await stop
+        await world.close()
+
+    in_loop(scenario)
+
+
 def test_parts_of_a_split_get_their_share_over_daemons() -> None:
     async def scenario() -> None:
         parts = (SplitPart(ServiceName("stock"), 75.0), SplitPart(ServiceName("orders"), 25.0))
