Add the commands experiment and report; sum requests up in the log

The replays of the worst load were test builders; they are an emulator now, on the loop of _virtual, with settings, a table and a plot, and the tests use it. Targets have the product's gate in it, so a call that is turned away goes to the next gate as at an entry. Found on the way: the slow-target replay dropped all events between its two phases, so what ran then kept its slots for good; now both phases are one run. Its bound holds as it was (late calls at most 0.03). Daemons log sums every two seconds (710, 711), as sampled lines can't be counted; report draws them.

--- a/src/daisywharf/_cli/app.py
+++ b/src/daisywharf/_cli/app.py
@@ -8,9 +8,11 @@
 MODULE_BY_PLAIN_COMMAND: Final = {
     "daemon": "daisywharf._cli.daemon",
     "demo": "daisywharf._cli.demo",
+    "experiment": "daisywharf._cli.experiment",
     "explain": "daisywharf._cli.explain",
     "platform-standin": "daisywharf._cli.platform_standin",
     "replay": "daisywharf._cli.replay",
+    "report": "daisywharf._cli.report",
     "target-standin": "daisywharf._cli.target_standin",
 }
 
--- a/src/daisywharf/_cli/explain.py
+++ b/src/daisywharf/_cli/explain.py
@@ -2,23 +2,11 @@
 
 import argparse
 import sys
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from pathlib import Path
-from typing import Any
-
-import msgspec
 
 from daisywharf._cli.exit_codes import ExitCode
-
-
-class LogLine(msgspec.Struct, frozen=True):
-    """Hold one event as a daemon wrote it; `time` is in seconds since 1970."""
-
-    time: float
-    number: int
-    event: str
-    message: str
-    fields: dict[str, Any]
+from daisywharf._signals._read_log import LogLine, lines_of, read_line
 
 
 def main(arguments: list[str]) -> int:
@@ -27,7 +15,7 @@
     parser.add_argument("request", help="the id in the caller's complaint")
     parser.add_argument("files", nargs="*", type=Path, help="logs of daemons; else standard input")
     given = parser.parse_args(arguments)
-    story = story_of(given.request, _lines(given.files))
+    story = story_of(given.request, lines_of(given.files))
     if not story:
         print(
             f"no line names {given.request!r}: the id is wrong, the logs are of another time, or"
@@ -52,20 +40,3 @@
         if found is not None and found.fields.get("request") == request:
             story.append(found)
     return sorted(story, key=lambda found: found.time)
-
-
-def read_line(line: str) -> LogLine | None:
-    """Read a line, whatever a collector wrote before it; return none where it isn't an event."""
-    start = line.find("{")
-    try:
-        return msgspec.json.decode(line[start:].encode(), type=LogLine) if start >= 0 else None
-    except (msgspec.DecodeError, msgspec.ValidationError):
-        return None
-
-
-def _lines(files: list[Path]) -> Iterator[str]:
-    if not files:
-        yield from sys.stdin
-    for path in files:
-        with path.open(errors="replace") as file:
-            yield from file
--- a/src/daisywharf/_cli/operators.py
+++ b/src/daisywharf/_cli/operators.py
@@ -12,9 +12,11 @@
 HELP_BY_PLAIN_COMMAND = {
     "daemon": "Run the daemon of a VM.",
     "demo": "Show a surge and its end in one process.",
+    "experiment": "Play a load pattern through the real decisions on a virtual clock.",
     "explain": "Tell what became of a request, from daemons' logs.",
     "platform-standin": "Serve an object API in memory, for trials.",
     "replay": "Replay a recorded trace against stated outcomes.",
+    "report": "Turn daemons' logs into a page with plots.",
     "target-standin": "Run a target that stands in for a service, for trials.",
 }
 
--- /dev/null
+++ b/src/daisywharf/_experiments/_placement.py
@@ -0,0 +1,235 @@
+"""Entries that place calls at a service's targets, some of them slow, by what gates announced."""
+
+from random import Random
+
+import msgspec
+
+from daisywharf._contract import Importance
+from daisywharf._experiments._model import Played, Sample
+from daisywharf._ids import (
+    CallClassName,
+    Incarnation,
+    RequestId,
+    ServiceName,
+    TargetId,
+    VmId,
+    ZoneName,
+)
+from daisywharf._outcomes._next_step import MOST_GATES_TRIED
+from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
+from daisywharf._overload._queue import WaitingCall
+from daisywharf._overload._slots import SlotGate, arrive, expire, release
+from daisywharf._routing._placement import (
+    Candidate,
+    Placement,
+    hear_load,
+    note_ended,
+    note_sent,
+    note_success,
+    place,
+    set_target,
+)
+from daisywharf._topology import Address, Target
+from daisywharf._virtual._loop import VirtualLoop, call_later, run_until
+
+TICK_S = 0.05  # as a daemon's: waiting calls expire, and reports go out
+REPORT_S = 1.0  # as a daemon's
+SAMPLE_S = 0.5
+HOP_S = 0.001  # a refusal's way back to the entry
+ROUTE = "r"
+
+
+class PlacementSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Set the targets, the entries and the load; szv-wharf's lockwatch on trouble-2 at first."""
+
+    targets: int = 3
+    slots: int = 51
+    zones: int = 3
+    entries: int = 13
+    work_ms: float = 40.0
+    calls_per_s: float = 1_400.0
+    patience_ms: float = 1_000.0
+    slow_targets: int = 1
+    slow_factor: float = 12.0
+    slow_from_s: float = 3.0
+    lasts_s: float = 7.0
+    reports_each: int = 32  # entries that one target's daemon reports to in a period
+
+
+class PlacedCall:
+    """Hold one call from its placement to its end."""
+
+    def __init__(self, placement: Placement, *, sent_at: float) -> None:
+        self.placement = placement
+        self.sent_at = sent_at
+        self.excluded: set[TargetId] = set()
+        self.candidate: Candidate | None = None
+
+
+class PlacementWorld:
+    """Hold the targets with their gates, the entries, and how long calls took."""
+
+    def __init__(self, settings: PlacementSettings, *, seed: int = 1) -> None:
+        self.settings = settings
+        self.loop = VirtualLoop()
+        self.rng = Random(seed)
+        self.work_s = [settings.work_ms / 1_000.0] * settings.targets
+        self.gates = [SlotGate(slots=settings.slots) for _ in range(settings.targets)]
+        self.placements = [self._placement(n) for n in range(settings.entries)]
+        self.latencies: list[float] = []
+        self.refused = 0
+        self.second_gates = 0
+        self.samples: list[Sample] = []
+        self._call_by_id: dict[CallId, PlacedCall] = {}
+        self._last_number = 0
+        self._reported_to = [self.rng.randrange(settings.entries) for _ in self.gates]
+        self._arrive_later()
+        call_later(self.loop, TICK_S, self._tick)
+        for number in range(len(self.gates)):
+            call_later(self.loop, self.rng.random() * REPORT_S, lambda n=number: self._report(n))  # type: ignore[misc]
+
+    def _placement(self, entry: int) -> Placement:
+        zones = self.settings.zones
+        placement = Placement(zone=ZoneName(f"z{entry % zones}"))
+        for number in range(self.settings.targets):
+            target = Target(
+                target_id=TargetId(str(number)),
+                service=ServiceName("lockwatch"),
+                vm=VmId(f"vm-{number}"),
+                zone=ZoneName(f"z{number % zones}"),
+                incarnation=Incarnation(1),
+                address=Address("10.0.0.1", 80),
+                slots=self.settings.slots,
+                connections=self.settings.slots,
+            )
+            set_target(placement, target.vm, target, cold_s=0.0, now=0.0)
+        return placement
+
+    def run(self, *, until_s: float) -> None:
+        """Let the entries place calls until a time, and sample what comes back."""
+        while self.loop.now < until_s:
+            first, refused = len(self.latencies), self.refused
+            run_until(self.loop, min(until_s, self.loop.now + SAMPLE_S))
+            self._sample(self.latencies[first:], refused=self.refused - refused)
+
+    def _sample(self, latencies: list[float], *, refused: int) -> None:
+        loads = [len(gate.running) + gate.queue.size for gate in self.gates]
+        mean = sum(loads) / len(loads)
+        values = {
+            "answers/s": len(latencies) / SAMPLE_S,
+            "refused/s": refused / SAMPLE_S,
+            "p50 ms": _quantile_ms(latencies, 0.5),
+            "p99 ms": _quantile_ms(latencies, 0.99),
+            "busiest/mean": round(max(loads) / mean, 2) if mean else 0.0,
+            "waiting": sum(gate.queue.size for gate in self.gates),
+        }
+        self.samples.append(Sample(self.loop.now, values))
+
+    def _arrive_later(self) -> None:
+        call_later(self.loop, self.rng.expovariate(self.settings.calls_per_s), self._arrive)
+
+    def _arrive(self) -> None:
+        self._arrive_later()
+        self._place(PlacedCall(self.rng.choice(self.placements), sent_at=self.loop.now))
+
+    def _place(self, call: PlacedCall) -> None:
+        now = self.loop.now
+        candidate = place(call.placement, ROUTE, excluded=call.excluded, now=now, rng=self.rng)
+        if candidate is None:
+            self.refused += 1
+            return
+        call.candidate = candidate
+        note_sent(candidate, now=now)
+        self._last_number += 1
+        call_id = CallId(RequestId(str(self._last_number)), 0)
+        self._call_by_id[call_id] = call
+        latest_start = call.sent_at + self.settings.patience_ms / 1_000.0
+        waiting = WaitingCall(
+            call_id, CallClassName(ROUTE), Importance.HIGH, 0, 0, latest_start, now
+        )
+        number = _number_of(candidate)
+        self._apply(number, arrive(self.gates[number], waiting, now=now))
+
+    def _apply(self, number: int, actions: list[AdmissionAction]) -> None:
+        for action in actions:
+            if isinstance(action, Admit):
+                self._run(number, action.call_id)
+            elif isinstance(action, Refuse):
+                self._go_elsewhere(number, action.call_id)
+
+    def _run(self, number: int, call_id: CallId) -> None:
+        work_s = self.rng.expovariate(1.0 / self.work_s[number])
+        call_later(self.loop, work_s, lambda: self._end(number, call_id))
+
+    def _go_elsewhere(self, number: int, call_id: CallId) -> None:
+        call = self._call_by_id.pop(call_id)
+        assert call.candidate is not None
+        note_ended(call.candidate)
+        self._hear(call.placement, number)
+        call.excluded.add(call.candidate.record.target.target_id)
+        if len(call.excluded) >= MOST_GATES_TRIED:
+            self.refused += 1
+            return
+        self.second_gates += 1
+        call_later(self.loop, HOP_S, lambda: self._place(call))
+
+    def _end(self, number: int, call_id: CallId) -> None:
+        call = self._call_by_id.pop(call_id)
+        now, candidate = self.loop.now, call.candidate
+        assert candidate is not None
+        self._apply(number, release(self.gates[number], call_id, now=now))
+        latency_s = now - call.sent_at
+        self.latencies.append(latency_s)
+        note_ended(candidate)
+        note_success(candidate, ROUTE, latency_s=latency_s, now=now)
+        self._hear(call.placement, number)
+
+    def _hear(self, placement: Placement, number: int) -> None:
+        gate = self.gates[number]
+        hear_load(
+            placement,
+            TargetId(str(number)),
+            occupied=len(gate.running) + gate.queue.size,
+            limit=gate.limit,
+            level=3.0,
+            now=self.loop.now,
+        )
+
+    def _tick(self) -> None:
+        for number, gate in enumerate(self.gates):
+            self._apply(number, expire(gate, now=self.loop.now))
+        call_later(self.loop, TICK_S, self._tick)
+
+    def _report(self, number: int) -> None:
+        entries = self.settings.entries
+        for _ in range(min(entries, self.settings.reports_each)):
+            self._reported_to[number] = (self._reported_to[number] + 1) % entries
+            self._hear(self.placements[self._reported_to[number]], number)
+        call_later(self.loop, REPORT_S, lambda: self._report(number))
+
+
+def play_placement(settings: PlacementSettings, seed: int) -> Played:
+    """Play targets of which some turn slow."""
+    world = PlacementWorld(settings, seed=seed)
+    world.run(until_s=min(settings.slow_from_s, settings.lasts_s))
+    for number in range(settings.slow_targets):
+        world.work_s[number] *= settings.slow_factor
+    world.run(until_s=settings.lasts_s)
+    calls = len(world.latencies) + world.refused
+    sums = {
+        "calls": calls,
+        "refused part": round(world.refused / max(1, calls), 4),
+        "sent to a second gate": round(world.second_gates / max(1, calls), 4),
+        "p50 ms": _quantile_ms(world.latencies, 0.5),
+        "p99 ms": _quantile_ms(world.latencies, 0.99),
+    }
+    return Played(world.samples, sums)
+
+
+def _number_of(candidate: Candidate) -> int:
+    return int(candidate.record.target.target_id)
+
+
+def _quantile_ms(latencies: list[float], part: float) -> float:
+    ordered = sorted(latencies)
+    return round(ordered[int(part * (len(ordered) - 1))] * 1_000.0, 1) if ordered else 0.0
--- /dev/null
+++ b/src/daisywharf/_experiments/_plot.py
@@ -0,0 +1,25 @@
+"""Plot an experiment's columns over time, where the optional extra `plot` is installed."""
+
+from pathlib import Path
+
+from daisywharf._experiments._model import Played
+from daisywharf._figures import new_figure
+
+INCHES_A_COLUMN = 1.6
+
+
+def plot_played(played: Played, path: Path, *, title: str) -> None:
+    """Write a PNG with one panel a column.
+
+    Raise `ConfigurationError` (invalid settings) where the plotting library is missing.
+    """
+    columns = list(played.samples[0].value_by_column)
+    figure = new_figure(width=10.0, height=INCHES_A_COLUMN * len(columns))
+    figure.suptitle(title)
+    seconds = [sample.at_s for sample in played.samples]
+    panels = figure.subplots(len(columns), 1, sharex=True, squeeze=False)
+    for axes, column in zip(panels[:, 0], columns, strict=True):
+        axes.plot(seconds, [sample.value_by_column[column] for sample in played.samples])
+        axes.set_ylabel(column)
+    panels[-1, 0].set_xlabel("seconds")
+    figure.savefig(path)
--- /dev/null
+++ b/src/daisywharf/_experiments/_surge.py
@@ -0,0 +1,178 @@
+"""A surge over a chain: entries, one deep service's gate, and requests that call it in a row."""
+
+from random import Random
+
+import msgspec
+
+from daisywharf._contract import Importance
+from daisywharf._experiments._model import Played, Sample
+from daisywharf._ids import CallClassName, RequestId
+from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
+from daisywharf._overload._pressure import OPEN, Pressure, is_shed, move_pressure
+from daisywharf._overload._queue import WaitingCall
+from daisywharf._overload._slots import SlotGate, arrive, expire, load_part, release
+from daisywharf._virtual._loop import VirtualLoop, call_later, run_until
+
+TICK_S = 0.025
+NEWS_S = 0.05  # how old an entry's knowledge of the level is
+SAMPLE_S = 0.5
+ABOVE_S = 0.1  # the work above the deep service, before its first call
+
+
+class Stream(msgspec.Struct, frozen=True):
+    """Describe the requests of one class: `calls` of the deep service in a row for each."""
+
+    importance: Importance
+    per_s: float
+    calls: int
+    patience_s: float = 0.4
+
+
+class Outcome(msgspec.Struct):
+    """Count what became of one class's requests."""
+
+    offered: int = 0
+    refused_at_entry: int = 0
+    whole: int = 0
+    thrown_away: int = 0
+
+
+class Surge:
+    """Hold one deep service's gate and the requests that reach it."""
+
+    def __init__(self, *, slots: int, work_s: float, follows_level: bool, seed: int = 1) -> None:
+        self.loop = VirtualLoop()
+        self.gate = SlotGate(slots=slots)
+        self.pressure = Pressure(now=0.0)
+        self.work_s = work_s
+        self.follows_level = follows_level
+        self.rng = Random(seed)
+        self.known_level = OPEN
+        self.level_history: list[float] = []
+        self.outcome_by_importance = {i: Outcome() for i in Importance}
+        self.samples: list[Sample] = []
+        self._last_number = 0
+        self._left_by_id: dict[CallId, tuple[Stream, int]] = {}
+
+    def run(self, streams: list[Stream], *, lasts_s: float) -> None:
+        """Play the streams."""
+        for stream in streams:
+            self._arrive_later(stream)
+        call_later(self.loop, TICK_S, self._tick)
+        sampled = self._totals()
+        for number in range(1, round(lasts_s / SAMPLE_S) + 1):
+            run_until(self.loop, number * SAMPLE_S)
+            sampled = self._sample(sampled)
+
+    def _totals(self) -> dict[str, float]:
+        totals: dict[str, float] = {}
+        for importance, outcome in self.outcome_by_importance.items():
+            if outcome.offered:
+                name = importance.name.lower()
+                totals[f"{name} whole/s"] = outcome.whole
+                totals[f"{name} refused/s"] = outcome.refused_at_entry
+        thrown_away = [o.thrown_away for o in self.outcome_by_importance.values()]
+        totals["thrown away/s"] = sum(thrown_away)
+        return totals
+
+    def _sample(self, before: dict[str, float]) -> dict[str, float]:
+        totals = self._totals()
+        rates = {
+            name: round((value - before.get(name, 0.0)) / SAMPLE_S, 1)
+            for name, value in totals.items()
+        }
+        rates["level"] = round(self.pressure.level, 2)
+        rates["waiting"] = self.gate.queue.size
+        self.samples.append(Sample(self.loop.now, rates))
+        return totals
+
+    def _tick(self) -> None:
+        now = self.loop.now
+        self._apply(expire(self.gate, now=now))
+        level = move_pressure(self.pressure, load=load_part(self.gate), ceiling=3.0, now=now)
+        self.level_history.append(level)
+        if self.follows_level:
+            call_later(self.loop, NEWS_S, lambda: setattr(self, "known_level", level))
+        call_later(self.loop, TICK_S, self._tick)
+
+    def _arrive_later(self, stream: Stream) -> None:
+        call_later(self.loop, self.rng.expovariate(stream.per_s), lambda: self._arrive(stream))
+
+    def _arrive(self, stream: Stream) -> None:
+        self._arrive_later(stream)
+        outcome = self.outcome_by_importance[stream.importance]
+        outcome.offered += 1
+        sub_order = self.rng.randrange(65_536)
+        if is_shed(stream.importance, sub_order, level=self.known_level):
+            outcome.refused_at_entry += 1
+            return
+        call_later(self.loop, ABOVE_S, lambda: self._call(stream, stream.calls))
+
+    def _call(self, stream: Stream, left: int) -> None:
+        self._last_number += 1
+        call_id = CallId(RequestId(str(self._last_number)), 0)
+        self._left_by_id[call_id] = (stream, left - 1)
+        importance = Importance.HIGH if stream.calls > 1 else stream.importance
+        now = self.loop.now
+        latest_start = now + stream.patience_s
+        call = WaitingCall(call_id, CallClassName("c"), importance, 0, 0, latest_start, now)
+        self._apply(arrive(self.gate, call, now=now))
+
+    def _apply(self, actions: list[AdmissionAction]) -> None:
+        for action in actions:
+            if isinstance(action, Admit):
+                self._run(action.call_id)
+            elif isinstance(action, Refuse):
+                stream, _ = self._left_by_id.pop(action.call_id)
+                self.outcome_by_importance[stream.importance].thrown_away += 1
+
+    def _run(self, call_id: CallId) -> None:
+        work_s = self.rng.expovariate(1.0 / self.work_s)
+        call_later(self.loop, work_s, lambda: self._end(call_id))
+
+    def _end(self, call_id: CallId) -> None:
+        stream, left = self._left_by_id.pop(call_id)
+        self._apply(release(self.gate, call_id, now=self.loop.now))
+        if left:
+            self._call(stream, left)
+        else:
+            self.outcome_by_importance[stream.importance].whole += 1
+
+
+class SurgeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Set the deep service and what comes a second; as on karri-mesh scale-1 at first."""
+
+    slots: int = 81
+    work_ms: float = 22.0
+    browse_per_s: float = 990.0
+    orders_per_s: float = 345.0
+    checks_per_s: float = 320.0
+    calls_each: int = 4
+    lasts_s: float = 8.0
+    follows_level: bool = True
+
+
+def play_surge(settings: SurgeSettings, seed: int) -> Played:
+    """Play a surge once."""
+    surge = Surge(
+        slots=settings.slots,
+        work_s=settings.work_ms / 1_000.0,
+        follows_level=settings.follows_level,
+        seed=seed,
+    )
+    calls = settings.calls_each
+    surge.run(
+        [
+            Stream(Importance.NORMAL, settings.browse_per_s, calls),
+            Stream(Importance.CRITICAL, settings.orders_per_s, calls),
+            Stream(Importance.HIGH, settings.checks_per_s, 1, patience_s=0.05),
+        ],
+        lasts_s=settings.lasts_s,
+    )
+    sums = {}
+    for importance, outcome in surge.outcome_by_importance.items():
+        if outcome.offered:
+            name = importance.name.lower()
+            sums[f"{name} whole part"] = round(outcome.whole / outcome.offered, 4)
+            sums[f"{name} thrown away"] = outcome.thrown_away
+    return Played(surge.samples, sums)
--- a/src/daisywharf/_mesh/_counts.py
+++ b/src/daisywharf/_mesh/_counts.py
@@ -3,7 +3,10 @@
 from bisect import bisect_left
 from typing import Final
 
+import msgspec
+
 from daisywharf._configuration import RouteName
+from daisywharf._errors import ErrorKind
 from daisywharf._ids import ServiceName
 from daisywharf._signals._metrics import Metric, Sample, counter, gauge
 
@@ -11,6 +14,9 @@
 BUCKETS_S: Final = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0)
 MOST_SERIES: Final = 512
 OTHER: Final = "other"
+FAILED_OUTCOMES: Final = frozenset(
+    {"5xx", ErrorKind.OUTCOME_UNKNOWN.value, ErrorKind.TIMED_OUT.value}
+)
 
 EndLabels = tuple[str, str, str]
 
@@ -41,6 +47,27 @@
         self.seconds_by_route[name] = self.seconds_by_route.get(name, 0.0) + seconds
 
 
+class EndCounts(msgspec.Struct):
+    """Hold how many requests of one route ended in which way."""
+
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    given_up: int = 0
+
+
+def add_ended(ends: EndCounts, outcome: str, count: int) -> None:
+    """Add requests that ended with an outcome of `MeshCounts`."""
+    if outcome in FAILED_OUTCOMES:
+        ends.failed += count
+    elif outcome == ErrorKind.CANCELLED.value:
+        ends.given_up += count
+    elif outcome.endswith("xx"):
+        ends.served += count
+    else:
+        ends.refused += count
+
+
 def request_metrics(counts: MeshCounts) -> list[Metric]:
     """Describe how requests ended and how long the served ones took."""
     ended = [
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -40,6 +40,7 @@
 from daisywharf._mesh._settings import MeshSettings
 from daisywharf._mesh._store import Store
 from daisywharf._mesh._store_sync import StoreSync
+from daisywharf._mesh._summaries import Summaries
 from daisywharf._mesh._watching import WatchReport
 from daisywharf._outcomes._pause import PAUSE_LIMIT_S, PauseState, pause_tick
 from daisywharf._overload._actions import CallId
@@ -141,6 +142,7 @@
             sync=self.sync,
             now=now(),
         )
+        self.summaries = Summaries(self.entry.ended, self.gate, now=now())
         self.incoming = IncomingCalls(self.gate, has_just_woken=self._has_just_woken)
         self.clients = HttpServer(self._take_request, now=now)
         self.links = LinkServer(on_frame=self._take_frame, on_lost=self._lose_link)
@@ -378,6 +380,7 @@
         if not self._has_written and now - self._started_at > FIRST_WRITE_AFTER_S:
             self._change_own()
         self.reporter.tick(now=now)
+        self.summaries.tick(now=now)
         if now - self._swept_at >= SWEEP_S:
             self._swept_at = now
             self.clients.sweep(now=now)
@@ -418,6 +421,7 @@
                 break
             await asyncio.sleep(0.05)
         cut_off = len(self.entry.pending)
+        self.summaries.write(now=self.now())
         self.close()
         log_event(Event.DAEMON_STOPPED, vm=self.settings.vm, cut_off=cut_off)
 
--- a/src/daisywharf/_replay/_plot.py
+++ b/src/daisywharf/_replay/_plot.py
@@ -5,11 +5,10 @@
 from pathlib import Path
 from typing import Any, Final
 
-from daisywharf._errors import ConfigurationError, ErrorKind
+from daisywharf._figures import new_figure
 from daisywharf._replay._outcomes import CallEnd, Replayed
 
 SIZE_INCHES: Final = (10.0, 8.0)
-DOTS_PER_INCH: Final = 120
 MS_PER_S: Final = 1_000.0
 
 
@@ -18,8 +17,7 @@
 
     Raise `ConfigurationError` (invalid settings) where the plotting library is missing.
     """
-    figure_type = _figure_type()
-    figure = figure_type(figsize=SIZE_INCHES, dpi=DOTS_PER_INCH)
+    figure = new_figure(width=SIZE_INCHES[0], height=SIZE_INCHES[1])
     calls, refused, latency = figure.subplots(3, 1, sharex=True)
     ends = replayed.ends
     seconds = list(range(math.ceil(max((end.at_s for end in ends), default=0.0)) + 1))
@@ -29,15 +27,6 @@
     figure.savefig(path)
 
 
-def _figure_type() -> Any:
-    try:
-        from matplotlib.figure import Figure
-    except ImportError as error:
-        message = "a plot needs matplotlib; install daisywharf[plot] or leave --plot out"
-        raise ConfigurationError(ErrorKind.INVALID_SETTINGS, message) from error
-    return Figure
-
-
 def _draw_calls(axes: Any, ends: tuple[CallEnd, ...], seconds: list[int]) -> None:
     axes.plot(seconds, _by_second(list(ends), seconds), label="offered")
     whole = [end for end in ends if end.kind is None]
--- /dev/null
+++ b/src/daisywharf/_reports/__init__.py
@@ -0,0 +1,1 @@
+"""Pages for people, made of daemons' log lines."""
--- /dev/null
+++ b/src/daisywharf/_reports/_day.py
@@ -0,0 +1,86 @@
+"""What log lines say of a span of time: how requests ended, what gates held, what happened."""
+
+from collections.abc import Iterable
+from typing import Any, Final
+
+import msgspec
+
+from daisywharf._signals._events import Event
+from daisywharf._signals._read_log import LogLine, read_line
+
+# Events of single requests: their counts are in the lines that sum them up.
+REQUEST_NUMBERS: Final = range(700, 800)
+
+
+class Ends(msgspec.Struct, frozen=True):
+    """Hold how requests of one route ended at one VM in a period that ends at `at_s`."""
+
+    at_s: float
+    zone: str
+    route: str
+    served: int
+    refused: int
+    failed: int
+    given_up: int
+
+
+class GateState(msgspec.Struct, frozen=True):
+    """Hold what one gate held at a time."""
+
+    at_s: float
+    service: str
+    running: int
+    waiting: int
+    limit: int
+    level: float
+
+
+class Day(msgspec.Struct, frozen=True):
+    """Hold all that a report shows; times are in seconds after the first line."""
+
+    ends: list[Ends]
+    gates: list[GateState]
+    incidents: list[LogLine]
+    lasts_s: float
+    started_at: float
+
+
+def read_day(lines: Iterable[str]) -> Day:
+    """Read the lines that a report needs, whatever their order."""
+    read = [found for found in map(read_line, lines) if found is not None]
+    read.sort(key=lambda line: line.time)
+    first = read[0].time if read else 0.0
+    ends, gates, incidents = [], [], []
+    for line in read:
+        at_s = line.time - first
+        if line.number == Event.REQUESTS_COUNTED.value.number:
+            ends.append(_ends(line.fields, at_s))
+        elif line.number == Event.GATE_COUNTED.value.number:
+            gates.append(_gate(line.fields, at_s))
+        elif line.number not in REQUEST_NUMBERS:
+            incidents.append(line)
+    lasts_s = read[-1].time - first if read else 0.0
+    return Day(ends, gates, incidents, lasts_s, first)
+
+
+def _ends(fields: dict[str, Any], at_s: float) -> Ends:
+    return Ends(
+        at_s=at_s,
+        zone=fields["zone"],
+        route=fields["route"],
+        served=fields["served"],
+        refused=fields["refused"],
+        failed=fields["failed"],
+        given_up=fields["given_up"],
+    )
+
+
+def _gate(fields: dict[str, Any], at_s: float) -> GateState:
+    return GateState(
+        at_s=at_s,
+        service=fields["service"],
+        running=fields["running"],
+        waiting=fields["waiting"],
+        limit=fields["limit"],
+        level=fields["level"],
+    )
--- /dev/null
+++ b/src/daisywharf/_reports/_page.py
@@ -0,0 +1,152 @@
+"""Write a report as one HTML page with its plots inside."""
+
+import io
+from collections.abc import Callable, Iterable
+from datetime import UTC, datetime
+from html import escape
+from math import ceil, nan
+from typing import Any, Final
+
+from daisywharf._figures import new_figure
+from daisywharf._reports._day import Day, Ends, GateState
+from daisywharf._signals._read_log import LogLine
+
+# Daemons sum up every two seconds; a bin of the same length holds each of them once.
+BIN_S: Final = 2.0
+WIDTH_INCHES: Final = 10.0
+PANEL_INCHES: Final = 2.2
+MOST_INCIDENTS: Final = 200
+OUTCOMES: Final = ("served", "refused", "failed", "given_up")
+
+Series = dict[str, list[float]]
+
+PAGE: Final = """<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>daisywharf report</title>
+<style>body {{ font: 15px sans-serif; max-width: 62em; margin: 2em auto }}
+table {{ border-collapse: collapse }} td, th {{ padding: 0.2em 0.8em; text-align: right }}
+td:first-child, th:first-child, td.text {{ text-align: left }} svg {{ width: 100%; height: auto }}
+</style></head><body>
+<h1>Requests from {start} on, {lasts_s:.0f} s</h1>
+{table}
+{plots}
+<h2>What happened</h2>
+{incidents}
+</body></html>
+"""
+
+
+def page_of(day: Day) -> str:
+    """Return the page.
+
+    Raise `ConfigurationError` (invalid settings) where the plotting library is missing.
+    """
+    start = datetime.fromtimestamp(day.started_at, UTC).isoformat(timespec="seconds")
+    return PAGE.format(
+        start=escape(start),
+        lasts_s=day.lasts_s,
+        table=_table(day.ends),
+        plots=_plots(day),
+        incidents=_incidents(day.incidents, day.started_at),
+    )
+
+
+def _table(ends: list[Ends]) -> str:
+    rows = []
+    for name, kept in (("zone", lambda e: e.zone), ("route", lambda e: e.route)):
+        for key, group in sorted(_grouped(ends, kept).items()):
+            sums = [sum(getattr(e, outcome) for e in group) for outcome in OUTCOMES]
+            part = sums[0] / max(1, sum(sums))
+            cells = "".join(f"<td>{value}</td>" for value in (*sums, f"{part:.4f}"))
+            rows.append(f"<tr><td>{name} {escape(key)}</td>{cells}</tr>")
+    head = "".join(f"<th>{title}</th>" for title in ("", *OUTCOMES, "served part"))
+    return f"<table><tr>{head}</tr>{''.join(rows)}</table>".replace("given_up", "given up")
+
+
+def _plots(day: Day) -> str:
+    bins = ceil(day.lasts_s / BIN_S) + 1
+    panels = [
+        ("requests a second", _rates(day.ends, bins)),
+        ("served part by route", _parts(_grouped(day.ends, lambda e: e.route), bins)),
+        ("served part by zone", _parts(_grouped(day.ends, lambda e: e.zone), bins)),
+        ("waiting calls by service", _gate_sums(day.gates, bins, lambda g: g.waiting)),
+        ("running calls by service", _gate_sums(day.gates, bins, lambda g: g.running)),
+        ("lowest level by service", _lowest_levels(day.gates, bins)),
+    ]
+    figure = new_figure(width=WIDTH_INCHES, height=PANEL_INCHES * len(panels))
+    seconds = [number * BIN_S for number in range(bins)]
+    all_axes = figure.subplots(len(panels), 1, sharex=True)
+    for axes, (title, series) in zip(all_axes, panels, strict=True):
+        _draw(axes, title, series, seconds)
+    all_axes[-1].set_xlabel("seconds")
+    written = io.StringIO()
+    figure.savefig(written, format="svg")
+    text = written.getvalue()
+    return text[text.index("<svg") :]
+
+
+def _draw(axes: Any, title: str, series: Series, seconds: list[float]) -> None:
+    for name, values in sorted(series.items()):
+        axes.plot(seconds, values, label=name.replace("_", " "))
+    axes.set_title(title, fontsize="medium")
+    axes.set_ylim(bottom=0)
+    axes.grid(alpha=0.3)
+    if series:
+        axes.legend(fontsize="small", loc="center left", bbox_to_anchor=(1.0, 0.5))
+
+
+def _grouped(ends: Iterable[Ends], key: Callable[[Ends], str]) -> dict[str, list[Ends]]:
+    groups: dict[str, list[Ends]] = {}
+    for end in ends:
+        groups.setdefault(key(end), []).append(end)
+    return groups
+
+
+def _rates(ends: list[Ends], bins: int) -> Series:
+    series = {outcome: [0.0] * bins for outcome in OUTCOMES}
+    for end in ends:
+        for outcome in OUTCOMES:
+            series[outcome][_bin(end.at_s)] += getattr(end, outcome) / BIN_S
+    return series
+
+
+def _parts(groups: dict[str, list[Ends]], bins: int) -> Series:
+    series = {}
+    for name, ends in groups.items():
+        rates = _rates(ends, bins)
+        offered = [sum(values) for values in zip(*rates.values(), strict=True)]
+        pairs = zip(rates["served"], offered, strict=True)
+        series[name] = [served / of if of else nan for served, of in pairs]
+    return series
+
+
+def _gate_sums(gates: list[GateState], bins: int, value: Callable[[GateState], int]) -> Series:
+    series: Series = {}
+    for gate in gates:
+        series.setdefault(gate.service, [0.0] * bins)[_bin(gate.at_s)] += value(gate)
+    return series
+
+
+def _lowest_levels(gates: list[GateState], bins: int) -> Series:
+    series: Series = {}
+    for gate in gates:
+        values = series.setdefault(gate.service, [nan] * bins)
+        place = _bin(gate.at_s)
+        # NaN, where nothing was seen yet, is the second argument: `min` then keeps the first.
+        values[place] = min(gate.level, values[place])
+    return series
+
+
+def _bin(at_s: float) -> int:
+    return int(at_s / BIN_S)
+
+
+def _incidents(lines: list[LogLine], started_at: float) -> str:
+    rows = [
+        f"<tr><td>{line.time - started_at:.1f} s</td><td class=text>"
+        f"{escape(str(line.fields.get('vm', '?')))}</td><td>{line.number}</td>"
+        f"<td class=text>{escape(line.message)}</td></tr>"
+        for line in lines[:MOST_INCIDENTS]
+    ]
+    left_out = len(lines) - len(rows)
+    rest = f"<p>and {left_out} more</p>" if left_out > 0 else ""
+    return f"<table>{''.join(rows)}</table>{rest}"
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -185,6 +185,19 @@
         "request {request} of {route} was answered {status} by {target} in {held_ms} ms",
         SERVED_LINES_PER_S,
     )
+    REQUESTS_COUNTED = EventForm(
+        710,
+        EventLevel.INFO,
+        "requests of {route} at {service} in {period_s} s: {served} served, {refused} refused,"
+        " {failed} failed, {given_up} given up",
+        REQUEST_LINES_PER_S,
+    )
+    GATE_COUNTED = EventForm(
+        711,
+        EventLevel.INFO,
+        "gate of {target}, {service}: {running} running and {waiting} waiting of {limit},"
+        " level {level}",
+    )
 
     @property
     def label(self) -> str:
--- /dev/null
+++ b/tests/test_cli_report.py
@@ -0,0 +1,95 @@
+"""`daisywharf report`: a page with plots from daemons' log lines."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from daisywharf._cli.app import run
+from daisywharf._cli.exit_codes import ExitCode
+from daisywharf._mesh._counts import EndCounts, add_ended
+from daisywharf._reports._day import read_day
+from daisywharf._signals._events import Event, message_of
+
+
+def _line(event: Event, time: float, **fields: Any) -> str:
+    fields = {"vm": "vm-1", "zone": "perth-a", **fields}
+    line = {
+        "time": time,
+        "number": event.value.number,
+        "event": event.label,
+        "message": message_of(event, fields),
+        "fields": fields,
+    }
+    return json.dumps(line)
+
+
+def _counted(time: float, **counts: int) -> str:
+    whole = {"served": 0, "refused": 0, "failed": 0, "given_up": 0, **counts}
+    return _line(Event.REQUESTS_COUNTED, time, route="r-1", service="stock", period_s=2.0, **whole)
+
+
+LINES = [
+    _counted(102.0, served=90, refused=10),
+    _line(Event.DAEMON_STOPPING, 101.0, in_flight=3),
+    _line(
+        Event.GATE_COUNTED,
+        102.0,
+        target="t-1",
+        service="stock",
+        running=5,
+        waiting=2,
+        limit=9,
+        level=1.5,
+    ),
+    _line(Event.REQUEST_SHED, 101.5, request="a1"),
+    "a line of another program",
+]
+
+
+def test_a_day_is_read_from_lines_in_any_order() -> None:
+    day = read_day(LINES)
+    assert [(e.at_s, e.zone, e.route, e.served, e.refused) for e in day.ends] == [
+        (1.0, "perth-a", "r-1", 90, 10)
+    ]
+    assert [(g.service, g.waiting, g.level) for g in day.gates] == [("stock", 2, 1.5)]
+    # Lines of single requests are summed up already.
+    assert [line.number for line in day.incidents] == [Event.DAEMON_STOPPING.value.number]
+
+
+def test_outcomes_are_counted_as_a_caller_sees_them() -> None:
+    ends = EndCounts()
+    for outcome in ("2xx", "4xx", "5xx", "timed-out", "outcome-unknown", "cancelled", "shed"):
+        add_ended(ends, outcome, 1)
+    assert ends == EndCounts(served=2, refused=1, failed=3, given_up=1)
+
+
+def test_the_page_holds_sums_plots_and_what_happened(tmp_path: Path) -> None:
+    log, page = tmp_path / "day.log", tmp_path / "day.html"
+    log.write_text("\n".join(LINES))
+    assert run(["report", str(log), "--output", str(page)]) == ExitCode.OK
+    text = page.read_text()
+    assert "<td>zone perth-a</td><td>90</td><td>10</td><td>0</td><td>0</td><td>0.9000</td>" in text
+    assert "daemon of vm-1 stops, 3 calls in flight" in text
+    assert text.count("<svg") == 1
+
+
+def test_a_page_without_the_plotting_library_says_what_to_install(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setitem(sys.modules, "matplotlib.figure", None)
+    log = tmp_path / "day.log"
+    log.write_text("\n".join(LINES))
+    assert run(["report", str(log), "--output", str(tmp_path / "x.html")]) == ExitCode.INVALID
+    assert "daisywharf[plot]" in capsys.readouterr().err
+
+
+def test_logs_without_counts_are_said_to_be_the_wrong_ones(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    log = tmp_path / "day.log"
+    log.write_text("nothing\n")
+    assert run(["report", str(log)]) == ExitCode.NOT_FOUND
+    assert "event 710" in capsys.readouterr().err
--- a/tests/test_mesh_placement.py
+++ b/tests/test_mesh_placement.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from random import Random
 
-from builders_slow_target import SlowTargets
+from daisywharf._experiments._placement import PlacementSettings, PlacementWorld
 from daisywharf._ids import Incarnation, ServiceName, TargetId, VmId, ZoneName
 from daisywharf._routing._placement import (
     Placement,
@@ -138,20 +138,44 @@
     assert service_level(placement, ceiling=3.0, now=9.0) == 3.0
 
 
-def _late_part(latencies: list[float]) -> float:
-    return sum(latency_s > AIM_S for latency_s in latencies) / len(latencies)
+def _late_part(played: PlacementWorld) -> float:
+    late = sum(latency_s > AIM_S for latency_s in played.latencies)
+    return (late + played.refused) / (len(played.latencies) + played.refused)
 
 
 def test_a_target_that_turns_slow_is_left_before_its_answers_come() -> None:
     """Replay szv-wharf trouble-2: one of three targets of a busy service slows down twelvefold."""
     late = []
     for seed in (1, 2, 3):
-        played = SlowTargets(work_s=(0.04, 0.04, 0.04), entries=13, seed=seed)
-        played.run(calls_per_s=1400.0, lasts_s=3.0)
+        played = PlacementWorld(PlacementSettings(), seed=seed)
+        played.run(until_s=3.0)
         # Work of 40 ms, spread exponentially, is over 0.2 s for one call in 148.
-        assert _late_part(played.latencies) <= 0.01
+        assert _late_part(played) <= 0.01
         played.latencies.clear()
+        played.refused = 0
         played.work_s[0] = 0.48
-        played.run(calls_per_s=1400.0, lasts_s=7.0)
-        late.append(_late_part(played.latencies))
+        played.run(until_s=7.0)
+        late.append(_late_part(played))
     assert sum(late) / len(late) <= 0.03
+
+
+def test_many_small_targets_are_shared_by_many_entries_without_luck() -> None:
+    """Replay the grown catalogue: 43 targets of 27 slots, 85 entries, 0.92 of what they bear.
+
+    A target's daemon reports to each entry every three seconds; the rest an entry learns from
+    answers, seven a second.
+    """
+    grown = PlacementSettings(
+        targets=43,
+        slots=27,
+        entries=85,
+        work_ms=180.0,
+        calls_per_s=5_550.0,
+        patience_ms=450.0,
+        slow_targets=0,
+        lasts_s=3.0,
+    )
+    world = PlacementWorld(grown, seed=1)
+    world.run(until_s=3.0)
+    assert world.refused <= 0.001 * len(world.latencies)
+    assert world.second_gates <= 0.02 * len(world.latencies)
--- a/tests/test_overload_surge.py
+++ b/tests/test_overload_surge.py
@@ -2,8 +2,8 @@
 
 import functools
 
-from builders_surge import Outcome, Stream, Surge
 from daisywharf._contract import Importance
+from daisywharf._experiments._surge import Outcome, Stream, Surge
 
 # karri-mesh scale-1 while one of the stock service's three targets is slow: what is left of them
 # is 81 slots for calls of 22 ms, 3,450 a second; browsing asks 990 times a second for four calls,
