Bound what a daemon holds for others; news of loads for fleets of over 32

Memory: bodies, answers that are read from a target and answers that callers have yet to read were bounded one by one only. They count as one sum now, a quarter of the process's memory; beyond it new requests and calls are refused unrun (memory-full, with when to come back), and what was let in goes on. Three tests failed before. One of them failed once on the way: a 4 MB answer fits into the kernel's buffers at times, so the reader has a small one now and the answer 12 MB.

News of 25 bytes go to up to 128 in each period, whole reports to 16 in turn; 28 us of processor time for one sent, taken and answered.

--- a/src/daisywharf/_errors.py
+++ b/src/daisywharf/_errors.py
@@ -29,6 +29,7 @@
     TICKET_EXPIRED = "ticket-expired"
     ORDER_NOT_KNOWN = "order-not-known"
     RECORDS_FULL = "records-full"
+    MEMORY_FULL = "memory-full"
     CLAIM_UNAVAILABLE = "claim-unavailable"
     TARGET_FAILED = "target-failed"
     FAILED_BELOW = "failed-below"
@@ -81,6 +82,7 @@
     ErrorKind.TICKET_EXPIRED: Answer(409, False, Ran.UNKNOWN),
     ErrorKind.ORDER_NOT_KNOWN: Answer(404, False, Ran.UNKNOWN),
     ErrorKind.RECORDS_FULL: Answer(503, True, Ran.NO),
+    ErrorKind.MEMORY_FULL: Answer(503, True, Ran.NO),
     ErrorKind.CLAIM_UNAVAILABLE: Answer(503, False, Ran.NO),
     ErrorKind.TARGET_FAILED: Answer(502, False, Ran.YES),
     ErrorKind.FAILED_BELOW: Answer(502, False, Ran.YES),
--- a/src/daisywharf/_mesh/_counts.py
+++ b/src/daisywharf/_mesh/_counts.py
@@ -100,6 +100,7 @@
     version: int,
     members: int,
     links_up: int,
+    held_bytes: int,
     store_contact_s: float,
 ) -> list[Metric]:
     """Describe the state of a daemon; times in seconds."""
@@ -111,6 +112,7 @@
         ("daisywharf_configuration_version", "Version in force.", version),
         ("daisywharf_members", "Daemons known, this one included.", members),
         ("daisywharf_links_up", "Links to other daemons that are up.", links_up),
+        ("daisywharf_held_bytes", "Bytes of bodies and answers held for others.", held_bytes),
         ("daisywharf_store_contact_age_seconds", "Time since the store answered.", store_contact_s),
     )
     return [gauge(name, text, Sample(value)) for name, text, value in given]
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -22,12 +22,14 @@
     Hello,
     Members,
     NewConfiguration,
+    News,
     Ping,
     Pong,
     Report,
     WriteAgain,
 )
 from daisywharf._mesh._gate import Gate
+from daisywharf._mesh._held import HeldBytes, most_held, note_unsent
 from daisywharf._mesh._http_server import Exchange, HttpServer
 from daisywharf._mesh._incoming import IncomingCalls
 from daisywharf._mesh._learned import learned_now, take_learned
@@ -63,6 +65,8 @@
 OPEN_WHILE_STOPPING_S: Final = 1.8
 # Part of a short grace period for the same; three such parts remain for the calls that run.
 OPEN_PART_OF_GRACE: Final = 0.25
+# A refusal for want of memory asks callers to wait for a few answers to be read.
+FULL_RETRY_S: Final = 1.0
 # Left of the grace period when what still runs is ended: the exit itself takes a moment.
 STOP_MARGIN_S: Final = 0.7
 
@@ -100,7 +104,8 @@
         self.now = now
         self.configuration: Configuration | None = None
         self.is_stopping = False
-        self.gate = Gate(dialect=dialect, now=now)
+        self.held = HeldBytes(most=most_held(settings.memory_bytes))
+        self.gate = Gate(dialect=dialect, now=now, held=self.held)
         self.local_way = LocalWay(self.gate)
         self.services = Services(zone=settings.zone)
         own = MemberRecord(
@@ -119,6 +124,7 @@
             dialect=dialect,
             services=self.services,
             counts=self.gate.counts,
+            held=self.held,
             way_to=self._way_to,
             now=now,
             rng=rng,
@@ -144,7 +150,12 @@
         )
         self.summaries = Summaries(self.entry.ended, self.gate, now=now())
         self.incoming = IncomingCalls(self.gate, has_just_woken=self._has_just_woken)
-        self.clients = HttpServer(self._take_request, now=now)
+        self.clients = HttpServer(
+            self._take_request,
+            now=now,
+            held=self.held,
+            full_lines=lambda: dialect.refusal_lines(retry_after_s=FULL_RETRY_S),
+        )
         self.links = LinkServer(on_frame=self._take_frame, on_lost=self._lose_link)
         self.stopped = asyncio.Event()
         self._vm_by_link: dict[FrameProtocol, VmId] = {}
@@ -300,6 +311,9 @@
         elif isinstance(frame, Report):
             protocol.send(Pong())
             self._take_report(protocol, frame)
+        elif isinstance(frame, News):
+            protocol.send(Pong())
+            self._take_news(protocol, frame)
         elif isinstance(frame, Hello):
             protocol.send(Pong())
             self._take_hello(protocol, frame)
@@ -343,14 +357,19 @@
         vm = self._vm_by_link.get(protocol)
         if vm is None:
             return
-        now = self.now()
-        self.sync.report_by_vm[vm] = WatchReport(report.is_watching, now)
         note_rows(self.entry.chain, vm, report.calls_below)
         note_counts(self.entry.origins, report.service, report.entered)
+        self._take_news(protocol, report.news)
+
+    def _take_news(self, protocol: FrameProtocol, news: News) -> None:
+        vm = self._vm_by_link.get(protocol)
+        if vm is None:
+            return
+        self.sync.report_by_vm[vm] = WatchReport(news.is_watching, self.now())
         target = self.services.target_of(vm)
-        if target is not None and report.load is not None:
-            self.entry.hear(target.service, target.target_id, report.load)
-        self._offer_configuration(report.version, protocol.send)
+        if target is not None and news.load is not None:
+            self.entry.hear(target.service, target.target_id, news.load)
+        self._offer_configuration(news.version, protocol.send)
 
     def _take_configuration(self, frame: NewConfiguration) -> None:
         if frame.version > self.version:
@@ -385,6 +404,13 @@
             self._swept_at = now
             self.clients.sweep(now=now)
             self.gate.sweep(now=now)
+            self._count_unsent()
+
+    def _count_unsent(self) -> None:
+        unsent = self.clients.unsent_bytes
+        unsent += sum(link.unsent_bytes for link in self.membership.link_by_vm.values())
+        unsent += sum(protocol.unsent_bytes for protocol in self.links.protocols)
+        note_unsent(self.held, unsent)
 
     def metrics(self) -> list[Metric]:
         """Describe how requests end here and the daemon's state."""
@@ -397,6 +423,7 @@
             version=self.version,
             members=len(self.membership.record_by_vm),
             links_up=sum(link.is_up for link in self.membership.link_by_vm.values()),
+            held_bytes=self.held.kept + self.held.unsent,
             store_contact_s=self.now() - max(self.sync.contacted_at, self._started_at),
         )
         return [*request_metrics(self.entry.ended), *state]
@@ -431,7 +458,7 @@
             await asyncio.sleep(TICK_S)
 
     def _is_idle(self) -> bool:
-        return not (self.entry.pending or self.gate.calls_by_id or self.clients.has_unsent)
+        return not (self.entry.pending or self.gate.calls_by_id or self.clients.unsent_bytes)
 
     def close(self) -> None:
         """Close everything at once."""
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -12,6 +12,7 @@
 from daisywharf._mesh._counts import MeshCounts
 from daisywharf._mesh._dialect import Dialect, RequestHead
 from daisywharf._mesh._frames import Answered, Call, GateLoad, Unanswered
+from daisywharf._mesh._held import HeldBytes
 from daisywharf._mesh._http_server import Exchange
 from daisywharf._mesh._links import CallResult
 from daisywharf._mesh._pending import (
@@ -89,6 +90,7 @@
         dialect: Dialect,
         services: Services,
         counts: CallCounts,
+        held: HeldBytes,
         way_to: Callable[[VmId], Way | None],
         now: Callable[[], float],
         rng: Random,
@@ -97,6 +99,7 @@
         self.dialect = dialect
         self.services = services
         self.counts = counts
+        self.held = held
         self.way_to = way_to
         self.now = now
         self.rng = rng
@@ -161,6 +164,9 @@
         else:
             if is_request(self.origins, route.name):
                 note_first(self.budget, pending.service, now=now)
+            if self.held.is_full:
+                self._refuse(pending, ErrorKind.MEMORY_FULL, now=now)
+                return
             if self._is_shed(pending, now=now):
                 return
         self.pending.add(pending)
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -84,12 +84,18 @@
     records: tuple[MemberRecord, ...]
 
 
-class Report(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """Report, now and then, a daemon's load, store contact, and what runs and enters there."""
+class News(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Say what changes from second to second: version in force, store contact, and load."""
 
     version: int
     is_watching: bool
     load: GateLoad | None
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Report, now and then, a daemon's news, and what runs and enters there."""
+
+    news: News
     calls_below: tuple[CallsBelow, ...]
     service: ServiceName
     entered: tuple[RouteCount, ...]
@@ -122,6 +128,7 @@
     | Hello
     | Members
     | Report
+    | News
     | NewConfiguration
     | Ping
     | Pong
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -12,6 +12,7 @@
 from daisywharf._mesh._dialect import AnswerHead, Dialect
 from daisywharf._mesh._frames import Answered, Call, GateLoad, Unanswered
 from daisywharf._mesh._headers import HeaderPair
+from daisywharf._mesh._held import HeldBytes, keep
 from daisywharf._mesh._http_client import Asked, HttpFailure, HttpPool, HttpResult, Ownership
 from daisywharf._mesh._links import CallResult, OnCallResult
 from daisywharf._mesh._model import Readiness, TargetNotice
@@ -63,9 +64,10 @@
 class Gate:
     """Hold the target beside this daemon, its slots, and the calls at it."""
 
-    def __init__(self, *, dialect: Dialect, now: Callable[[], float]) -> None:
+    def __init__(self, *, dialect: Dialect, now: Callable[[], float], held: HeldBytes) -> None:
         self.dialect = dialect
         self.now = now
+        self.held = held
         self.notice: TargetNotice | None = None
         self.slots = SlotGate(slots=1)
         self.pressure = Pressure(now=now())
@@ -121,7 +123,7 @@
         self.slots = SlotGate(slots=notice.slots)
         self.slots.is_closed = self.is_stopping
         self.pressure = Pressure(now=self.now())
-        self._pool = HttpPool(notice.address, now=self.now)
+        self._pool = HttpPool(notice.address, now=self.now, held=self.held)
 
     def submit(self, call: Call, on_result: OnCallResult) -> CallId:
         """Take a call; the result follows, at once or later."""
@@ -135,7 +137,11 @@
         if now < self.unreachable_until:
             on_result(self._refusal(call, ErrorKind.NO_TARGET))
             return call_id
+        if self.held.is_full:
+            on_result(self._refusal(call, ErrorKind.MEMORY_FULL))
+            return call_id
         deadline = now + call.time_left_ms / MS
+        keep(self.held, len(call.body))
         self.calls_by_id[call_id] = GateCall(call_id, call, on_result, deadline)
         waiting = WaitingCall(
             call_id,
@@ -159,10 +165,10 @@
             return
         if gate_call.asked is None:
             withdraw(self.slots, call_id)
-            del self.calls_by_id[call_id]
+            self._forget(call_id)
         elif gate_call.call.is_idempotent:
             gate_call.asked.cancel()
-            del self.calls_by_id[call_id]
+            self._forget(call_id)
             self._apply(release(self.slots, call_id, now=self.now()))
         else:
             gate_call.is_given_up = True
@@ -200,6 +206,11 @@
         self.is_stopping = True
         self._apply(close_gate(self.slots))
 
+    def _forget(self, call_id: CallId) -> None:
+        gate_call = self.calls_by_id.pop(call_id, None)
+        if gate_call is not None:
+            keep(self.held, -len(gate_call.call.body))
+
     def _apply(self, actions: list[AdmissionAction]) -> None:
         for action in actions:
             gate_call = self.calls_by_id.get(action.call_id)
@@ -208,7 +219,7 @@
             if isinstance(action, Admit):
                 self._start(gate_call)
             elif isinstance(action, Refuse):
-                del self.calls_by_id[action.call_id]
+                self._forget(action.call_id)
                 self._log_refusal(gate_call, action.kind)
                 gate_call.on_result(self._refusal(gate_call.call, action.kind))
 
@@ -239,7 +250,7 @@
         )
 
     def _finish(self, gate_call: GateCall, result: HttpResult) -> None:
-        self.calls_by_id.pop(gate_call.call_id, None)
+        self._forget(gate_call.call_id)
         note_half_run(self.counts, Kind(gate_call.call.route))
         self._apply(release(self.slots, gate_call.call_id, now=self.now()))
         outcome = self._outcome(gate_call, result)
--- /dev/null
+++ b/src/daisywharf/_mesh/_held.py
@@ -0,0 +1,41 @@
+"""Bound the bytes of bodies and answers that a daemon holds for others.
+
+Load pattern: many callers send long bodies or read long answers slowly, so that what is held for
+them outgrows the process's memory, and its end takes all other requests with it. What has been let
+in goes on; new work is refused until enough of it has gone.
+"""
+
+from typing import Final
+
+# Part of the process's memory. The rest holds the program, and the copies of what is on its way
+# between daemons: a body is held at its entry, in a link's buffer and at its gate.
+HELD_PART: Final = 0.25
+
+
+class HeldBytes:
+    """Hold how many bytes are kept for others, and how many may be."""
+
+    def __init__(self, *, most: float) -> None:
+        self.most = most
+        self.kept = 0
+        self.unsent = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Tell whether new work must be refused."""
+        return self.kept + self.unsent > self.most
+
+
+def most_held(memory_bytes: float) -> float:
+    """Return how many bytes a process with so much memory may hold for others."""
+    return memory_bytes * HELD_PART
+
+
+def keep(held: HeldBytes, count: int) -> None:
+    """Count bytes that came in; give them back with a negative count."""
+    held.kept += count
+
+
+def note_unsent(held: HeldBytes, count: int) -> None:
+    """Take the bytes that wait, at this moment, to be read by others."""
+    held.unsent = count
--- a/src/daisywharf/_mesh/_http_client.py
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -9,6 +9,7 @@
 
 from daisywharf._errors import ErrorKind
 from daisywharf._mesh._headers import HeaderPair
+from daisywharf._mesh._held import HeldBytes, keep
 from daisywharf._topology import Address
 
 CONNECT_TIMEOUT_S: Final = 1.0  # clients allow a new connection as long
@@ -91,10 +92,12 @@
         *,
         now: Callable[[], float],
         most: int = 1_000_000,
+        held: HeldBytes | None = None,
     ) -> None:
         self.address = address
         self.now = now
         self.most = most
+        self.held = held or HeldBytes(most=float("inf"))
         self.idle: list[ClientConnection] = []
         self.open_connections: set[ClientConnection] = set()
         self.heard_at = now()
@@ -185,6 +188,8 @@
         self._parser: Any = None
         self._idle_since = pool.now()
         self._idle_limit_s = DEFAULT_IDLE_S
+        self._body: list[bytes] = []
+        self._body_bytes = 0
         self._reset_answer()
         self._is_doubtful = False
         self._answer: HttpAnswer | None = None
@@ -212,6 +217,7 @@
     def abandon(self) -> None:
         """Close at once; what was asked gets no result from here."""
         self.asked = None
+        self._reset_answer()
         self.pool.open_connections.discard(self)
         if self.transport is not None:
             self.transport.abort()
@@ -251,6 +257,7 @@
             self.pool.idle.remove(self)
         self.transport = None
         self.fail(ErrorKind.CUT_ANSWER, f"connection ended: {exc!r}")
+        self._reset_answer()
 
     # Calls of the parser.
 
@@ -282,6 +289,7 @@
         """Take a part of the body."""
         self._body.append(body)
         self._body_bytes += len(body)
+        keep(self.pool.held, len(body))
         if self._body_bytes > MOST_ANSWER_BYTES:
             self._is_doubtful = True
             self.fail(ErrorKind.TOO_LARGE, f"answer of over {MOST_ANSWER_BYTES} bytes")
@@ -304,6 +312,8 @@
         status = self._parser.get_status_code()
         keeps_alive = self._parser.should_keep_alive() and not self._ends_with_connection
         answer = HttpAnswer(status, self._reason, self._headers, b"".join(self._body))
+        self._body = []
+        self._forget_body_bytes()
         self.asked = None
         if ownership.idle_s is not None:
             self._idle_limit_s = ownership.idle_s * IDLE_MARGIN
@@ -326,10 +336,14 @@
             asked.connection = None
             asked.finish(HttpFailure(kind, has_begun=True, detail=detail))
 
+    def _forget_body_bytes(self) -> None:
+        keep(self.pool.held, -self._body_bytes)
+        self._body_bytes = 0
+
     def _reset_answer(self) -> None:
         self._has_head = False
         self._reason = b""
         self._headers: list[HeaderPair] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = []
+        self._forget_body_bytes()
         self._ends_with_connection = False
--- a/src/daisywharf/_mesh/_http_server.py
+++ b/src/daisywharf/_mesh/_http_server.py
@@ -10,6 +10,7 @@
 
 from daisywharf._configuration import ClientLimits
 from daisywharf._mesh._headers import HeaderPair
+from daisywharf._mesh._held import HeldBytes, keep
 from daisywharf._topology import Address
 
 # Clients pipeline a handful; more than this many unanswered requests pause the reading.
@@ -30,6 +31,7 @@
         self.target = b""
         self.headers: list[HeaderPair] = []
         self.body = b""
+        self.body_bytes = 0
         self.keeps_alive = True
         self.answer: bytes | None = None
         self.on_gone: Callable[[], None] | None = None
@@ -49,8 +51,19 @@
         if self.method == b"HEAD":
             self.answer += b"\r\n"
         self.on_gone = None
+        self.drop_body()
         self.connection.flush()
 
+    def take_body(self, count: int) -> None:
+        """Count a part of the body that came in."""
+        self.body_bytes += count
+        keep(self.connection.server.held, count)
+
+    def drop_body(self) -> None:
+        """Forget the body: no further attempt needs it."""
+        keep(self.connection.server.held, -self.body_bytes)
+        self.body, self.body_bytes = b"", 0
+
     @property
     def is_wanted(self) -> bool:
         """Tell whether the client still waits for the answer."""
@@ -63,9 +76,18 @@
 class HttpServer:
     """Hold the connections of one listening address; `handle` answers each exchange in time."""
 
-    def __init__(self, handle: Handler, *, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        handle: Handler,
+        *,
+        now: Callable[[], float],
+        held: HeldBytes | None = None,
+        full_lines: Callable[[], bytes] = bytes,
+    ) -> None:
         self.handle = handle
         self.now = now
+        self.held = held or HeldBytes(most=float("inf"))
+        self.full_lines = full_lines
         self.limits = ClientLimits()
         self.connections: set[ServerConnection] = set()
         self.is_closing = False
@@ -94,9 +116,9 @@
                 connection.close()
 
     @property
-    def has_unsent(self) -> bool:
-        """Tell whether a client hasn't read all of its answer yet."""
-        return any(connection.has_unsent for connection in self.connections)
+    def unsent_bytes(self) -> int:
+        """Return the bytes of answers that clients have yet to read."""
+        return sum(connection.unsent_bytes for connection in self.connections)
 
     def stop(self) -> None:
         """Stop listening; open connections stay."""
@@ -114,7 +136,6 @@
         self._parser: Any = None
         self._reading: Exchange | None = None
         self._body: list[bytes] = []
-        self._body_bytes = 0
         self._head_bytes = 0
         self._has_head = False
         self._active_at = server.now()
@@ -172,7 +193,6 @@
         """Begin a request."""
         self._reading = Exchange(self, arrived_at=self.server.now())
         self._body = []
-        self._body_bytes = 0
         self._head_bytes = 0
         self._has_head = False
 
@@ -206,10 +226,15 @@
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
+        exchange = self._reading
+        if exchange is None:
+            return
         self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self.server.limits.body_bytes:
+        exchange.take_body(len(body))
+        if exchange.body_bytes > self.server.limits.body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        elif self.server.held.is_full:
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, self.server.full_lines())
 
     def on_message_complete(self) -> None:
         """Hand the whole request over."""
@@ -252,9 +277,11 @@
         return bool(self.exchanges) or self._reading is not None
 
     @property
-    def has_unsent(self) -> bool:
-        """Tell whether the client hasn't read all that was written."""
-        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+    def unsent_bytes(self) -> int:
+        """Return the bytes that were written, or wait behind another answer, and aren't read."""
+        waiting = sum(len(exchange.answer or b"") for exchange in self.exchanges)
+        written = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        return waiting + written
 
     def close(self) -> None:
         """Close the connection."""
@@ -276,20 +303,25 @@
         # Behind the last answer nothing may wait: it would count as unread.
         return self.server.is_closing and not self.exchanges and self._reading is None
 
-    def _refuse(self, status: HTTPStatus) -> None:
+    def _refuse(self, status: HTTPStatus, lines: bytes = b"") -> None:
         """Answer what can't be read, behind the answers that are due, and end the connection."""
         if self._is_ending:
             return
         self._is_ending = True
         exchange = self._reading or Exchange(self, arrived_at=self.server.now())
         self._reading = None
+        self._body = []
         exchange.keeps_alive = False
         self.exchanges.append(exchange)
-        exchange.respond(status)
+        exchange.respond(status, lines=lines)
 
     def _give_up(self) -> None:
         exchanges, self.exchanges = self.exchanges, deque()
+        if self._reading is not None:
+            self._reading.drop_body()
+            self._reading = None
         for exchange in exchanges:
+            exchange.drop_body()
             on_gone, exchange.on_gone = exchange.on_gone, None
             if on_gone is not None:
                 on_gone()
--- a/src/daisywharf/_mesh/_links.py
+++ b/src/daisywharf/_mesh/_links.py
@@ -14,6 +14,7 @@
     Cancel,
     Frame,
     Hello,
+    News,
     Ping,
     Pong,
     Report,
@@ -36,7 +37,7 @@
 MOST_FRAME_BYTES: Final = 80_000_000  # the largest body that a configuration allows, and a head
 
 # The other end answers each of these, if only with a pong.
-ANSWERED_FRAMES: Final = (Call, Hello, Ping, Report)
+ANSWERED_FRAMES: Final = (Call, Hello, News, Ping, Report)
 
 CallResult = Answered | Unanswered
 OnCallResult = Callable[[CallResult], None]
@@ -89,10 +90,15 @@
         if start:
             del received[:start]
 
-    def send(self, frame: Frame) -> None:
+    def send(self, frame: Frame, encoded: bytes = b"") -> None:
         """Send a frame at once: to gather those of a turn costs the loop another turn."""
         if self.transport is not None:
-            self.transport.write(encode_frame(frame))
+            self.transport.write(encoded or encode_frame(frame))
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes that the other end has yet to read."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
     def close(self) -> None:
         """Close at once."""
@@ -146,12 +152,17 @@
         if isinstance(call_id, int) and self.calls.pop(call_id, None) is not None:
             self.send(Cancel(call_id))
 
-    def send(self, frame: Frame) -> None:
-        """Send a frame, or drop it where the link is down."""
+    def send(self, frame: Frame, encoded: bytes = b"") -> None:
+        """Send a frame, or drop it where the link is down; `encoded` holds it if many get it."""
         if self._protocol is not None:
             if self._asked_at is None and isinstance(frame, ANSWERED_FRAMES):
                 self._asked_at = self.now()
-            self._protocol.send(frame)
+            self._protocol.send(frame, encoded)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes that the other end has yet to read."""
+        return 0 if self._protocol is None else self._protocol.unsent_bytes
 
     def tick(self, *, now: float) -> None:
         """Open the link, ask for a sign of life, or give a silent link up."""
--- a/src/daisywharf/_mesh/_reporting.py
+++ b/src/daisywharf/_mesh/_reporting.py
@@ -1,12 +1,11 @@
 """Tell the other daemons, now and then, of this one's load and of what runs and enters here."""
 
-from typing import Final
+from typing import Final, TypeVar
 
 from daisywharf._mesh._entry import Entry
-from daisywharf._mesh._frames import Report
+from daisywharf._mesh._frames import News, Report, encode_frame
 from daisywharf._mesh._gate import Gate
 from daisywharf._mesh._learned import KEPT_S, drop_kept
-from daisywharf._mesh._links import OutLink
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._store_sync import StoreSync
 from daisywharf._overload._calls_below import CallCounts, CallsBelow, calls_below, end_period
@@ -19,8 +18,13 @@
 OFTEN_REPORT_S: Final = 0.5
 LOADED_PART: Final = 0.5
 LEARNING_S: Final = 30.0
-# Reports a period: more would cost a daemon of a large fleet more than its share of a core.
+# Daemons that get a whole report a period, of 0.4 KB: more would be over the 13 KB/s that the users
+# allow. Of a larger fleet the others get them in turn; what they hold changes slowly.
 MOST_REPORTS: Final = 32
+REPORTS_IN_TURN: Final = 16
+# Daemons that get at least the news, 25 bytes, in each period: 1 part in 100 of a core at 28 us
+# for each, and its answer.
+MOST_NEWS: Final = 128
 
 
 class Reporter:
@@ -35,7 +39,7 @@
         self.sync = sync
         self._started_at = now
         self._reported_at = now
-        self._reported_to = 0
+        self._told = 0
 
     def tick(self, *, now: float) -> None:
         """Report if it is time."""
@@ -62,19 +66,44 @@
         note_counts(entry.origins, service, entered)
         entry.judge_origins(now=now)
         entry.daemons = len(self.membership.record_by_vm)
-        is_watching = self.sync.is_counted_on()
-        report = Report(entry.version, is_watching, load, rows, service, entered)
-        for link in self._next_links():
-            link.send(report)
-
-    def _next_links(self) -> list[OutLink]:
-        """Return all links of a small fleet; of a large one, the next in turn."""
-        up = [link for link in self.membership.link_by_vm.values() if link.is_up]
-        if len(up) <= MOST_REPORTS:
-            return up
-        start = self._reported_to % len(up)
-        self._reported_to += MOST_REPORTS
-        return (up + up)[start : start + MOST_REPORTS]
+        news = News(entry.version, self.sync.is_counted_on(), load)
+        self._send(news, Report(news, rows, service, entered))
+
+    def _send(self, news: News, report: Report) -> None:
+        """Send all daemons of a small fleet the report; of a large one some, and the news to more.
+
+        The zone relies on those that watch the store: it hears of them in each period.
+        """
+        members = self.membership
+        up_by_vm = {vm: link for vm, link in members.link_by_vm.items() if link.is_up}
+        whole, rest = share_out(list(up_by_vm.values()), start=self._told)
+        self._told += next_start(len(up_by_vm))
+        told = dict.fromkeys(rest)
+        if self.sync.is_watching and len(up_by_vm) > MOST_NEWS:
+            zone, record_by_vm = members.own.zone, members.record_by_vm
+            told |= {up_by_vm[vm]: None for vm in up_by_vm if record_by_vm[vm].zone == zone}
+        encoded_report, encoded_news = encode_frame(report), encode_frame(news)
+        for link in whole:
+            link.send(report, encoded_report)
+        for link in told:
+            link.send(news, encoded_news)
+
+
+LinkT = TypeVar("LinkT")
+
+
+def share_out(links: list[LinkT], *, start: int) -> tuple[list[LinkT], list[LinkT]]:
+    """Return who gets a whole report, and who gets only the news, in the period that starts."""
+    if len(links) <= MOST_REPORTS:
+        return links, []
+    first = start % len(links)
+    told = (links[first:] + links[:first])[:MOST_NEWS]
+    return told[:REPORTS_IN_TURN], told[REPORTS_IN_TURN:]
+
+
+def next_start(links: int) -> int:
+    """Return how far the next period starts behind this one's start."""
+    return MOST_NEWS if links > MOST_NEWS else REPORTS_IN_TURN
 
 
 def _rows(counts: CallCounts) -> tuple[CallsBelow, ...]:
--- a/src/daisywharf/_mesh/_settings.py
+++ b/src/daisywharf/_mesh/_settings.py
@@ -32,4 +32,5 @@
     announcements_address: Address
     store_address: Address
     seeds: tuple[Address, ...]
+    memory_bytes: float
     bounds: MeshBounds
--- a/src/daisywharf/_routing/_kinds.py
+++ b/src/daisywharf/_routing/_kinds.py
@@ -9,6 +9,7 @@
     ErrorKind.SHED: CallOutcome.REFUSED,
     ErrorKind.DRAINING: CallOutcome.REFUSED,
     ErrorKind.RECORDS_FULL: CallOutcome.REFUSED,
+    ErrorKind.MEMORY_FULL: CallOutcome.REFUSED,
     ErrorKind.NO_TARGET: CallOutcome.REFUSED,
     ErrorKind.CLAIM_UNAVAILABLE: CallOutcome.REFUSED,
     ErrorKind.WRONG_INCARNATION: CallOutcome.REFUSED,
--- a/src/daisywharf/platform/_settings.py
+++ b/src/daisywharf/platform/_settings.py
@@ -16,6 +16,8 @@
 DEFAULT_RATIO: Final = 0.2
 DEFAULT_WINDOW_S: Final = 10.0
 DEFAULT_EXTRA: Final = 0.0
+DEFAULT_MEMORY_MB: Final = 200.0  # the least of any VM in the site files
+BYTES_A_MB: Final = 1_000_000.0
 
 
 def read_settings(path: Path) -> MeshSettings:
@@ -49,6 +51,7 @@
         store_address=store.address("address"),
         # Control addresses of other daemons: only their hosts are of use here.
         seeds=tuple(a for a in (_seed(s) for s in network.items("seedNodes")) if a is not None),
+        memory_bytes=_memory_mb(own) * BYTES_A_MB,
         bounds=_bounds(text.table("terms").table("bounds")),
     )
     if faults:
@@ -56,6 +59,12 @@
     return settings
 
 
+def _memory_mb(own: "_Table") -> float:
+    if "limits" not in own.content:
+        return DEFAULT_MEMORY_MB
+    return own.table("limits").number("memoryMb", DEFAULT_MEMORY_MB)
+
+
 def _bounds(table: "_Table") -> MeshBounds:
     return MeshBounds(
         grace_s=table.number("gracePeriodS", DEFAULT_GRACE_S),
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -73,6 +73,7 @@
         announcements_address=NOWHERE,
         store_address=NOWHERE,
         seeds=(),
+        memory_bytes=200e6,
         bounds=MeshBounds(grace_s=1.0, retry_ratio=0.2, retry_window_s=10.0, retry_extra=50.0),
     )
 
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -1,11 +1,23 @@
 """What clients may send: bodies in chunks, trailers, limits, connections that end."""
 
 import asyncio
+import socket
 
 import pytest
 
-from builders_mesh import MeshWorld, Seen, TargetStandIn, configuration, in_loop, route
+from builders_mesh import (
+    Client,
+    MeshWorld,
+    Seen,
+    TargetStandIn,
+    configuration,
+    eventually,
+    header_of,
+    in_loop,
+    route,
+)
 from daisywharf._configuration import ClientLimits, Configuration
+from daisywharf._mesh._http_client import HttpAnswer
 from daisywharf._mesh._routes import RouteTable, find_route
 
 HEAD = "Host: shop.example\r\nAttempt-Id: c1\r\nDeadline-Ms: 5000\r\n"
@@ -113,3 +125,75 @@
 
 def test_another_host_has_no_route() -> None:
     assert find_route(_table(), host="elsewhere.example", path="/a/x") is None
+
+
+def test_a_daemon_that_holds_too_much_refuses_bodies_and_says_they_haven_t_run() -> None:
+    async def scenario() -> None:
+        world = MeshWorld()
+        held: list[Seen] = []
+        daemon = await world.add(TargetStandIn(held.append))
+        await world.settle()
+        daemon.held.most = 10_000
+        client = Client(daemon)
+        results: list[object] = []
+        client.send("/r/x", results.append, method="POST", body=b"x" * 4_000)
+        await eventually(lambda: len(held) == 1)
+        # At its entry and at its gate: both count it, as both may live in different processes.
+        assert daemon.held.kept == 8_000
+        second = await Client(daemon).ask("/r/x", method="POST", body=b"y" * 4_000)
+        assert isinstance(second, HttpAnswer)
+        assert second.status == 503
+        assert float(header_of(second, "Retry-After") or "") > 0
+        assert len(held) == 1
+        held[0].answer(200, b"z" * 100)
+        await eventually(lambda: len(results) == 1)
+        assert daemon.held.kept == 0
+        await world.close()
+
+    in_loop(scenario)
+
+
+def test_what_is_held_is_given_back_when_a_client_leaves_in_its_body() -> None:
+    async def scenario() -> None:
+        world = MeshWorld()
+        daemon = await world.add(TargetStandIn())
+        await world.settle()
+        address = daemon.settings.entry_address
+        _, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(f"POST /r/x HTTP/1.1\r\n{HEAD}Content-Length: 500\r\n\r\n".encode())
+        writer.write(b"x" * 300)
+        await eventually(lambda: daemon.held.kept == 300)
+        writer.close()
+        await eventually(lambda: daemon.held.kept == 0)
+        await world.close()
+
+    in_loop(scenario)
+
+
+def test_answers_that_clients_don_t_read_count_until_they_are_gone() -> None:
+    async def scenario() -> None:
+        world = MeshWorld()
+        # The kernel holds up to 4 MB for a sender, and little for this reader.
+        big = b"z" * 12_000_000
+        daemon = await world.add(TargetStandIn(lambda seen: seen.answer(200, big)))
+        await world.settle()
+        daemon.held.most = 1_000_000
+        address = daemon.settings.entry_address
+        slow = socket.socket()
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        slow.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(slow, (address.host, address.port))
+        reader, writer = await asyncio.open_connection(sock=slow, limit=1_000)
+        writer.write(f"GET /r/x HTTP/1.1\r\n{HEAD}\r\n".encode())
+        await eventually(lambda: daemon.held.is_full)
+        refused = await Client(daemon).ask("/r/x")
+        assert isinstance(refused, HttpAnswer)
+        assert refused.status == 503
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200")
+        assert await reader.readexactly(len(big)) == big
+        await eventually(lambda: not daemon.held.is_full)
+        writer.close()
+        await world.close()
+
+    in_loop(scenario)
