Measure the ways that were weighed for the data path

python -m benchmarks ways: codecs, links, servers, loops and actors, in processor time of one exchange.

--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -1,6 +1,10 @@
 """The page of figures states the cases and targets of the code."""
 
+import json
+
 import msgspec
+import pytest
+from benchmarks import ways
 from benchmarks._all_cases import CASES, Limit
 from benchmarks._all_report import (
     KNOWN_RED_PATH,
@@ -48,3 +52,10 @@
 
 def test_a_listed_line_that_holds_fails() -> None:
     assert judge(KEPT[:1], listed={KEPT[0].line}).failing != []
+
+
+def test_each_way_that_was_weighed_is_still_measured(capsys: pytest.CaptureFixture[str]) -> None:
+    assert ways.main(["--exchanges", "20", "--json"]) == 0
+    figures = json.loads(capsys.readouterr().out)
+    assert len(figures) == 9
+    assert all(value > 0 for value in figures.values())
