Add a fault soak of our own

Real daemons as processes on a block of loopback of their own, with stand-ins of the store, targets and clients, links through a relay, and seeded faults that overlap: stops, kills, kills of a third, freezes, links that are silent one or both ways, late or reset, a store in five kinds of trouble, targets that crash, leave, are slow, fail, cut, add bytes or are someone else, a service that fails as a whole, surges, new versions, clocks that are off. Seven promises are checked on what clients and targets saw. As first written, STOP and BUDGET found nothing: any fault anywhere excused a cut, and no fault made enough repeats; a fault is now taken at the daemon's own VM, and a whole service may fail. The store's stand-in moved out of its test; learned rows are read stale, at a tenth of the price.

--- /dev/null
+++ b/benchmarks/_platform_store.py
@@ -0,0 +1,109 @@
+"""A stand-in for the platform's store, with the faults that its page names."""
+
+import asyncio
+import time
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from daisywharf._mesh._http_server import Exchange, HttpServer
+from daisywharf._topology import Address
+
+MS = 1_000.0
+
+
+class StoreStandIn:
+    """Hold objects by kind and name, revisions, and a history that may be short."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.server = HttpServer(self._handle, now=time.monotonic)
+        self.revision = 10
+        self.oldest = 0
+        self.object_by_place: dict[tuple[str, str], dict[str, Any]] = {}
+        self.status: int | None = None
+        self.is_silent = False
+        self.loses_answers = False
+        self.delay_s = 0.0
+        self.nonsense: dict[str, Any] | None = None
+        self.calls: list[str] = []
+        self._changed = asyncio.Event()
+
+    def put(self, kind: str, name: str, specification: Any) -> dict[str, Any]:
+        """Write an object."""
+        self.revision += 1
+        metadata = {"name": name, "revision": self.revision}
+        written = {"metadata": metadata, "specification": specification, "status": None}
+        self.object_by_place[(kind, name)] = written
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return written
+
+    def _handle(self, exchange: Exchange) -> None:
+        method, target = exchange.method.decode(), urlsplit(exchange.target.decode())
+        self.calls.append(f"{method} {target.path}")
+        if self.is_silent:
+            return
+        if self.status is not None:
+            exchange.respond(self.status)
+        elif self.nonsense is not None:
+            exchange.respond(200, body=msgspec.json.encode(self.nonsense))
+        else:
+            # A caller that leaves takes its body along, but its call may be done later.
+            body = exchange.body
+            asyncio.ensure_future(self._respond(exchange, method, target.path, target.query, body))
+
+    async def _respond(
+        self, exchange: Exchange, method: str, path: str, query: str, body: bytes
+    ) -> None:
+        wanted = parse_qs(query)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        if "watch" in wanted:
+            await self._wait_for_change(int(wanted["watch"][0]), int(wanted["waitMs"][0]) / MS)
+        status, content = self._answer(method, path, wanted, body)
+        if not self.loses_answers and not self.is_silent:
+            exchange.respond(status, body=msgspec.json.encode(content))
+
+    async def _wait_for_change(self, after: int, wait_s: float) -> None:
+        if self.revision > after or after < self.oldest:
+            return
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _answer(
+        self, method: str, path: str, query: dict[str, list[str]], body: bytes
+    ) -> tuple[int, Any]:
+        kind, _, name = path.removeprefix("/-/objects/").partition("/")
+        if method == "GET" and not name:
+            return self._list(kind, query)
+        given = msgspec.json.decode(body) if body else {}
+        found = self.object_by_place.get((kind, name or given["metadata"]["name"]))
+        if method == "GET":
+            return (200, found) if found else (404, None)
+        if method == "POST":
+            if found:
+                return 409, found
+            return 201, self.put(kind, given["metadata"]["name"], given["specification"])
+        if not found:
+            return 404, None
+        known = found["metadata"]["revision"]
+        if given["metadata"].get("revision", known) != known:
+            return 409, found
+        return 200, self.put(kind, name, given["specification"])
+
+    def _list(self, kind: str, query: dict[str, list[str]]) -> tuple[int, Any]:
+        objects = [o for (k, _), o in sorted(self.object_by_place.items()) if k == kind]
+        if "watch" not in query:
+            return 200, {"items": objects, "hasMore": False, "at": self.revision}
+        after = int(query["watch"][0])
+        if after < self.oldest:
+            return 410, None
+        events = [
+            {"object": o, "deleted": False} for o in objects if o["metadata"]["revision"] > after
+        ]
+        return 200, {"events": events, "at": self.revision}
--- /dev/null
+++ b/benchmarks/_soak_faults.py
@@ -0,0 +1,239 @@
+"""The faults of a soak: each begins, lasts, and ends; several overlap."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import contextmanager
+from typing import Final
+
+from benchmarks._soak_fleet import SoakFleet, SoakVm
+from benchmarks._soak_ledger import Trouble
+from benchmarks._soak_parts import BACK, FRONT, body_of
+from daisywharf._mesh._http_server import Exchange
+
+Fault = Callable[[SoakFleet], Awaitable[None]]
+EVERYWHERE: Final = "*"
+# A clock of another zone, or one that was never set.
+CLOCKS_OFF_MS: Final = (0, 0, 3_600_000, -3_600_000, -40 * 365 * 86_400_000)
+
+
+@contextmanager
+def _noted(fleet: SoakFleet, name: str, vm: str, *, is_planned: bool = False):  # type: ignore[no-untyped-def]
+    trouble = Trouble(name, vm, time.monotonic(), is_planned)
+    fleet.ledger.troubles.append(trouble)
+    try:
+        yield
+    finally:
+        trouble.ended_at = time.monotonic()
+
+
+def _vm_that_runs(fleet: SoakFleet) -> SoakVm | None:
+    running = [vm for vm in fleet.vms if vm.process is not None]
+    return fleet.rng.choice(running) if len(running) > len(fleet.vms) // 2 else None
+
+
+def _some_s(fleet: SoakFleet) -> float:
+    return 0.3 + 2.7 * fleet.rng.random()
+
+
+async def stop_daemon(fleet: SoakFleet) -> None:
+    """Stop a daemon as planned work does, and start it again."""
+    vm = _vm_that_runs(fleet)
+    if vm is not None:
+        with _noted(fleet, "stop-daemon", vm.name, is_planned=True):
+            await fleet.end_daemon(vm, signal.SIGTERM)
+            fleet.start_daemon(vm, clock_off_ms=fleet.rng.choice(CLOCKS_OFF_MS))
+            await asyncio.sleep(1.0)
+
+
+async def kill_daemon(fleet: SoakFleet) -> None:
+    """Kill a daemon; it is back soon, with a clock that may be off."""
+    vm = _vm_that_runs(fleet)
+    if vm is not None:
+        with _noted(fleet, "kill-daemon", vm.name):
+            await fleet.end_daemon(vm, signal.SIGKILL)
+            await asyncio.sleep(_some_s(fleet) / 2)
+            fleet.start_daemon(vm, clock_off_ms=fleet.rng.choice(CLOCKS_OFF_MS))
+            await asyncio.sleep(1.0)
+
+
+async def kill_many(fleet: SoakFleet) -> None:
+    """Kill a third of the daemons at once."""
+    vms = [vm for vm in fleet.vms if vm.process is not None][:: 3 if len(fleet.vms) > 3 else 1]
+    with _noted(fleet, "kill-many", EVERYWHERE):
+        await asyncio.gather(*(fleet.end_daemon(vm, signal.SIGKILL) for vm in vms))
+        await asyncio.sleep(0.5)
+        for vm in vms:
+            fleet.start_daemon(vm)
+        await asyncio.sleep(2.0)
+
+
+async def freeze_daemon(fleet: SoakFleet) -> None:
+    """Stop a daemon's process for a while, as a suspended VM."""
+    vm = _vm_that_runs(fleet)
+    process = None if vm is None else vm.process
+    if vm is not None and process is not None:
+        with _noted(fleet, "freeze", vm.name):
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(_some_s(fleet))
+            process.send_signal(signal.SIGCONT)
+
+
+async def silence_links(fleet: SoakFleet) -> None:
+    """Swallow what goes to a daemon's links, what comes back, or both."""
+    vm = fleet.rng.choice(fleet.vms)
+    relay = fleet.relays[vm.name]
+    ways = fleet.rng.choice(("in", "out", "in out"))
+    with _noted(fleet, f"silent {ways}", vm.name):
+        relay.swallows_in, relay.swallows_out = "in" in ways, "out" in ways
+        await asyncio.sleep(_some_s(fleet))
+        relay.swallows_in = relay.swallows_out = False
+        # Bytes are missing: a real network would have ended these connections as well.
+        relay.reset()
+
+
+async def delay_links(fleet: SoakFleet) -> None:
+    """Hold up what goes over a daemon's links."""
+    vm = fleet.rng.choice(fleet.vms)
+    with _noted(fleet, "delay", vm.name):
+        fleet.relays[vm.name].delay_s = 0.05 + 0.3 * fleet.rng.random()
+        await asyncio.sleep(_some_s(fleet))
+        fleet.relays[vm.name].delay_s = 0.0
+
+
+async def reset_links(fleet: SoakFleet) -> None:
+    """Reset all links to a daemon."""
+    vm = fleet.rng.choice(fleet.vms)
+    with _noted(fleet, "reset", vm.name):
+        fleet.relays[vm.name].reset()
+        await asyncio.sleep(0.1)
+
+
+async def trouble_store(fleet: SoakFleet) -> None:
+    """Have the store refuse, be silent, be slow, lose answers, or forget its history."""
+    store = fleet.store
+    way = fleet.rng.choice(("refuses", "silent", "slow", "loses answers", "forgets"))
+    with _noted(fleet, f"store {way}", EVERYWHERE):
+        store.status = 503 if way == "refuses" else None
+        store.is_silent = way == "silent"
+        store.delay_s = 1.0 if way == "slow" else 0.0
+        store.loses_answers = way == "loses answers"
+        if way == "forgets":
+            store.oldest = store.revision + 1
+            store.revision += 1
+        await asyncio.sleep(_some_s(fleet))
+        store.status, store.is_silent = None, False
+        store.delay_s, store.loses_answers = 0.0, False
+        for connection in list(store.server.connections):
+            connection.close()
+
+
+async def crash_target(fleet: SoakFleet) -> None:
+    """End a target without a word; a new incarnation follows."""
+    vm = fleet.rng.choice(fleet.vms)
+    if vm.target is not None and not vm.target.is_down:
+        with _noted(fleet, "crash-target", vm.name):
+            vm.target.crash()
+            await asyncio.sleep(_some_s(fleet))
+            await fleet.start_target(vm)
+            await asyncio.sleep(1.0)
+
+
+async def replace_target(fleet: SoakFleet) -> None:
+    """Let a target leave as planned; a new incarnation follows."""
+    vm = fleet.rng.choice(fleet.vms)
+    target = vm.target
+    if target is not None and not target.is_down and target.state == "ready":
+        with _noted(fleet, "replace-target", vm.name, is_planned=True):
+            await target.leave(drain_s=4.0)
+            await fleet.start_target(vm)
+            await asyncio.sleep(1.0)
+
+
+async def trouble_target(fleet: SoakFleet) -> None:
+    """Have a target be slow, fail, cut its answers, or send bytes behind them."""
+    vm = fleet.rng.choice(fleet.vms)
+    target = vm.target
+    if target is None or target.is_down:
+        return
+    way = fleet.rng.choice(("slow", "fails", "cuts", "adds", "lies"))
+    with _noted(fleet, f"target {way}", vm.name):
+        target.work_s = 0.4 if way == "slow" else 0.02
+        target.misbehaves = MISBEHAVIOUR_BY_WAY.get(way)
+        await asyncio.sleep(_some_s(fleet))
+        target.work_s, target.misbehaves = 0.02, None
+
+
+async def fail_service(fleet: SoakFleet) -> None:
+    """Have all targets of a service fail, as after a bad release."""
+    service = fleet.rng.choice((FRONT, BACK))
+    targets = [vm.target for vm in fleet.vms if vm.target is not None and vm.service == service]
+    with _noted(fleet, f"all of {service} fail", EVERYWHERE):
+        for target in targets:
+            target.misbehaves = _fail
+        await asyncio.sleep(_some_s(fleet))
+        for target in targets:
+            target.misbehaves = None
+
+
+def _fail(exchange: Exchange, request: str) -> bool:
+    lines = f"Attempt-Id: {request}\r\nServer-Signature: s\r\n".encode()
+    exchange.respond(500, lines=lines)
+    return True
+
+
+def _cut(exchange: Exchange, request: str) -> bool:
+    transport = exchange.connection.transport
+    if transport is not None:
+        head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {request}\r\nServer-Signature: s\r\n"
+        transport.write(f"{head}Content-Length: 900\r\n\r\nonly this".encode())
+        transport.close()
+    return True
+
+
+def _add(exchange: Exchange, request: str) -> bool:
+    """Send an answer of another request first, then let the own one follow."""
+    transport = exchange.connection.transport
+    if transport is not None:
+        body = body_of("someone-elses", "nowhere")
+        head = "HTTP/1.1 200 OK\r\nAttempt-Id: someone-elses\r\nServer-Signature: s\r\n"
+        transport.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+    return False
+
+
+def _lie(exchange: Exchange, _request: str) -> bool:
+    """Answer without a signature, as whoever took over the address would."""
+    exchange.respond(200, body=b"I am another program")
+    return True
+
+
+MISBEHAVIOUR_BY_WAY: Final = {"fails": _fail, "cuts": _cut, "adds": _add, "lies": _lie}
+
+
+async def change_configuration(fleet: SoakFleet) -> None:
+    """Write a new version, unless the store is in trouble: then it isn't acknowledged."""
+    store = fleet.store
+    if store.status is None and not (store.is_silent or store.loses_answers or store.delay_s):
+        fleet.configure()
+
+
+FAULTS: Final[tuple[Fault, ...]] = (
+    stop_daemon,
+    stop_daemon,
+    kill_daemon,
+    kill_many,
+    freeze_daemon,
+    silence_links,
+    delay_links,
+    reset_links,
+    trouble_store,
+    crash_target,
+    replace_target,
+    replace_target,
+    trouble_target,
+    trouble_target,
+    fail_service,
+    change_configuration,
+    change_configuration,
+)
--- /dev/null
+++ b/benchmarks/_soak_fleet.py
@@ -0,0 +1,201 @@
+"""A fleet for a soak: daemons as processes, and their VMs' targets, clients and relays."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+import yaml
+
+from benchmarks._platform_store import StoreStandIn
+from benchmarks._soak_ledger import (
+    GRACE_S,
+    RETRY_EXTRA,
+    RETRY_RATIO,
+    RETRY_WINDOW_S,
+    Applied,
+    Ledger,
+)
+from benchmarks._soak_parts import BACK, FRONT, HOST_NAME, LinkRelay, SoakClient, SoakTarget
+from daisywharf._mesh._http_client import HttpAnswer, HttpPool
+from daisywharf._topology import Address
+
+ENTRY, LINKS, BEHIND, READY, CONTROL, TARGET, STORE = range(8300, 8307)
+ZONES: Final = ("a", "b", "c")
+EXIT_TIMEOUT_S: Final = GRACE_S + 5.0
+
+
+class SoakVm:
+    """Hold one VM: its daemon's process, its target, its client and its relay."""
+
+    def __init__(self, number: int, host: str) -> None:
+        self.name = f"vm-{number:03}"
+        self.host = host
+        self.zone = ZONES[number % len(ZONES)]
+        self.service = FRONT if number % 2 else BACK
+        self.process: subprocess.Popen[bytes] | None = None
+        self.starts = 0
+        self.target: SoakTarget | None = None
+        self.targets = 0
+
+    def at(self, port: int) -> Address:
+        """Return an address of this VM."""
+        return Address(self.host, port)
+
+
+class SoakFleet:
+    """Hold the VMs, the store and the ledger of one soak."""
+
+    def __init__(self, directory: Path, *, vms: int, seed: int, broken: str) -> None:
+        self.directory = directory
+        self.broken = broken
+        self.rng = Random(seed)
+        self.ledger = Ledger()
+        # A block of loopback of this process's own: its ports are free on it.
+        block = f"127.{64 + os.getpid() // 256 % 64}.{os.getpid() % 256}"
+        self.store = StoreStandIn(Address(f"{block}.254", STORE))
+        self.vms = [SoakVm(number, f"{block}.{number}") for number in range(1, vms + 1)]
+        self.relays = {vm.name: LinkRelay(vm.at(LINKS), vm.at(BEHIND)) for vm in self.vms}
+        self.clients = {
+            vm.name: SoakClient(vm.name, vm.at(ENTRY), ledger=self.ledger) for vm in self.vms
+        }
+        self.version = 0
+
+    async def start(self) -> None:
+        """Start everything and wait until all daemons are ready."""
+        await self.store.server.start(self.store.address)
+        self.configure()
+        for vm in self.vms:
+            await self.relays[vm.name].start()
+            self.start_daemon(vm)
+            await self.start_target(vm)
+        for vm in self.vms:
+            await self._ready(vm)
+
+    def configure(self) -> None:
+        """Write a version that serves a prefix of its own, and `/main/` and `/back/` as ever."""
+        self.version += 1
+        prefix = f"/v{self.version}/"
+        routes = [
+            _route("main", "/main/", FRONT, "idempotent"),
+            _route("orders", "/orders/", FRONT, "non_idempotent"),
+            _route("inner", "/back/", BACK, "idempotent"),
+            _route(f"own-{self.version}", prefix, BACK, "idempotent"),
+        ]
+        content = {"version": self.version, "resources": routes}
+        self.store.put("config", "main", content)
+        self.ledger.applied.append(Applied(prefix, time.monotonic()))
+
+    def start_daemon(self, vm: SoakVm, *, clock_off_ms: int = 0) -> None:
+        """Start a VM's daemon."""
+        path = self.directory / f"{vm.name}.yaml"
+        path.write_text(yaml.safe_dump(self._settings(vm)))
+        vm.starts += 1
+        self.clients[vm.name].process = self.vms.index(vm) * 1_000 + vm.starts
+        log = (self.directory / f"{vm.name}.log").open("ab")
+        command = [sys.executable, "-m", "benchmarks._soak_daemon", str(vm.at(BEHIND))]
+        vm.process = subprocess.Popen(
+            [*command, str(clock_off_ms), *([self.broken] if self.broken else [])],
+            stdout=log,
+            stderr=log,
+            env=os.environ | {"DAISYWHARF_SETTINGS": str(path)},
+        )
+
+    async def start_target(self, vm: SoakVm) -> None:
+        """Start a new incarnation of a VM's target."""
+        vm.targets += 1
+        vm.target = SoakTarget(
+            f"{vm.name}-t{vm.targets}",
+            vm.service,
+            address=vm.at(TARGET),
+            control=vm.at(CONTROL),
+            entry=vm.at(ENTRY),
+            ledger=self.ledger,
+            rng=self.rng,
+        )
+        await vm.target.start()
+
+    async def end_daemon(self, vm: SoakVm, number: signal.Signals) -> None:
+        """Send a signal and wait for the process's end; kill it if it stays."""
+        process, vm.process = vm.process, None
+        if process is None:
+            return
+        process.send_signal(number)
+        give_up_at = time.monotonic() + EXIT_TIMEOUT_S
+        while process.poll() is None and time.monotonic() < give_up_at:
+            await asyncio.sleep(0.05)
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+        self.clients[vm.name].pool.close()
+
+    async def _ready(self, vm: SoakVm) -> None:
+        pool = HttpPool(vm.at(READY), now=time.monotonic)
+        request = b"GET /-/readiness HTTP/1.1\r\nHost: ready\r\n\r\n"
+        async with asyncio.timeout(60.0):
+            while True:
+                future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+                pool.ask(request, future.set_result)
+                result = await future
+                if isinstance(result, HttpAnswer) and result.status == 200:
+                    break
+                await asyncio.sleep(0.2)
+        pool.close()
+
+    def stop(self) -> None:
+        """End every process that this fleet started, by its id, and close what listens."""
+        for vm in self.vms:
+            if vm.process is not None:
+                vm.process.kill()
+                vm.process.wait()
+            if vm.target is not None and not vm.target.is_down:
+                vm.target.crash()
+            self.relays[vm.name].stop()
+        self.store.server.stop()
+
+    def _settings(self, vm: SoakVm) -> dict[str, Any]:
+        listen = {"inbound": LINKS, "outbound": ENTRY, "ready": READY, "controlPlane": CONTROL}
+        return {
+            "self": {
+                "nodeName": vm.name,
+                "zone": vm.zone,
+                "service": vm.service,
+                "applicationAddress": str(vm.at(TARGET)),
+                "limits": {"memoryMb": 200},
+            },
+            "network": {
+                "listenAddresses": {name: str(vm.at(port)) for name, port in listen.items()},
+                "seedNodes": [str(other.at(CONTROL)) for other in self.vms[:3]],
+            },
+            "platform": {"platform": {"address": str(self.store.address)}},
+            "terms": {
+                "bounds": {
+                    "gracePeriodS": GRACE_S,
+                    "retryBudgetRatio": RETRY_RATIO,
+                    "budgetWindowS": RETRY_WINDOW_S,
+                    "retryBudgetExtra": RETRY_EXTRA,
+                }
+            },
+        }
+
+
+def _route(name: str, prefix: str, service: str, kind: str) -> dict[str, Any]:
+    return {
+        "resourceKind": "routes",
+        "metadata": {"name": name},
+        "specification": {
+            "host": HOST_NAME,
+            "pathPrefix": prefix,
+            "service": service,
+            "kind": kind,
+            "timeoutMs": 2_500,
+            "maxAttempts": 2,
+            "targetLatencyMs": 400,
+            "priority": 1,
+        },
+    }
--- /dev/null
+++ b/benchmarks/_soak_parts.py
@@ -0,0 +1,276 @@
+"""The parts of a soak that run in its own process: targets, clients, and relays for links."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+import msgspec
+
+from benchmarks._soak_ledger import REFUSALS, Leaving, Ledger, Run, Sent
+from daisywharf._mesh._headers import HeaderPair
+from daisywharf._mesh._http_client import HttpAnswer, HttpFailure, HttpPool, HttpResult
+from daisywharf._mesh._http_server import Exchange, HttpServer
+from daisywharf._topology import Address
+
+HOST_NAME: Final = "shop.example"
+HEARTBEAT_S: Final = 0.5
+ACK_TIMEOUT_S: Final = 1.0
+CLIENT_TIME_S: Final = 3.0
+FRONT, BACK = "front", "back"
+FILLER: Final = b"." * 800
+
+
+def body_of(request: str, target: str) -> bytes:
+    """Return the whole body that a target answers a request with."""
+    return f"{request} at {target} ".encode() + FILLER
+
+
+class SoakTarget:
+    """Serve requests as a target does, tell its daemon of itself, and misbehave when told."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        *,
+        address: Address,
+        control: Address,
+        entry: Address,
+        ledger: Ledger,
+        rng: Random,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.address = address
+        self.ledger = ledger
+        self.rng = rng
+        self.work_s = 0.02
+        self.slots = 20
+        self.state = "ready"
+        self.misbehaves: Callable[[Exchange, str], bool] | None = None
+        self.server = HttpServer(self._handle, now=time.monotonic)
+        self._control = HttpPool(control, now=time.monotonic)
+        self._entry = HttpPool(entry, now=time.monotonic)
+        self._born_ms = time.time_ns() // 1_000_000
+        self._sequence = 0
+        self._running = 0
+        self._last_call = 0
+        self._beats: asyncio.Task[None] | None = None
+        self.is_down = False
+
+    async def start(self) -> None:
+        """Listen and begin to announce."""
+        await self.server.start(self.address)
+        self._beats = asyncio.ensure_future(self._announce())
+
+    def crash(self) -> None:
+        """End without a word; what runs is lost."""
+        self.is_down = True
+        if self._beats is not None:
+            self._beats.cancel()
+        self.server.stop()
+        for connection in list(self.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        self._control.close()
+        self._entry.close()
+
+    async def leave(self, *, drain_s: float) -> None:
+        """Announce the leaving, serve on for a while, and go."""
+        self.state = "draining"
+        while not await self._beat():
+            await asyncio.sleep(0.1)
+        self.ledger.leavings.append(Leaving(self.name, time.monotonic()))
+        await asyncio.sleep(drain_s)
+        self.crash()
+
+    async def _announce(self) -> None:
+        while True:
+            await self._beat()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _beat(self) -> bool:
+        self._sequence += 1
+        body = msgspec.json.encode(
+            {
+                "service": self.service,
+                "address": str(self.address),
+                "slots": self.slots,
+                "state": self.state,
+                "sequence": self._sequence,
+                "born": self._born_ms,
+            }
+        )
+        path = f"/-/instances/{self.name}/heartbeat"
+        head = f"POST {path} HTTP/1.1\r\nHost: control\r\nContent-Length: {len(body)}\r\n\r\n"
+        result = await ask(self._control, head.encode() + body, within_s=ACK_TIMEOUT_S)
+        return isinstance(result, HttpAnswer) and result.status == 200
+
+    def _handle(self, exchange: Exchange) -> None:
+        request = header_of(exchange.headers, b"attempt-id")
+        if self._running >= self.slots:
+            exchange.respond(503, lines=f"Attempt-Id: {request}\r\nNot-Executed: 1\r\n".encode())
+            return
+        self._running += 1
+        run = Run(self.name, self.service, time.monotonic())
+        self.ledger.runs_by_request[request].append(run)
+        task = asyncio.ensure_future(self._run(exchange, request, run))
+        exchange.on_gone = lambda: _cancel(task)
+        task.add_done_callback(self._note_done)
+
+    def _note_done(self, _task: asyncio.Task[None]) -> None:
+        self._running -= 1
+
+    async def _run(self, exchange: Exchange, request: str, run: Run) -> None:
+        await asyncio.sleep(self.work_s * (0.5 + self.rng.random()))
+        is_above = self.service == FRONT and exchange.target.endswith(b"/chain")
+        status = await self._call_below(request) if is_above else 200
+        if self.misbehaves is not None and self.misbehaves(exchange, request):
+            return
+        lines = f"Attempt-Id: {request}\r\nServer-Signature: s\r\n".encode()
+        run.answered_at = time.monotonic()
+        exchange.respond(status, lines=lines, body=body_of(request, self.name))
+
+    async def _call_below(self, request: str) -> int:
+        self._last_call += 1
+        head = request_head("GET", "/back/inner", f"{request}.{self._last_call}", time_left_s=1.0)
+        result = await ask(self._entry, head + b"\r\n", within_s=1.2)
+        return 200 if isinstance(result, HttpAnswer) and result.status == 200 else 500
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+
+
+class SoakClient:
+    """Send requests to one VM's daemon and keep what came of them."""
+
+    def __init__(self, vm: str, entry: Address, *, ledger: Ledger) -> None:
+        self.vm = vm
+        self.ledger = ledger
+        self.process = 0
+        self.pool = HttpPool(entry, now=time.monotonic)
+        self._last = 0
+
+    async def send(self, method: str, path: str) -> Sent:
+        """Send one request and wait for its end."""
+        self._last += 1
+        request = f"{self.vm}-{self._last}"
+        sent = Sent(request, self.vm, self.process, path, method == "GET", time.monotonic())
+        self.ledger.sent.append(sent)
+        body = b"order" if method == "POST" else b""
+        head = request_head(method, path, request, time_left_s=CLIENT_TIME_S, length=len(body))
+        result = await ask(self.pool, head + b"\r\n" + body, within_s=CLIENT_TIME_S + 0.5)
+        sent.ended_at = time.monotonic()
+        if isinstance(result, HttpAnswer):
+            sent.status = result.status
+            promises = any(name.lower() == b"retry-after" for name, _ in result.headers)
+            sent.promises_not_run = result.status in REFUSALS and promises
+            wholes = (body_of(request, r.target) for r in self.ledger.runs_by_request[request])
+            sent.is_whole = result.body in wholes
+        elif isinstance(result, HttpFailure):
+            sent.status = 0
+        return sent
+
+
+async def ask(pool: HttpPool, request: bytes, *, within_s: float) -> HttpResult | None:
+    """Send a request on a pool; return none where no result came in time."""
+    future: asyncio.Future[HttpResult] = asyncio.get_running_loop().create_future()
+
+    def settle(result: HttpResult) -> None:
+        if not future.done():
+            future.set_result(result)
+
+    asked = pool.ask(request, settle)
+    try:
+        async with asyncio.timeout(within_s):
+            return await future
+    except TimeoutError:
+        return None
+    finally:
+        if not future.done() or future.cancelled():
+            asked.cancel()
+
+
+def request_head(
+    method: str, path: str, request: str, *, time_left_s: float, length: int = 0
+) -> bytes:
+    """Return a request's lines, without the empty one."""
+    head = f"{method} {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\nAttempt-Id: {request}\r\n"
+    head += f"Deadline-Ms: {int(time_left_s * 1_000)}\r\n"
+    return (head + (f"Content-Length: {length}\r\n" if length else "")).encode()
+
+
+def header_of(headers: list[HeaderPair], name: bytes) -> str:
+    """Return a header, or an empty text."""
+    return next((v.decode("latin-1") for n, v in headers if n.lower() == name), "")
+
+
+class LinkRelay:
+    """Pass a daemon's links on, late, one way only, or not at all."""
+
+    def __init__(self, address: Address, behind: Address) -> None:
+        self.address = address
+        self.behind = behind
+        self.delay_s = 0.0
+        self.swallows_in = False
+        self.swallows_out = False
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(
+            self._accept, self.address.host, self.address.port
+        )
+
+    def reset(self) -> None:
+        """End all connections at once."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def stop(self) -> None:
+        """End all, and listen no more."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self.behind.host, self.behind.port
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        # A soak that ends cancels what still passes; nothing is left to tell.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                self._pass(reader, far_writer, lambda: self.swallows_in),
+                self._pass(far_reader, writer, lambda: self.swallows_out),
+            )
+
+    async def _pass(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        swallows: Callable[[], bool],
+    ) -> None:
+        try:
+            while data := await reader.read(65_536):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                if writer.transport.is_closing():
+                    break
+                if not swallows():
+                    writer.write(data)
+                    await writer.drain()
+        except OSError:
+            pass  # the other end was killed or reset, which the daemons see as well
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
--- a/src/daisywharf/platform/_store.py
+++ b/src/daisywharf/platform/_store.py
@@ -105,7 +105,8 @@
     async def read_learned(self) -> Learned:
         """Read what the fleet has learned of its calls; nothing where it has kept nothing."""
         try:
-            found = await self._call("GET", f"/{LEARNED_KIND}/{LEARNED_NAME}")
+            # A reading that may be seconds old costs a tenth, and will do: reports correct it.
+            found = await self._call("GET", f"/{LEARNED_KIND}/{LEARNED_NAME}?staleRead=1")
             return msgspec.convert(found["specification"], Learned)
         except PlatformError as error:
             if error.kind is not ErrorKind.PLATFORM_GONE:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,17 +3,14 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any
-from urllib.parse import parse_qs, urlsplit
 
-import msgspec
 import pytest
+from benchmarks._platform_store import StoreStandIn
 
 from builders_mesh import free_address, in_loop, member
 from daisywharf._configuration import RouteName
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._ids import VmId
-from daisywharf._mesh._http_server import Exchange, HttpServer
 from daisywharf._mesh._learned import Learned
 from daisywharf._overload._calls_below import CallsBelow
 from daisywharf.platform._store import ObjectStore
@@ -21,81 +18,9 @@
 CONFIGURATION = {"version": 7, "resources": []}
 
 
-class StoreStandIn:
-    """Stand in for the store: objects by kind and name, revisions, a history that may be short."""
-
-    def __init__(self) -> None:
-        self.address = free_address()
-        self.server = HttpServer(self._handle, now=time.monotonic)
-        self.revision = 10
-        self.oldest = 0
-        self.object_by_place: dict[tuple[str, str], dict[str, Any]] = {}
-        self.status: int | None = None
-        self.is_silent = False
-        self.nonsense: dict[str, Any] | None = None
-        self.calls: list[str] = []
-
-    def put(self, kind: str, name: str, specification: Any) -> dict[str, Any]:
-        """Write an object."""
-        self.revision += 1
-        metadata = {"name": name, "revision": self.revision}
-        written = {"metadata": metadata, "specification": specification, "status": None}
-        self.object_by_place[(kind, name)] = written
-        return written
-
-    def _handle(self, exchange: Exchange) -> None:
-        method, target = exchange.method.decode(), urlsplit(exchange.target.decode())
-        self.calls.append(f"{method} {target.path}")
-        if self.is_silent:
-            return
-        if self.status is not None:
-            exchange.respond(self.status)
-            return
-        if self.nonsense is not None:
-            exchange.respond(200, body=msgspec.json.encode(self.nonsense))
-            return
-        status, content = self._answer(method, target.path, parse_qs(target.query), exchange.body)
-        exchange.respond(status, body=msgspec.json.encode(content))
-
-    def _answer(
-        self, method: str, path: str, query: dict[str, list[str]], body: bytes
-    ) -> tuple[int, Any]:
-        kind, _, name = path.removeprefix("/-/objects/").partition("/")
-        if method == "GET" and not name:
-            return self._list(kind, query)
-        given = msgspec.json.decode(body) if body else {}
-        found = self.object_by_place.get((kind, name or given["metadata"]["name"]))
-        if method == "GET":
-            return (200, found) if found else (404, None)
-        if method == "POST":
-            if found:
-                return 409, found
-            return 201, self.put(kind, given["metadata"]["name"], given["specification"])
-        if not found:
-            return 404, None
-        if (
-            given["metadata"].get("revision", found["metadata"]["revision"])
-            != found["metadata"]["revision"]
-        ):
-            return 409, found
-        return 200, self.put(kind, name, given["specification"])
-
-    def _list(self, kind: str, query: dict[str, list[str]]) -> tuple[int, Any]:
-        objects = [o for (k, _), o in sorted(self.object_by_place.items()) if k == kind]
-        if "watch" not in query:
-            return 200, {"items": objects, "hasMore": False, "at": self.revision}
-        after = int(query["watch"][0])
-        if after < self.oldest:
-            return 410, None
-        events = [
-            {"object": o, "deleted": False} for o in objects if o["metadata"]["revision"] > after
-        ]
-        return 200, {"events": events, "at": self.revision}
-
-
 def _with_store(play: Callable[[StoreStandIn, ObjectStore], Awaitable[None]]) -> None:
     async def scenario() -> None:
-        stand_in = StoreStandIn()
+        stand_in = StoreStandIn(free_address())
         await stand_in.server.start(stand_in.address)
         await play(stand_in, ObjectStore(stand_in.address, now=time.monotonic))
         stand_in.server.stop()
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,132 @@
+"""The soak's checks: each finds its own broken promise, and nothing where all was kept."""
+
+from collections.abc import Callable
+
+import pytest
+from benchmarks import soak
+from benchmarks._soak_ledger import (
+    Applied,
+    Leaving,
+    Ledger,
+    Run,
+    Sent,
+    Trouble,
+    broken_promises,
+)
+
+
+def _sent(
+    request: str = "a", *, at: float = 10.0, status: int | None = 200, **given: object
+) -> Sent:
+    """Build a request of `vm-1` that took 0.1 s."""
+    whole = {"vm": "vm-1", "process": 1, "path": "/main/x", "is_idempotent": True, **given}
+    return Sent(request, sent_at=at, ended_at=at + 0.1, status=status, is_whole=True, **whole)  # type: ignore[arg-type]
+
+
+def _run(target: str = "t-1", *, at: float = 10.05) -> Run:
+    return Run(target, "front", at, at + 0.02)
+
+
+def _not_whole(ledger: Ledger) -> None:
+    ledger.sent[0].is_whole = False
+
+
+def _twice(ledger: Ledger) -> None:
+    ledger.sent[0].is_idempotent = False
+    ledger.runs_by_request["a"].append(_run("t-2"))
+
+
+def _refused_though_run(ledger: Ledger) -> None:
+    ledger.sent[0].status, ledger.sent[0].promises_not_run = 503, True
+
+
+def _after_leaving(ledger: Ledger) -> None:
+    ledger.leavings.append(Leaving("t-1", 7.5))
+
+
+def _cut(ledger: Ledger) -> None:
+    ledger.sent[0].status = 0
+    ledger.troubles.append(Trouble("stop-daemon", "vm-1", 10.01, is_planned=True, ended_at=12.0))
+
+
+def _over_budget(ledger: Ledger) -> None:
+    for number in range(40):
+        ledger.runs_by_request[f"x{number}"] = [_run(), _run(at=10.06)]
+
+
+def _late_configuration(ledger: Ledger) -> None:
+    ledger.applied += [Applied("/v1/", 1.0), Applied("/v2/", 7.3)]
+    ledger.sent.append(_sent("b", path="/v2/x", status=404))
+
+
+def _earlier_configuration(ledger: Ledger) -> None:
+    ledger.applied += [Applied("/v1/", 1.0), Applied("/v2/", 9.9)]
+    ledger.sent += [_sent("b", path="/v2/x"), _sent("c", at=10.2, path="/v1/x")]
+
+
+BROKEN = {
+    "WHOLE": _not_whole,
+    "ONCE": _twice,
+    "NOT-RUN": _refused_though_run,
+    "DRAIN": _after_leaving,
+    "STOP": _cut,
+    "BUDGET": _over_budget,
+    "CONFIG": _late_configuration,
+    "CONFIG went back": _earlier_configuration,
+}
+
+
+def _kept() -> Ledger:
+    """Build a ledger in which every promise was kept."""
+    ledger = Ledger()
+    ledger.sent.append(_sent())
+    ledger.runs_by_request["a"].append(_run())
+    return ledger
+
+
+def test_a_ledger_of_kept_promises_has_no_lines() -> None:
+    assert broken_promises(_kept()) == []
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_each_broken_promise_is_found_and_named(name: str) -> None:
+    ledger = _kept()
+    BROKEN[name](ledger)
+    lines = broken_promises(ledger)
+    assert len(lines) == 1
+    assert lines[0].startswith(name.split(maxsplit=1)[0])
+
+
+def _cut_while_frozen(ledger: Ledger) -> None:
+    _cut(ledger)
+    ledger.troubles.append(Trouble("freeze", "vm-1", 9.0, ended_at=9.5))
+
+
+def _late_at_a_vm_in_trouble(ledger: Ledger) -> None:
+    _late_configuration(ledger)
+    ledger.troubles.append(Trouble("freeze", "vm-1", 7.0, ended_at=8.0))
+
+
+def _not_yet_due(ledger: Ledger) -> None:
+    ledger.applied += [Applied("/v1/", 1.0), Applied("/v2/", 9.0)]
+    ledger.sent.append(_sent("b", path="/v2/x", status=404))
+
+
+@pytest.mark.parametrize("allowed", [_cut_while_frozen, _late_at_a_vm_in_trouble, _not_yet_due])
+def test_what_the_platform_s_rules_allow_is_not_held_against_a_daemon(
+    allowed: Callable[[Ledger], None],
+) -> None:
+    ledger = _kept()
+    allowed(ledger)
+    assert broken_promises(ledger) == []
+
+
+def test_a_cut_beside_trouble_of_the_store_alone_isn_t_excused() -> None:
+    ledger = _kept()
+    _cut(ledger)
+    ledger.troubles.append(Trouble("store silent", "*", 9.0, ended_at=11.0))
+    assert [line.split()[0] for line in broken_promises(ledger)] == ["STOP"]
+
+
+def test_real_daemons_keep_their_promises_through_a_short_soak() -> None:
+    assert soak.main(["--seed", "5", "--minutes", "0.1", "--processes", "5"]) == 0
