Spread a configuration by asking, one copy for each daemon

Each daemon of a zone sent the configuration to each other that was in its zone, and to whoever reported an older version: 28 x 27 copies of 0.3 MB over links of 100 Mbit/s, seconds in which links look silent (1 s) and are given up with the calls on them. Ruled out: the SIGTERM itself (the daemons named stay 2.6 s and the calls' gates were others), refusals (the clients got 502). Now versions are told (news of 21 bytes), a daemon that is behind asks one that has it, and one that has it sends 8 copies in 0.25 s at most; parts of a long frame count as signs of life.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -8,34 +8,22 @@
 from msgspec.structs import replace
 
 from daisywharf._configuration import Configuration
-from daisywharf._contract import Importance
 from daisywharf._ids import VmId
 from daisywharf._mesh._announcements import Verdict, judge_notice
-from daisywharf._mesh._configuration_frames import decode_configuration, encode_configuration
 from daisywharf._mesh._counts import daemon_metrics, request_metrics
 from daisywharf._mesh._dialect import Dialect
 from daisywharf._mesh._entry import Entry
-from daisywharf._mesh._frames import (
-    Call,
-    Cancel,
-    Frame,
-    Hello,
-    Members,
-    NewConfiguration,
-    News,
-    Ping,
-    Pong,
-    Report,
-    WriteAgain,
-)
+from daisywharf._mesh._frames import Call, Frame
 from daisywharf._mesh._gate import Gate
 from daisywharf._mesh._held import HeldBytes, most_held, note_unsent
 from daisywharf._mesh._http_server import Exchange, HttpServer
+from daisywharf._mesh._in_force import InForce
 from daisywharf._mesh._incoming import IncomingCalls
 from daisywharf._mesh._learned import learned_now, take_learned
-from daisywharf._mesh._links import CallResult, FrameProtocol, LinkServer, OutLink
+from daisywharf._mesh._links import CallResult, LinkServer, OutLink
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord, Readiness, TargetNotice, TargetRecord
+from daisywharf._mesh._peers import Peers
 from daisywharf._mesh._pending import Way
 from daisywharf._mesh._reporting import Reporter
 from daisywharf._mesh._services import Services
@@ -43,11 +31,8 @@
 from daisywharf._mesh._store import Store
 from daisywharf._mesh._store_sync import StoreSync
 from daisywharf._mesh._summaries import Summaries
-from daisywharf._mesh._watching import WatchReport
 from daisywharf._outcomes._pause import PAUSE_LIMIT_S, PauseState, pause_tick
 from daisywharf._overload._actions import CallId
-from daisywharf._overload._chain import note_rows
-from daisywharf._overload._origins import note_counts
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 from daisywharf._signals._metrics import Metric
@@ -102,7 +87,6 @@
     ) -> None:
         self.settings = settings
         self.now = now
-        self.configuration: Configuration | None = None
         self.is_stopping = False
         self.held = HeldBytes(most=most_held(settings.memory_bytes))
         self.gate = Gate(dialect=dialect, now=now, held=self.held)
@@ -116,7 +100,7 @@
             services=self.services,
             now=now,
             rng=rng,
-            on_frame=self._take_from_peer,
+            on_frame=self._take_on_own_link,
             version=lambda: self.version,
         )
         self.entry = Entry(
@@ -132,7 +116,7 @@
         self.sync = StoreSync(
             store,
             membership=self.membership,
-            put_in_force=self.put_in_force,
+            put_in_force=self._put_in_force,
             take_earlier=self._take_earlier,
             learned=lambda: learned_now(self.entry.chain, self.entry.origins),
             take_learned=lambda learned: take_learned(
@@ -156,9 +140,24 @@
             held=self.held,
             full_lines=lambda: dialect.refusal_lines(retry_after_s=FULL_RETRY_S),
         )
-        self.links = LinkServer(on_frame=self._take_frame, on_lost=self._lose_link)
+        self.in_force = InForce(
+            entry=self.entry,
+            gate=self.gate,
+            clients=self.clients,
+            membership=self.membership,
+            news=self.reporter.news,
+            now=now,
+        )
+        self.peers = Peers(
+            membership=self.membership,
+            sync=self.sync,
+            in_force=self.in_force,
+            incoming=self.incoming,
+            renew=lambda started_ms: self._change_own(started_ms=started_ms + 1),
+            now=now,
+        )
+        self.links = LinkServer(on_frame=self.peers.take, on_lost=self.peers.lose)
         self.stopped = asyncio.Event()
-        self._vm_by_link: dict[FrameProtocol, VmId] = {}
         self._pause = PauseState(now=now())
         self._started_at = now()
         self._swept_at = now()
@@ -173,7 +172,7 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether clients may send requests here."""
-        if self.configuration is None or self.is_stopping:
+        if self.in_force.configuration is None or self.is_stopping:
             return False
         knows_targets = any(p.candidates for p in self.services.placement_by_service.values())
         return knows_targets or self.now() - self._started_at > READY_WITHOUT_TARGETS_S
@@ -210,27 +209,13 @@
         for seed in settings.seeds:
             self._open_seed(seed.host)
 
-    # Configuration.
+    # The membership and the store's watch are made before what takes in their news.
 
-    def put_in_force(self, configuration: Configuration) -> None:
-        """Put a newer version in force; an older one never comes back."""
-        if configuration.version <= self.version:
-            return
-        self.configuration = configuration
-        self.entry.put_in_force(configuration)
-        self.clients.limits = configuration.limits
-        importances = [route.importance for route in configuration.routes]
-        ceiling = float(max(importances, default=Importance.LOW) + 1)
-        self.services.ceiling = self.gate.ceiling = ceiling
-        log_event(Event.CONFIGURATION_IN_FORCE, version=configuration.version)
-        frame = NewConfiguration(configuration.version, encode_configuration(configuration))
-        for vm, link in self.membership.link_by_vm.items():
-            if self.membership.record_by_vm[vm].zone == self.settings.zone:
-                link.send(frame)
-
-    def _offer_configuration(self, version: int, send: Callable[[Frame], None]) -> None:
-        if self.configuration is not None and version < self.version:
-            send(NewConfiguration(self.version, encode_configuration(self.configuration)))
+    def _take_on_own_link(self, link: OutLink, frame: Frame) -> None:
+        self.peers.take_on_own_link(link, frame)
+
+    def _put_in_force(self, configuration: Configuration) -> None:
+        self.in_force.put_in_force(configuration)
 
     # The target beside this daemon.
 
@@ -293,38 +278,7 @@
             self.gate.take_notice(leaving)
             self._announce_target(leaving)
 
-    # Frames.
-
-    def _take_from_peer(self, link: OutLink, frame: Frame) -> None:
-        """Take a frame on a link that this daemon opened."""
-        if isinstance(frame, NewConfiguration):
-            self._take_configuration(frame)
-        elif isinstance(frame, Members):
-            self._merge(frame.records)
-
-    def _take_frame(self, protocol: FrameProtocol, frame: Frame) -> None:
-        """Take a frame on a link that another daemon opened."""
-        if isinstance(frame, Call):
-            self.incoming.take(protocol, frame)
-        elif isinstance(frame, Cancel):
-            self.incoming.cancel(protocol, frame.call_id)
-        elif isinstance(frame, Report):
-            protocol.send(Pong())
-            self._take_report(protocol, frame)
-        elif isinstance(frame, News):
-            protocol.send(Pong())
-            self._take_news(protocol, frame)
-        elif isinstance(frame, Hello):
-            protocol.send(Pong())
-            self._take_hello(protocol, frame)
-        elif isinstance(frame, Members):
-            self._merge(frame.records)
-        elif isinstance(frame, NewConfiguration):
-            self._take_configuration(frame)
-        elif isinstance(frame, Ping):
-            protocol.send(Pong())
-        elif isinstance(frame, WriteAgain):
-            self.sync.write(self.membership.own)
+    # Requests of clients and of the target.
 
     def _has_just_woken(self) -> bool:
         """Tell whether this process stood still and hasn't noticed yet."""
@@ -341,46 +295,6 @@
         if exchange.is_wanted:
             self.entry.handle(exchange)
 
-    def _lose_link(self, protocol: FrameProtocol) -> None:
-        self._vm_by_link.pop(protocol, None)
-        self.incoming.lose(protocol)
-
-    def _take_hello(self, protocol: FrameProtocol, hello: Hello) -> None:
-        self._vm_by_link[protocol] = hello.member.vm
-        known = self.membership.record_by_vm
-        if hello.known_members < len(known):
-            protocol.send(Members(tuple(known.values())))
-        self._merge((hello.member,))
-        self._offer_configuration(hello.version, protocol.send)
-
-    def _take_report(self, protocol: FrameProtocol, report: Report) -> None:
-        vm = self._vm_by_link.get(protocol)
-        if vm is None:
-            return
-        note_rows(self.entry.chain, vm, report.calls_below)
-        note_counts(self.entry.origins, report.service, report.entered)
-        self._take_news(protocol, report.news)
-
-    def _take_news(self, protocol: FrameProtocol, news: News) -> None:
-        vm = self._vm_by_link.get(protocol)
-        if vm is None:
-            return
-        self.sync.report_by_vm[vm] = WatchReport(news.is_watching, self.now())
-        target = self.services.target_of(vm)
-        if target is not None and news.load is not None:
-            self.entry.hear(target.service, target.target_id, news.load)
-        self._offer_configuration(news.version, protocol.send)
-
-    def _take_configuration(self, frame: NewConfiguration) -> None:
-        if frame.version > self.version:
-            self.put_in_force(decode_configuration(frame.body))
-
-    def _merge(self, records: tuple[MemberRecord, ...]) -> None:
-        if self.membership.merge(records):
-            newest = max(r.started_ms for r in records if r.vm == self.settings.vm)
-            # A record of an earlier process, written by a clock that was ahead of this one.
-            self._change_own(started_ms=newest + 1)
-
     # Time.
 
     def _tick(self) -> None:
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -108,6 +108,10 @@
     body: bytes
 
 
+class WantConfiguration(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Ask who has said that it has a newer version for that version."""
+
+
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=9):
     """Ask the other end for a sign of life."""
 
@@ -130,6 +134,7 @@
     | Report
     | News
     | NewConfiguration
+    | WantConfiguration
     | Ping
     | Pong
     | WriteAgain
--- /dev/null
+++ b/src/daisywharf/_mesh/_in_force.py
@@ -0,0 +1,79 @@
+"""The configuration in force: route by it, and spread it to the other daemons."""
+
+from collections.abc import Callable
+
+from daisywharf._configuration import Configuration
+from daisywharf._contract import Importance
+from daisywharf._mesh._configuration_frames import decode_configuration, encode_configuration
+from daisywharf._mesh._entry import Entry
+from daisywharf._mesh._frames import Frame, NewConfiguration, News, WantConfiguration
+from daisywharf._mesh._gate import Gate
+from daisywharf._mesh._http_server import HttpServer
+from daisywharf._mesh._membership import Membership
+from daisywharf._mesh._spread import Spread, may_send, must_ask
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+
+Send = Callable[[Frame], None]
+
+
+class InForce:
+    """Hold the configuration in force, none at first."""
+
+    def __init__(
+        self,
+        *,
+        entry: Entry,
+        gate: Gate,
+        clients: HttpServer,
+        membership: Membership,
+        news: Callable[[], News],
+        now: Callable[[], float],
+    ) -> None:
+        self.entry = entry
+        self.gate = gate
+        self.clients = clients
+        self.membership = membership
+        self.news = news
+        self.now = now
+        self.configuration: Configuration | None = None
+        self.spread = Spread()
+        self._encoded = b""
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, or 0."""
+        return self.entry.version
+
+    def put_in_force(self, configuration: Configuration) -> None:
+        """Put a newer version in force; an older one never comes back."""
+        if configuration.version <= self.version:
+            return
+        self.configuration = configuration
+        self.entry.put_in_force(configuration)
+        self.clients.limits = configuration.limits
+        importances = [route.importance for route in configuration.routes]
+        ceiling = float(max(importances, default=Importance.LOW) + 1)
+        self.entry.services.ceiling = self.gate.ceiling = ceiling
+        log_event(Event.CONFIGURATION_IN_FORCE, version=configuration.version)
+        self._encoded = encode_configuration(configuration)
+        # The others of the zone ask for it. Those of other zones have watchers of their own.
+        zone, news = self.membership.own.zone, self.news()
+        for vm, link in self.membership.link_by_vm.items():
+            if self.membership.record_by_vm[vm].zone == zone:
+                link.send(news)
+
+    def hear_version(self, version: int, send: Send) -> None:
+        """Ask who has a newer version for it, unless another is asked."""
+        if must_ask(self.spread, known=self.version, said=version, now=self.now()):
+            send(WantConfiguration())
+
+    def send_to(self, send: Send) -> None:
+        """Send a copy to who asks, unless too many are on their way."""
+        if self._encoded and may_send(self.spread, now=self.now()):
+            send(NewConfiguration(self.version, self._encoded))
+
+    def take(self, frame: NewConfiguration) -> None:
+        """Take a copy."""
+        if frame.version > self.version:
+            self.put_in_force(decode_configuration(frame.body))
--- a/src/daisywharf/_mesh/_links.py
+++ b/src/daisywharf/_mesh/_links.py
@@ -52,6 +52,7 @@
         on_lost: Callable[["FrameProtocol"], None],
     ) -> None:
         self.transport: asyncio.Transport | None = None
+        self.reads = 0
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._received = bytearray()
@@ -68,6 +69,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Hand over each whole frame; close the link where one can't be read."""
+        self.reads += 1
         received = self._received
         received += data
         start = 0
@@ -134,6 +136,7 @@
         self._last_call_id = 0
         self._heard_at = 0.0
         self._asked_at: float | None = None
+        self._reads = 0
         self._backoff_s = FIRST_BACKOFF_S
         self._retry_at = 0.0
         self._is_connecting = False
@@ -173,6 +176,10 @@
             return
         if self._asked_at is None:
             return
+        if self._protocol.reads != self._reads:
+            # A part of a long frame is a sign of life as well.
+            self._reads = self._protocol.reads
+            self._heard_at = now
         quiet_s = now - max(self._heard_at, self._asked_at)
         if quiet_s > SILENCE_LIMIT_S:
             log_event(Event.LINK_SILENT, peer=str(self.address))
--- /dev/null
+++ b/src/daisywharf/_mesh/_peers.py
@@ -0,0 +1,127 @@
+"""Take in what other daemons send."""
+
+from collections.abc import Callable
+
+from daisywharf._ids import VmId
+from daisywharf._mesh._frames import (
+    Call,
+    Cancel,
+    Frame,
+    Hello,
+    Members,
+    NewConfiguration,
+    News,
+    Ping,
+    Pong,
+    Report,
+    WantConfiguration,
+    WriteAgain,
+)
+from daisywharf._mesh._in_force import InForce, Send
+from daisywharf._mesh._incoming import IncomingCalls
+from daisywharf._mesh._links import FrameProtocol, OutLink
+from daisywharf._mesh._membership import Membership
+from daisywharf._mesh._model import MemberRecord
+from daisywharf._mesh._store_sync import StoreSync
+from daisywharf._mesh._watching import WatchReport
+from daisywharf._overload._chain import note_rows
+from daisywharf._overload._origins import note_counts
+
+
+class Peers:
+    """Hold which VM is at the other end of each link that was opened to this daemon."""
+
+    def __init__(
+        self,
+        *,
+        membership: Membership,
+        sync: StoreSync,
+        in_force: InForce,
+        incoming: IncomingCalls,
+        renew: Callable[[int], None],
+        now: Callable[[], float],
+    ) -> None:
+        self.membership = membership
+        self.sync = sync
+        self.in_force = in_force
+        self.entry = in_force.entry
+        self.incoming = incoming
+        self.renew = renew
+        self.now = now
+        self._vm_by_link: dict[FrameProtocol, VmId] = {}
+
+    def take_on_own_link(self, link: OutLink, frame: Frame) -> None:
+        """Take a frame on a link that this daemon opened."""
+        if isinstance(frame, News):
+            self.in_force.hear_version(frame.version, link.send)
+        else:
+            self._take_anywhere(frame, link.send)
+
+    def take(self, link: FrameProtocol, frame: Frame) -> None:
+        """Take a frame on a link that another daemon opened."""
+        if isinstance(frame, Call):
+            self.incoming.take(link, frame)
+        elif isinstance(frame, Cancel):
+            self.incoming.cancel(link, frame.call_id)
+        elif isinstance(frame, Report | News | Hello | Ping):
+            link.send(Pong())
+            self._take_sign_of_life(link, frame)
+        else:
+            self._take_anywhere(frame, link.send)
+
+    def lose(self, link: FrameProtocol) -> None:
+        """Forget a link that ended."""
+        self._vm_by_link.pop(link, None)
+        self.incoming.lose(link)
+
+    def merge(self, records: tuple[MemberRecord, ...]) -> None:
+        """Take in records of members."""
+        if self.membership.merge(records):
+            own = self.membership.own.vm
+            # A record of an earlier process, written by a clock that was ahead of this one.
+            self.renew(max(record.started_ms for record in records if record.vm == own))
+
+    def _take_anywhere(self, frame: Frame, send: Send) -> None:
+        if isinstance(frame, Members):
+            self.merge(frame.records)
+        elif isinstance(frame, NewConfiguration):
+            self.in_force.take(frame)
+        elif isinstance(frame, WantConfiguration):
+            self.in_force.send_to(send)
+        elif isinstance(frame, WriteAgain):
+            self.sync.write(self.membership.own)
+
+    def _take_sign_of_life(self, link: FrameProtocol, frame: Report | News | Hello | Ping) -> None:
+        if isinstance(frame, Hello):
+            self._take_hello(link, frame)
+        elif isinstance(frame, Report):
+            self._take_report(link, frame)
+        elif isinstance(frame, News):
+            self._take_news(link, frame)
+
+    def _take_hello(self, link: FrameProtocol, hello: Hello) -> None:
+        self._vm_by_link[link] = hello.member.vm
+        known = self.membership.record_by_vm
+        if hello.known_members < len(known):
+            link.send(Members(tuple(known.values())))
+        self.merge((hello.member,))
+        if hello.version < self.in_force.version:
+            link.send(self.in_force.news())
+        self.in_force.hear_version(hello.version, link.send)
+
+    def _take_report(self, link: FrameProtocol, report: Report) -> None:
+        vm = self._vm_by_link.get(link)
+        if vm is not None:
+            note_rows(self.entry.chain, vm, report.calls_below)
+            note_counts(self.entry.origins, report.service, report.entered)
+            self._take_news(link, report.news)
+
+    def _take_news(self, link: FrameProtocol, news: News) -> None:
+        vm = self._vm_by_link.get(link)
+        if vm is None:
+            return
+        self.sync.report_by_vm[vm] = WatchReport(news.is_watching, self.now())
+        target = self.entry.services.target_of(vm)
+        if target is not None and news.load is not None:
+            self.entry.hear(target.service, target.target_id, news.load)
+        self.in_force.hear_version(news.version, link.send)
--- a/src/daisywharf/_mesh/_reporting.py
+++ b/src/daisywharf/_mesh/_reporting.py
@@ -59,16 +59,20 @@
             drop_kept(entry.chain)
         rows = _rows(gate.counts)
         note_rows(entry.chain, vm, rows)
-        load = gate.load() if gate.is_open else None
-        if load is not None and gate.notice is not None:
-            entry.hear(gate.notice.service, gate.notice.target_id, load)
+        news = self.news()
+        if news.load is not None and gate.notice is not None:
+            entry.hear(gate.notice.service, gate.notice.target_id, news.load)
         entered, service = entry.take_entered(), entry.settings.service
         note_counts(entry.origins, service, entered)
         entry.judge_origins(now=now)
         entry.daemons = len(self.membership.record_by_vm)
-        news = News(entry.version, self.sync.is_counted_on(), load)
         self._send(news, Report(news, rows, service, entered))
 
+    def news(self) -> News:
+        """Return what changes from second to second."""
+        load = self.gate.load() if self.gate.is_open else None
+        return News(self.entry.version, self.sync.is_counted_on(), load)
+
     def _send(self, news: News, report: Report) -> None:
         """Send all daemons of a small fleet the report; of a large one some, and the news to more.
 
