--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -260,6 +260,8 @@
         if step in (NextStep.ANOTHER_GATE, NextStep.REPEAT):
             if step is NextStep.REPEAT:
                 log_repeated(pending)
+                if isinstance(result, Answered) and not result.is_not_run:
+                    pending.failed_answer = result
             assert pending.candidate is not None
             pending.excluded.add(pending.candidate.record.target.target_id)
             self._send(pending)
@@ -312,7 +314,10 @@
         pending.exchange.respond(ANSWERS_BY_KIND[ErrorKind.SHED].status, lines=lines)
 
     def _fail(self, pending: Pending, kind: ErrorKind) -> None:
-        """Answer a request that may have run."""
+        """Answer a request that may have run, with what a target made of it if there is that."""
+        if pending.failed_answer is not None:
+            self._pass_on(pending, pending.failed_answer)
+            return
         log_failed(pending, kind, pending.last_kind.value, now=self.now())
         self._end(pending, outcome=kind.value)
         pending.exchange.respond(ANSWERS_BY_KIND[kind].status)
--- a/src/daisywharf/_mesh/_log_writer.py
+++ b/src/daisywharf/_mesh/_log_writer.py
@@ -9,22 +9,27 @@
 import msgspec
 
 from daisywharf._signals._events import Event, FieldValue, clean_field, message_of
-from daisywharf._signals._log import set_writer
+from daisywharf._signals._log import left_out_by_event, set_writer
+from daisywharf._signals._metrics import Metric, Sample, counter
 
 FLUSH_S: Final = 0.1  # one write for all lines of this time
 MOST_HELD_BYTES: Final = 262_144
+MS: Final = 1_000.0
 
 
 class LogWriter:
     """Hold the lines that wait to be written, and how many were dropped."""
 
-    def __init__(self, context: dict[str, str], *, wall_ms: Callable[[], int]) -> None:
+    def __init__(
+        self, context: dict[str, str], *, wall_ms: Callable[[], int], file: int | None = None
+    ) -> None:
         self.context = context
         self.wall_ms = wall_ms
         self.dropped = 0
+        self._untold = 0
         self._held: list[bytes] = []
         self._held_bytes = 0
-        self._file = sys.stdout.fileno()
+        self._file = sys.stdout.fileno() if file is None else file
         self._is_due = False
 
     def start(self) -> None:
@@ -34,19 +39,10 @@
 
     def write(self, event: Event, fields: dict[str, FieldValue]) -> None:
         """Hold an event until the next flush; drop it where too much is held."""
-        whole = self.context | fields
-        cleaned = {name: clean_field(value) for name, value in whole.items()}
-        line = {
-            "time": self.wall_ms() / 1000.0,
-            "number": event.value.number,
-            "event": event.label,
-            "level": event.value.level.value,
-            "message": message_of(event, whole),
-            "fields": cleaned,
-        }
-        encoded = msgspec.json.encode(line) + b"\n"
+        encoded = self._encode(event, fields)
         if self._held_bytes + len(encoded) > MOST_HELD_BYTES:
             self.dropped += 1
+            self._untold += 1
             return
         self._held.append(encoded)
         self._held_bytes += len(encoded)
@@ -54,13 +50,24 @@
             self._is_due = True
             asyncio.get_running_loop().call_later(FLUSH_S, self.flush)
 
+    def _encode(self, event: Event, fields: dict[str, FieldValue]) -> bytes:
+        whole = self.context | fields
+        line = {
+            "time": self.wall_ms() / MS,
+            "number": event.value.number,
+            "event": event.label,
+            "level": event.value.level.value,
+            "message": message_of(event, whole),
+            "fields": {name: clean_field(value) for name, value in whole.items()},
+        }
+        return msgspec.json.encode(line) + b"\n"
+
     def flush(self) -> None:
         """Write what is held as far as the reader takes it."""
         self._is_due = False
-        if self.dropped:
-            note = {"event": "log-lines-dropped", "dropped": self.dropped}
-            self._held.append(msgspec.json.encode(note) + b"\n")
-            self.dropped = 0
+        if self._untold:
+            self._held.append(self._encode(Event.LOG_LINES_DROPPED, {"dropped": self._untold}))
+            self._untold = 0
         data = b"".join(self._held)
         self._held.clear()
         self._held_bytes = 0
@@ -77,3 +84,17 @@
             self._held_bytes = len(rest)
             self._is_due = True
             asyncio.get_running_loop().call_later(FLUSH_S, self.flush)
+
+    def metrics(self) -> list[Metric]:
+        """Describe what was left out or dropped."""
+        left_out = [
+            Sample(count, {"event": event.label}) for event, count in left_out_by_event().items()
+        ]
+        return [
+            counter("daisywharf_log_lines_left_out_total", "Lines beyond their budget.", *left_out),
+            counter(
+                "daisywharf_log_lines_dropped_total",
+                "Lines dropped since the reader of the log was too slow.",
+                Sample(self.dropped),
+            ),
+        ]
--- a/src/daisywharf/_mesh/_pending.py
+++ b/src/daisywharf/_mesh/_pending.py
@@ -8,7 +8,7 @@
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import RequestId, ServiceName, TargetId
 from daisywharf._mesh._dialect import RequestHead
-from daisywharf._mesh._frames import Call
+from daisywharf._mesh._frames import Answered, Call
 from daisywharf._mesh._http_server import Exchange
 from daisywharf._mesh._links import OnCallResult
 from daisywharf._outcomes._next_step import Progress
@@ -58,6 +58,8 @@
         self.way: Way | None = None
         self.call_id: object = None
         self.timer: asyncio.TimerHandle | None = None
+        # What a target answered before the request was sent again; better than no answer.
+        self.failed_answer: Answered | None = None
 
     @property
     def target(self) -> str:
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -56,6 +56,9 @@
         104, EventLevel.WARNING, "process was paused for {gap_s} s; views are stale until refreshed"
     )
     UNEXPECTED_ERROR = EventForm(105, EventLevel.ERROR, "{part} failed unexpectedly: {error}")
+    LOG_LINES_DROPPED = EventForm(
+        106, EventLevel.WARNING, "{dropped} lines were dropped: the reader of this log is too slow"
+    )
 
     TARGET_ANNOUNCED = EventForm(
         201, EventLevel.INFO, "target {target} of {service} announced itself with {slots} slots"
--- a/src/daisywharf/_signals/_log.py
+++ b/src/daisywharf/_signals/_log.py
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self.allowance_by_event: dict[Event, EventAllowance] = {}
+        self.left_out_by_event: dict[Event, int] = {}
 
 
 def admit_event(state: EventLimiter, event: Event, *, now: float) -> int | None:
@@ -40,6 +41,7 @@
     allowance.refilled_at = now
     if allowance.left < 1.0:
         allowance.left_out += 1
+        state.left_out_by_event[event] = state.left_out_by_event.get(event, 0) + 1
         return None
     allowance.left -= 1.0
     left_out, allowance.left_out = allowance.left_out, 0
@@ -64,6 +66,11 @@
     _log.write = write
 
 
+def left_out_by_event() -> dict[Event, int]:
+    """Return how many lines of each event were left out since the writer was set."""
+    return dict(_log.limiter.left_out_by_event)
+
+
 def log_event(event: Event, **fields: FieldValue) -> None:
     """Log an event with its fields, unless too many of its kind came lately."""
     if _log.write is None:
--- a/src/daisywharf/platform/_program.py
+++ b/src/daisywharf/platform/_program.py
@@ -70,7 +70,8 @@
     )
     await ready.start(settings.ready_address)
     await control.start(settings.announcements_address)
-    metrics = HttpServer(metrics_handler(daemon.metrics), now=boot_now)
+    gather = metrics_handler(lambda: [*daemon.metrics(), *writer.metrics()])
+    metrics = HttpServer(gather, now=boot_now)
     await metrics.start(Address(settings.links_address.host, METRICS_PORT))
     await daemon.start()
     log_event(
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -65,6 +65,20 @@
     in_loop(scenario)
 
 
+def test_a_target_s_own_failure_is_passed_on_where_no_other_target_is_left() -> None:
+    async def scenario() -> None:
+        target = TargetStandIn(lambda seen: seen.answer(500, b"why"))
+        world = await _two_daemons(target)
+        answer = await Client(world.daemons[0]).ask()
+        assert isinstance(answer, HttpAnswer)
+        assert (answer.status, answer.body) == (500, b"why")
+        assert header_of(answer, "Server-Signature") == "s"
+        assert len(target.seen) == 1
+        await world.close()
+
+    in_loop(scenario)
+
+
 def test_an_order_that_a_target_failed_is_not_sent_again() -> None:
     async def scenario() -> None:
         target = TargetStandIn(lambda seen: seen.answer(500, b"broken"))
