Let daemons of two versions work side by side

A frame of an unknown kind ended its link, so that while daemons are replaced one by one by a version with a new kind of frame, each such frame (several a second) would have cut the calls of that link. A frame that no version writes still ends its link.

--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -1,6 +1,10 @@
-"""The frames that travel on a link between two daemons."""
+"""The frames that travel on a link between two daemons.
 
-from typing import Final
+Daemons of two versions work side by side while they are replaced. So a field is only added at the
+end of its frame, with a default, and a frame of a kind that a daemon doesn't know is left out.
+"""
+
+from typing import Final, get_args
 
 import msgspec
 
@@ -140,6 +144,7 @@
     | WriteAgain
 )
 
+KNOWN_TAGS: Final = frozenset(kind.__struct_config__.tag for kind in get_args(Frame))
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(Frame)
 
@@ -153,3 +158,17 @@
 def decode_frame(body: bytes | memoryview) -> Frame:
     """Decode a frame without its length; raise `msgspec.DecodeError` where it can't be read."""
     return _decoder.decode(body)
+
+
+def is_unknown_kind(body: bytes) -> bool:
+    """Tell whether a frame that can't be read is of a kind that only newer daemons know."""
+    try:
+        content = msgspec.msgpack.decode(body)
+    except msgspec.DecodeError:
+        return False
+    return (
+        isinstance(content, list)
+        and bool(content)
+        and isinstance(content[0], int)
+        and content[0] not in KNOWN_TAGS
+    )
--- a/src/daisywharf/_mesh/_links.py
+++ b/src/daisywharf/_mesh/_links.py
@@ -21,6 +21,7 @@
     Unanswered,
     decode_frame,
     encode_frame,
+    is_unknown_kind,
 )
 from daisywharf._mesh._http_client import CONNECT_TIMEOUT_S
 from daisywharf._mesh._http_server import BACKLOG
@@ -82,12 +83,16 @@
                 return
             if len(received) < end:
                 break
+            body = bytes(received[start + LENGTH_BYTES : end])
+            start = end
             try:
-                frame = decode_frame(bytes(received[start + LENGTH_BYTES : end]))
+                frame = decode_frame(body)
             except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                if is_unknown_kind(body):
+                    self._log_bad(f"left out: {error}")
+                    continue
                 self._refuse(str(error))
                 return
-            start = end
             self._on_frame(self, frame)
         if start:
             del received[:start]
@@ -108,9 +113,12 @@
             self.transport.abort()
 
     def _refuse(self, reason: str) -> None:
+        self._log_bad(reason)
+        self.close()
+
+    def _log_bad(self, reason: str) -> None:
         peer = self.transport.get_extra_info("peername") if self.transport else None
         log_event(Event.BAD_FRAME, peer=str(peer), error=reason)
-        self.close()
 
 
 class OutLink:
