--- a/tests/test_mesh_log.py
+++ b/tests/test_mesh_log.py
@@ -5,6 +5,7 @@
 import os
 import re
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
@@ -21,6 +22,8 @@
 from daisywharf._signals._metrics import render
 from daisywharf.platform._control import metrics_handler
 
+ROOT = Path(__file__).parent.parent
+
 
 @pytest.fixture
 def pipe() -> Iterator[tuple[int, int]]:
@@ -137,6 +140,19 @@
     in_loop(scenario)
 
 
+def test_the_page_lists_each_metric(pipe: tuple[int, int]) -> None:
+    async def scenario() -> None:
+        world = MeshWorld()
+        daemon = await world.add()
+        metrics = [*daemon.metrics(), *_writer(pipe[1]).metrics()]
+        page = (ROOT / "docs" / "operating" / "metrics-platform.md").read_text()
+        listed = re.findall(r"^\| `([a-z_]+)`", page, re.MULTILINE)
+        assert sorted(listed) == sorted(metric.name for metric in metrics)
+        await world.close()
+
+    in_loop(scenario)
+
+
 def test_labels_are_bounded_whatever_routes_come() -> None:
     counts = MeshCounts()
     for number in range(2 * MOST_SERIES):
