--- a/benchmarks/_soak_faults.py
+++ b/benchmarks/_soak_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from typing import Final
 
@@ -19,7 +19,7 @@
 
 
 @contextmanager
-def _noted(fleet: SoakFleet, name: str, vm: str, *, is_planned: bool = False):  # type: ignore[no-untyped-def]
+def _noted(fleet: SoakFleet, name: str, vm: str, *, is_planned: bool = False) -> Iterator[None]:
     trouble = Trouble(name, vm, time.monotonic(), is_planned)
     fleet.ledger.troubles.append(trouble)
     try:
--- a/src/daisywharf/_reports/_day.py
+++ b/src/daisywharf/_reports/_day.py
@@ -1,7 +1,7 @@
 """What log lines say of a span of time: how requests ended, what gates held, what happened."""
 
 from collections.abc import Iterable
-from typing import Any, Final
+from typing import Final
 
 import msgspec
 
@@ -46,41 +46,20 @@
 
 
 def read_day(lines: Iterable[str]) -> Day:
-    """Read the lines that a report needs, whatever their order."""
+    """Read the lines that a report needs, whatever their order; others' lines are left out."""
     read = [found for found in map(read_line, lines) if found is not None]
     read.sort(key=lambda line: line.time)
     first = read[0].time if read else 0.0
-    ends, gates, incidents = [], [], []
+    ends: list[Ends] = []
+    gates: list[GateState] = []
+    incidents = []
     for line in read:
-        at_s = line.time - first
+        fields = line.fields | {"at_s": line.time - first}
         if line.number == Event.REQUESTS_COUNTED.value.number:
-            ends.append(_ends(line.fields, at_s))
+            ends.append(msgspec.convert(fields, Ends))
         elif line.number == Event.GATE_COUNTED.value.number:
-            gates.append(_gate(line.fields, at_s))
+            gates.append(msgspec.convert(fields, GateState))
         elif line.number not in REQUEST_NUMBERS:
             incidents.append(line)
     lasts_s = read[-1].time - first if read else 0.0
     return Day(ends, gates, incidents, lasts_s, first)
-
-
-def _ends(fields: dict[str, Any], at_s: float) -> Ends:
-    return Ends(
-        at_s=at_s,
-        zone=fields["zone"],
-        route=fields["route"],
-        served=fields["served"],
-        refused=fields["refused"],
-        failed=fields["failed"],
-        given_up=fields["given_up"],
-    )
-
-
-def _gate(fields: dict[str, Any], at_s: float) -> GateState:
-    return GateState(
-        at_s=at_s,
-        service=fields["service"],
-        running=fields["running"],
-        waiting=fields["waiting"],
-        limit=fields["limit"],
-        level=fields["level"],
-    )
