--- a/src/daisywharf/_reports/_day.py
+++ b/src/daisywharf/_reports/_day.py
@@ -10,6 +10,9 @@
 
 # Events of single requests: their counts are in the lines that sum them up.
 REQUEST_NUMBERS: Final = range(700, 800)
+# A line this far from most others was written by a clock that is off: a clock that was never set
+# begins in 1970.
+MOST_AWAY_S: Final = 86_400.0
 
 
 class Ends(msgspec.Struct, frozen=True):
@@ -43,12 +46,18 @@
     incidents: list[LogLine]
     lasts_s: float
     started_at: float
+    left_out: int
 
 
 def read_day(lines: Iterable[str]) -> Day:
-    """Read the lines that a report needs, whatever their order; others' lines are left out."""
-    read = [found for found in map(read_line, lines) if found is not None]
-    read.sort(key=lambda line: line.time)
+    """Read the lines that a report needs, whatever their order.
+
+    Lines of other programs, and those of clocks that are over a day off, are left out.
+    """
+    all_read = [found for found in map(read_line, lines) if found is not None]
+    all_read.sort(key=lambda line: line.time)
+    usual = all_read[len(all_read) // 2].time if all_read else 0.0
+    read = [line for line in all_read if abs(line.time - usual) <= MOST_AWAY_S]
     first = read[0].time if read else 0.0
     ends: list[Ends] = []
     gates: list[GateState] = []
@@ -62,4 +71,4 @@
         elif line.number not in REQUEST_NUMBERS:
             incidents.append(line)
     lasts_s = read[-1].time - first if read else 0.0
-    return Day(ends, gates, incidents, lasts_s, first)
+    return Day(ends, gates, incidents, lasts_s, first, len(all_read) - len(read))
--- a/src/daisywharf/_reports/_page.py
+++ b/src/daisywharf/_reports/_page.py
@@ -12,7 +12,8 @@
 from daisywharf._signals._read_log import LogLine
 
 # Daemons sum up every two seconds; a bin of the same length holds each of them once.
-BIN_S: Final = 2.0
+LEAST_BIN_S: Final = 2.0
+MOST_BINS: Final = 600  # more than a plot shows
 WIDTH_INCHES: Final = 10.0
 PANEL_INCHES: Final = 2.2
 MOST_INCIDENTS: Final = 200
@@ -46,7 +47,7 @@
         lasts_s=day.lasts_s,
         table=_table(day.ends),
         plots=_plots(day),
-        incidents=_incidents(day.incidents, day.started_at),
+        incidents=_incidents(day.incidents, day.started_at) + _note_on(day.left_out),
     )
 
 
@@ -63,17 +64,17 @@
 
 
 def _plots(day: Day) -> str:
-    bins = ceil(day.lasts_s / BIN_S) + 1
+    bins = _Bins(day.lasts_s)
     panels = [
         ("requests a second", _rates(day.ends, bins)),
         ("served part by route", _parts(_grouped(day.ends, lambda e: e.route), bins)),
         ("served part by zone", _parts(_grouped(day.ends, lambda e: e.zone), bins)),
-        ("waiting calls by service", _gate_sums(day.gates, bins, lambda g: g.waiting)),
-        ("running calls by service", _gate_sums(day.gates, bins, lambda g: g.running)),
+        ("waiting calls by service", _gate_means(day.gates, bins, lambda g: g.waiting)),
+        ("running calls by service", _gate_means(day.gates, bins, lambda g: g.running)),
         ("lowest level by service", _lowest_levels(day.gates, bins)),
     ]
     figure = new_figure(width=WIDTH_INCHES, height=PANEL_INCHES * len(panels))
-    seconds = [number * BIN_S for number in range(bins)]
+    seconds = [number * bins.width_s for number in range(bins.count)]
     all_axes = figure.subplots(len(panels), 1, sharex=True)
     for axes, (title, series) in zip(all_axes, panels, strict=True):
         _draw(axes, title, series, seconds)
@@ -101,15 +102,26 @@
     return groups
 
 
-def _rates(ends: list[Ends], bins: int) -> Series:
-    series = {outcome: [0.0] * bins for outcome in OUTCOMES}
+class _Bins:
+    """Hold how a day is cut into spans of the same length."""
+
+    def __init__(self, lasts_s: float) -> None:
+        self.width_s = max(LEAST_BIN_S, lasts_s / MOST_BINS)
+        self.count = ceil(lasts_s / self.width_s) + 1
+
+    def place(self, at_s: float) -> int:
+        return int(at_s / self.width_s)
+
+
+def _rates(ends: list[Ends], bins: _Bins) -> Series:
+    series = {outcome: [0.0] * bins.count for outcome in OUTCOMES}
     for end in ends:
         for outcome in OUTCOMES:
-            series[outcome][_bin(end.at_s)] += getattr(end, outcome) / BIN_S
+            series[outcome][bins.place(end.at_s)] += getattr(end, outcome) / bins.width_s
     return series
 
 
-def _parts(groups: dict[str, list[Ends]], bins: int) -> Series:
+def _parts(groups: dict[str, list[Ends]], bins: _Bins) -> Series:
     series = {}
     for name, ends in groups.items():
         rates = _rates(ends, bins)
@@ -119,25 +131,29 @@
     return series
 
 
-def _gate_sums(gates: list[GateState], bins: int, value: Callable[[GateState], int]) -> Series:
+def _gate_means(gates: list[GateState], bins: _Bins, value: Callable[[GateState], int]) -> Series:
+    """Add up a service's gates, each by its mean over a bin."""
     series: Series = {}
     for gate in gates:
-        series.setdefault(gate.service, [0.0] * bins)[_bin(gate.at_s)] += value(gate)
+        sums = series.setdefault(gate.service, [0.0] * bins.count)
+        sums[bins.place(gate.at_s)] += value(gate) * LEAST_BIN_S / bins.width_s
     return series
 
 
-def _lowest_levels(gates: list[GateState], bins: int) -> Series:
+def _lowest_levels(gates: list[GateState], bins: _Bins) -> Series:
     series: Series = {}
     for gate in gates:
-        values = series.setdefault(gate.service, [nan] * bins)
-        place = _bin(gate.at_s)
+        values = series.setdefault(gate.service, [nan] * bins.count)
+        place = bins.place(gate.at_s)
         # NaN, where nothing was seen yet, is the second argument: `min` then keeps the first.
         values[place] = min(gate.level, values[place])
     return series
 
 
-def _bin(at_s: float) -> int:
-    return int(at_s / BIN_S)
+def _note_on(left_out: int) -> str:
+    if not left_out:
+        return ""
+    return f"<p>{left_out} lines are left out: their clocks are over a day off.</p>"
 
 
 def _incidents(lines: list[LogLine], started_at: float) -> str:
--- a/tests/test_cli_report.py
+++ b/tests/test_cli_report.py
@@ -59,6 +59,19 @@
     assert [line.number for line in day.incidents] == [Event.DAEMON_STOPPING.value.number]
 
 
+def test_lines_of_a_clock_that_was_never_set_are_left_out_and_counted(tmp_path: Path) -> None:
+    # With them a day lasts for decades: the page's plots took all of the machine's memory.
+    now = 1_796_000_000.0
+    log, page = tmp_path / "day.log", tmp_path / "day.html"
+    lines = [_counted(now + second, served=5) for second in range(4)]
+    lines += [_counted(86_400.0 * 365 * 2, served=1), _counted(now + 3_600.0, served=2)]
+    log.write_text("\n".join(lines))
+    assert run(["report", str(log), "--output", str(page)]) == ExitCode.OK
+    day = read_day(lines)
+    assert (len(day.ends), day.left_out) == (5, 1)
+    assert "1 lines are left out" in page.read_text()
+
+
 def test_outcomes_are_counted_as_a_caller_sees_them() -> None:
     ends = EndCounts()
     for outcome in ("2xx", "4xx", "5xx", "timed-out", "outcome-unknown", "cancelled", "shed"):
