--- a/src/daisywharf/_mesh/_counts.py
+++ b/src/daisywharf/_mesh/_counts.py
@@ -7,7 +7,7 @@
 
 from daisywharf._configuration import RouteName
 from daisywharf._errors import ErrorKind
-from daisywharf._ids import ServiceName
+from daisywharf._ids import ServiceName, ZoneName
 from daisywharf._signals._metrics import Metric, Sample, counter, gauge
 
 # Upper ends of the buckets, in seconds: from a quick read to the longest deadline of a site.
@@ -68,10 +68,10 @@
         ends.refused += count
 
 
-def request_metrics(counts: MeshCounts) -> list[Metric]:
+def request_metrics(counts: MeshCounts, *, zone: ZoneName) -> list[Metric]:
     """Describe how requests ended and how long the served ones took."""
     ended = [
-        Sample(count, {"route": route, "service": service, "outcome": outcome})
+        Sample(count, {"route": route, "service": service, "outcome": outcome, "zone": zone})
         for (route, service, outcome), count in sorted(counts.ended_by_labels.items())
     ]
     buckets, sums, totals = [], [], []
@@ -79,9 +79,9 @@
         below = 0
         for end_s, count in zip([*map(str, BUCKETS_S), "+Inf"], counted, strict=True):
             below += count
-            buckets.append(Sample(below, {"route": route, "le": end_s}))
-        sums.append(Sample(counts.seconds_by_route[route], {"route": route}))
-        totals.append(Sample(below, {"route": route}))
+            buckets.append(Sample(below, {"route": route, "zone": zone, "le": end_s}))
+        sums.append(Sample(counts.seconds_by_route[route], {"route": route, "zone": zone}))
+        totals.append(Sample(below, {"route": route, "zone": zone}))
     name = "daisywharf_request_seconds"
     return [
         counter("daisywharf_requests_total", "Requests entered, by how they ended.", *ended),
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -341,7 +341,7 @@
             held_bytes=self.held.kept + self.held.unsent,
             store_contact_s=self.now() - max(self.sync.contacted_at, self._started_at),
         )
-        return [*request_metrics(self.entry.ended), *state]
+        return [*request_metrics(self.entry.ended, zone=self.settings.zone), *state]
 
     # The end.
 
--- a/tests/test_mesh_log.py
+++ b/tests/test_mesh_log.py
@@ -11,7 +11,7 @@
 
 from builders_mesh import Client, MeshWorld, TargetStandIn, free_address, in_loop, route
 from daisywharf._configuration import RouteName
-from daisywharf._ids import ServiceName
+from daisywharf._ids import ServiceName, ZoneName
 from daisywharf._mesh._counts import MOST_SERIES, MeshCounts, request_metrics
 from daisywharf._mesh._http_client import HttpAnswer, HttpPool
 from daisywharf._mesh._http_server import HttpServer
@@ -128,6 +128,7 @@
         body = answer.body.decode()
         ended = dict(re.findall(r'requests_total\{outcome="(\dxx)",route="r",[^}]*\} (\d+)', body))
         assert ended == {"2xx": "2", "5xx": "1"}
+        assert all('zone="a"' in line for line in body.splitlines() if "requests_total{" in line)
         assert re.search(r"^daisywharf_gate_limit \d+$", body, re.MULTILINE)
         assert re.search(r"^daisywharf_held_bytes \d+$", body, re.MULTILINE)
         counts = [int(n) for n in re.findall(r"seconds_bucket\{[^}]*\} (\d+)", body)]
@@ -158,7 +159,7 @@
     for number in range(2 * MOST_SERIES):
         counts.note_end(RouteName(f"r{number}"), ServiceName("s"), "2xx")
         counts.note_latency(RouteName(f"r{number}"), 0.1)
-    ended = request_metrics(counts)[0].samples
+    ended = request_metrics(counts, zone=ZoneName("a"))[0].samples
     assert len(ended) <= MOST_SERIES + 1
     assert sum(sample.value for sample in ended) == 2 * MOST_SERIES
     assert len(counts.buckets_by_route) <= MOST_SERIES + 1
