--- a/benchmarks/_soak_faults.py
+++ b/benchmarks/_soak_faults.py
@@ -28,6 +28,16 @@
         trouble.ended_at = time.monotonic()
 
 
+@contextmanager
+def _going(vm: SoakVm) -> Iterator[None]:
+    """Keep another fault from starting a second target at the same address."""
+    vm.is_target_going = True
+    try:
+        yield
+    finally:
+        vm.is_target_going = False
+
+
 def _vm_that_runs(fleet: SoakFleet) -> SoakVm | None:
     running = [vm for vm in fleet.vms if vm.process is not None]
     return fleet.rng.choice(running) if len(running) > len(fleet.vms) // 2 else None
@@ -132,9 +142,10 @@
 async def crash_target(fleet: SoakFleet) -> None:
     """End a target without a word; a new incarnation follows."""
     vm = fleet.rng.choice(fleet.vms)
-    if vm.target is not None and not vm.target.is_down:
-        with _noted(fleet, "crash-target", vm.name):
-            vm.target.crash()
+    target = vm.target
+    if target is not None and not vm.is_target_going:
+        with _noted(fleet, "crash-target", vm.name), _going(vm):
+            target.crash()
             await asyncio.sleep(_some_s(fleet))
             await fleet.start_target(vm)
             await asyncio.sleep(1.0)
@@ -144,8 +155,8 @@
     """Let a target leave as planned; a new incarnation follows."""
     vm = fleet.rng.choice(fleet.vms)
     target = vm.target
-    if target is not None and not target.is_down and target.state == "ready":
-        with _noted(fleet, "replace-target", vm.name, is_planned=True):
+    if target is not None and not vm.is_target_going:
+        with _noted(fleet, "replace-target", vm.name, is_planned=True), _going(vm):
             await target.leave(drain_s=4.0)
             await fleet.start_target(vm)
             await asyncio.sleep(1.0)
--- a/benchmarks/_soak_fleet.py
+++ b/benchmarks/_soak_fleet.py
@@ -42,6 +42,7 @@
         self.starts = 0
         self.target: SoakTarget | None = None
         self.targets = 0
+        self.is_target_going = False
 
     def at(self, port: int) -> Address:
         """Return an address of this VM."""
