Call one piece where the change had written it twice

Found on reading the whole change again; behaviour is as before but for one point. - Waiting for one HTTP answer with a time-out (a future, its settling, giving up) stood in the store's client and in the soak: HttpPool.fetch serves both. It gives the request up also when the waiting task is cancelled, which the store's client didn't. - Opening a connection within a time stood twice in HttpPool: _connect. - A free loopback address was written in a benchmark and in the mesh tests' builders: benchmarks._processes. - InForce held the configuration that its entry's table holds; whether one is known is asked there. - Membership looked through all records, twenty times a second for each open seed, for an address that _vm_by_address already maps; its keys are the addresses of the records. Looked at and left: the log lines of _pending (each its own event), the pairs in _objects (a rename), the state of StoreSync.is_away, which only a test reads. benchmarks ways asks as it did, so that its figures stay comparable.

--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -12,6 +13,8 @@
 
 import urllib3
 
+from daisywharf._topology import Address
+
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 
@@ -60,6 +63,13 @@
         self.http.clear()
 
 
+def free_address() -> Address:
+    """Return an address on loopback whose port the kernel chose."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", probe.getsockname()[1])
+
+
 def address_in(ready: str, name: str) -> str:
     """Return the HOST:PORT that a ready file gives under a name."""
     return next(line.split()[1] for line in ready.splitlines() if line.startswith(name + " "))
--- a/benchmarks/_soak_fleet.py
+++ b/benchmarks/_soak_fleet.py
@@ -140,9 +140,7 @@
         request = b"GET /-/readiness HTTP/1.1\r\nHost: ready\r\n\r\n"
         async with asyncio.timeout(60.0):
             while True:
-                future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-                pool.ask(request, future.set_result)
-                result = await future
+                result = await pool.fetch(request, within_s=1.0)
                 if isinstance(result, HttpAnswer) and result.status == 200:
                     break
                 await asyncio.sleep(0.2)
--- a/benchmarks/_soak_parts.py
+++ b/benchmarks/_soak_parts.py
@@ -11,7 +11,7 @@
 
 from benchmarks._soak_ledger import REFUSALS, Leaving, Ledger, Run, Sent
 from daisywharf._mesh._headers import HeaderPair
-from daisywharf._mesh._http_client import HttpAnswer, HttpFailure, HttpPool, HttpResult
+from daisywharf._mesh._http_client import HttpAnswer, HttpFailure, HttpPool
 from daisywharf._mesh._http_server import Exchange, HttpServer
 from daisywharf._topology import Address
 
@@ -106,7 +106,7 @@
         )
         path = f"/-/instances/{self.name}/heartbeat"
         head = f"POST {path} HTTP/1.1\r\nHost: control\r\nContent-Length: {len(body)}\r\n\r\n"
-        result = await ask(self._control, head.encode() + body, within_s=ACK_TIMEOUT_S)
+        result = await self._control.fetch(head.encode() + body, within_s=ACK_TIMEOUT_S)
         return isinstance(result, HttpAnswer) and result.status == 200
 
     def _handle(self, exchange: Exchange) -> None:
@@ -137,7 +137,7 @@
     async def _call_below(self, request: str) -> int:
         self._last_call += 1
         head = request_head("GET", "/back/inner", f"{request}.{self._last_call}", time_left_s=1.0)
-        result = await ask(self._entry, head + b"\r\n", within_s=1.2)
+        result = await self._entry.fetch(head + b"\r\n", within_s=1.2)
         return 200 if isinstance(result, HttpAnswer) and result.status == 200 else 500
 
 
@@ -163,7 +163,7 @@
         self.ledger.sent.append(sent)
         body = b"order" if method == "POST" else b""
         head = request_head(method, path, request, time_left_s=CLIENT_TIME_S, length=len(body))
-        result = await ask(self.pool, head + b"\r\n" + body, within_s=CLIENT_TIME_S + 0.5)
+        result = await self.pool.fetch(head + b"\r\n" + body, within_s=CLIENT_TIME_S + 0.5)
         sent.ended_at = time.monotonic()
         if isinstance(result, HttpAnswer):
             sent.status = result.status
@@ -176,25 +176,6 @@
         return sent
 
 
-async def ask(pool: HttpPool, request: bytes, *, within_s: float) -> HttpResult | None:
-    """Send a request on a pool; return none where no result came in time."""
-    future: asyncio.Future[HttpResult] = asyncio.get_running_loop().create_future()
-
-    def settle(result: HttpResult) -> None:
-        if not future.done():
-            future.set_result(result)
-
-    asked = pool.ask(request, settle)
-    try:
-        async with asyncio.timeout(within_s):
-            return await future
-    except TimeoutError:
-        return None
-    finally:
-        if not future.done() or future.cancelled():
-            asked.cancel()
-
-
 def request_head(
     method: str, path: str, request: str, *, time_left_s: float, length: int = 0
 ) -> bytes:
--- a/benchmarks/ways.py
+++ b/benchmarks/ways.py
@@ -3,7 +3,6 @@
 import argparse
 import asyncio
 import json
-import socket
 import threading
 import time
 from collections.abc import Awaitable, Callable
@@ -18,6 +17,7 @@
 import websockets.asyncio.client
 import websockets.asyncio.server
 
+from benchmarks._processes import free_address
 from daisywharf._mesh._frames import (
     LENGTH_BYTES,
     Answered,
@@ -31,7 +31,6 @@
 from daisywharf._mesh._http_server import Exchange, HttpServer
 from daisywharf._mesh._links import CallResult, FrameProtocol, LinkServer, OutLink
 from daisywharf._overload._pressure import Pressure, move_pressure
-from daisywharf._topology import Address
 
 HOST: Final = "127.0.0.1"
 US: Final = 1e6
@@ -111,7 +110,7 @@
         assert isinstance(frame, Call)
         protocol.send(msgspec.structs.replace(ANSWER, call_id=frame.call_id))
 
-    address = _free_address()
+    address = free_address()
     server = LinkServer(on_frame=answer, on_lost=lambda _protocol: None)
     await server.start(address)
     link = OutLink(
@@ -160,7 +159,7 @@
     def answer(exchange: Exchange) -> None:
         exchange.respond(200, lines=ANSWER.headers, body=ANSWER.body)
 
-    address = _free_address()
+    address = free_address()
     server = HttpServer(answer, now=time.monotonic)
     await server.start(address)
     pool = HttpPool(address, now=time.monotonic)
@@ -220,9 +219,3 @@
         return _time(lambda: actor.ask("move"), count)
     finally:
         actor.stop()
-
-
-def _free_address() -> Address:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return Address(HOST, probe.getsockname()[1])
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -172,7 +172,7 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether clients may send requests here."""
-        if self.in_force.configuration is None or self.is_stopping:
+        if self.entry.table is None or self.is_stopping:
             return False
         knows_targets = any(p.candidates for p in self.services.placement_by_service.values())
         return knows_targets or self.now() - self._started_at > READY_WITHOUT_TARGETS_S
--- a/src/daisywharf/_mesh/_http_client.py
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -119,6 +119,24 @@
             asyncio.ensure_future(self._open(asked))
         return asked
 
+    async def fetch(self, request: bytes, *, within_s: float) -> HttpResult | None:
+        """Send a request and wait for its result; give it up and return none after `within_s`."""
+        future: asyncio.Future[HttpResult] = asyncio.get_running_loop().create_future()
+
+        def settle(result: HttpResult) -> None:
+            if not future.done():
+                future.set_result(result)
+
+        asked = self.ask(request, settle)
+        try:
+            async with asyncio.timeout(within_s):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            if future.cancelled():
+                asked.cancel()
+
     def _take_idle(self, most_idle_s: float) -> "ClientConnection | None":
         now = self.now()
         while self.idle:
@@ -129,12 +147,8 @@
         return None
 
     async def _open(self, asked: Asked) -> None:
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self), self.address.host, self.address.port
-                )
+            connection = await self._connect(within_s=CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError) as error:
             asked.finish(HttpFailure(ErrorKind.CONNECT_FAILED, has_begun=False, detail=repr(error)))
             return
@@ -159,17 +173,20 @@
 
     async def can_connect(self, *, within_s: float) -> bool:
         """Tell whether the server takes a connection."""
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(within_s):
-                _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self), self.address.host, self.address.port
-                )
+            connection = await self._connect(within_s=within_s)
         except (OSError, TimeoutError):
             return False
         self.give_back(connection)
         return True
 
+    async def _connect(self, *, within_s: float) -> "ClientConnection":
+        async with asyncio.timeout(within_s):
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: ClientConnection(self), self.address.host, self.address.port
+            )
+        return connection
+
     def close(self, detail: str = "") -> None:
         """Close all connections; requests on them fail, and may have been read."""
         self.idle.clear()
--- a/src/daisywharf/_mesh/_in_force.py
+++ b/src/daisywharf/_mesh/_in_force.py
@@ -16,7 +16,7 @@
 
 
 class InForce:
-    """Hold the configuration in force, none at first."""
+    """Put configurations in force, and hold the newest as others are sent it."""
 
     def __init__(
         self,
@@ -34,7 +34,6 @@
         self.membership = membership
         self.news = news
         self.now = now
-        self.configuration: Configuration | None = None
         self.spread = Spread()
         self._encoded = b""
 
@@ -47,7 +46,6 @@
         """Put a newer version in force; an older one never comes back."""
         if configuration.version <= self.version:
             return
-        self.configuration = configuration
         self.entry.put_in_force(configuration)
         self.clients.limits = configuration.limits
         importances = [route.importance for route in configuration.routes]
--- a/src/daisywharf/_mesh/_membership.py
+++ b/src/daisywharf/_mesh/_membership.py
@@ -104,8 +104,7 @@
 
     def open_seed(self, address: Address) -> None:
         """Ask a daemon of which only the address is known."""
-        known = {record.address for record in self.record_by_vm.values()}
-        if address in self.seed_links or str(address) in known:
+        if address in self.seed_links or str(address) in self._vm_by_address:
             return
         self.seed_links[address] = OutLink(
             address,
@@ -147,7 +146,7 @@
         for link in self.link_by_vm.values():
             link.tick(now=now)
         for address, link in list(self.seed_links.items()):
-            if any(r.address == str(address) for r in self.record_by_vm.values()):
+            if str(address) in self._vm_by_address:
                 link.close()
                 del self.seed_links[address]
             else:
--- a/src/daisywharf/platform/_store.py
+++ b/src/daisywharf/platform/_store.py
@@ -1,6 +1,5 @@
 """Reach the platform's metadata store from the event loop."""
 
-import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any, Final
@@ -10,7 +9,7 @@
 
 from daisywharf._configuration import Configuration
 from daisywharf._errors import ErrorKind, PlatformError
-from daisywharf._mesh._http_client import HttpAnswer, HttpFailure, HttpPool, HttpResult
+from daisywharf._mesh._http_client import HttpAnswer, HttpFailure, HttpPool
 from daisywharf._mesh._learned import Learned
 from daisywharf._mesh._model import MemberRecord
 from daisywharf._mesh._store import ConfigurationRead
@@ -151,19 +150,9 @@
         if body or method != "GET":
             head += f"Content-Length: {len(body)}\r\n"
         self.calls += 1
-        future: asyncio.Future[HttpResult] = asyncio.get_running_loop().create_future()
-
-        def settle(result: HttpResult) -> None:
-            if not future.done():
-                future.set_result(result)
-
-        asked = self._pool.ask(head.encode() + b"\r\n" + body, settle)
-        try:
-            async with asyncio.timeout(timeout_s):
-                result = await future
-        except TimeoutError:
-            asked.cancel()
-            raise _error(method, f"no answer in {timeout_s} s") from None
+        result = await self._pool.fetch(head.encode() + b"\r\n" + body, within_s=timeout_s)
+        if result is None:
+            raise _error(method, f"no answer in {timeout_s} s")
         if isinstance(result, HttpFailure):
             raise _error(method, result.detail)
         return _content(method, path, result)
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import json
-import socket
 import time
 from collections.abc import Callable
 from random import Random
 from typing import Any
 
+from benchmarks._processes import free_address
+
 from daisywharf._configuration import (
     ClientLimits,
     Configuration,
@@ -32,13 +33,6 @@
 NOWHERE = Address(HOST, 9)
 
 
-def free_address() -> Address:
-    """Return an address whose port the kernel chose."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return Address(HOST, probe.getsockname()[1])
-
-
 def route(name: str = "r", **changes: Any) -> Route:
     """Build a route to the service `stock` under `/NAME/`."""
     given: dict[str, Any] = {
