Tell from whom a configuration came, who watches, and which version routed a request

A version's line (305) names the version before it and its source; lines of requests (702, 703, 709) name the version that routed them, as 701 and 705 did; 404 and 405 tell when a daemon begins or ceases to watch; a task of the daemon that ends by an error leaves line 105, where it ended without a word.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -37,6 +37,8 @@
 from daisywharf._signals._log import log_event
 from daisywharf._signals._metrics import Metric
 
+# Names the store in lines that tell from whom a configuration came.
+FROM_STORE: Final = "the store"
 TICK_S: Final = 0.05  # waiting calls are refused this late at most
 SWEEP_S: Final = 0.5
 # A daemon that has known no target for this long serves what it can: refusals say so.
@@ -188,6 +190,8 @@
             asyncio.ensure_future(self.sync.run_records()),
             asyncio.ensure_future(self.sync.run_learned()),
         ]
+        for task in self._tasks:
+            task.add_done_callback(_log_end)
         self._tick()
 
     def _open_seed(self, host: str) -> None:
@@ -215,7 +219,7 @@
         self.peers.take_on_own_link(link, frame)
 
     def _put_in_force(self, configuration: Configuration) -> None:
-        self.in_force.put_in_force(configuration)
+        self.in_force.put_in_force(configuration, source=FROM_STORE)
 
     # The target beside this daemon.
 
@@ -384,3 +388,11 @@
             task.cancel()
         self.links.stop()
         self.membership.close()
+
+
+def _log_end(task: asyncio.Task[Any]) -> None:
+    """Tell of a task that ended by an error that it didn't expect."""
+    error = None if task.cancelled() else task.exception()
+    if error is not None:
+        part = getattr(task.get_coro(), "__qualname__", task.get_name())
+        log_event(Event.UNEXPECTED_ERROR, part=part, error=repr(error))
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -155,6 +155,7 @@
             head,
             route,
             next_part(self.split, route, rng=self.rng),
+            version=self.version,
             deadline=now + min(time_left_s, route.timeout_s),
             is_from_target=is_call(self.origins, route.name),
         )
@@ -182,7 +183,7 @@
         if not is_shed(pending.route.importance, pending.sub_order, level=strictest.level):
             return False
         age_s = self.services.levels_age_s(now=now)
-        log_shed(pending, strictest, age_s=age_s, version=self.version)
+        log_shed(pending, strictest, age_s=age_s)
         self._refuse(pending, ErrorKind.SHED, now=now)
         return True
 
--- a/src/daisywharf/_mesh/_in_force.py
+++ b/src/daisywharf/_mesh/_in_force.py
@@ -42,16 +42,22 @@
         """Return the version in force, or 0."""
         return self.entry.version
 
-    def put_in_force(self, configuration: Configuration) -> None:
+    def put_in_force(self, configuration: Configuration, *, source: str) -> None:
         """Put a newer version in force; an older one never comes back."""
-        if configuration.version <= self.version:
+        earlier = self.version
+        if configuration.version <= earlier:
             return
         self.entry.put_in_force(configuration)
         self.clients.limits = configuration.limits
         importances = [route.importance for route in configuration.routes]
         ceiling = float(max(importances, default=Importance.LOW) + 1)
         self.entry.services.ceiling = self.gate.ceiling = ceiling
-        log_event(Event.CONFIGURATION_IN_FORCE, version=configuration.version)
+        log_event(
+            Event.CONFIGURATION_IN_FORCE,
+            version=configuration.version,
+            earlier=earlier,
+            source=source,
+        )
         self._encoded = encode_configuration(configuration)
         # The others of the zone ask for it. Those of other zones have watchers of their own.
         zone, news = self.membership.own.zone, self.news()
@@ -76,7 +82,7 @@
         if self._encoded and may_send(self.spread, len(self._encoded), now=self.now()):
             send(NewConfiguration(self.version, self._encoded))
 
-    def take(self, frame: NewConfiguration) -> None:
-        """Take a copy."""
+    def take(self, frame: NewConfiguration, *, source: str) -> None:
+        """Take a copy from another daemon."""
         if frame.version > self.version:
-            self.put_in_force(decode_configuration(frame.body))
+            self.put_in_force(decode_configuration(frame.body), source=source)
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -56,7 +56,7 @@
         if isinstance(frame, News):
             self.in_force.hear_version(frame.version, link.send)
         else:
-            self._take_anywhere(frame, link.send)
+            self._take_anywhere(frame, link.send, source=str(link.address))
 
     def take(self, link: FrameProtocol, frame: Frame) -> None:
         """Take a frame on a link that another daemon opened."""
@@ -68,7 +68,8 @@
             link.send(Pong())
             self._take_sign_of_life(link, frame)
         else:
-            self._take_anywhere(frame, link.send)
+            vm = self._vm_by_link.get(link)
+            self._take_anywhere(frame, link.send, source=vm or "a link without a hello")
 
     def lose(self, link: FrameProtocol) -> None:
         """Forget a link that ended."""
@@ -82,11 +83,11 @@
             # A record of an earlier process, written by a clock that was ahead of this one.
             self.renew(max(record.started_ms for record in records if record.vm == own))
 
-    def _take_anywhere(self, frame: Frame, send: Send) -> None:
+    def _take_anywhere(self, frame: Frame, send: Send, *, source: str) -> None:
         if isinstance(frame, Members):
             self.merge(frame.records)
         elif isinstance(frame, NewConfiguration):
-            self.in_force.take(frame)
+            self.in_force.take(frame, source=source)
         elif isinstance(frame, WantConfiguration):
             self.in_force.send_to(send)
         elif isinstance(frame, WriteAgain):
--- a/src/daisywharf/_mesh/_pending.py
+++ b/src/daisywharf/_mesh/_pending.py
@@ -40,6 +40,7 @@
         route: Route,
         service: ServiceName,
         *,
+        version: int,
         deadline: float,
         is_from_target: bool,
     ) -> None:
@@ -47,6 +48,7 @@
         self.head = head
         self.route = route
         self.service = service
+        self.version = version
         self.deadline = deadline
         self.is_from_target = is_from_target
         self.sub_order = sub_order_of(RequestId(head.request_id))
@@ -71,7 +73,7 @@
         return round((now - self.exchange.arrived_at) * MS, 1)
 
 
-def log_shed(pending: Pending, strictest: ChainLevel, *, age_s: float, version: int) -> None:
+def log_shed(pending: Pending, strictest: ChainLevel, *, age_s: float) -> None:
     """Tell of a request that was refused for a loaded service of its chain."""
     log_event(
         Event.REQUEST_SHED,
@@ -82,7 +84,7 @@
         level=round(strictest.level, 3),
         loaded=strictest.service,
         age_s=round(age_s, 3),
-        version=version,
+        version=pending.version,
     )
 
 
@@ -96,6 +98,7 @@
         kind=kind.value,
         gates_tried=pending.progress.gates_tried,
         held_ms=pending.held_ms(now),
+        version=pending.version,
     )
 
 
@@ -111,6 +114,7 @@
         target=pending.target,
         attempts=pending.progress.attempts,
         held_ms=pending.held_ms(now),
+        version=pending.version,
     )
 
 
@@ -145,4 +149,5 @@
         target=pending.target,
         status=status,
         held_ms=pending.held_ms(now),
+        version=pending.version,
     )
--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -13,7 +13,7 @@
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord
 from daisywharf._mesh._store import Store
-from daisywharf._mesh._watching import WatchReport, must_watch
+from daisywharf._mesh._watching import WATCHERS_A_ZONE, WatchReport, watchers_before
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 
@@ -57,6 +57,7 @@
         self.contacted_at = float("-inf")
         self.is_watching = False
         self.has_listed = False
+        self._has_turn = False
         self._unavailable_since: float | None = None
         self._backoff_s = FIRST_BACKOFF_S
         self._unwritten: MemberRecord | None = None
@@ -85,13 +86,22 @@
                 self._take(read.configuration)
                 revision = read.revision
                 await asyncio.sleep(SETTLE_S)
-            if not must_watch(self.membership.own.vm, self._zone_reports(), now=self.now()):
+            before = watchers_before(self.membership.own.vm, self._zone_reports(), now=self.now())
+            self._note_turn(before)
+            if before >= WATCHERS_A_ZONE:
                 self.is_watching = False
                 await asyncio.sleep(IDLE_CHECK_S)
                 # What changed meanwhile came from others; the store's history may be shorter.
                 continue
             revision = await self._watch(revision)
 
+    def _note_turn(self, before: int) -> None:
+        """Log that this daemon begins or ceases to be one of those that watch."""
+        has_turn = before < WATCHERS_A_ZONE
+        if has_turn != self._has_turn:
+            self._has_turn = has_turn
+            log_event(Event.WATCH_TAKEN if has_turn else Event.WATCH_LEFT, others=before)
+
     async def _watch(self, revision: int) -> int | None:
         try:
             read = await self.store.watch_configuration(after=revision, wait_s=WATCH_WAIT_S)
--- a/src/daisywharf/_mesh/_watching.py
+++ b/src/daisywharf/_mesh/_watching.py
@@ -19,11 +19,12 @@
     heard_at: float
 
 
-def must_watch(own: VmId, report_by_vm: dict[VmId, WatchReport], *, now: float) -> bool:
-    """Tell whether this daemon watches: too few daemons before it in the order do."""
-    before = [
-        vm
+def watchers_before(own: VmId, report_by_vm: dict[VmId, WatchReport], *, now: float) -> int:
+    """Return how many daemons that come before this one in the order watch with success.
+
+    This one watches where they are fewer than `WATCHERS_A_ZONE`.
+    """
+    return sum(
+        vm < own and report.is_watching and now - report.heard_at < REPORT_LIFETIME_S
         for vm, report in report_by_vm.items()
-        if vm < own and report.is_watching and now - report.heard_at < REPORT_LIFETIME_S
-    ]
-    return len(before) < WATCHERS_A_ZONE
+    )
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -93,7 +93,9 @@
         304, EventLevel.INFO, "the copy of the contracts is confirmed at version {version}"
     )
     CONFIGURATION_IN_FORCE = EventForm(
-        305, EventLevel.INFO, "configuration is in force here at version {version}"
+        305,
+        EventLevel.INFO,
+        "configuration is in force here at version {version} after {earlier}, from {source}",
     )
     ENTRY_UNREADABLE = EventForm(
         306, EventLevel.ERROR, "entry {entry} can't be read and is left out: {error}"
@@ -111,6 +113,13 @@
         403, EventLevel.INFO, "watch after version {version} is gone; contracts are listed again"
     )
 
+    WATCH_TAKEN = EventForm(
+        404, EventLevel.INFO, "this daemon watches the configuration, {others} before it do"
+    )
+    WATCH_LEFT = EventForm(
+        405, EventLevel.INFO, "this daemon leaves the watch to others, {others} before it do"
+    )
+
     LINK_OPENED = EventForm(501, EventLevel.DEBUG, "link to {peer} is open")
     LINK_CLOSED = EventForm(502, EventLevel.DEBUG, "link to {peer} is closed: {error}")
     LINK_SILENT = EventForm(
@@ -144,14 +153,14 @@
         702,
         EventLevel.WARNING,
         "request {request} of {route} was not run at {service}: {kind} after {gates_tried} gates,"
-        " in {held_ms} ms",
+        " in {held_ms} ms, version {version}",
         REQUEST_LINES_PER_S,
     )
     REQUEST_FAILED = EventForm(
         703,
         EventLevel.WARNING,
         "request {request} of {route} failed at {service}: {kind}, {cause},"
-        " last at {target}, after {attempts} attempts in {held_ms} ms",
+        " last at {target}, after {attempts} attempts in {held_ms} ms, version {version}",
         REQUEST_LINES_PER_S,
     )
     REQUEST_REPEATED = EventForm(
@@ -185,7 +194,8 @@
     REQUEST_ANSWERED = EventForm(
         709,
         EventLevel.INFO,
-        "request {request} of {route} was answered {status} by {target} in {held_ms} ms",
+        "request {request} of {route} was answered {status} by {target} in {held_ms} ms,"
+        " version {version}",
         SERVED_LINES_PER_S,
     )
     REQUESTS_COUNTED = EventForm(
--- a/tests/test_mesh_fleet.py
+++ b/tests/test_mesh_fleet.py
@@ -25,7 +25,7 @@
 from daisywharf._mesh._http_client import HttpAnswer
 from daisywharf._mesh._links import CallResult
 from daisywharf._mesh._model import Readiness
-from daisywharf._mesh._watching import WatchReport, must_watch
+from daisywharf._mesh._watching import WATCHERS_A_ZONE, WatchReport, watchers_before
 from daisywharf._outcomes._pause import PauseState, pause_tick
 from daisywharf._topology import Address
 
@@ -285,7 +285,8 @@
         return [
             vm
             for vm in vms
-            if must_watch(vm, {v: r for v, r in reports.items() if v != vm}, now=now)
+            if watchers_before(vm, {v: r for v, r in reports.items() if v != vm}, now=now)
+            < WATCHERS_A_ZONE
         ]
 
     assert watchers(10.5) == vms[:2]
