--- /dev/null
+++ b/tests/test_configuration_in_time.py
@@ -0,0 +1,263 @@
+"""A change is in force in time at daemons in touch, whatever happens to those that watch for it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Final
+
+import pytest
+
+from builders_virtual_fleet import VirtualFleet
+from virtual_net import VirtualNet, in_virtual_time
+
+# Of the users' site files: `configApplyMs` and `stabilityWindowMs`.
+APPLY_S: Final = 2.0
+STABLE_S: Final = 3.0
+VMS_BY_ZONE: Final = {"antwerpen": 4, "gent": 3}
+WATCHERS: Final = ("antwerpen-1", "antwerpen-2", "gent-1", "gent-2")
+OTHERS: Final = ("antwerpen-3", "antwerpen-4", "gent-3")
+SEEDS: Final = range(8)
+
+
+def _play(scenario: Callable[[VirtualFleet], Awaitable[None]]) -> None:
+    """Play a scenario with each seed, on a fleet that has come to rest."""
+    for seed in SEEDS:
+
+        async def play(net: VirtualNet, seed: int = seed) -> None:
+            fleet = VirtualFleet(net, vms_by_zone=VMS_BY_ZONE, seed=seed)
+            await fleet.start(settle_s=12.0 + fleet.rng.random())
+            await scenario(fleet)
+
+        in_virtual_time(play)
+
+
+async def _is_in_force(
+    fleet: VirtualFleet, names: tuple[str, ...] | None = None, *, stable_at: float = 0.0
+) -> None:
+    """Check the last change, made just now, when it is due at daemons stable from a time on."""
+    await asyncio.sleep(max(APPLY_S, stable_at - fleet.now))
+    assert fleet.behind(names) == []
+
+
+def test_a_change_is_in_time_though_connections_to_the_store_went_silent() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        fleet.change()
+        await asyncio.sleep(0.05)
+        fleet.silence_store()
+        silent_at = fleet.now
+        await asyncio.sleep(0.9)
+        fleet.change()
+        await _is_in_force(fleet, stable_at=silent_at + STABLE_S)
+
+    _play(scenario)
+
+
+def test_a_change_is_in_time_after_the_store_was_silent_for_a_moment() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        fleet.change()
+        await asyncio.sleep(0.05)
+        fleet.store.is_silent = True
+        await asyncio.sleep(1.0)
+        fleet.store.is_silent = False
+        fleet.silence_store()
+        fleet.change()
+        await _is_in_force(fleet, stable_at=fleet.now + STABLE_S)
+
+    _play(scenario)
+
+
+def test_a_change_is_in_time_after_an_outage_of_the_store() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        fleet.store.is_silent = True
+        await asyncio.sleep(6.0)
+        fleet.store.is_silent = False
+        fleet.silence_store()
+        back_at = fleet.now
+        await asyncio.sleep(1.0)
+        fleet.change()
+        await _is_in_force(fleet, stable_at=back_at + STABLE_S)
+
+    _play(scenario)
+
+
+@pytest.mark.parametrize("trouble", ["kill", "power_off", "suspend"])
+def test_a_change_is_in_time_though_all_watchers_are_lost_just_before_it(trouble: str) -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        getattr(fleet, trouble)(*WATCHERS)
+        fleet.change()
+        await _is_in_force(fleet, OTHERS)
+
+    _play(scenario)
+
+
+def test_a_change_is_in_time_though_all_watchers_are_cut_off_from_the_store() -> None:
+    async def scenario(fleet: VirtualFleet) -> None:
+        fleet.cut_from_store(WATCHERS)
+        fleet.change()
+        await _is_in_force(fleet, OTHERS)
+
+    _play(scenario)
+
+
+# Troubles that come in series and overlap.
+
+
+class Watch:
+    """Hold since when each daemon and the store have been without trouble, and what came late."""
+
+    def __init__(self, fleet: VirtualFleet) -> None:
+        self.fleet = fleet
+        self.steady_since = dict.fromkeys(fleet.vm_by_name, fleet.now)
+        self.store_since = fleet.now
+        self.written_at_by_version: dict[int, float] = {1: 0.0}
+        self.judged = 0
+        self.late: list[str] = []
+
+    def change(self) -> None:
+        """Write a version."""
+        self.written_at_by_version[self.fleet.change()] = self.fleet.now
+
+    def note(self, names: tuple[str, ...], *, until: float) -> None:
+        """Note that daemons are in trouble up to a time."""
+        for name in names:
+            self.steady_since[name] = max(self.steady_since[name], until)
+
+    def note_store(self, *, until: float) -> None:
+        """Note that the store is in trouble up to a time."""
+        self.store_since = max(self.store_since, until)
+
+    def judge(self) -> None:
+        """Look at what each daemon in touch has in force now."""
+        now = self.fleet.now
+        due = max(v for v, at in self.written_at_by_version.items() if at + APPLY_S < now)
+        for name, vm in self.fleet.vm_by_name.items():
+            if now - max(self.steady_since[name], self.store_since) > STABLE_S:
+                self.judged += 1
+                if vm.version < due:
+                    self.late.append(f"{name} has {vm.version} at {now:.2f}, due is {due}")
+
+
+async def _trouble_store(watch: Watch, rng: Random) -> None:
+    fleet, store = watch.fleet, watch.fleet.store
+    way = rng.choice(("silent", "refuses", "slow", "loses answers", "forgets"))
+    lasts_s = rng.choice((0.05, 0.5, 2.0, 5.0))
+    watch.note_store(until=fleet.now + lasts_s)
+    store.is_silent, store.loses_answers = way == "silent", way == "loses answers"
+    store.status = 503 if way == "refuses" else None
+    store.delay_s = 0.24 if way == "slow" else 0.004
+    if way == "forgets":
+        store.revision += 1
+        store.oldest = store.revision
+    await asyncio.sleep(lasts_s)
+    store.is_silent, store.loses_answers, store.status, store.delay_s = False, False, None, 0.004
+    if way in ("silent", "loses answers"):
+        fleet.silence_store()
+
+
+async def _silence(watch: Watch, rng: Random) -> None:
+    """Let connections go silent, which counts as a reset of those of all VMs."""
+    watch.note_store(until=watch.fleet.now)
+    rng.choice((watch.fleet.silence_store, watch.fleet.silence_all))()
+
+
+async def _lose_daemons(watch: Watch, rng: Random) -> None:
+    """End some daemons, most often those that watch; they are back soon."""
+    fleet = watch.fleet
+    some = rng.choice((WATCHERS, WATCHERS[:2], OTHERS, tuple(rng.sample(list(VMS_BY_NAME), 2))))
+    names = tuple(name for name in some if fleet.vm_by_name[name].daemon is not None)
+    lasts_s = 0.3 + 3.0 * rng.random()
+    watch.note(names, until=fleet.now + lasts_s)
+    rng.choice((fleet.kill, fleet.power_off))(*names)
+    await asyncio.sleep(lasts_s)
+    for name in names:
+        fleet.start_daemon(fleet.vm_by_name[name])
+
+
+async def _suspend_daemons(watch: Watch, rng: Random) -> None:
+    fleet = watch.fleet
+    some = rng.choice((WATCHERS, WATCHERS[:2], tuple(rng.sample(list(VMS_BY_NAME), 2))))
+    vms = [fleet.vm_by_name[name] for name in some]
+    vms = [vm for vm in vms if vm.daemon is not None and not vm.process.is_suspended]
+    names, lasts_s = tuple(vm.name for vm in vms), 0.3 + 3.0 * rng.random()
+    watch.note(names, until=fleet.now + lasts_s)
+    processes = [vm.process for vm in vms]
+    fleet.suspend(*names)
+    await asyncio.sleep(lasts_s)
+    for process in processes:
+        fleet.net.loop.resume(process)
+
+
+async def _stop_in_turn(watch: Watch, rng: Random) -> None:
+    """Stop daemons one after the other, and start each again once it has ended."""
+    fleet = watch.fleet
+    gap_s = rng.choice((0.0, 0.3, 1.0))
+
+    async def stop(name: str) -> None:
+        vm = fleet.vm_by_name[name]
+        daemon = vm.daemon
+        if daemon is None or vm.process.is_suspended or daemon.is_stopping:
+            return
+        watch.note((name,), until=float("inf"))
+        fleet.stop(name)
+        give_up_at = fleet.now + 7.0
+        while fleet.now < give_up_at and not daemon.stopped.is_set():
+            await asyncio.sleep(0.05)
+        if vm.daemon is daemon:
+            fleet.kill(name)
+            fleet.start_daemon(vm)
+        watch.steady_since[name] = fleet.now
+
+    stops = []
+    for name in rng.choice((WATCHERS, tuple(VMS_BY_NAME))):
+        stops.append(asyncio.ensure_future(stop(name)))
+        await asyncio.sleep(gap_s)
+    await asyncio.gather(*stops)
+
+
+async def _change_in_series(watch: Watch, rng: Random) -> None:
+    for _ in range(rng.choice((1, 2, 4))):
+        watch.change()
+        await asyncio.sleep(rng.choice((0.02, 0.3, 1.0)))
+
+
+VMS_BY_NAME: Final = {
+    f"{z}-{n}": z for z, count in VMS_BY_ZONE.items() for n in range(1, count + 1)
+}
+TROUBLES: Final = (
+    _trouble_store,
+    _silence,
+    _lose_daemons,
+    _suspend_daemons,
+    _stop_in_turn,
+    _change_in_series,
+    _change_in_series,
+    _change_in_series,
+)
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_changes_are_in_time_through_troubles_that_overlap(seed: int) -> None:
+    rng = Random(seed)
+    found: list[Watch] = []
+
+    async def play(net: VirtualNet) -> None:
+        fleet = VirtualFleet(net, vms_by_zone=VMS_BY_ZONE, seed=seed)
+        await fleet.start()
+        watch = Watch(fleet)
+        found.append(watch)
+        under_way: set[asyncio.Future[None]] = set()
+        until = fleet.now + 60.0
+        next_at = fleet.now
+        while fleet.now < until:
+            if fleet.now >= next_at and len(under_way) < 4:
+                next_at = fleet.now + 0.1 + 2.5 * rng.random()
+                trouble = asyncio.ensure_future(rng.choice(TROUBLES)(watch, rng))
+                under_way.add(trouble)
+                trouble.add_done_callback(under_way.discard)
+            watch.judge()
+            await asyncio.sleep(0.02)
+        await asyncio.gather(*under_way)
+
+    in_virtual_time(play)
+    assert found[0].late == []
+    assert found[0].judged > 1_000
--- /dev/null
+++ b/tests/virtual_net.py
@@ -0,0 +1,316 @@
+"""A network and an event loop under a virtual clock, for daemons that run as they are.
+
+Each process has a host; its callbacks run in a context that names it, so that one can be suspended,
+killed or lose power while the others go on.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from contextvars import Context, ContextVar, copy_context
+from typing import Any, Final
+
+Factory = Callable[[], asyncio.Protocol]
+Place = tuple[str, int]
+
+START_S: Final = 1_000.0
+SYN_AGAIN_S: Final = 1.0  # an opening packet that was lost is sent again after this time
+
+
+class Process:
+    """Hold whether a process runs, and what waits while it is suspended."""
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+        self.is_suspended = False
+        self.has_ended = False
+        self.held: list[asyncio.Handle] = []
+        self.context = copy_context()
+        self.context.run(_process.set, self)
+
+
+_process: ContextVar[Process | None] = ContextVar("process", default=None)
+
+
+class VirtualLoop(asyncio.BaseEventLoop):
+    """Run callbacks without waiting; the clock jumps to the next one that is due."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = START_S
+        self.net = VirtualNet(self)
+        self._selector = self
+        self._clock_resolution = 1e-9
+
+    def time(self) -> float:
+        """Return the virtual time."""
+        return self.clock
+
+    def select(self, timeout: float | None) -> list[Any]:
+        """Let the time pass for which the loop would wait."""
+        if timeout is None:
+            raise RuntimeError("every process waits, and nothing is left to happen")
+        self.clock += timeout
+        return []
+
+    def _process_events(self, event_list: Any) -> None:
+        pass
+
+    def _write_to_self(self) -> None:
+        pass
+
+    def call_soon(self, callback: Any, *args: Any, context: Any = None) -> asyncio.Handle:
+        """Run a callback unless its process doesn't."""
+        handle = super().call_soon(self._guard, context=context)
+        handle._args = (handle, callback, args)
+        return handle
+
+    def call_at(
+        self, when: float, callback: Any, *args: Any, context: Any = None
+    ) -> asyncio.TimerHandle:
+        """Run a callback at a time unless its process doesn't run."""
+        handle = super().call_at(when, self._guard, context=context)
+        handle._args = (handle, callback, args)
+        return handle
+
+    def _guard(self, handle: asyncio.Handle, callback: Any, args: tuple[Any, ...]) -> None:
+        process = _process.get()
+        if process is None or not (process.has_ended or process.is_suspended):
+            callback(*args)
+        elif not process.has_ended:
+            process.held.append(handle)
+
+    def resume(self, process: Process) -> None:
+        """Continue a suspended process: whatever was due is run now."""
+        process.is_suspended = False
+        held, process.held = process.held, []
+        self._ready.extend(held)
+
+    async def create_connection(
+        self, factory: Factory, host: str, port: int
+    ) -> tuple["End", asyncio.Protocol]:
+        """Connect to a listening process."""
+        return await self.net.connect(factory, (host, port))
+
+    async def create_server(
+        self, factory: Factory, host: str, port: int, *, backlog: int = 100
+    ) -> "Listener":
+        """Listen at an address."""
+        return self.net.listen(factory, (host, port))
+
+
+class Listener:
+    """Hold who listens at an address."""
+
+    def __init__(self, net: "VirtualNet", place: Place, factory: Factory) -> None:
+        self.net = net
+        self.place = place
+        self.factory = factory
+        self.process = _process.get()
+        self.context = copy_context()
+
+    def close(self) -> None:
+        """Listen no more."""
+        if self.net.listener_by_place.get(self.place) is self:
+            del self.net.listener_by_place[self.place]
+
+
+class End:
+    """Be one end of a connection, as a transport is."""
+
+    def __init__(self, net: "VirtualNet", process: Process | None, context: Context) -> None:
+        self.net = net
+        self.process = process
+        self.host = "" if process is None else process.host
+        self.context = context
+        self.remote: Place = ("", 0)
+        self.protocol: asyncio.Protocol | None = None
+        self.peer: End | None = None
+        self.is_closed = False
+        self.is_silent = False
+        self.arrives_at = 0.0
+        self.kept: list[Callable[[], None]] = []
+        self.is_paused = False
+        self.unread: list[bytes] = []
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+        if not self.is_closed:
+            taken = bytes(data)
+            self.net.carry(self, lambda peer: peer.receive(taken))
+
+    def close(self) -> None:
+        """Close behind what was written."""
+        self._end(lambda peer: peer.receive_end())
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._end(lambda peer: peer.receive_reset())
+
+    def _end(self, tell: Callable[["End"], None]) -> None:
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self.net.carry(self, tell)
+        self.net.loop.call_soon(self._lose, None, context=self.context)
+
+    def _lose(self, error: Exception | None) -> None:
+        protocol, self.protocol = self.protocol, None
+        self.net.ends.pop(self, None)
+        if protocol is not None:
+            protocol.connection_lost(error)
+
+    def receive(self, data: bytes) -> None:
+        """Hand bytes over, or keep them while reading is paused."""
+        if self.is_paused:
+            self.unread.append(data)
+        elif self.protocol is not None and not self.is_closed:
+            self.protocol.data_received(data)
+
+    def receive_end(self) -> None:
+        """Take the other end's closing."""
+        if self.protocol is not None and not self.is_closed:
+            self.protocol.eof_received()
+            self.close()
+
+    def receive_reset(self) -> None:
+        """Take a reset."""
+        if not self.is_closed:
+            self.is_closed = True
+            self._lose(ConnectionResetError("reset by the other end"))
+
+    def pause_reading(self) -> None:
+        """Keep what arrives."""
+        self.is_paused = True
+
+    def resume_reading(self) -> None:
+        """Hand over what was kept."""
+        self.is_paused = False
+        unread, self.unread = self.unread, []
+        for data in unread:
+            self.net.loop.call_soon(self.receive, data, context=self.context)
+
+    def is_closing(self) -> bool:
+        """Tell whether the end is closed."""
+        return self.is_closed
+
+    def get_write_buffer_size(self) -> int:
+        """Return 0: the network takes all bytes at once."""
+        return 0
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Return the other end's address."""
+        return self.remote if name == "peername" else default
+
+
+class VirtualNet:
+    """Hold listeners, connections, and which hosts can't reach which."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.delay_s: Callable[[str, str], float] = lambda _from, _to: 0.0005
+        self.listener_by_place: dict[Place, Listener] = {}
+        # In the order of their opening: a set's order would differ between runs.
+        self.ends: dict[End, None] = {}
+        self.cuts: list[tuple[frozenset[str], frozenset[str]]] = []
+        self.dark: set[str] = set()
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether no packet passes between two hosts for now."""
+        return any((one in a and other in b) or (one in b and other in a) for a, b in self.cuts)
+
+    def listen(self, factory: Factory, place: Place) -> Listener:
+        """Take connections at an address."""
+        listener = self.listener_by_place[place] = Listener(self, place, factory)
+        return listener
+
+    async def connect(self, factory: Factory, place: Place) -> tuple[End, asyncio.Protocol]:
+        """Open a connection; wait without end for a host that doesn't answer."""
+        own = End(self, _process.get(), copy_context())
+        while place[0] in self.dark or self.is_cut(own.host, place[0]):
+            await asyncio.sleep(SYN_AGAIN_S)
+        await asyncio.sleep(2 * self.delay_s(own.host, place[0]))
+        listener = self.listener_by_place.get(place)
+        if listener is None:
+            raise ConnectionRefusedError(f"nobody listens at {place}")
+        other = End(self, listener.process, listener.context)
+        own.peer, other.peer = other, own
+        own.remote, other.remote = place, (own.host, 0)
+        own.protocol = factory()
+        self.ends[own] = self.ends[other] = None
+        self.loop.call_soon(_accept, other, listener.factory, context=other.context)
+        own.protocol.connection_made(own)  # type: ignore[arg-type]
+        return own, own.protocol
+
+    def carry(self, end: End, hand_over: Callable[[End], None]) -> None:
+        """Bring something to the other end, behind what was sent before."""
+        peer = end.peer
+        if peer is None or end.is_silent:
+            return
+        arrives_at = self.loop.clock + self.delay_s(end.host, peer.host)
+        end.arrives_at = max(end.arrives_at, arrives_at)
+
+        def arrive() -> None:
+            if end.is_silent or peer.host in self.dark or end.host in self.dark:
+                return
+            if self.is_cut(end.host, peer.host):
+                end.kept.append(arrive)
+                return
+            self.loop.call_soon(hand_over, peer, context=peer.context)
+
+        self.loop.call_at(end.arrives_at, arrive, context=Context())
+
+    def heal(self) -> None:
+        """End all cuts; what was held up arrives."""
+        self.cuts.clear()
+        for end in self.ends:
+            kept, end.kept = end.kept, []
+            for arrive in kept:
+                self.loop.call_soon(arrive, context=Context())
+
+    def silence(self, concerns: Callable[[str, str], bool]) -> None:
+        """Let open connections between two hosts carry nothing any more, without a word."""
+        for end in self.ends:
+            if end.peer is not None and concerns(end.host, end.peer.host):
+                end.is_silent = end.peer.is_silent = True
+
+    def kill(self, process: Process) -> None:
+        """End a process: its host resets its connections and refuses new ones."""
+        for end in [end for end in self.ends if end.process is process]:
+            end.abort()
+        self._end(process)
+
+    def power_off(self, process: Process) -> None:
+        """Let a process's host lose its power: it answers nothing."""
+        self.dark.add(process.host)
+        for end in [end for end in self.ends if end.process is process]:
+            end.is_silent = True
+            del self.ends[end]
+        self._end(process)
+
+    def _end(self, process: Process) -> None:
+        process.has_ended = True
+        for place, listener in list(self.listener_by_place.items()):
+            if listener.process is process:
+                del self.listener_by_place[place]
+
+
+def _accept(end: End, factory: Factory) -> None:
+    end.protocol = factory()
+    end.protocol.connection_made(end)  # type: ignore[arg-type]
+
+
+def start_in(process: Process, coroutine: Coroutine[Any, Any, Any]) -> "asyncio.Task[Any]":
+    """Run a coroutine, and all that comes of it, in a process."""
+    return asyncio.get_running_loop().create_task(coroutine, context=process.context)
+
+
+def in_virtual_time(scenario: Callable[[VirtualNet], Awaitable[None]]) -> None:
+    """Run a scenario on a loop of its own."""
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(scenario(loop.net))
+    finally:
+        # Tasks of processes that ended, or still run, wait for good.
+        for task in asyncio.all_tasks(loop):
+            task._log_destroy_pending = False  # type: ignore[attr-defined]
+        loop.close()
