Know how current the version in force is, and ask the store where that is too long ago

Cause: a daemon followed changes only as fast as the loss of their source was noticed, and that was slower than a change is due. A watch on a connection that went silent was given up after 4 s and a pause; due are 2 s, or 3 s after the trouble. All watchers of all zones begin their next watch at the same moment, when a version comes, so a silence after that held up all of them. Where both watchers of each zone ended or were suspended, the next ones waited until reports lapsed, 2.45 s in all, at daemons without any trouble.

Class: a bound on the age of what is known, left to the detection of failures, whose times add up past it.

Fix: the age itself is known and bounded. The store's word ("nothing newer") travels with its age, in the watcher's news to its zone and in reports; who has none younger than 1.25 s asks the store itself with a short call, one after the other in the zone's order, and tells the others. Watches wait 1 s, and a store that is slow is given longer each time. Tries while the store is away are spaced by the zone's size. Records that the store lost are listed by the task that keeps records, no longer between two watches; after a lost history the next watch begins at once.

Ruled out as causes of what the tests show: spreading of copies (the copies came within 10 ms wherever one daemon had the version). Open: which of the two ways the users' run took; the record can't tell.

--- a/benchmarks/_soak_daemon.py
+++ b/benchmarks/_soak_daemon.py
@@ -95,7 +95,7 @@
 def _break_config() -> None:
     """Put in force only what was read at the start."""
 
-    async def never(self: Any, revision: int) -> int | None:
+    async def never(self: Any, revision: int, *, wait_s: float) -> int | None:
         await asyncio.sleep(3_600.0)
         return revision
 
--- a/src/daisywharf/_mesh/_counts.py
+++ b/src/daisywharf/_mesh/_counts.py
@@ -102,6 +102,7 @@
     links_up: int,
     held_bytes: int,
     store_contact_s: float,
+    confirmed_s: float,
 ) -> list[Metric]:
     """Describe the state of a daemon; times in seconds."""
     given = (
@@ -113,6 +114,11 @@
         ("daisywharf_members", "Daemons known, this one included.", members),
         ("daisywharf_links_up", "Links to other daemons that are up.", links_up),
         ("daisywharf_held_bytes", "Bytes of bodies and answers held for others.", held_bytes),
+        (
+            "daisywharf_configuration_age_seconds",
+            "Time for which the version in force may have been out of date.",
+            confirmed_s,
+        ),
         ("daisywharf_store_contact_age_seconds", "Time since the store answered.", store_contact_s),
     )
     return [gauge(name, text, Sample(value)) for name, text, value in given]
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -124,6 +124,7 @@
             take_learned=lambda learned: take_learned(
                 learned, self.entry.chain, self.entry.origins
             ),
+            tell_zone=self._tell_zone,
             now=now,
             rng=rng,
         )
@@ -221,6 +222,9 @@
     def _put_in_force(self, configuration: Configuration) -> None:
         self.in_force.put_in_force(configuration, source=FROM_STORE)
 
+    def _tell_zone(self) -> None:
+        self.in_force.tell_zone()
+
     # The target beside this daemon.
 
     def take_notice(self, notice: TargetNotice) -> Verdict:
@@ -344,6 +348,7 @@
             links_up=sum(link.is_up for link in self.membership.link_by_vm.values()),
             held_bytes=self.held.kept + self.held.unsent,
             store_contact_s=self.now() - max(self.sync.contacted_at, self._started_at),
+            confirmed_s=self.now() - max(self.sync.currency.confirmed_at, self._started_at),
         )
         return [*request_metrics(self.entry.ended, zone=self.settings.zone), *state]
 
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -15,6 +15,7 @@
 from daisywharf._overload._origins import RouteCount
 
 LENGTH_BYTES: Final = 4
+UNKNOWN_MS: Final = -1
 
 
 class GateLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -89,11 +90,15 @@
 
 
 class News(msgspec.Struct, frozen=True, array_like=True, tag=12):
-    """Say what changes from second to second: version in force, store contact, and load."""
+    """Say what changes from second to second: version in force, store contact, and load.
+
+    The store had nothing newer than the version `confirmed_ms` before; negative where not known.
+    """
 
     version: int
     is_watching: bool
     load: GateLoad | None
+    confirmed_ms: int = UNKNOWN_MS
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag=7):
--- a/src/daisywharf/_mesh/_in_force.py
+++ b/src/daisywharf/_mesh/_in_force.py
@@ -60,10 +60,13 @@
         )
         self._encoded = encode_configuration(configuration)
         # The others of the zone ask for it. Those of other zones have watchers of their own.
-        zone, news = self.membership.own.zone, self.news()
-        for vm, link in self.membership.link_by_vm.items():
-            if self.membership.record_by_vm[vm].zone == zone:
-                link.send(news)
+        self.tell_zone()
+
+    def tell_zone(self) -> None:
+        """Tell the zone's daemons which version is in force here, and how current it is."""
+        news = self.news()
+        for link in self.membership.up_in_zone().values():
+            link.send(news)
 
     def hear_version(self, version: int, send: Send) -> None:
         """Ask who has a newer version for it, unless another was asked just now."""
--- a/src/daisywharf/_mesh/_membership.py
+++ b/src/daisywharf/_mesh/_membership.py
@@ -138,6 +138,14 @@
             if vm not in kept:
                 link.send(WriteAgain())
 
+    def up_in_zone(self) -> dict[VmId, OutLink]:
+        """Return the links to the zone's other daemons that are up."""
+        return {
+            vm: link
+            for vm, link in self.link_by_vm.items()
+            if link.is_up and self.record_by_vm[vm].zone == self.own.zone
+        }
+
     def tick(self, *, now: float) -> None:
         """Keep the links up and forget who has been gone for long."""
         for vm, since in list(self._unreachable_since.items()):
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -54,7 +54,7 @@
     def take_on_own_link(self, link: OutLink, frame: Frame) -> None:
         """Take a frame on a link that this daemon opened."""
         if isinstance(frame, News):
-            self.in_force.hear_version(frame.version, link.send)
+            self._hear_news(frame, link.send)
         else:
             self._take_anywhere(frame, link.send, source=str(link.address))
 
@@ -126,4 +126,8 @@
         target = self.entry.services.target_of(vm)
         if target is not None and news.load is not None:
             self.entry.hear(target.service, target.target_id, news.load)
-        self.in_force.hear_version(news.version, link.send)
+        self._hear_news(news, link.send)
+
+    def _hear_news(self, news: News, send: Send) -> None:
+        self.sync.hear_confirmed(news, version=self.in_force.version)
+        self.in_force.hear_version(news.version, send)
--- a/src/daisywharf/_mesh/_reporting.py
+++ b/src/daisywharf/_mesh/_reporting.py
@@ -71,7 +71,7 @@
     def news(self) -> News:
         """Return what changes from second to second."""
         load = self.gate.load() if self.gate.is_open else None
-        return News(self.entry.version, self.sync.is_counted_on(), load)
+        return News(self.entry.version, self.sync.is_counted_on(), load, self.sync.confirmed_ms())
 
     def _send(self, news: News, report: Report) -> None:
         """Send all daemons of a small fleet the report; of a large one some, and the news to more.
--- a/src/daisywharf/_mesh/_store.py
+++ b/src/daisywharf/_mesh/_store.py
@@ -22,9 +22,13 @@
     async def read_configuration(self) -> ConfigurationRead:
         """Read the latest configuration."""
 
-    async def watch_configuration(self, *, after: int, wait_s: float) -> ConfigurationRead:
+    async def watch_configuration(
+        self, *, after: int, wait_s: float, within_s: float
+    ) -> ConfigurationRead:
         """Wait for a configuration newer than a revision; return none when the wait ends.
 
+        The call fails where its answer isn't here in `within_s`, which includes the wait.
+
         The error kind gone says that the history after the revision is lost.
         """
 
--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -3,12 +3,23 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from functools import partial
+from math import ceil
 from random import Random
 from typing import Final, TypeVar
 
 from daisywharf._configuration import Configuration
 from daisywharf._errors import DaisywharfError, ErrorKind
 from daisywharf._ids import VmId
+from daisywharf._mesh._currency import (
+    PROBE_WAIT_S,
+    WATCH_WAIT_S,
+    Currency,
+    has_lapsed,
+    note_confirmed,
+    pause_s,
+    turn_of,
+)
+from daisywharf._mesh._frames import UNKNOWN_MS, News
 from daisywharf._mesh._learned import WRITE_PERIOD_S, Learned, writes_learned
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord
@@ -17,14 +28,21 @@
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 
-# A watch that waits longer hides a connection that went silent; each watch is paid for.
-WATCH_WAIT_S: Final = 3.0
 # Others' reports come in this time after a start, and tell whether one more watcher is needed.
 SETTLE_S: Final = 1.2
 FIRST_BACKOFF_S: Final = 0.2
-LONGEST_BACKOFF_S: Final = 1.0
-CONTACT_LIFETIME_S: Final = 4.5  # a wait, and the time that its answer may be late
-IDLE_CHECK_S: Final = 0.25
+# With half as much by chance and the longest call, a daemon without others asks again within the
+# 3 s after which the users count it as steady (`stabilityWindowMs`).
+LONGEST_BACKOFF_S: Final = 0.8
+# The store answers in 4 ms, and 60 times slower on its bad days.
+FIRST_MARGIN_S: Final = 0.35
+# A store that is slower still is waited for, up to this.
+LONGEST_MARGIN_S: Final = 1.5
+CONTACT_LIFETIME_S: Final = WATCH_WAIT_S + LONGEST_MARGIN_S
+IDLE_CHECK_S: Final = 0.1
+MS: Final = 1_000.0
+# Waits of a zone's watchers drift apart by up to this part, so that one of them answers soon.
+WAIT_SPREAD: Final = 0.2
 
 
 ResultT = TypeVar("ResultT")
@@ -42,6 +60,7 @@
         take_earlier: Callable[[MemberRecord], None],
         learned: Callable[[], Learned],
         take_learned: Callable[[Learned], None],
+        tell_zone: Callable[[], None],
         now: Callable[[], float],
         rng: Random,
     ) -> None:
@@ -51,22 +70,38 @@
         self.take_earlier = take_earlier
         self.learned = learned
         self.take_learned = take_learned
+        self.tell_zone = tell_zone
         self.now = now
         self.rng = rng
         self.report_by_vm: dict[VmId, WatchReport] = {}
+        self.currency = Currency()
         self.contacted_at = float("-inf")
         self.is_watching = False
         self.has_listed = False
         self._has_turn = False
+        self._has_lapsed = False
         self._unavailable_since: float | None = None
         self._backoff_s = FIRST_BACKOFF_S
+        self._margin_s = FIRST_MARGIN_S
+        self._settled_at = float("inf")
         self._unwritten: MemberRecord | None = None
+        self._has_to_restore = False
         self._has_work = asyncio.Event()
 
     def is_counted_on(self) -> bool:
         """Tell whether the others may rely on this daemon's watch."""
         return self.is_watching and self.now() - self.contacted_at < CONTACT_LIFETIME_S
 
+    def confirmed_ms(self) -> int:
+        """Return for how many milliseconds the version in force may have been out of date."""
+        age_s = self.now() - self.currency.confirmed_at
+        return UNKNOWN_MS if age_s == float("inf") else ceil(age_s * MS)
+
+    def hear_confirmed(self, news: News, *, version: int) -> None:
+        """Take another daemon's word for how current the version in force here is."""
+        if news.version == version and news.confirmed_ms >= 0:
+            note_confirmed(self.currency, at=self.now() - news.confirmed_ms / MS)
+
     @property
     def is_away(self) -> bool:
         """Tell whether the store didn't answer the last call."""
@@ -82,29 +117,56 @@
         revision: int | None = None
         while True:
             if revision is None:
-                read = await self._retried(self.store.read_configuration)
-                self._take(read.configuration)
-                revision = read.revision
-                await asyncio.sleep(SETTLE_S)
-            before = watchers_before(self.membership.own.vm, self._zone_reports(), now=self.now())
-            self._note_turn(before)
-            if before >= WATCHERS_A_ZONE:
-                self.is_watching = False
+                revision = await self._read()
+            wait_s = self._wait_s(now=self.now())
+            if wait_s is None:
                 await asyncio.sleep(IDLE_CHECK_S)
-                # What changed meanwhile came from others; the store's history may be shorter.
-                continue
-            revision = await self._watch(revision)
+            else:
+                revision = await self._watch(revision, wait_s=wait_s)
+
+    async def _read(self) -> int:
+        began_at = self.now()
+        read = await self._retried(self.store.read_configuration)
+        self._take(read.configuration)
+        note_confirmed(self.currency, at=began_at)
+        if self._settled_at == float("inf"):
+            self._settled_at = self.now() + SETTLE_S
+        return read.revision
 
-    def _note_turn(self, before: int) -> None:
+    def _wait_s(self, *, now: float) -> float | None:
+        """Return how long to watch now; none where that is left to others."""
+        own = self.membership.own.vm
+        before = watchers_before(own, self._zone_reports(), now=now)
+        is_watcher = before < WATCHERS_A_ZONE and now >= self._settled_at
+        self._note_turn(is_watcher, before)
+        if is_watcher and self._unavailable_since is None:
+            return WATCH_WAIT_S * (1.0 - WAIT_SPREAD * self.rng.random())
+        turn = turn_of(own, self.membership.up_in_zone())
+        lapsed = has_lapsed(self.currency, turn=turn, now=now)
+        self._note_lapse(lapsed)
+        if is_watcher or lapsed:
+            return PROBE_WAIT_S
+        self.is_watching = False
+        return None
+
+    def _note_turn(self, is_watcher: bool, before: int) -> None:
         """Log that this daemon begins or ceases to be one of those that watch."""
-        has_turn = before < WATCHERS_A_ZONE
-        if has_turn != self._has_turn:
-            self._has_turn = has_turn
-            log_event(Event.WATCH_TAKEN if has_turn else Event.WATCH_LEFT, others=before)
+        if is_watcher != self._has_turn:
+            self._has_turn = is_watcher
+            log_event(Event.WATCH_TAKEN if is_watcher else Event.WATCH_LEFT, others=before)
+
+    def _note_lapse(self, has_lapsed: bool) -> None:
+        """Log that nobody's word for the version in force is recent enough any more."""
+        if has_lapsed and not self._has_lapsed:
+            log_event(Event.CONFIGURATION_UNCONFIRMED, age_s=self.confirmed_ms() / MS)
+        self._has_lapsed = has_lapsed
 
-    async def _watch(self, revision: int) -> int | None:
+    async def _watch(self, revision: int, *, wait_s: float) -> int | None:
+        began_at = self.now()
         try:
-            read = await self.store.watch_configuration(after=revision, wait_s=WATCH_WAIT_S)
+            read = await self.store.watch_configuration(
+                after=revision, wait_s=wait_s, within_s=wait_s + self._margin_s
+            )
         except DaisywharfError as error:
             self.is_watching = False
             if error.kind is ErrorKind.PLATFORM_GONE:
@@ -112,12 +174,20 @@
                 log_event(Event.WATCH_GONE, version=revision)
                 return None
             self._note_failure(error)
+            self._margin_s = min(LONGEST_MARGIN_S, self._margin_s * 2.0)
             await self._back_off()
             return revision
-        self.is_watching = True
+        self._margin_s = FIRST_MARGIN_S
+        self.is_watching = wait_s > PROBE_WAIT_S
         if self._note_contact():
-            await self._restore_records()
+            # By the task that keeps records: a version doesn't wait for them.
+            self._has_to_restore = True
+            self._has_work.set()
+        # An answer that is late tells of the moment at which the wait ended.
+        note_confirmed(self.currency, at=min(self.now(), began_at + wait_s))
         self._take(read.configuration)
+        if read.configuration is None:
+            self.tell_zone()
         return read.revision
 
     async def _restore_records(self) -> None:
@@ -136,6 +206,9 @@
         while True:
             await self._has_work.wait()
             self._has_work.clear()
+            if self._has_to_restore:
+                self._has_to_restore = False
+                await self._restore_records()
             record = self._unwritten
             if record is None:
                 continue
@@ -174,7 +247,9 @@
                 return result
 
     async def _back_off(self) -> None:
-        await asyncio.sleep(self._backoff_s * (0.5 + self.rng.random()))
+        drawn_s = self._backoff_s * (0.5 + self.rng.random())
+        daemons = len(self.membership.up_in_zone()) + 1
+        await asyncio.sleep(pause_s(drawn_s, daemons=daemons))
         self._backoff_s = min(LONGEST_BACKOFF_S, self._backoff_s * 1.6)
 
     def _take(self, configuration: Configuration | None) -> None:
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -119,6 +119,11 @@
     WATCH_LEFT = EventForm(
         405, EventLevel.INFO, "this daemon leaves the watch to others, {others} before it do"
     )
+    CONFIGURATION_UNCONFIRMED = EventForm(
+        406,
+        EventLevel.INFO,
+        "no daemon of the zone has heard from the store for {age_s} s; this one asks it",
+    )
 
     LINK_OPENED = EventForm(501, EventLevel.DEBUG, "link to {peer} is open")
     LINK_CLOSED = EventForm(502, EventLevel.DEBUG, "link to {peer} is closed: {error}")
--- a/src/daisywharf/platform/_store.py
+++ b/src/daisywharf/platform/_store.py
@@ -57,10 +57,12 @@
             latest = _latest_configuration(listing["items"])
             return ConfigurationRead(latest, int(listing["at"]))
 
-    async def watch_configuration(self, *, after: int, wait_s: float) -> ConfigurationRead:
+    async def watch_configuration(
+        self, *, after: int, wait_s: float, within_s: float
+    ) -> ConfigurationRead:
         """Wait for a configuration newer than a revision; return none when the wait ends."""
         query = urlencode({"watch": after, "waitMs": int(wait_s * MS)})
-        found = await self._call("GET", f"/{CONFIGURATION_KIND}?{query}", timeout_s=wait_s + 1.0)
+        found = await self._call("GET", f"/{CONFIGURATION_KIND}?{query}", timeout_s=within_s)
         with _reading():
             written = [event["object"] for event in found["events"] if not event.get("deleted")]
             return ConfigurationRead(_latest_configuration(written), int(found["at"]))
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -120,7 +120,9 @@
         self._note_call()
         return ConfigurationRead(self.configuration, self.revision)
 
-    async def watch_configuration(self, *, after: int, wait_s: float) -> ConfigurationRead:
+    async def watch_configuration(
+        self, *, after: int, wait_s: float, within_s: float
+    ) -> ConfigurationRead:
         self._note_call()
         if self.revision <= after:
             try:
--- a/tests/test_configuration_in_time.py
+++ b/tests/test_configuration_in_time.py
@@ -261,3 +261,20 @@
     in_virtual_time(play)
     assert found[0].late == []
     assert found[0].judged > 1_000
+
+
+def test_a_store_that_is_away_is_asked_no_more_often_by_a_larger_zone() -> None:
+    calls_by_size: dict[int, int] = {}
+
+    async def play(net: VirtualNet, size: int) -> None:
+        fleet = VirtualFleet(net, vms_by_zone={"antwerpen": size})
+        await fleet.start()
+        fleet.store.status = 503
+        await asyncio.sleep(2.0)
+        fleet.store.calls.clear()
+        await asyncio.sleep(10.0)
+        calls_by_size[size] = len(fleet.store.calls)
+
+    for size in (10, 20):
+        in_virtual_time(lambda net, size=size: play(net, size))
+    assert calls_by_size[20] <= 1.2 * calls_by_size[10]
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -42,7 +42,7 @@
         read = await store.read_configuration()
         assert read.configuration is not None
         assert read.configuration.version == 7
-        watched = await store.watch_configuration(after=read.revision, wait_s=0.1)
+        watched = await store.watch_configuration(after=read.revision, wait_s=0.1, within_s=1.1)
         assert watched.configuration is None
 
     _with_store(play)
@@ -52,7 +52,7 @@
     async def play(stand_in: StoreStandIn, store: ObjectStore) -> None:
         stand_in.oldest = 5
         with pytest.raises(PlatformError) as caught:
-            await store.watch_configuration(after=1, wait_s=0.1)
+            await store.watch_configuration(after=1, wait_s=0.1, within_s=1.1)
         assert caught.value.kind is ErrorKind.PLATFORM_GONE
 
     _with_store(play)
@@ -133,6 +133,6 @@
             with pytest.raises(PlatformError, match="unreadable"):
                 await ask()
         with pytest.raises(PlatformError, match="unreadable"):
-            await store.watch_configuration(after=1, wait_s=0.1)
+            await store.watch_configuration(after=1, wait_s=0.1, within_s=1.1)
 
     _with_store(play)
