Send nothing to a part of a split whose weight is 0

What callers would see: after a version that takes all weight from a part of a split of three, a request or two of each daemon are run there, as only the version before allows. Cause: each part starts owed a random share of one request, so that daemons don't begin alike, also a part that is owed nothing after. Fix: only parts with weight take part, unless none has any. Two parts, one without weight, were never wrong: the other is always owed more.

--- a/src/daisywharf/_routing/_split.py
+++ b/src/daisywharf/_routing/_split.py
@@ -15,17 +15,19 @@
 
 
 def next_part(state: SplitState, route: Route, *, rng: Random) -> ServiceName:
-    """Return the part that gets a route's next request."""
+    """Return the part that gets a route's next request; one without weight only beside its like."""
     if len(route.parts) == 1:
         return route.parts[0].service
     if state.parts_by_route.get(route.name) != route.parts:
         state.parts_by_route[route.name] = route.parts
+        weighted = [part for part in route.parts if part.weight > 0] or route.parts
         # Daemons that all began with the same part would add up to another split.
-        state.owed_by_route[route.name] = {part.service: rng.random() for part in route.parts}
+        state.owed_by_route[route.name] = {part.service: rng.random() for part in weighted}
     owed = state.owed_by_route[route.name]
     total = sum(part.weight for part in route.parts)
     for part in route.parts:
-        owed[part.service] += part.weight / total if total > 0 else 1.0 / len(route.parts)
+        if part.service in owed:
+            owed[part.service] += part.weight / total if total > 0 else 1.0 / len(route.parts)
     chosen = max(owed, key=lambda service: owed[service])
     owed[chosen] -= 1.0
     return chosen
--- a/tests/test_overload_learning.py
+++ b/tests/test_overload_learning.py
@@ -152,6 +152,15 @@
     assert len(first) == 2
 
 
+def test_a_part_without_weight_gets_no_request() -> None:
+    weights = {"a": 1.0, "b": 1.0, "emptied": 0.0}
+    parts = tuple(SplitPart(ServiceName(name), weight) for name, weight in weights.items())
+    for seed in range(300):
+        split, rng = SplitState(), Random(seed)
+        chosen = {next_part(split, route(parts=parts), rng=rng) for _ in range(50)}
+        assert chosen == {"a", "b"}
+
+
 def test_refused_callers_come_back_apart_and_while_an_answer_is_of_full_use() -> None:
     rng = Random(1)
     times = [come_back_s(aim_s=1.2, time_left_s=5.0, rng=rng) for _ in range(200)]
