Close the idle connections to the store once a call met silence

Cause: each connection's silence was noticed by itself. The same class as the late watch: times of detection add up. Fix: where a call gets no answer in its time, the pool's idle connections are closed; the next call opens its own. Evidence: tests/test_silent_connections.py failed before ('no answer in 1.5 s' after the first failure), and passes. Links have pings of their own (1 s).

--- a/src/daisywharf/_mesh/_http_client.py
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -120,7 +120,10 @@
         return asked
 
     async def fetch(self, request: bytes, *, within_s: float) -> HttpResult | None:
-        """Send a request and wait for its result; give it up and return none after `within_s`."""
+        """Send a request and wait for its result; give it up and return none after `within_s`.
+
+        What made one connection silent may have met the idle ones as well: they are closed then.
+        """
         future: asyncio.Future[HttpResult] = asyncio.get_running_loop().create_future()
 
         def settle(result: HttpResult) -> None:
@@ -132,11 +135,17 @@
             async with asyncio.timeout(within_s):
                 return await future
         except TimeoutError:
+            self._drop_idle()
             return None
         finally:
             if future.cancelled():
                 asked.cancel()
 
+    def _drop_idle(self) -> None:
+        idle, self.idle = self.idle, []
+        for connection in idle:
+            connection.abandon()
+
     def _take_idle(self, most_idle_s: float) -> "ClientConnection | None":
         now = self.now()
         while self.idle:
