--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -151,6 +151,7 @@
             clients=self.clients,
             membership=self.membership,
             news=self.reporter.news,
+            confirmed_s=lambda: round(self._confirmed_s(), 3),
             now=now,
         )
         self.peers = Peers(
@@ -347,10 +348,14 @@
             links_up=sum(link.is_up for link in self.membership.link_by_vm.values()),
             held_bytes=self.held.kept + self.held.unsent,
             store_contact_s=self.now() - max(self.sync.contacted_at, self._started_at),
-            confirmed_s=self.now() - max(self.sync.currency.confirmed_at, self._started_at),
+            confirmed_s=self._confirmed_s(),
         )
         return [*request_metrics(self.entry.ended, zone=self.settings.zone), *state]
 
+    def _confirmed_s(self) -> float:
+        """Return for how long the version in force may have been out of date, or none was."""
+        return self.now() - max(self.sync.currency.confirmed_at, self._started_at)
+
     # The end.
 
     async def stop(self) -> None:
--- a/src/daisywharf/_mesh/_in_force.py
+++ b/src/daisywharf/_mesh/_in_force.py
@@ -26,6 +26,7 @@
         clients: HttpServer,
         membership: Membership,
         news: Callable[[], News],
+        confirmed_s: Callable[[], float],
         now: Callable[[], float],
     ) -> None:
         self.entry = entry
@@ -33,6 +34,7 @@
         self.clients = clients
         self.membership = membership
         self.news = news
+        self.confirmed_s = confirmed_s
         self.now = now
         self.spread = Spread()
         self._encoded = b""
@@ -56,6 +58,7 @@
             Event.CONFIGURATION_IN_FORCE,
             version=configuration.version,
             earlier=earlier,
+            confirmed_s=self.confirmed_s(),
             source=source,
         )
         self._encoded = encode_configuration(configuration)
--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -183,11 +183,10 @@
             # By the task that keeps records: a version doesn't wait for them.
             self._has_to_restore = True
             self._has_work.set()
+        self._take(read.configuration)
         # An answer that is late tells of the moment at which the wait ended.
         note_confirmed(self.currency, at=min(self.now(), began_at + wait_s))
-        self._take(read.configuration)
-        if read.configuration is None:
-            self.tell_zone()
+        self.tell_zone()
         return read.revision
 
     async def _restore_records(self) -> None:
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -95,7 +95,8 @@
     CONFIGURATION_IN_FORCE = EventForm(
         305,
         EventLevel.INFO,
-        "configuration is in force here at version {version} after {earlier}, from {source}",
+        "configuration is in force here at version {version} after {earlier}, from {source};"
+        " the earlier one was confirmed {confirmed_s} s ago",
     )
     ENTRY_UNREADABLE = EventForm(
         306, EventLevel.ERROR, "entry {entry} can't be read and is left out: {error}"
--- a/tests/test_mesh_log_configuration.py
+++ b/tests/test_mesh_log_configuration.py
@@ -3,6 +3,7 @@
 import json
 import os
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
@@ -19,7 +20,7 @@
 from daisywharf._signals import _log
 from daisywharf._signals._events import Event
 
-Line = dict[str, object]
+Line = dict[str, Any]
 
 
 class Lines:
@@ -74,7 +75,7 @@
         found = lines.read(Event.CONFIGURATION_IN_FORCE)
         assert [(line["version"], line["earlier"]) for line in found] == [(2, 1)] * 4
         assert "the store" in {line["source"] for line in found}
-        assert all(line["source"] for line in found)
+        assert all(line["source"] and line["confirmed_s"] >= 0 for line in found)
         await world.close()
 
     in_loop(scenario)
