Refuse, unrun, what reaches a daemon too late in its stop

Cause: a daemon that stops took requests on connections that were open, or new, until its last moment, 0.7 s before the grace period's end, while a slow request kept it from ending sooner. What came in the last tenths was sent on and cut. Fix: 2.6 s after the signal, when clients have had two missed checks, requests of clients are refused with when to come back; what was taken has 2.7 s to end. Calls of the target's running requests are served on. The soak's STOP check sees such 502s now.

--- a/benchmarks/_soak_ledger.py
+++ b/benchmarks/_soak_ledger.py
@@ -15,6 +15,7 @@
 RETRY_WINDOW_S: Final = 10.0
 RETRY_EXTRA: Final = 30.0
 REFUSALS: Final = frozenset({503})
+BAD_GATEWAY: Final = 502
 
 
 class Run(msgspec.Struct):
@@ -92,6 +93,7 @@
         *_ran_though_refused(ledger),
         *_ran_after_leaving(ledger),
         *_cut_by_a_stop(ledger),
+        *_given_up_by_a_stop(ledger),
         *_over_budget(ledger),
         *_wrong_configuration(ledger),
         *_run_by_another_service(ledger),
@@ -149,6 +151,31 @@
     return lines
 
 
+def _given_up_by_a_stop(ledger: Ledger) -> list[str]:
+    """Look at requests that ran and got 502 from a daemon that was told to stop."""
+    stops = [t for t in ledger.troubles if t.name == "stop-daemon"]
+    lines = []
+    for sent in ledger.sent:
+        runs = ledger.runs_by_request.get(sent.request, [])
+        if sent.status != BAD_GATEWAY or not runs or sent.ended_at is None:
+            continue
+        vms = [sent.vm, *(vm_of(run.target) for run in runs)]
+        if any(_had_trouble(ledger, sent.sent_at - STABLE_S, sent.ended_at, vm) for vm in vms):
+            continue
+        lines += [
+            f"STOP {sent.request}: given up at {sent.vm} {sent.ended_at - t.began_at:.2f} s after"
+            f" SIGTERM, sent {sent.sent_at - t.began_at:.2f} s after it"
+            for t in stops
+            if t.vm == sent.vm and t.began_at < sent.ended_at < t.began_at + GRACE_S
+        ]
+    return lines
+
+
+def vm_of(target: str) -> str:
+    """Return the VM of a target, whose incarnations are counted behind its name."""
+    return target.rpartition("-")[0]
+
+
 def _had_trouble(
     ledger: Ledger, since: float, until: float, vm: str, *, store: bool = True
 ) -> bool:
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -372,8 +372,12 @@
         self._change_own(is_leaving=True)
         last = began_at + grace_s - STOP_MARGIN_S
         while self.now() < last:
-            if self.now() - began_at >= LEAST_STOPPING_S and self._is_idle():
-                break
+            if self.now() - began_at >= LEAST_STOPPING_S:
+                # Callers know by now. Who comes still, over a connection that was open, is refused:
+                # what is taken has the rest of the grace period to end.
+                self.entry.is_ending = True
+                if self._is_idle():
+                    break
             await asyncio.sleep(0.05)
         cut_off = len(self.entry.pending)
         self.summaries.write(now=self.now())
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -112,6 +112,8 @@
         self.budget = RepeatBudget(
             ratio=bounds.retry_ratio, extra=bounds.retry_extra, window_s=bounds.retry_window_s
         )
+        # Set where a request may no longer come to its end before the process does.
+        self.is_ending = False
         self.pending: set[Pending] = set()
         self.daemons = 1
         self.ended = MeshCounts()
@@ -165,8 +167,9 @@
         else:
             if is_request(self.origins, route.name):
                 note_first(self.budget, pending.service, now=now)
-            if self.held.is_full:
-                self._refuse(pending, ErrorKind.MEMORY_FULL, now=now)
+            cannot = self._cannot_take()
+            if cannot is not None:
+                self._refuse(pending, cannot, now=now)
                 return
             if self._is_shed(pending, now=now):
                 return
@@ -177,6 +180,12 @@
         )
         self._send(pending)
 
+    def _cannot_take(self) -> ErrorKind | None:
+        """Return why this daemon takes no request of a client at all, if so."""
+        if self.is_ending:
+            return ErrorKind.DRAINING
+        return ErrorKind.MEMORY_FULL if self.held.is_full else None
+
     def _is_shed(self, pending: Pending, *, now: float) -> bool:
         visits = visits_of(self.chain, Step(pending.route.name, pending.service), now=now)
         strictest = chain_level(visits, self.services.level_by_service(now=now))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -49,6 +49,11 @@
     ledger.troubles.append(Trouble("stop-daemon", "vm-1", 10.01, is_planned=True, ended_at=12.0))
 
 
+def _given_up(ledger: Ledger) -> None:
+    ledger.sent[0].status = 502
+    ledger.troubles.append(Trouble("stop-daemon", "vm-1", 5.0, is_planned=True, ended_at=12.0))
+
+
 def _over_budget(ledger: Ledger) -> None:
     for number in range(40):
         ledger.runs_by_request[f"x{number}"] = [_run(), _run(at=10.06)]
@@ -84,6 +89,7 @@
     "NOT-RUN": _refused_though_run,
     "DRAIN": _after_leaving,
     "STOP": _cut,
+    "STOP given up": _given_up,
     "BUDGET": _over_budget,
     "CONFIG": _late_configuration,
     "CONFIG went back": _earlier_configuration,
@@ -117,6 +123,12 @@
     ledger.troubles.append(Trouble("freeze", "vm-1", 9.0, ended_at=9.5))
 
 
+def _given_up_as_its_target_s_vm_froze(ledger: Ledger) -> None:
+    _given_up(ledger)
+    ledger.runs_by_request["a"] = [_run("vm-2-t1")]
+    ledger.troubles.append(Trouble("freeze", "vm-2", 9.0, ended_at=10.5))
+
+
 def _late_at_a_vm_in_trouble(ledger: Ledger) -> None:
     _late_configuration(ledger)
     ledger.troubles.append(Trouble("freeze", "vm-1", 7.0, ended_at=8.0))
@@ -155,6 +167,7 @@
     [
         _answered_late,
         _cut_while_frozen,
+        _given_up_as_its_target_s_vm_froze,
         _late_at_a_vm_in_trouble,
         _moved_just_before,
         _moved_where_the_store_was_silent,
