--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -1,7 +1,7 @@
 """One daemon: its servers, its gate, its links, its start and its end."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from random import Random
 from typing import Any, Final
 
@@ -26,6 +26,7 @@
 from daisywharf._mesh._peers import Peers
 from daisywharf._mesh._pending import Way
 from daisywharf._mesh._reporting import Reporter
+from daisywharf._mesh._running import keep_running
 from daisywharf._mesh._services import Services
 from daisywharf._mesh._settings import MeshSettings
 from daisywharf._mesh._store import Store
@@ -45,8 +46,6 @@
 READY_WITHOUT_TARGETS_S: Final = 3.0
 # The record is written with the target's first announcement, or without one after this time.
 FIRST_WRITE_AFTER_S: Final = 1.0
-# An error that comes back at each start costs little at this pace; a change is still in time.
-RESTART_S: Final = 0.5
 # Clients learn that a daemon isn't ready by its second missed check, a second apart.
 LEAST_STOPPING_S: Final = 2.6
 # The gate stays open for this long: a sound target keeps serving while its daemon is still here,
@@ -190,7 +189,7 @@
         for seed in self.settings.seeds:
             self._open_seed(seed.host)
         self._tasks = [
-            asyncio.ensure_future(_keep_running(part))
+            asyncio.ensure_future(keep_running(part))
             for part in (self.sync.run_configuration, self.sync.run_records, self.sync.run_learned)
         ]
         self._tick()
@@ -401,13 +400,3 @@
             task.cancel()
         self.links.stop()
         self.membership.close()
-
-
-async def _keep_running(part: Callable[[], Awaitable[None]]) -> None:
-    """Run a part that has no end; begin it anew after an error that it didn't expect."""
-    while True:
-        try:
-            await part()
-        except Exception as error:
-            log_event(Event.UNEXPECTED_ERROR, part=part.__qualname__, error=repr(error))
-            await asyncio.sleep(RESTART_S)
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -11,7 +11,7 @@
 from daisywharf._ids import ServiceName, TargetId, VmId
 from daisywharf._mesh._counts import MeshCounts
 from daisywharf._mesh._dialect import Dialect, RequestHead
-from daisywharf._mesh._frames import Answered, Call, GateLoad, Unanswered
+from daisywharf._mesh._frames import Answered, Call, GateLoad
 from daisywharf._mesh._held import HeldBytes
 from daisywharf._mesh._http_server import Exchange
 from daisywharf._mesh._links import CallResult
@@ -26,6 +26,7 @@
     log_repeated,
     log_shed,
 )
+from daisywharf._mesh._results import end_of, kind_of
 from daisywharf._mesh._routes import RouteTable, find_route
 from daisywharf._mesh._services import Services
 from daisywharf._mesh._settings import MeshSettings
@@ -73,7 +74,6 @@
 DEFAULT_TIME_LEFT_S: Final = 30.0
 # These say that the target takes no calls any more, whatever its record still says.
 LEAVING_KINDS: Final = frozenset({ErrorKind.DRAINING, ErrorKind.WRONG_INCARNATION})
-MISDIRECTED: Final = 421
 # A target that held a request for this long until its time was over counts as failing.
 SLOW_ATTEMPT_S: Final = 0.3
 # One served request in this time leaves a line.
@@ -251,8 +251,8 @@
         note_ended(candidate)
         if result.load is not None:
             self.hear(pending.service, candidate.record.target.target_id, result.load)
-        end = _end_of(result)
-        pending.last_kind = _kind_of(result)
+        end = end_of(result)
+        pending.last_kind = kind_of(result)
         self._learn(pending, candidate, end, now=now)
         note_end(pending.progress, end)
         step = next_step(
@@ -393,20 +393,3 @@
             level=load.level,
             now=self.now(),
         )
-
-
-def _end_of(result: CallResult) -> AttemptEnd:
-    if isinstance(result, Answered):
-        if result.is_not_run:
-            return AttemptEnd.TURNED_AWAY_BY_TARGET
-        return AttemptEnd.ANSWERED if result.status < 500 else AttemptEnd.FAILED_BY_TARGET
-    return AttemptEnd.OUTCOME_UNKNOWN if result.has_begun else AttemptEnd.REFUSED_BY_GATE
-
-
-def _kind_of(result: CallResult) -> ErrorKind:
-    if isinstance(result, Unanswered):
-        return result.kind
-    if result.is_not_run:
-        is_other = result.status == MISDIRECTED
-        return ErrorKind.WRONG_INCARNATION if is_other else ErrorKind.SHED
-    return ErrorKind.TARGET_FAILED
--- /dev/null
+++ b/src/daisywharf/_mesh/_results.py
@@ -0,0 +1,29 @@
+"""Say what the result of one attempt means for its request."""
+
+from typing import Final
+
+from daisywharf._errors import ErrorKind
+from daisywharf._mesh._frames import Answered, Unanswered
+from daisywharf._mesh._links import CallResult
+from daisywharf._outcomes._next_step import AttemptEnd
+
+MISDIRECTED: Final = 421
+
+
+def end_of(result: CallResult) -> AttemptEnd:
+    """Return what the next step is decided by."""
+    if isinstance(result, Answered):
+        if result.is_not_run:
+            return AttemptEnd.TURNED_AWAY_BY_TARGET
+        return AttemptEnd.ANSWERED if result.status < 500 else AttemptEnd.FAILED_BY_TARGET
+    return AttemptEnd.OUTCOME_UNKNOWN if result.has_begun else AttemptEnd.REFUSED_BY_GATE
+
+
+def kind_of(result: CallResult) -> ErrorKind:
+    """Return the kind of error that a result would be, were it the last."""
+    if isinstance(result, Unanswered):
+        return result.kind
+    if result.is_not_run:
+        is_other = result.status == MISDIRECTED
+        return ErrorKind.WRONG_INCARNATION if is_other else ErrorKind.SHED
+    return ErrorKind.TARGET_FAILED
