--- a/src/daisywharf/_mesh/_reporting.py
+++ b/src/daisywharf/_mesh/_reporting.py
@@ -74,18 +74,10 @@
         return News(self.entry.version, self.sync.is_counted_on(), load, self.sync.confirmed_ms())
 
     def _send(self, news: News, report: Report) -> None:
-        """Send all daemons of a small fleet the report; of a large one some, and the news to more.
-
-        The zone relies on those that watch the store: it hears of them in each period.
-        """
-        members = self.membership
-        up_by_vm = {vm: link for vm, link in members.link_by_vm.items() if link.is_up}
-        whole, rest = share_out(list(up_by_vm.values()), start=self._told)
-        self._told += next_start(len(up_by_vm))
-        told = dict.fromkeys(rest)
-        if self.sync.is_watching and len(up_by_vm) > MOST_NEWS:
-            zone, record_by_vm = members.own.zone, members.record_by_vm
-            told |= {up_by_vm[vm]: None for vm in up_by_vm if record_by_vm[vm].zone == zone}
+        """Send all daemons of a small fleet the report; of a large one some, and the news to more."""
+        up = [link for link in self.membership.link_by_vm.values() if link.is_up]
+        whole, told = share_out(up, start=self._told)
+        self._told += next_start(len(up))
         encoded_report, encoded_news = encode_frame(report), encode_frame(news)
         for link in whole:
             link.send(report, encoded_report)
