--- a/src/daisywharf/_mesh/_reporting.py
+++ b/src/daisywharf/_mesh/_reporting.py
@@ -74,7 +74,7 @@
         return News(self.entry.version, self.sync.is_counted_on(), load, self.sync.confirmed_ms())
 
     def _send(self, news: News, report: Report) -> None:
-        """Send all daemons of a small fleet the report; of a large one some, and the news to more."""
+        """Send the report to all daemons of a small fleet; of a large one to some, to more the news."""
         up = [link for link in self.membership.link_by_vm.values() if link.is_up]
         whole, told = share_out(up, start=self._told)
         self._told += next_start(len(up))
--- a/tests/virtual_net.py
+++ b/tests/virtual_net.py
@@ -37,6 +37,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.clock = START_S
+        self.errors: list[dict[str, Any]] = []
         self.net = VirtualNet(self)
         self._selector = self
         self._clock_resolution = 1e-9
@@ -79,6 +80,11 @@
         elif not process.has_ended:
             process.held.append(handle)
 
+    def call_exception_handler(self, context: dict[str, Any]) -> None:
+        """Keep errors of callbacks; tasks of processes that ended are never finished."""
+        if context["message"] != "Task was destroyed but it is pending!":
+            self.errors.append(context)
+
     def resume(self, process: Process) -> None:
         """Continue a suspended process: whatever was due is run now."""
         process.is_suspended = False
@@ -314,3 +320,4 @@
         for task in asyncio.all_tasks(loop):
             task._log_destroy_pending = False  # type: ignore[attr-defined]
         loop.close()
+    assert loop.errors == []
