--- a/src/daisywharf/_mesh/_reporting.py
+++ b/src/daisywharf/_mesh/_reporting.py
@@ -74,7 +74,7 @@
         return News(self.entry.version, self.sync.is_counted_on(), load, self.sync.confirmed_ms())
 
     def _send(self, news: News, report: Report) -> None:
-        """Send the report to all daemons of a small fleet; of a large one to some, to more the news."""
+        """Send the report to a small fleet; to some of a large one, and the news to more."""
         up = [link for link in self.membership.link_by_vm.values() if link.is_up]
         whole, told = share_out(up, start=self._told)
         self._told += next_start(len(up))
