--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -79,7 +79,7 @@
         self.is_watching = False
         self.has_listed = False
         self._has_turn = False
-        self._has_lapsed = False
+        self._had_lapsed = False
         self._unavailable_since: float | None = None
         self._backoff_s = FIRST_BACKOFF_S
         self._margin_s = FIRST_MARGIN_S
@@ -141,14 +141,20 @@
         self._note_turn(is_watcher, before)
         if is_watcher and self._unavailable_since is None:
             return WATCH_WAIT_S * (1.0 - WAIT_SPREAD * self.rng.random())
-        turn = turn_of(own, self.membership.up_in_zone())
-        lapsed = has_lapsed(self.currency, turn=turn, now=now)
-        self._note_lapse(lapsed)
-        if is_watcher or lapsed:
+        must_ask = self._must_ask(now=now)
+        self._note_lapse(must_ask)
+        if is_watcher or must_ask:
             return PROBE_WAIT_S
         self.is_watching = False
         return None
 
+    def _must_ask(self, *, now: float) -> bool:
+        # Who comes before this daemon matters only once the first has to ask.
+        if not has_lapsed(self.currency, turn=0, now=now):
+            return False
+        turn = turn_of(self.membership.own.vm, self.membership.up_in_zone())
+        return has_lapsed(self.currency, turn=turn, now=now)
+
     def _note_turn(self, is_watcher: bool, before: int) -> None:
         """Log that this daemon begins or ceases to be one of those that watch."""
         if is_watcher != self._has_turn:
@@ -157,9 +163,9 @@
 
     def _note_lapse(self, has_lapsed: bool) -> None:
         """Log that nobody's word for the version in force is recent enough any more."""
-        if has_lapsed and not self._has_lapsed:
+        if has_lapsed and not self._had_lapsed:
             log_event(Event.CONFIGURATION_UNCONFIRMED, age_s=self.confirmed_ms() / MS)
-        self._has_lapsed = has_lapsed
+        self._had_lapsed = has_lapsed
 
     async def _watch(self, revision: int, *, wait_s: float) -> int | None:
         began_at = self.now()
