--- a/benchmarks/_soak_faults.py
+++ b/benchmarks/_soak_faults.py
@@ -161,7 +161,7 @@
 
 async def silence_open(fleet: SoakFleet) -> None:
     """Let open connections go silent for good, while new ones work: to the store, or all."""
-    is_all = fleet.rng.random() < 0.5
+    is_all = fleet.rng.random() < 0.5 and not fleet.is_direct
     if fleet.rng.random() < 0.5:
         await change_configuration(fleet)
         await asyncio.sleep(0.1)
@@ -332,3 +332,5 @@
     change_configuration,
     change_in_series,
 )
+# These need the relays before daemons' links.
+RELAY_FAULTS: Final[tuple[Fault, ...]] = (silence_links, delay_links, reset_links)
