--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -352,7 +352,7 @@
         return [*request_metrics(self.entry.ended, zone=self.settings.zone), *state]
 
     def _confirmed_s(self) -> float:
-        """Return for how long the version in force may have been out of date, or none was."""
+        """Return for how long the version in force may have been out of date, in seconds."""
         return self.now() - max(self.sync.currency.confirmed_at, self._started_at)
 
     # The end.
--- a/src/daisywharf/_mesh/_membership.py
+++ b/src/daisywharf/_mesh/_membership.py
@@ -138,6 +138,10 @@
             if vm not in kept:
                 link.send(WriteAgain())
 
+    def vm_at(self, address: Address) -> VmId | None:
+        """Return whose links are at an address, if that is known."""
+        return self._vm_by_address.get(str(address))
+
     def up_in_zone(self) -> dict[VmId, OutLink]:
         """Return the links to the zone's other daemons that are up."""
         return {
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -56,7 +56,8 @@
         if isinstance(frame, News):
             self._hear_news(frame, link.send)
         else:
-            self._take_anywhere(frame, link.send, source=str(link.address))
+            vm = self.membership.vm_at(link.address)
+            self._take_anywhere(frame, link.send, source=vm or str(link.address))
 
     def take(self, link: FrameProtocol, frame: Frame) -> None:
         """Take a frame on a link that another daemon opened."""
--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -23,6 +23,7 @@
 from daisywharf._mesh._learned import WRITE_PERIOD_S, Learned, writes_learned
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord
+from daisywharf._mesh._pending import MS
 from daisywharf._mesh._store import Store
 from daisywharf._mesh._watching import WATCHERS_A_ZONE, WatchReport, watchers_before
 from daisywharf._signals._events import Event
@@ -38,9 +39,9 @@
 FIRST_MARGIN_S: Final = 0.35
 # A store that is slower still is waited for, up to this.
 LONGEST_MARGIN_S: Final = 1.5
+# A watch, and the longest that its answer is waited for.
 CONTACT_LIFETIME_S: Final = WATCH_WAIT_S + LONGEST_MARGIN_S
-IDLE_CHECK_S: Final = 0.1
-MS: Final = 1_000.0
+IDLE_CHECK_S: Final = 0.1  # as late as this a daemon asks the store once it has to
 # Waits of a zone's watchers drift apart by up to this part, so that one of them answers soon.
 WAIT_SPREAD: Final = 0.2
 
@@ -83,7 +84,7 @@
         self._unavailable_since: float | None = None
         self._backoff_s = FIRST_BACKOFF_S
         self._margin_s = FIRST_MARGIN_S
-        self._settled_at = float("inf")
+        self._settled_at = float("inf")  # until the configuration was read once
         self._unwritten: MemberRecord | None = None
         self._has_to_restore = False
         self._has_work = asyncio.Event()
