Bound what a target or a client may send that is no whole message

Cause: the parser hands a header, a status line or a request target over only once it is whole, and bodies were counted but stopped by nothing below 64 MB each. Ruled out: a bound in the parser's calls, which come too late; a bound on each body alone, which twenty of them pass together. Change: bytes are counted as they come in; what is neither body nor the framing of small chunks is at most 64 KB an answer, and the client's limit and 16 KB a request. Where held bytes overrun 1.5 times their bound, the largest answer that is being read ends. Bodies grow in one buffer: a list of one-byte parts took fifty times their size. A run that has no end 5 s past its deadline gives its slot back; a request's last byte comes within 60 s.

--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -46,6 +46,9 @@
 # work of a usual call.
 SILENT_S: Final = 1.0
 PROBE_S: Final = 0.4
+# A target ends its work at the deadline that it is given; an answer without an end so long after
+# that holds a slot for nobody.
+OVERTIME_S: Final = 5.0
 
 
 class GateCall(msgspec.Struct):
@@ -197,9 +200,14 @@
             pool.close("the target is silent")
 
     def sweep(self, *, now: float) -> None:
-        """Close connections to the target that were idle for too long."""
-        if self._pool is not None:
-            self._pool.sweep(now=now)
+        """End runs that are long past their deadline, and connections that were idle for long."""
+        if self._pool is None:
+            return
+        overdue = [call for call in self.calls_by_id.values() if now > call.deadline + OVERTIME_S]
+        for call in overdue:
+            if call.asked is not None:
+                call.asked.end(f"no whole answer {OVERTIME_S} s past its deadline")
+        self._pool.sweep(now=now)
 
     def start_stopping(self) -> None:
         """Refuse what waits and arrives; what runs goes on."""
--- a/src/daisywharf/_mesh/_held.py
+++ b/src/daisywharf/_mesh/_held.py
@@ -2,7 +2,8 @@
 
 Load pattern: many callers send long bodies or read long answers slowly, so that what is held for
 them outgrows the process's memory, and its end takes all other requests with it. What has been let
-in goes on; new work is refused until enough of it has gone.
+in goes on; new work is refused until enough of it has gone. Answers without end are no exception to
+the bound: where it is overrun, the largest that is being read ends.
 """
 
 from typing import Final
@@ -10,13 +11,22 @@
 # Part of the process's memory. The rest holds the program, and the copies of what is on its way
 # between daemons: a body is held at its entry, in a link's buffer and at its gate.
 HELD_PART: Final = 0.25
+# Times the bound from which on answers that are being read end, the largest first.
+OVERRUN_FACTOR: Final = 1.5
+# Part of the bound that one answer may take: it is held at its gate, on a link and at its entry.
+ANSWER_PART: Final = 0.25
 
 
 class HeldBytes:
-    """Hold how many bytes are kept for others, and how many may be."""
+    """Hold how many bytes are kept for others, and how many may be.
+
+    Beyond `most` new work is refused, beyond `most_at_all` answers that are being read end.
+    """
 
     def __init__(self, *, most: float) -> None:
         self.most = most
+        self.most_at_all = most * OVERRUN_FACTOR
+        self.most_of_an_answer = most * ANSWER_PART
         self.kept = 0
         self.unsent = 0
 
@@ -25,6 +35,11 @@
         """Tell whether new work must be refused."""
         return self.kept + self.unsent > self.most
 
+    @property
+    def is_overrun(self) -> bool:
+        """Tell whether answers that are being read must end."""
+        return self.kept + self.unsent > self.most_at_all
+
 
 def most_held(memory_bytes: float) -> float:
     """Return how many bytes a process with so much memory may hold for others."""
--- a/src/daisywharf/_mesh/_http_client.py
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from daisywharf._errors import ErrorKind
+from daisywharf._mesh._framing import MessageBytes, framing_bytes
 from daisywharf._mesh._headers import HeaderPair
 from daisywharf._mesh._held import HeldBytes, keep
 from daisywharf._topology import Address
@@ -17,6 +18,10 @@
 IDLE_MARGIN: Final = 0.6
 DEFAULT_IDLE_S: Final = 4.0
 MOST_ANSWER_BYTES: Final = 67_108_864
+# Part of all held bytes from which on answers that are being read count as the cause of an overrun.
+ANSWERS_PART: Final = 0.5
+# Of an answer's head, with those of extra and provisional answers before it.
+MOST_HEAD_BYTES: Final = 65_536
 
 
 class HttpAnswer(msgspec.Struct, frozen=True):
@@ -76,6 +81,13 @@
         if on_result is not None:
             on_result(result)
 
+    def end(self, detail: str) -> None:
+        """Fail the request, which may have been read, and close its connection."""
+        connection = self.connection
+        self.finish(HttpFailure(ErrorKind.OUTCOME_UNKNOWN, has_begun=True, detail=detail))
+        if connection is not None:
+            connection.abandon()
+
     def cancel(self) -> None:
         """Give the request up; a connection that carries it is closed."""
         self._on_result = None
@@ -180,6 +192,16 @@
             self.idle.remove(connection)
             connection.abandon()
 
+    def end_largest(self) -> None:
+        """End the answer that takes the most memory, if answers are what overruns the bound."""
+        held = self.held.kept + self.held.unsent
+        if sum(connection.body_bytes for connection in self.open_connections) < held * ANSWERS_PART:
+            return
+        largest = max(self.open_connections, key=lambda connection: connection.body_bytes)
+        largest.end_oversized(
+            f"the largest of {held} bytes held, at most {self.held.most_at_all:.0f}"
+        )
+
     async def can_connect(self, *, within_s: float) -> bool:
         """Tell whether the server takes a connection."""
         try:
@@ -214,8 +236,9 @@
         self._parser: Any = None
         self._idle_since = pool.now()
         self._idle_limit_s = DEFAULT_IDLE_S
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # A list of parts would take fifty times the memory of a body in chunks of a byte.
+        self._body = bytearray()
+        self._counted = MessageBytes()
         self._reset_answer()
         self._is_doubtful = False
         self._answer: HttpAnswer | None = None
@@ -237,6 +260,7 @@
         """Send a request."""
         assert self.transport is not None
         self.asked = asked
+        self._counted = MessageBytes()
         asked.connection = self
         self.transport.write(asked.request)
 
@@ -260,6 +284,9 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._is_doubtful = True
             self.fail(ErrorKind.CUT_ANSWER, f"unreadable answer: {error!r}")
+        self._counted.received += len(data)
+        if self.asked is not None and framing_bytes(self._counted) > MOST_HEAD_BYTES:
+            self.end_oversized(f"over {MOST_HEAD_BYTES} bytes beside a body")
         if self.asked is None and self.transport is not None:
             self._settle()
         answer, self._answer = self._answer, None
@@ -313,12 +340,17 @@
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        keep(self.pool.held, len(body))
-        if self._body_bytes > MOST_ANSWER_BYTES:
-            self._is_doubtful = True
-            self.fail(ErrorKind.TOO_LARGE, f"answer of over {MOST_ANSWER_BYTES} bytes")
+        if self.asked is None:
+            return
+        held = self.pool.held
+        self._body += body
+        self._counted.body += len(body)
+        keep(held, len(body))
+        most = min(MOST_ANSWER_BYTES, held.most_of_an_answer)
+        if self._counted.body > most:
+            self.end_oversized(f"answer of over {most:.0f} bytes")
+        elif held.is_overrun:
+            self.pool.end_largest()
 
     def on_message_complete(self) -> None:
         """Hand the whole answer over."""
@@ -337,9 +369,8 @@
             return
         status = self._parser.get_status_code()
         keeps_alive = self._parser.should_keep_alive() and not self._ends_with_connection
-        answer = HttpAnswer(status, self._reason, self._headers, b"".join(self._body))
-        self._body = []
-        self._forget_body_bytes()
+        answer = HttpAnswer(status, self._reason, self._headers, bytes(self._body))
+        self._drop_body()
         self.asked = None
         if ownership.idle_s is not None:
             self._idle_limit_s = ownership.idle_s * IDLE_MARGIN
@@ -362,14 +393,26 @@
             asked.connection = None
             asked.finish(HttpFailure(kind, has_begun=True, detail=detail))
 
-    def _forget_body_bytes(self) -> None:
-        keep(self.pool.held, -self._body_bytes)
-        self._body_bytes = 0
+    @property
+    def body_bytes(self) -> int:
+        """Return the bytes of the body that are held."""
+        return len(self._body)
+
+    def end_oversized(self, detail: str) -> None:
+        """End an answer that takes more than its share of memory."""
+        self._is_doubtful = True
+        self._drop_body()
+        self.fail(ErrorKind.TOO_LARGE, detail)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _drop_body(self) -> None:
+        keep(self.pool.held, -len(self._body))
+        self._body = bytearray()
 
     def _reset_answer(self) -> None:
         self._has_head = False
         self._reason = b""
         self._headers: list[HeaderPair] = []
-        self._body = []
-        self._forget_body_bytes()
+        self._drop_body()
         self._ends_with_connection = False
--- a/src/daisywharf/_mesh/_http_server.py
+++ b/src/daisywharf/_mesh/_http_server.py
@@ -9,6 +9,7 @@
 import httptools
 
 from daisywharf._configuration import ClientLimits
+from daisywharf._mesh._framing import MessageBytes, framing_bytes
 from daisywharf._mesh._headers import HeaderPair
 from daisywharf._mesh._held import HeldBytes, keep
 from daisywharf._topology import Address
@@ -16,6 +17,10 @@
 # Clients pipeline a handful; more than this many unanswered requests pause the reading.
 MOST_PIPELINED: Final = 32
 BACKLOG: Final = 1_024
+# Bytes around the headers that a client's limit counts: the line of the request, and four for each.
+HEAD_SLACK: Final = 16_384
+# A request's last byte comes within this time, however slowly its client sends.
+MOST_READING_S: Final = 60.0
 BODYLESS_METHODS: Final = frozenset({b"GET", b"HEAD", b"DELETE"})
 BODYLESS: Final = frozenset({204, 304})
 PHRASES: Final[dict[int, bytes]] = {s.value: s.phrase.encode() for s in HTTPStatus}
@@ -135,7 +140,8 @@
         self.transport: asyncio.Transport | None = None
         self._parser: Any = None
         self._reading: Exchange | None = None
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        self._counted = MessageBytes()
         self._head_bytes = 0
         self._has_head = False
         self._active_at = server.now()
@@ -165,6 +171,7 @@
         if self._is_ending:
             return
         self._active_at = self.server.now()
+        self._counted.received += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -176,6 +183,16 @@
         except httptools.HttpParserError:
             if not self._is_ending:
                 self._refuse(HTTPStatus.BAD_REQUEST)
+        self._refuse_endless()
+
+    def _refuse_endless(self) -> None:
+        most = self.server.limits.header_bytes + HEAD_SLACK
+        if self._reading is None or framing_bytes(self._counted) <= most:
+            return
+        if self._has_head:
+            self._refuse(HTTPStatus.BAD_REQUEST)
+        else:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def pause_writing(self) -> None:
         """Read no further request while the client reads no answer."""
@@ -192,7 +209,9 @@
     def on_message_begin(self) -> None:
         """Begin a request."""
         self._reading = Exchange(self, arrived_at=self.server.now())
-        self._body = []
+        self._body = bytearray()
+        # What came before it in the same read is left out, as is its own first part.
+        self._counted = MessageBytes()
         self._head_bytes = 0
         self._has_head = False
 
@@ -229,7 +248,8 @@
         exchange = self._reading
         if exchange is None:
             return
-        self._body.append(body)
+        self._body += body
+        self._counted.body += len(body)
         exchange.take_body(len(body))
         if exchange.body_bytes > self.server.limits.body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -241,8 +261,8 @@
         exchange, self._reading = self._reading, None
         if exchange is None or self._is_ending:
             return
-        exchange.body = b"".join(self._body)
-        self._body = []
+        exchange.body = bytes(self._body)
+        self._body = bytearray()
         if not exchange.keeps_alive:
             self._is_ending = True
         self.exchanges.append(exchange)
@@ -296,6 +316,8 @@
         if reading is not None and not self._has_head:
             if now - reading.arrived_at > limits.header_timeout_s:
                 self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+        elif reading is not None and now - reading.arrived_at > MOST_READING_S:
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
         elif not self.exchanges and now - self._active_at > limits.idle_timeout_s:
             self.close()
 
@@ -310,7 +332,7 @@
         self._is_ending = True
         exchange = self._reading or Exchange(self, arrived_at=self.server.now())
         self._reading = None
-        self._body = []
+        self._body = bytearray()
         exchange.keeps_alive = False
         self.exchanges.append(exchange)
         exchange.respond(status, lines=lines)
