Await an order on a silent link; bind a restarted daemon by its target's leaving; doubt late refusals

Silent machines. What callers saw: an order at a machine that stood still for over a second was given up with 502, while its target ran it to the end. Cause: a link that is silent for 1 s was closed with all its calls. Change: another connection is opened, and what can't be sent again is awaited on the silent one until its time is over; what may run again goes elsewhere at once, as before.

Left targets. A target whose leaving was acknowledged was in use again after a restart of its daemon, when an announcement that was sent before came in last: the earlier record was looked at only where an announcement was known already, and a record that peers sent was left aside, so that an outage of the store hid it. Change: a leaving that the earlier process took binds whatever comes of that incarnation, from the store or from a peer.

Late refusals. A refusal without the request's id was passed on as "not run"; it may be a late one to another request of the connection. Change: only a target that names the request is believed. Ruled out: requests cut in a planned stop under load (tested, none).

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -174,6 +174,7 @@
             reporter=self.reporter,
             repeats=self.repeats,
             renew=lambda started_ms: self._change_own(started_ms=started_ms + 1),
+            take_earlier=self._take_earlier,
             now=now,
         )
         self.links = LinkServer(on_frame=self.peers.take, on_lost=self.peers.lose)
@@ -182,6 +183,7 @@
         self._started_at = now()
         self._swept_at = now()
         self._has_written = False
+        self._left_before: TargetRecord | None = None
         self._tasks: list[asyncio.Task[Any]] = []
 
     @property
@@ -248,6 +250,7 @@
         if verdict is not Verdict.TAKEN:
             log_event(Event.ANNOUNCEMENT_LATE, target=notice.target_id, verdict=verdict.value)
             return verdict
+        notice = self._bound_by_earlier(notice)
         is_news = known is None or (
             known.target_id,
             known.born_ms,
@@ -289,16 +292,26 @@
         own, said, notice = self.membership.own, earlier.target, self.gate.notice
         if earlier.started_ms >= own.started_ms:
             self._change_own(started_ms=earlier.started_ms + 1)
-        is_leaving = said is not None and said.readiness is not Readiness.READY
-        if said is None or notice is None or not is_leaving:
+        if said is None or said.readiness is Readiness.READY:
             return
-        if (said.target_id, said.born_ms) == (notice.target_id, notice.born_ms):
+        self._left_before = said
+        if notice is not None and notice.readiness is Readiness.READY:
             # A late announcement came in before the acknowledged leaving was read.
-            leaving = replace(
-                notice, readiness=said.readiness, sequence=max(said.sequence, notice.sequence)
-            )
-            self.gate.take_notice(leaving)
-            self._announce_target(leaving)
+            leaving = self._bound_by_earlier(notice)
+            if leaving is not notice:
+                self.gate.take_notice(leaving)
+                self._announce_target(leaving)
+
+    def _bound_by_earlier(self, notice: TargetNotice) -> TargetNotice:
+        """Return an announcement as this VM's earlier process let it stand: a leaving is final."""
+        said = self._left_before
+        if said is None or (said.target_id, said.born_ms) != (notice.target_id, notice.born_ms):
+            return notice
+        if notice.readiness is not Readiness.READY:
+            return notice
+        return replace(
+            notice, readiness=said.readiness, sequence=max(said.sequence, notice.sequence)
+        )
 
     # Requests of clients and of the target.
 
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -16,6 +16,7 @@
 from daisywharf._mesh._http_client import Asked, HttpFailure, HttpPool, HttpResult, Ownership
 from daisywharf._mesh._links import CallResult, OnCallResult
 from daisywharf._mesh._model import Readiness, TargetNotice
+from daisywharf._mesh._results import MISDIRECTED
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
 from daisywharf._overload._calls_below import CallCounts, Kind, note_half_run
 from daisywharf._overload._pressure import Pressure, move_pressure, note_arrival
@@ -281,8 +282,11 @@
                 self._lose_target(result.detail)
             return Unanswered(call.call_id, result.kind, result.has_begun, self.load())
         assert head is not None
-        is_whole = head.is_signed and head.request_id == call.request_id and not head.is_encoded
-        if result.status < 300 and not is_whole:
+        is_own = head.request_id == call.request_id
+        is_whole = head.is_signed and is_own and not head.is_encoded
+        says_not_run = head.is_not_run or result.status == MISDIRECTED
+        # Without its id, a refusal may be a late one to another request.
+        if (result.status < 300 and not is_whole) or (says_not_run and not is_own):
             return Unanswered(call.call_id, ErrorKind.CUT_ANSWER, has_begun=True, load=self.load())
         return Answered(
             call.call_id,
@@ -291,7 +295,7 @@
             head.passed_on,
             result.body,
             head.is_signed,
-            head.is_not_run or result.status == 421,
+            says_not_run,
             self.load(),
         )
 
--- a/src/daisywharf/_mesh/_links.py
+++ b/src/daisywharf/_mesh/_links.py
@@ -126,8 +126,19 @@
         log_event(Event.BAD_FRAME, peer=str(peer), error=reason)
 
 
+class AwaitedCall(msgspec.Struct, frozen=True):
+    """Hold who awaits the result of a call, and whether it may be sent again elsewhere."""
+
+    on_result: OnCallResult
+    is_idempotent: bool
+
+
 class OutLink:
-    """Hold the link that this daemon opened to another, and the calls on it."""
+    """Hold the link that this daemon opened to another, and the calls on it.
+
+    The other daemon may only stand still for a while. So what can't be sent again is awaited on a
+    connection that went silent until its time is over, while another connection is opened.
+    """
 
     def __init__(
         self,
@@ -142,7 +153,8 @@
         self.address = address
         self.now = now
         self.is_up = False
-        self.calls: dict[int, OnCallResult] = {}
+        self.calls: dict[int, AwaitedCall] = {}
+        self._left_calls: dict[FrameProtocol, dict[int, AwaitedCall]] = {}
         self._on_up = on_up
         self._on_down = on_down
         self._on_frame = on_frame
@@ -161,14 +173,21 @@
         """Send a call and return its id on this link."""
         self._last_call_id += 1
         call_id = self._last_call_id
-        self.calls[call_id] = on_result
+        self.calls[call_id] = AwaitedCall(on_result, call.is_idempotent)
         self.send(msgspec.structs.replace(call, call_id=call_id))
         return call_id
 
     def cancel(self, call_id: object) -> None:
         """Give a call up; its result is dropped."""
-        if isinstance(call_id, int) and self.calls.pop(call_id, None) is not None:
+        if not isinstance(call_id, int):
+            return
+        if self.calls.pop(call_id, None) is not None:
             self.send(Cancel(call_id))
+            return
+        for protocol, calls in list(self._left_calls.items()):
+            if calls.pop(call_id, None) is not None:
+                protocol.send(Cancel(call_id))
+                self._close_if_done(protocol)
 
     def send(self, frame: Frame, encoded: bytes = b"") -> None:
         """Send a frame, or drop it where the link is down; `encoded` holds it if many get it."""
@@ -200,7 +219,7 @@
         quiet_s = now - max(self._heard_at, self._asked_at)
         if quiet_s > SILENCE_LIMIT_S:
             log_event(Event.LINK_SILENT, peer=str(self.address))
-            self._protocol.close()
+            self._leave_silent(self._protocol)
             self._on_silent()
         elif quiet_s > PING_AFTER_S and self.calls:
             self.send(Ping())
@@ -219,8 +238,9 @@
     def close(self) -> None:
         """Close the link for good."""
         self._is_closed = True
-        if self._protocol is not None:
-            self._protocol.close()
+        for protocol in [self._protocol, *self._left_calls]:
+            if protocol is not None:
+                protocol.close()
 
     async def _connect(self) -> None:
         loop = asyncio.get_running_loop()
@@ -251,27 +271,56 @@
         self._retry_at = self.now() + self._backoff_s
         self._backoff_s = min(LONGEST_BACKOFF_S, self._backoff_s * 2.0)
 
-    def _receive(self, _protocol: FrameProtocol, frame: Frame) -> None:
+    def _receive(self, protocol: FrameProtocol, frame: Frame) -> None:
+        if protocol is not self._protocol:
+            self._receive_late(protocol, frame)
+            return
         self._heard_at = self.now()
         if isinstance(frame, Answered | Unanswered):
-            on_result = self.calls.pop(frame.call_id, None)
-            if on_result is not None:
-                on_result(frame)
+            awaited = self.calls.pop(frame.call_id, None)
+            if awaited is not None:
+                awaited.on_result(frame)
         elif not isinstance(frame, Pong):
             self._on_frame(self, frame)
         self._asked_at = self._heard_at if self.calls else None
 
-    def _lose(self, protocol: FrameProtocol) -> None:
-        if protocol is not self._protocol:
+    def _receive_late(self, protocol: FrameProtocol, frame: Frame) -> None:
+        """Take what comes on a connection that was silent; but for results it is out of date."""
+        calls = self._left_calls.get(protocol, {})
+        if isinstance(frame, Answered | Unanswered):
+            awaited = calls.pop(frame.call_id, None)
+            if awaited is not None:
+                awaited.on_result(frame)
+            self._close_if_done(protocol)
+
+    def _close_if_done(self, protocol: FrameProtocol) -> None:
+        if not self._left_calls.get(protocol, True):
+            protocol.close()
+
+    def _leave_silent(self, protocol: FrameProtocol) -> None:
+        """Open another connection; calls that can't be sent again stay on the silent one."""
+        kept = {number: call for number, call in self.calls.items() if not call.is_idempotent}
+        if not kept:
+            protocol.close()
             return
-        self._protocol = None
-        self.is_up = False
-        self._back_off()
-        calls, self.calls = self.calls, {}
-        self._on_down(self)
-        for call_id, on_result in calls.items():
+        self._left_calls[protocol] = kept
+        for number in kept:
+            del self.calls[number]
+        self._lose(protocol)
+
+    def _lose(self, protocol: FrameProtocol) -> None:
+        if protocol is self._protocol:
+            self._protocol = None
+            self.is_up = False
+            self._back_off()
+            calls, self.calls = self.calls, {}
+            self._on_down(self)
+        else:
+            calls = self._left_calls.pop(protocol, {})
+        for call_id, awaited in calls.items():
             # Whether the other end read the call isn't known.
-            on_result(Unanswered(call_id, ErrorKind.OUTCOME_UNKNOWN, has_begun=True, load=None))
+            unknown = Unanswered(call_id, ErrorKind.OUTCOME_UNKNOWN, has_begun=True, load=None)
+            awaited.on_result(unknown)
 
 
 class LinkServer:
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -50,6 +50,7 @@
         reporter: Reporter,
         repeats: Repeats,
         renew: Callable[[int], None],
+        take_earlier: Callable[[MemberRecord], None],
         now: Callable[[], float],
     ) -> None:
         self.membership = membership
@@ -60,6 +61,7 @@
         self.reporter = reporter
         self.repeats = repeats
         self.renew = renew
+        self.take_earlier = take_earlier
         self.now = now
         self._vm_by_link: dict[FrameProtocol, VmId] = {}
 
@@ -91,8 +93,13 @@
 
     def merge(self, records: tuple[MemberRecord, ...]) -> None:
         """Take in records of members."""
+        own = self.membership.own.vm
+        for record in records:
+            if record.vm == own and record.started_ms < self.membership.own.started_ms:
+                # A leaving that this VM's earlier process acknowledged binds before the store is
+                # read, and while it can't be.
+                self.take_earlier(record)
         if self.membership.merge(records):
-            own = self.membership.own.vm
             # A record of an earlier process, written by a clock that was ahead of this one.
             self.renew(max(record.started_ms for record in records if record.vm == own))
 
--- /dev/null
+++ b/tests/test_failures_of_similar_systems.py
@@ -0,0 +1,249 @@
+"""What went wrong for operators of similar systems: each provoked with real sockets."""
+
+import asyncio
+from random import Random
+
+import pytest
+
+from builders_mesh import (
+    Client,
+    MemoryStore,
+    MeshWorld,
+    TargetStandIn,
+    configuration,
+    eventually,
+    free_address,
+    in_loop,
+    notice,
+    route,
+    settings,
+)
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import ServiceName, TargetId
+from daisywharf._mesh._daemon import MeshDaemon
+from daisywharf._mesh._frames import Answered, Call, Frame, GateLoad, Members, Unanswered
+from daisywharf._mesh._http_client import HttpAnswer
+from daisywharf._mesh._links import CallResult, FrameProtocol, LinkServer, OutLink
+from daisywharf._mesh._model import MemberRecord, Readiness, TargetRecord
+from daisywharf.platform._headers import PlatformDialect
+from test_mesh_answers import RawTarget
+
+LOAD = GateLoad(1, 0, 10, 3.0)
+
+
+def _call(*, is_idempotent: bool) -> Call:
+    return Call(
+        call_id=0,
+        target_id="t-1",
+        request_id="id-1",
+        caller_service="stock",
+        route="r stock",
+        time_left_ms=5_000,
+        patience_ms=500,
+        importance=1,
+        sub_order=0,
+        is_idempotent=is_idempotent,
+        head=b"POST /r/x HTTP/1.1\r\n",
+        body=b"order",
+    )
+
+
+class SilentDaemon:
+    """Take links and calls, and say nothing while `is_silent`."""
+
+    def __init__(self) -> None:
+        self.is_silent = False
+        self.taken: list[tuple[FrameProtocol, Call]] = []
+        self.lost = 0
+        self.server = LinkServer(on_frame=self._take, on_lost=self._lose)
+        self.address = free_address()
+
+    def _take(self, link: FrameProtocol, frame: Frame) -> None:
+        if isinstance(frame, Call):
+            self.taken.append((link, frame))
+
+    def _lose(self, _link: FrameProtocol) -> None:
+        self.lost += 1
+
+    def answer(self, number: int = 0) -> None:
+        link, call = self.taken[number]
+        link.send(Answered(call.call_id, 200, b"OK", b"", b"whole", True, False, LOAD))
+
+
+async def _link_to(daemon: SilentDaemon, clock: list[float]) -> OutLink:
+    await daemon.server.start(daemon.address)
+    link = OutLink(
+        daemon.address,
+        now=lambda: clock[0],
+        on_up=lambda _link: None,
+        on_down=lambda _link: None,
+        on_frame=lambda _link, _frame: None,
+    )
+    link.tick(now=clock[0])
+    await eventually(lambda: link.is_up)
+    return link
+
+
+def test_an_order_at_a_machine_that_was_silent_for_a_while_gets_its_answer() -> None:
+    """It was given up after a second, with 502, while its machine only stood still."""
+
+    async def scenario() -> None:
+        clock = [10.0]
+        daemon = SilentDaemon()
+        link = await _link_to(daemon, clock)
+        results: list[CallResult] = []
+        link.submit(_call(is_idempotent=False), results.append)
+        await eventually(lambda: len(daemon.taken) == 1)
+        clock[0] += 1.5
+        link.tick(now=clock[0])
+        assert not link.is_up
+        assert not results
+        clock[0] += 3.0
+        link.tick(now=clock[0])
+        await eventually(lambda: link.is_up)
+        daemon.answer()
+        await eventually(lambda: bool(results))
+        (result,) = results
+        assert isinstance(result, Answered)
+        assert result.body == b"whole"
+        # The connection that was silent is closed once nothing is awaited on it.
+        await eventually(lambda: daemon.lost == 1)
+        link.close()
+        daemon.server.stop()
+
+    in_loop(scenario)
+
+
+def test_what_may_run_again_is_not_kept_waiting_on_a_silent_connection() -> None:
+    async def scenario() -> None:
+        clock = [10.0]
+        daemon = SilentDaemon()
+        link = await _link_to(daemon, clock)
+        results: list[CallResult] = []
+        link.submit(_call(is_idempotent=True), results.append)
+        await eventually(lambda: len(daemon.taken) == 1)
+        clock[0] += 1.5
+        link.tick(now=clock[0])
+        await eventually(lambda: bool(results))
+        (result,) = results
+        assert isinstance(result, Unanswered)
+        assert (result.kind, result.has_begun) == (ErrorKind.OUTCOME_UNKNOWN, True)
+        link.close()
+        daemon.server.stop()
+
+    in_loop(scenario)
+
+
+def test_an_order_on_a_silent_connection_is_given_up_with_its_caller_and_fails_with_it() -> None:
+    async def scenario() -> None:
+        clock = [10.0]
+        daemon = SilentDaemon()
+        link = await _link_to(daemon, clock)
+        results: list[CallResult] = []
+        first = link.submit(_call(is_idempotent=False), results.append)
+        link.submit(_call(is_idempotent=False), results.append)
+        await eventually(lambda: len(daemon.taken) == 2)
+        clock[0] += 1.5
+        link.tick(now=clock[0])
+        link.cancel(first)
+        daemon.taken[0][0].close()
+        await eventually(lambda: bool(results))
+        assert [type(result) for result in results] == [Unanswered]
+        link.close()
+        daemon.server.stop()
+
+    in_loop(scenario)
+
+
+def _earlier(readiness: Readiness) -> MemberRecord:
+    """Build the record that the process before left of the target `t-1`."""
+    target = TargetRecord(TargetId("t-1"), ServiceName("stock"), 10, readiness, 1, 7)
+    given = settings()
+    return MemberRecord(given.vm, given.zone, str(given.links_address), 1, 3, False, target)
+
+
+@pytest.mark.parametrize("readiness", [Readiness.DRAINING, Readiness.LEFT])
+@pytest.mark.parametrize("source", ["store", "peer"])
+def test_a_target_that_left_before_a_restart_is_not_used_again(
+    readiness: Readiness, source: str
+) -> None:
+    """An announcement that was on its way when the leaving was acknowledged comes in last."""
+
+    async def scenario() -> None:
+        store = MemoryStore(configuration(route()))
+        daemon = MeshDaemon(
+            settings(),
+            dialect=PlatformDialect(),
+            store=store,
+            now=asyncio.get_running_loop().time,
+            started_ms=2,
+            rng=Random(7),
+        )
+        if source == "store":
+            store.record_by_vm[daemon.settings.vm] = _earlier(readiness)
+        else:
+            store.is_down = True
+        await daemon.start()
+        if source == "store":
+            await eventually(lambda: daemon.sync.has_listed)
+        else:
+            members = Members((_earlier(readiness),))
+            daemon.peers.merge(members.records)
+        daemon.take_notice(notice(free_address(), sequence=6))
+        assert not daemon.gate.is_open
+        # Another incarnation at the same place is another target.
+        daemon.take_notice(notice(free_address(), target_id="t-2", born_ms=9, sequence=1))
+        assert daemon.gate.is_open
+        daemon.close()
+
+    in_loop(scenario)
+
+
+def test_a_late_refusal_without_an_id_doesn_t_say_that_an_order_hasn_t_run() -> None:
+    async def behave(_number: int, _request_id: str, writer: asyncio.StreamWriter) -> None:
+        writer.write(
+            b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+            b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+        )
+        writer.close()
+
+    async def scenario() -> None:
+        world = MeshWorld(route(is_idempotent=False))
+        target = RawTarget(behave)
+        await target.start()
+        daemon = await world.add()
+        daemon.take_notice(notice(target.address))
+        await world.settle_without_targets()
+        got = await Client(daemon).ask(method="POST", body=b"order")
+        assert isinstance(got, HttpAnswer)
+        assert got.status == 502
+        target.stop()
+        await world.close()
+
+    in_loop(scenario)
+
+
+def test_requests_accepted_in_a_planned_stop_under_load_are_answered_whole() -> None:
+    async def scenario() -> None:
+        world = MeshWorld()
+
+        def soon(seen: object) -> None:
+            asyncio.get_running_loop().call_later(0.05, seen.answer)  # type: ignore[attr-defined]
+
+        stopped = await world.add(TargetStandIn(soon), slots=4)
+        await world.add(TargetStandIn(soon), slots=40)
+        await world.settle()
+        results: list[object] = []
+        client = Client(stopped)
+        for number in range(60):
+            client.send(f"/r/{number}", results.append)
+        await asyncio.sleep(0.02)
+        stopping = asyncio.ensure_future(stopped.stop())
+        await eventually(lambda: len(results) == 60)
+        await stopping
+        statuses = {getattr(result, "status", 0) for result in results}
+        assert statuses <= {200, 503}
+        assert sum(getattr(result, "status", 0) == 200 for result in results) >= 40
+        await world.close()
+
+    in_loop(scenario)
