Pool all of what repeats a large fleet's daemons earn

Change: from 65 daemons on all is pooled, half of what is earned, so that twice that keeps the bound; the state machine plays that as well.

--- a/src/daisywharf/_routing/_repeat_budget.py
+++ b/src/daisywharf/_routing/_repeat_budget.py
@@ -7,7 +7,8 @@
 
 A pool spends only what was deposited in the last window, and each deposit is made once, to one
 pool. So whichever daemon keeps a pool, and however often that changes, what a fleet spends in a
-window is bounded by what it earned in two: `OWN_PART` + 2 * `POOLED_PART` is below 1.
+window is bounded by what it earned in two: `OWN_PART` + 2 * `POOLED_PART` is at most 1. In a large
+fleet, where the own part buys nothing, it is pooled as well: 2 * `ALL_POOLED_PART` is 1.
 """
 
 from collections import deque
@@ -19,7 +20,10 @@
 # Parts of its allowance that a daemon spends itself and pools: windows of daemons and fleet don't
 # line up.
 OWN_PART: Final = 0.3
-POOLED_PART: Final = 0.34
+POOLED_PART: Final = 0.35
+ALL_POOLED_PART: Final = 0.5
+# Daemons from which on all is pooled: each earns less than a repeat with its calls below.
+LARGE_FLEET: Final = 64
 
 
 class RepeatBudget:
@@ -65,6 +69,8 @@
     budget: RepeatBudget, visits: dict[ServiceName, float], *, daemons: int, now: float
 ) -> bool:
     """Take the price of a repeat with its calls below, or nothing where one is too dear."""
+    if daemons > LARGE_FLEET:
+        return False
     for service, count in visits.items():
         spent = _sum_since(budget.spent_by_service, service, now - budget.window_s)
         if spent + count > _allowed(budget, service, daemons, now):
@@ -82,8 +88,9 @@
     if since is None:
         return {}
     extra = budget.extra / max(1, daemons) * min(1.0, (now - since) / budget.window_s)
+    part = ALL_POOLED_PART if daemons > LARGE_FLEET else POOLED_PART
     return {
-        service: POOLED_PART * (budget.ratio * firsts.get(service, 0) + extra)
+        service: part * (budget.ratio * firsts.get(service, 0) + extra)
         for service in {*services, *firsts}
     }
 
--- a/tests/test_repeat_pool.py
+++ b/tests/test_repeat_pool.py
@@ -8,6 +8,7 @@
 from daisywharf._ids import ServiceName
 from daisywharf._mesh._http_client import HttpAnswer
 from daisywharf._routing._repeat_budget import (
+    LARGE_FLEET,
     RepeatBudget,
     RepeatPool,
     deposit,
@@ -78,10 +79,13 @@
 class PooledRepeats(RuleBasedStateMachine):
     """Let each daemon's view of who keeps its zone's pool change at any moment."""
 
+    daemons_known = DAEMONS
+
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
         self.fleet = Fleet(DAEMONS, extra=10.0)
+        self.fleet.daemons = self.daemons_known
         self.keeper_by_daemon = [daemon - daemon % DAEMONS_A_ZONE for daemon in range(DAEMONS)]
 
     @rule(daemon=st.integers(0, DAEMONS - 1), count=st.integers(1, 20))
@@ -114,10 +118,22 @@
         assert self.fleet.overspent(now=self.now) <= 1e-6
 
 
-PooledRepeats.TestCase.settings = settings(
+class PooledRepeatsOfALargeFleet(PooledRepeats):
+    """Let the same daemons take themselves for a part of a large fleet, which pools all."""
+
+    daemons_known = LARGE_FLEET + 1
+
+    def __init__(self) -> None:
+        super().__init__()
+        # Each daemon's part of what is allowed beyond the ratio, as the fleet's size has it.
+        self.fleet.extra = 10.0 * DAEMONS / self.daemons_known
+
+
+PooledRepeatsOfALargeFleet.TestCase.settings = PooledRepeats.TestCase.settings = settings(
     max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
 )
 TestPooledRepeats = PooledRepeats.TestCase
+TestPooledRepeatsOfALargeFleet = PooledRepeatsOfALargeFleet.TestCase
 
 
 def test_a_page_whose_target_fails_is_sent_again_in_a_fleet_of_hundreds() -> None:
