Await no sign of life for frames that an older daemon leaves out

Cause: the frames that pass loads on counted as answered, which a daemon of an earlier version doesn't: while versions are mixed its links would have been closed as silent after 1 s and opened again. Seen in reading the change against docs/DEVELOPERS.md, not in a run. Change: only kinds of the first release are answered; what carries nothing else is asked after 3 s. Test: tests/test_mesh_versions.py.

--- a/src/daisywharf/_mesh/_links.py
+++ b/src/daisywharf/_mesh/_links.py
@@ -14,9 +14,7 @@
     Cancel,
     Frame,
     Hello,
-    Loads,
     News,
-    PassOn,
     Ping,
     Pong,
     Report,
@@ -42,8 +40,8 @@
 PING_IDLE_S: Final = 3.0
 MOST_FRAME_BYTES: Final = 80_000_000  # the largest body that a configuration allows, and a head
 
-# The other end answers each of these, if only with a pong.
-ANSWERED_FRAMES: Final = (Call, Hello, Loads, News, PassOn, Ping, Report)
+# Daemons of all versions answer each of these, if only with a pong; later kinds may be left out.
+ANSWERED_FRAMES: Final = (Call, Hello, News, Ping, Report)
 
 CallResult = Answered | Unanswered
 OnCallResult = Callable[[CallResult], None]
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -79,9 +79,15 @@
             self.incoming.take(link, frame)
         elif isinstance(frame, Cancel):
             self.incoming.cancel(link, frame.call_id)
-        elif isinstance(frame, Report | News | Loads | PassOn | Hello | Ping):
+        elif isinstance(frame, Report | News | Hello | Ping):
             link.send(Pong())
             self._take_sign_of_life(link, frame)
+        elif isinstance(frame, Loads):
+            self.reporter.hear_loads(frame)
+            self._take_news(link, frame.news)
+        elif isinstance(frame, PassOn):
+            self._take_news(link, frame.news)
+            self._note_to_pass_on(link, frame.news)
         else:
             vm = self._vm_by_link.get(link)
             self._take_anywhere(frame, link.send, source=vm or "a link without a hello")
@@ -119,21 +125,13 @@
         elif isinstance(frame, MayRepeat):
             self.repeats.hear_answer(frame)
 
-    def _take_sign_of_life(
-        self, link: FrameProtocol, frame: Report | News | Loads | PassOn | Hello | Ping
-    ) -> None:
+    def _take_sign_of_life(self, link: FrameProtocol, frame: Report | News | Hello | Ping) -> None:
         if isinstance(frame, Hello):
             self._take_hello(link, frame)
         elif isinstance(frame, Report):
             self._take_report(link, frame)
         elif isinstance(frame, News):
             self._take_news(link, frame)
-        elif isinstance(frame, Loads):
-            self.reporter.hear_loads(frame)
-            self._take_news(link, frame.news)
-        elif isinstance(frame, PassOn):
-            self._take_news(link, frame.news)
-            self._note_to_pass_on(link, frame.news)
 
     def _take_hello(self, link: FrameProtocol, hello: Hello) -> None:
         self._vm_by_link[link] = hello.member.vm
--- a/tests/test_mesh_versions.py
+++ b/tests/test_mesh_versions.py
@@ -14,7 +14,7 @@
     encode_frame,
     is_unknown_kind,
 )
-from daisywharf._mesh._links import FrameProtocol
+from daisywharf._mesh._links import ANSWERED_FRAMES, FrameProtocol
 
 
 class _Transport:
@@ -80,6 +80,12 @@
     assert is_closed
 
 
+def test_no_sign_of_life_is_awaited_for_frames_that_an_older_daemon_leaves_out() -> None:
+    """A link to it would count as silent and be closed, again and again."""
+    last_of_first_release = 13
+    assert all(kind.__struct_config__.tag <= last_of_first_release for kind in ANSWERED_FRAMES)
+
+
 def test_what_is_sent_is_what_is_read() -> None:
     news = News(3, False, None)
     assert decode_frame(encode_frame(news)[LENGTH_BYTES:]) == news
