--- a/src/daisywharf/platform/_configuration.py
+++ b/src/daisywharf/platform/_configuration.py
@@ -20,6 +20,8 @@
 DEFAULT_TIMEOUT_MS: Final = 30_000  # a route without one is bound by its client's own time
 DEFAULT_ATTEMPTS: Final = 1
 MS: Final = 1000.0
+# What a field that is missing, of another type, or out of bounds raises.
+UNREADABLE: Final = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
 def read_configuration(document: Any) -> Configuration:
@@ -45,7 +47,7 @@
                 connections_by_service[ServiceName(name)] = int(content["maxConnections"])
             elif kind == "limits":
                 limits = _limits(content)
-        except (KeyError, TypeError, ValueError) as error:
+        except UNREADABLE as error:
             log_event(Event.ENTRY_UNREADABLE, entry=repr(entry), error=repr(error))
     return Configuration(Version(version), tuple(routes), limits, connections_by_service)
 
