--- a/benchmarks/_soak_fleet.py
+++ b/benchmarks/_soak_fleet.py
@@ -22,7 +22,8 @@
     Ledger,
 )
 from benchmarks._soak_parts import BACK, FRONT, HOST_NAME, LinkRelay, SoakClient, SoakTarget
-from daisywharf._mesh._http_client import HttpAnswer, HttpPool
+from daisywharf._mesh._http_answers import HttpAnswer
+from daisywharf._mesh._http_client import HttpPool
 from daisywharf._topology import Address
 
 ENTRY, LINKS, BEHIND, READY, CONTROL, TARGET, STORE = range(8300, 8307)
--- a/benchmarks/_soak_parts.py
+++ b/benchmarks/_soak_parts.py
@@ -11,7 +11,8 @@
 
 from benchmarks._soak_ledger import REFUSALS, Leaving, Ledger, Run, Sent
 from daisywharf._mesh._headers import HeaderPair
-from daisywharf._mesh._http_client import HttpAnswer, HttpFailure, HttpPool
+from daisywharf._mesh._http_answers import HttpAnswer, HttpFailure
+from daisywharf._mesh._http_client import HttpPool
 from daisywharf._mesh._http_server import Exchange, HttpServer
 from daisywharf._topology import Address
 
--- a/benchmarks/ways.py
+++ b/benchmarks/ways.py
@@ -18,18 +18,21 @@
 import websockets.asyncio.server
 
 from benchmarks._processes import free_address
+from daisywharf._mesh._frame_protocol import FrameProtocol
 from daisywharf._mesh._frames import (
     LENGTH_BYTES,
     Answered,
     Call,
+    CallResult,
     Frame,
     GateLoad,
     decode_frame,
     encode_frame,
 )
-from daisywharf._mesh._http_client import HttpPool, HttpResult
+from daisywharf._mesh._http_answers import HttpResult
+from daisywharf._mesh._http_client import HttpPool
 from daisywharf._mesh._http_server import Exchange, HttpServer
-from daisywharf._mesh._links import CallResult, FrameProtocol, LinkServer, OutLink
+from daisywharf._mesh._links import LinkServer, OutLink
 from daisywharf._overload._pressure import Pressure, move_pressure
 
 HOST: Final = "127.0.0.1"
--- a/src/daisywharf/_experiments/_fleet_surge.py
+++ b/src/daisywharf/_experiments/_fleet_surge.py
@@ -7,14 +7,12 @@
 
 from daisywharf._contract import Importance
 from daisywharf._experiments._model import Played, Sample
+from daisywharf._experiments._surge import Outcome
+from daisywharf._experiments._targets import placement_of
 from daisywharf._ids import (
     CallClassName,
-    Incarnation,
     RequestId,
-    ServiceName,
     TargetId,
-    VmId,
-    ZoneName,
 )
 from daisywharf._outcomes._next_step import MOST_GATES_TRIED
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
@@ -30,9 +28,7 @@
     note_success,
     place,
     service_level,
-    set_target,
 )
-from daisywharf._topology import Address, Target
 from daisywharf._virtual._loop import VirtualLoop, call_later, run_until
 
 TICK_S = 0.05  # as a daemon's
@@ -70,15 +66,6 @@
     patience_s: float
 
 
-class Outcome(msgspec.Struct):
-    """Count what became of one class's requests."""
-
-    offered: int = 0
-    refused_at_entry: int = 0
-    whole: int = 0
-    thrown_away: int = 0
-
-
 class View:
     """Hold what one entry knows of the deep service."""
 
@@ -144,21 +131,11 @@
 
     def _placement(self, entry: int) -> Placement:
         settings = self.settings
-        placement = Placement(zone=ZoneName(f"z{entry % settings.zones}"))
-        for number in range(settings.gates):
-            target = Target(
-                target_id=TargetId(str(number)),
-                service=ServiceName("stock"),
-                vm=VmId(f"vm-{number}"),
-                zone=ZoneName(f"z{number % settings.zones}"),
-                incarnation=Incarnation(1),
-                address=Address("10.0.0.1", 80),
-                slots=settings.slots,
-                connections=settings.slots,
-            )
-            set_target(placement, target.vm, target, cold_s=0.0, now=0.0)
+        placement = placement_of(
+            entry=entry, targets=settings.gates, slots=settings.slots, zones=settings.zones
+        )
+        for number, candidate in enumerate(placement.candidates):
             # What an entry has learned before the surge.
-            candidate = placement.candidate_by_id[target.target_id]
             latency_s = settings.work_ms / 1e3 / self.speed[number]
             note_success(candidate, ROUTE, latency_s=latency_s, now=0.0)
         return placement
--- a/src/daisywharf/_experiments/_placement.py
+++ b/src/daisywharf/_experiments/_placement.py
@@ -6,14 +6,11 @@
 
 from daisywharf._contract import Importance
 from daisywharf._experiments._model import Played, Sample
+from daisywharf._experiments._targets import placement_of
 from daisywharf._ids import (
     CallClassName,
-    Incarnation,
     RequestId,
-    ServiceName,
     TargetId,
-    VmId,
-    ZoneName,
 )
 from daisywharf._outcomes._next_step import MOST_GATES_TRIED
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
@@ -27,9 +24,7 @@
     note_sent,
     note_success,
     place,
-    set_target,
 )
-from daisywharf._topology import Address, Target
 from daisywharf._virtual._loop import VirtualLoop, call_later, run_until
 
 TICK_S = 0.05  # as a daemon's: waiting calls expire, and reports go out
@@ -89,21 +84,10 @@
             call_later(self.loop, self.rng.random() * REPORT_S, lambda n=number: self._report(n))  # type: ignore[misc]
 
     def _placement(self, entry: int) -> Placement:
-        zones = self.settings.zones
-        placement = Placement(zone=ZoneName(f"z{entry % zones}"))
-        for number in range(self.settings.targets):
-            target = Target(
-                target_id=TargetId(str(number)),
-                service=ServiceName("lockwatch"),
-                vm=VmId(f"vm-{number}"),
-                zone=ZoneName(f"z{number % zones}"),
-                incarnation=Incarnation(1),
-                address=Address("10.0.0.1", 80),
-                slots=self.settings.slots,
-                connections=self.settings.slots,
-            )
-            set_target(placement, target.vm, target, cold_s=0.0, now=0.0)
-        return placement
+        settings = self.settings
+        return placement_of(
+            entry=entry, targets=settings.targets, slots=settings.slots, zones=settings.zones
+        )
 
     def run(self, *, until_s: float) -> None:
         """Let the entries place calls until a time, and sample what comes back."""
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -13,14 +13,14 @@
 from daisywharf._mesh._counts import daemon_metrics, request_metrics
 from daisywharf._mesh._dialect import Dialect
 from daisywharf._mesh._entry import Entry
-from daisywharf._mesh._frames import Call, Frame
+from daisywharf._mesh._frames import Call, CallResult, Frame
 from daisywharf._mesh._gate import Gate
 from daisywharf._mesh._held import HeldBytes, most_held, note_unsent
 from daisywharf._mesh._http_server import Exchange, HttpServer
 from daisywharf._mesh._in_force import InForce
 from daisywharf._mesh._incoming import IncomingCalls
 from daisywharf._mesh._learned import learned_now, take_learned
-from daisywharf._mesh._links import CallResult, LinkServer, OutLink
+from daisywharf._mesh._links import LinkServer, OutLink
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord, Readiness, TargetNotice, TargetRecord
 from daisywharf._mesh._peers import Peers
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -11,10 +11,9 @@
 from daisywharf._ids import ServiceName, TargetId, VmId
 from daisywharf._mesh._counts import MeshCounts
 from daisywharf._mesh._dialect import Dialect, RequestHead
-from daisywharf._mesh._frames import Answered, Call, GateLoad
+from daisywharf._mesh._frames import Answered, Call, CallResult, GateLoad
 from daisywharf._mesh._held import HeldBytes
 from daisywharf._mesh._http_server import Exchange
-from daisywharf._mesh._links import CallResult
 from daisywharf._mesh._pending import (
     MS,
     Pending,
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -4,6 +4,7 @@
 end of its frame, with a default, and a frame of a kind that a daemon doesn't know is left out.
 """
 
+from collections.abc import Callable
 from typing import Final, get_args
 
 import msgspec
@@ -75,6 +76,10 @@
     load: GateLoad | None
 
 
+CallResult = Answered | Unanswered
+OnCallResult = Callable[[CallResult], None]
+
+
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=5):
     """Open a link: who opens it, how many members it knows, its configuration's version."""
 
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -10,11 +10,11 @@
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import CallClassName, RequestId
 from daisywharf._mesh._dialect import AnswerHead, Dialect
-from daisywharf._mesh._frames import Answered, Call, GateLoad, Unanswered
+from daisywharf._mesh._frames import Answered, Call, CallResult, GateLoad, OnCallResult, Unanswered
 from daisywharf._mesh._headers import HeaderPair
 from daisywharf._mesh._held import HeldBytes, keep
-from daisywharf._mesh._http_client import Asked, HttpFailure, HttpPool, HttpResult, Ownership
-from daisywharf._mesh._links import CallResult, OnCallResult
+from daisywharf._mesh._http_answers import Asked, HttpFailure, HttpResult, Ownership
+from daisywharf._mesh._http_client import HttpPool
 from daisywharf._mesh._model import Readiness, TargetNotice
 from daisywharf._mesh._results import MISDIRECTED
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
--- a/src/daisywharf/_mesh/_http_client.py
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -1,16 +1,24 @@
 """Ask one server over HTTP/1.1 on the event loop, one request at a time on a connection."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Any, Final, cast
 
 import httptools
-import msgspec
 
 from daisywharf._errors import ErrorKind
 from daisywharf._mesh._framing import MessageBytes, framing_bytes
 from daisywharf._mesh._headers import HeaderPair
 from daisywharf._mesh._held import HeldBytes, keep
+from daisywharf._mesh._http_answers import (
+    Asked,
+    HttpAnswer,
+    HttpFailure,
+    HttpResult,
+    Judge,
+    OnResult,
+    any_answer,
+)
 from daisywharf._topology import Address
 
 CONNECT_TIMEOUT_S: Final = 1.0  # clients allow a new connection as long
@@ -24,77 +32,6 @@
 MOST_HEAD_BYTES: Final = 65_536
 
 
-class HttpAnswer(msgspec.Struct, frozen=True):
-    """Hold a whole answer."""
-
-    status: int
-    reason: bytes
-    headers: list[HeaderPair]
-    body: bytes
-
-
-class HttpFailure(msgspec.Struct, frozen=True):
-    """Say why no whole answer came; `has_begun` tells whether the server may have read it."""
-
-    kind: ErrorKind
-    has_begun: bool
-    detail: str = ""
-
-
-HttpResult = HttpAnswer | HttpFailure
-OnResult = Callable[[HttpResult], None]
-
-
-class Ownership(msgspec.Struct, frozen=True):
-    """Say whether an answer belongs to the request, and how long its connection may be idle."""
-
-    is_own: bool
-    idle_s: float | None = None
-
-
-Judge = Callable[[Sequence[HeaderPair]], Ownership]
-_OWN: Final = Ownership(is_own=True)
-
-
-def any_answer(_headers: Sequence[HeaderPair]) -> Ownership:
-    """Take each answer for one's own."""
-    return _OWN
-
-
-class Asked:
-    """Hold one request until its result is known."""
-
-    def __init__(self, request: bytes, on_result: OnResult, *, judge: Judge) -> None:
-        self.request = request
-        self.judge = judge
-        self.connection: ClientConnection | None = None
-        self._on_result: OnResult | None = on_result
-
-    @property
-    def is_open(self) -> bool:
-        """Tell whether the result is still awaited."""
-        return self._on_result is not None
-
-    def finish(self, result: HttpResult) -> None:
-        """Hand the result over, once."""
-        on_result, self._on_result = self._on_result, None
-        if on_result is not None:
-            on_result(result)
-
-    def end(self, detail: str) -> None:
-        """Fail the request, which may have been read, and close its connection."""
-        connection = self.connection
-        self.finish(HttpFailure(ErrorKind.OUTCOME_UNKNOWN, has_begun=True, detail=detail))
-        if connection is not None:
-            connection.abandon()
-
-    def cancel(self) -> None:
-        """Give the request up; a connection that carries it is closed."""
-        self._on_result = None
-        if self.connection is not None:
-            self.connection.abandon()
-
-
 class HttpPool:
     """Hold the connections to one server."""
 
--- a/src/daisywharf/_mesh/_incoming.py
+++ b/src/daisywharf/_mesh/_incoming.py
@@ -4,9 +4,9 @@
 
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import RequestId
-from daisywharf._mesh._frames import Call, Unanswered
+from daisywharf._mesh._frame_protocol import FrameProtocol
+from daisywharf._mesh._frames import Call, CallResult, Unanswered
 from daisywharf._mesh._gate import Gate
-from daisywharf._mesh._links import CallResult, FrameProtocol
 from daisywharf._overload._actions import CallId
 
 
--- a/src/daisywharf/_mesh/_links.py
+++ b/src/daisywharf/_mesh/_links.py
@@ -2,26 +2,24 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Final, cast
+from typing import Final
 
 import msgspec
 
 from daisywharf._errors import ErrorKind
+from daisywharf._mesh._frame_protocol import FrameProtocol
 from daisywharf._mesh._frames import (
-    LENGTH_BYTES,
     Answered,
     Call,
     Cancel,
     Frame,
     Hello,
     News,
+    OnCallResult,
     Ping,
     Pong,
     Report,
     Unanswered,
-    decode_frame,
-    encode_frame,
-    is_unknown_kind,
 )
 from daisywharf._mesh._http_client import CONNECT_TIMEOUT_S
 from daisywharf._mesh._http_server import BACKLOG
@@ -38,91 +36,10 @@
 # A link that carried nothing for this long is asked as well: it may have gone silent, and the next
 # call on it would be lost.
 PING_IDLE_S: Final = 3.0
-MOST_FRAME_BYTES: Final = 80_000_000  # the largest body that a configuration allows, and a head
 
 # Daemons of all versions answer each of these, if only with a pong; later kinds may be left out.
 ANSWERED_FRAMES: Final = (Call, Hello, News, Ping, Report)
 
-CallResult = Answered | Unanswered
-OnCallResult = Callable[[CallResult], None]
-
-
-class FrameProtocol(asyncio.Protocol):
-    """Read frames and write them."""
-
-    def __init__(
-        self,
-        on_frame: Callable[["FrameProtocol", Frame], None],
-        on_lost: Callable[["FrameProtocol"], None],
-    ) -> None:
-        self.transport: asyncio.Transport | None = None
-        self.reads = 0
-        self._on_frame = on_frame
-        self._on_lost = on_lost
-        self._received = bytearray()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Be ready to send."""
-        # uvloop's transports have the methods, not the base class.
-        self.transport = cast(asyncio.Transport, transport)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the owner."""
-        self.transport = None
-        self._on_lost(self)
-
-    def data_received(self, data: bytes) -> None:
-        """Hand over each whole frame; close the link where one can't be read."""
-        self.reads += 1
-        received = self._received
-        received += data
-        start = 0
-        while len(received) - start >= LENGTH_BYTES:
-            end = (
-                start + LENGTH_BYTES + int.from_bytes(received[start : start + LENGTH_BYTES], "big")
-            )
-            if end - start > MOST_FRAME_BYTES:
-                self._refuse(f"frame of {end - start} bytes")
-                return
-            if len(received) < end:
-                break
-            body = bytes(received[start + LENGTH_BYTES : end])
-            start = end
-            try:
-                frame = decode_frame(body)
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
-                if is_unknown_kind(body):
-                    self._log_bad(f"left out: {error}")
-                    continue
-                self._refuse(str(error))
-                return
-            self._on_frame(self, frame)
-        if start:
-            del received[:start]
-
-    def send(self, frame: Frame, encoded: bytes = b"") -> None:
-        """Send a frame at once: to gather those of a turn costs the loop another turn."""
-        if self.transport is not None:
-            self.transport.write(encoded or encode_frame(frame))
-
-    @property
-    def unsent_bytes(self) -> int:
-        """Return the bytes that the other end has yet to read."""
-        return 0 if self.transport is None else self.transport.get_write_buffer_size()
-
-    def close(self) -> None:
-        """Close at once."""
-        if self.transport is not None:
-            self.transport.abort()
-
-    def _refuse(self, reason: str) -> None:
-        self._log_bad(reason)
-        self.close()
-
-    def _log_bad(self, reason: str) -> None:
-        peer = self.transport.get_extra_info("peername") if self.transport else None
-        log_event(Event.BAD_FRAME, peer=str(peer), error=reason)
-
 
 class AwaitedCall(msgspec.Struct, frozen=True):
     """Hold who awaits the result of a call, and whether it may be sent again elsewhere."""
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from daisywharf._ids import VmId
+from daisywharf._mesh._frame_protocol import FrameProtocol
 from daisywharf._mesh._frames import (
     Call,
     Cancel,
@@ -24,7 +25,7 @@
 )
 from daisywharf._mesh._in_force import InForce
 from daisywharf._mesh._incoming import IncomingCalls
-from daisywharf._mesh._links import FrameProtocol, OutLink
+from daisywharf._mesh._links import OutLink
 from daisywharf._mesh._load_board import note_heard
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord
--- a/src/daisywharf/_mesh/_pending.py
+++ b/src/daisywharf/_mesh/_pending.py
@@ -8,9 +8,8 @@
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import RequestId, ServiceName, TargetId
 from daisywharf._mesh._dialect import RequestHead
-from daisywharf._mesh._frames import Answered, Call
+from daisywharf._mesh._frames import Answered, Call, OnCallResult
 from daisywharf._mesh._http_server import Exchange
-from daisywharf._mesh._links import OnCallResult
 from daisywharf._outcomes._next_step import Progress
 from daisywharf._overload._chain import ChainLevel
 from daisywharf._routing._placement import Candidate
--- a/src/daisywharf/_mesh/_results.py
+++ b/src/daisywharf/_mesh/_results.py
@@ -3,8 +3,7 @@
 from typing import Final
 
 from daisywharf._errors import ErrorKind
-from daisywharf._mesh._frames import Answered, Unanswered
-from daisywharf._mesh._links import CallResult
+from daisywharf._mesh._frames import Answered, CallResult, Unanswered
 from daisywharf._outcomes._next_step import AttemptEnd
 
 MISDIRECTED: Final = 421
--- a/src/daisywharf/platform/_store.py
+++ b/src/daisywharf/platform/_store.py
@@ -9,7 +9,8 @@
 
 from daisywharf._configuration import Configuration
 from daisywharf._errors import ErrorKind, PlatformError
-from daisywharf._mesh._http_client import HttpAnswer, HttpFailure, HttpPool
+from daisywharf._mesh._http_answers import HttpAnswer, HttpFailure
+from daisywharf._mesh._http_client import HttpPool
 from daisywharf._mesh._learned import Learned
 from daisywharf._mesh._model import MemberRecord
 from daisywharf._mesh._store import ConfigurationRead
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -20,7 +20,8 @@
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._ids import ServiceName, TargetId, Version, VmId, ZoneName
 from daisywharf._mesh._daemon import MeshDaemon
-from daisywharf._mesh._http_client import HttpAnswer, HttpPool, HttpResult
+from daisywharf._mesh._http_answers import HttpAnswer, HttpResult
+from daisywharf._mesh._http_client import HttpPool
 from daisywharf._mesh._http_server import Exchange, HttpServer
 from daisywharf._mesh._learned import Learned
 from daisywharf._mesh._model import MemberRecord, Readiness, TargetNotice
--- a/tests/test_bytes_without_end.py
+++ b/tests/test_bytes_without_end.py
@@ -11,7 +11,8 @@
 from daisywharf._configuration import ClientLimits
 from daisywharf._errors import ErrorKind
 from daisywharf._mesh._held import HeldBytes, most_held
-from daisywharf._mesh._http_client import HttpAnswer, HttpFailure, HttpPool, HttpResult
+from daisywharf._mesh._http_answers import HttpAnswer, HttpFailure, HttpResult
+from daisywharf._mesh._http_client import HttpPool
 from daisywharf._mesh._http_server import Exchange, HttpServer
 
 # The smallest machines of the users' deployments.
--- a/tests/test_failures_of_similar_systems.py
+++ b/tests/test_failures_of_similar_systems.py
@@ -21,9 +21,18 @@
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import ServiceName, TargetId
 from daisywharf._mesh._daemon import MeshDaemon
-from daisywharf._mesh._frames import Answered, Call, Frame, GateLoad, Members, Unanswered
-from daisywharf._mesh._http_client import HttpAnswer
-from daisywharf._mesh._links import CallResult, FrameProtocol, LinkServer, OutLink
+from daisywharf._mesh._frame_protocol import FrameProtocol
+from daisywharf._mesh._frames import (
+    Answered,
+    Call,
+    CallResult,
+    Frame,
+    GateLoad,
+    Members,
+    Unanswered,
+)
+from daisywharf._mesh._http_answers import HttpAnswer
+from daisywharf._mesh._links import LinkServer, OutLink
 from daisywharf._mesh._model import MemberRecord, Readiness, TargetRecord
 from daisywharf.platform._headers import PlatformDialect
 from test_mesh_answers import RawTarget
--- a/tests/test_fuzzed_input.py
+++ b/tests/test_fuzzed_input.py
@@ -10,6 +10,7 @@
 
 from builders_transport import FedTransport, in_pieces
 from daisywharf._errors import ConfigurationError, RequestError
+from daisywharf._mesh._frame_protocol import FrameProtocol
 from daisywharf._mesh._frames import (
     LENGTH_BYTES,
     Deposit,
@@ -23,16 +24,9 @@
     WantRepeat,
     encode_frame,
 )
-from daisywharf._mesh._http_client import (
-    Asked,
-    ClientConnection,
-    HttpAnswer,
-    HttpPool,
-    HttpResult,
-    Ownership,
-)
+from daisywharf._mesh._http_answers import Asked, HttpAnswer, HttpResult, Ownership
+from daisywharf._mesh._http_client import ClientConnection, HttpPool
 from daisywharf._mesh._http_server import Exchange, HttpServer, ServerConnection
-from daisywharf._mesh._links import FrameProtocol
 from daisywharf._mesh._model import TargetNotice
 from daisywharf._topology import Address
 from daisywharf.platform._configuration import read_configuration
--- a/tests/test_mesh_answers.py
+++ b/tests/test_mesh_answers.py
@@ -17,7 +17,7 @@
     notice,
     route,
 )
-from daisywharf._mesh._http_client import HttpAnswer
+from daisywharf._mesh._http_answers import HttpAnswer
 from daisywharf._topology import Address
 
 Behave = Callable[[int, str, asyncio.StreamWriter], Awaitable[None]]
--- a/tests/test_mesh_fleet.py
+++ b/tests/test_mesh_fleet.py
@@ -21,9 +21,8 @@
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import ServiceName, VmId
 from daisywharf._mesh._announcements import Verdict, judge_notice
-from daisywharf._mesh._frames import Call, Frame, Unanswered
-from daisywharf._mesh._http_client import HttpAnswer
-from daisywharf._mesh._links import CallResult
+from daisywharf._mesh._frames import Call, CallResult, Frame, Unanswered
+from daisywharf._mesh._http_answers import HttpAnswer
 from daisywharf._mesh._model import Readiness
 from daisywharf._mesh._watching import WATCHERS_A_ZONE, WatchReport, watchers_before
 from daisywharf._outcomes._pause import PauseState, pause_tick
--- a/tests/test_mesh_log.py
+++ b/tests/test_mesh_log.py
@@ -13,7 +13,8 @@
 from daisywharf._configuration import RouteName
 from daisywharf._ids import ServiceName, ZoneName
 from daisywharf._mesh._counts import MOST_SERIES, MeshCounts, request_metrics
-from daisywharf._mesh._http_client import HttpAnswer, HttpPool
+from daisywharf._mesh._http_answers import HttpAnswer
+from daisywharf._mesh._http_client import HttpPool
 from daisywharf._mesh._http_server import HttpServer
 from daisywharf._mesh._log_writer import MOST_HELD_BYTES, LogWriter
 from daisywharf._signals import _log
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -12,7 +12,7 @@
     in_loop,
     route,
 )
-from daisywharf._mesh._http_client import HttpAnswer, HttpResult
+from daisywharf._mesh._http_answers import HttpAnswer, HttpResult
 
 
 async def _two_daemons(target: TargetStandIn, *routes: object) -> MeshWorld:
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -17,7 +17,7 @@
     route,
 )
 from daisywharf._configuration import ClientLimits, Configuration
-from daisywharf._mesh._http_client import HttpAnswer
+from daisywharf._mesh._http_answers import HttpAnswer
 from daisywharf._mesh._routes import RouteTable, find_route
 
 HEAD = "Host: shop.example\r\nAttempt-Id: c1\r\nDeadline-Ms: 5000\r\n"
--- a/tests/test_mesh_versions.py
+++ b/tests/test_mesh_versions.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from daisywharf._mesh._frame_protocol import FrameProtocol
 from daisywharf._mesh._frames import (
     LENGTH_BYTES,
     UNKNOWN_MS,
@@ -14,7 +15,7 @@
     encode_frame,
     is_unknown_kind,
 )
-from daisywharf._mesh._links import ANSWERED_FRAMES, FrameProtocol
+from daisywharf._mesh._links import ANSWERED_FRAMES
 
 
 class _Transport:
--- a/tests/test_repeat_pool.py
+++ b/tests/test_repeat_pool.py
@@ -6,7 +6,7 @@
 
 from builders_mesh import Client, MeshWorld, TargetStandIn, eventually, in_loop
 from daisywharf._ids import ServiceName
-from daisywharf._mesh._http_client import HttpAnswer
+from daisywharf._mesh._http_answers import HttpAnswer
 from daisywharf._routing._repeat_budget import (
     LARGE_FLEET,
     RepeatBudget,
