Leave an own zone whose targets aren't well

Cause, seen in reading: in a service of more than six targets calls stayed in the own zone by its load alone, so that one failing or silent target there, the only one, got nearly all of them: stale loads count as 0.65. Change: targets of the own zone count only while they seem to take less than five times the usual time. Both tests in tests/test_mesh_placement.py failed before: a zone that lost power, a zone's only target that fails.

--- a/src/daisywharf/_routing/_placement.py
+++ b/src/daisywharf/_routing/_placement.py
@@ -28,6 +28,9 @@
 # Occupied part of the own zone from which on calls go to others, and where all of them may.
 SPILL_FROM: Final = 0.6
 SPILL_ALL: Final = 0.95
+# A target of the own zone that seems to take this many times the usual time, by what it took, what
+# failed there or how long nothing was heard of it, isn't kept to.
+UNWELL_FACTOR: Final = 5.0
 # Times a call's own time that a target in another zone is taken to cost more: bytes between zones
 # are paid for. It outweighs targets of twice the speed, and an idle gate over one that has room,
 # but not a queue: `WAIT_FACTOR` makes up for it where the own gate is full.
@@ -153,7 +156,8 @@
 
 def _draw(sound: list[Candidate], kind: str, *, now: float, rng: Random) -> Candidate:
     """Draw a target by its room and speed, in the own zone while that has room."""
-    pool = _spare_zone(sound, now=now, rng=rng)
+    typical_s = _typical_latency(sound, kind)
+    pool = _zone_with_room(sound, kind, typical_s, now=now, rng=rng)
     if len(pool) > MOST_DRAWN:
         pool = rng.sample(pool, MOST_DRAWN)
     typical_s = _typical_latency(pool, kind)
@@ -166,9 +170,16 @@
     return rng.choices(pool, [weight(candidate) for candidate in pool])[0]
 
 
-def _spare_zone(sound: list[Candidate], *, now: float, rng: Random) -> list[Candidate]:
-    """Return the own zone's targets, or those of all zones as often as its load asks for it."""
-    own = [candidate for candidate in sound if candidate.record.is_own_zone]
+def _zone_with_room(
+    sound: list[Candidate], kind: str, typical_s: float, *, now: float, rng: Random
+) -> list[Candidate]:
+    """Return the own zone's targets that are well, or, as its load asks for it, those of all."""
+    most_s = UNWELL_FACTOR * typical_s
+    own = [
+        candidate
+        for candidate in sound
+        if candidate.record.is_own_zone and _unloaded_s(candidate, kind, typical_s, now) <= most_s
+    ]
     if not own:
         return sound
     occupied_part = sum(_occupied_part(candidate, now) for candidate in own) / len(own)
--- a/tests/test_mesh_placement.py
+++ b/tests/test_mesh_placement.py
@@ -6,6 +6,7 @@
 from daisywharf._experiments._placement import PlacementSettings, PlacementWorld
 from daisywharf._ids import Incarnation, ServiceName, TargetId, VmId, ZoneName
 from daisywharf._routing._placement import (
+    Candidate,
     Placement,
     hear_load,
     note_bad,
@@ -196,3 +197,26 @@
     """Replay an entry that is itself cut off for a while."""
     chosen = _chosen(_placement("a", "a", "a", "a"), now=30.0)
     assert min(chosen.values()) >= 0.15 * sum(chosen.values())
+
+
+def test_a_zone_whose_targets_are_silent_is_left_for_those_that_are_heard() -> None:
+    """Replay machines of the own zone that lose power, in a service of many targets."""
+    placement = _placement("a", "a", *"bbbcccddd")
+    for number in range(2, 11):
+        _load(placement, number, 20, now=5.0)
+    chosen = _chosen(placement, now=5.1)
+    assert chosen["t-0"] + chosen["t-1"] <= 0.05 * sum(chosen.values())
+
+
+def test_a_zone_s_only_target_that_fails_is_left_for_those_of_other_zones() -> None:
+    placement = _placement("a", *"bbbcccddd")
+    for number in range(10):
+        note_success(_candidate(placement, number), "r", latency_s=0.04, now=0.1)
+    for _ in range(20):
+        note_failed_answer(_candidate(placement, 0), now=0.1)
+    chosen = _chosen(placement, now=0.2)
+    assert chosen["t-0"] <= 0.1 * sum(chosen.values())
+
+
+def _candidate(placement: Placement, number: int) -> Candidate:
+    return placement.candidate_by_id[TargetId(f"t-{number}")]
