Ask a few daemons for all records at a time, not each that a link is opened to

Cause, as far as it is known: a daemon that restarts hears from all others at once, opens a link to each and says how many it knows, at first only itself; each answers with all records, 2 MB in all at 300, times the restarts. Ruled out: loads, reports and configurations, whose bytes a daemon are bounded at 300 by test. Change: three daemons a second are asked; what is missed comes by each daemon's own word, by what others pass on and by the store's list.

--- a/src/daisywharf/_mesh/_membership.py
+++ b/src/daisywharf/_mesh/_membership.py
@@ -15,6 +15,12 @@
 
 # Daemons to which news of others are passed on, beside the origin's own word to all.
 PASSED_ON_TO: Final = 3
+# Daemons that are asked for all records in a second: where many links are opened at once, as by
+# daemons that start, each would send them all, and their bytes grow with the fleet's cube.
+LISTS_A_SECOND: Final = 3
+LIST_PERIOD_S: Final = 1.0
+# Says in a greeting that nothing is wanted: it is more than any fleet has.
+WANTS_NO_LIST: Final = 1_000_000
 # A daemon that can't be reached for this long is forgotten; its return makes it known again.
 FORGET_AFTER_S: Final = 60.0
 
@@ -43,6 +49,8 @@
         self._unreachable_since: dict[VmId, float] = {}
         self._on_frame = on_frame
         self._version = version
+        self._lists_wanted = 0
+        self._lists_counted_at = float("-inf")
 
     def announce(self, own: MemberRecord) -> None:
         """Say something new of this daemon to all others."""
@@ -110,16 +118,25 @@
         self.seed_links[address] = OutLink(
             address,
             now=self.now,
-            on_up=self._greet,
+            on_up=self.greet,
             on_down=lambda _link: None,
             on_frame=self._on_frame,
         )
 
-    def _greet(self, link: OutLink) -> None:
-        link.send(Hello(self.own, len(self.record_by_vm), self._version()))
+    def greet(self, link: OutLink) -> None:
+        """Say who this is; ask for what others there are, unless enough were asked just now."""
+        known = len(self.record_by_vm) if self._may_want_list() else WANTS_NO_LIST
+        link.send(Hello(self.own, known, self._version()))
+
+    def _may_want_list(self) -> bool:
+        now = self.now()
+        if now - self._lists_counted_at >= LIST_PERIOD_S:
+            self._lists_counted_at, self._lists_wanted = now, 0
+        self._lists_wanted += 1
+        return self._lists_wanted <= LISTS_A_SECOND
 
     def _note_up(self, vm: VmId, link: OutLink) -> None:
-        self._greet(link)
+        self.greet(link)
         self._unreachable_since.pop(vm, None)
         log_event(Event.LINK_OPENED, peer=vm)
         record = self.record_by_vm.get(vm)
--- a/tests/test_mesh_hundreds.py
+++ b/tests/test_mesh_hundreds.py
@@ -4,10 +4,15 @@
 from random import Random
 from typing import Final
 
+import pytest
+
 from builders_mesh import notice
 from builders_virtual_fleet import VirtualFleet
 from daisywharf._ids import ServiceName, TargetId
 from daisywharf._mesh._daemon import MeshDaemon
+from daisywharf._mesh._frame_protocol import FrameProtocol
+from daisywharf._mesh._frames import Frame, Members
+from daisywharf._mesh._membership import LISTS_A_SECOND
 from daisywharf._mesh._model import Readiness
 from daisywharf._mesh._reporting import MOST_REPORTS
 from daisywharf._routing._placement import SUSPECT_AFTER_S, Candidate, place
@@ -72,6 +77,38 @@
     in_virtual_time(scenario)
 
 
+def test_daemons_that_restart_are_not_sent_all_records_by_each_other_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """With 300 daemons it was 2 MB for each restart."""
+    lists = 0
+    send = FrameProtocol.send
+
+    def counted(self: FrameProtocol, frame: Frame, encoded: bytes = b"") -> None:
+        nonlocal lists
+        lists += isinstance(frame, Members) and len(frame.records) > sum(VMS_BY_ZONE.values()) / 2
+        send(self, frame, encoded)
+
+    monkeypatch.setattr(FrameProtocol, "send", counted)
+
+    async def scenario(net: VirtualNet) -> None:
+        nonlocal lists
+        fleet = await _fleet(net)
+        lists = 0
+        names = list(fleet.vm_by_name)[::3]
+        fleet.kill(*names)
+        await asyncio.sleep(1.0)
+        for name in names:
+            fleet.start_daemon(fleet.vm_by_name[name])
+        await asyncio.sleep(JOIN_S)
+        known = {len(daemon.membership.record_by_vm) for daemon in _daemons(fleet)}
+        assert known == {len(fleet.vm_by_name)}
+        # A daemon reads the store's list within two seconds of its start, and asks for no other.
+        assert lists <= 2 * LISTS_A_SECOND * len(names)
+
+    in_virtual_time(scenario)
+
+
 def test_a_target_that_joins_is_known_everywhere_in_time() -> None:
     async def scenario(net: VirtualNet) -> None:
         fleet = await _fleet(net)
