Tell which limit a target names, and how many calls its gate starts

Change: the adapter reads Server-Limit and Server-Leaving; the head of an answer is judged as soon as it is read, so what it says is in the order in which the target said it. Lines 208 and 209, 711 with what was started and the limit, daisywharf_gate_started_total and daisywharf_gate_limit_per_second. No call is held back by it yet. Before: no line. After: each of the four hypotheses leaves other lines: none of 208 (not read), 208 late or at few (not kept), 711 above the limit beside 208 (not for all calls), 209 (forgotten).

--- a/src/daisywharf/_mesh/_counts.py
+++ b/src/daisywharf/_mesh/_counts.py
@@ -97,6 +97,8 @@
     waiting: int,
     limit: int,
     level: float,
+    started: int,
+    per_s: float,
     version: int,
     members: int,
     links_up: int,
@@ -110,6 +112,7 @@
         ("daisywharf_gate_waiting", "Calls that wait for a slot.", waiting),
         ("daisywharf_gate_limit", "Slots that are used at once.", limit),
         ("daisywharf_gate_level", "Importance from which requests are refused.", level),
+        ("daisywharf_gate_limit_per_second", "Calls a second that the target takes.", per_s),
         ("daisywharf_configuration_version", "Version in force.", version),
         ("daisywharf_members", "Daemons known, this one included.", members),
         ("daisywharf_links_up", "Links to other daemons that are up.", links_up),
@@ -121,4 +124,7 @@
         ),
         ("daisywharf_store_contact_age_seconds", "Time since the store answered.", store_contact_s),
     )
-    return [gauge(name, text, Sample(value)) for name, text, value in given]
+    calls = counter(
+        "daisywharf_gate_started_total", "Calls that were sent to the target.", Sample(started)
+    )
+    return [calls, *(gauge(name, text, Sample(value)) for name, text, value in given)]
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -35,6 +35,7 @@
 from daisywharf._mesh._summaries import Summaries
 from daisywharf._outcomes._pause import PAUSE_LIMIT_S, PauseState, pause_tick
 from daisywharf._overload._actions import CallId
+from daisywharf._overload._start_rate import UNLIMITED_PER_S
 from daisywharf._routing._repeat_budget import RepeatBudget
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
@@ -371,6 +372,8 @@
             waiting=load.waiting,
             limit=load.limit,
             level=load.level,
+            started=self.gate.started,
+            per_s=UNLIMITED_PER_S if self.gate.rate.per_s is None else self.gate.rate.per_s,
             version=self.version,
             members=len(self.membership.record_by_vm),
             links_up=sum(link.is_up for link in self.membership.link_by_vm.values()),
--- a/src/daisywharf/_mesh/_dialect.py
+++ b/src/daisywharf/_mesh/_dialect.py
@@ -21,7 +21,9 @@
     """Hold what a target's answer says; `request_id` is empty where it names none.
 
     `is_signed` tells whether the target vouches for it, `is_not_run` whether the target says that
-    it didn't run the request, and `idle_s` how long its connection may be idle.
+    it didn't run the request, and `idle_s` how long its connection may be idle. `names_limit` tells
+    whether it says how many requests a second the target takes in all, `most_per_s` how many, where
+    that can be read, and `is_leaving` whether the target says that it leaves.
     """
 
     request_id: str
@@ -29,6 +31,9 @@
     is_not_run: bool
     is_encoded: bool
     idle_s: float | None
+    names_limit: bool
+    most_per_s: float | None
+    is_leaving: bool
     passed_on: bytes
 
 
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -31,6 +31,7 @@
     release,
     withdraw,
 )
+from daisywharf._overload._start_rate import StartRate, hear_no_limit, name_limit
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 
@@ -50,6 +51,7 @@
 # A target ends its work at the deadline that it is given; an answer without an end so long after
 # that holds a slot for nobody.
 OVERTIME_S: Final = 5.0
+FIRST_FAILURE: Final = 500  # statuses from here on may come from a failing part of the target
 
 
 class GateCall(msgspec.Struct):
@@ -63,6 +65,8 @@
     is_given_up: bool = False
     answer_head: AnswerHead | None = None
     started_at: float = 0.0
+    # When the target's own head was read; none where it came from an earlier incarnation.
+    head_at: float | None = None
 
 
 class Gate:
@@ -75,6 +79,8 @@
         self.notice: TargetNotice | None = None
         self.slots = SlotGate(slots=1)
         self.pressure = Pressure(now=now())
+        self.rate = StartRate()
+        self.started = 0
         self.counts = CallCounts(now=now())
         self.ceiling = float(len(Importance))
         self.entries = 1  # daemons of the fleet, which follow this gate's level
@@ -128,6 +134,7 @@
         self.slots = SlotGate(slots=notice.slots)
         self.slots.is_closed = self.is_stopping
         self.pressure = Pressure(now=self.now())
+        self.rate = StartRate()
         self._pool = HttpPool(notice.address, now=self.now, held=self.held)
 
     def submit(self, call: Call, on_result: OnCallResult) -> CallId:
@@ -244,6 +251,7 @@
         pool, notice, call = self._pool, self.notice, gate_call.call
         assert pool is not None and notice is not None
         gate_call.started_at = self.now()
+        self.started += 1
         left_ms = int((gate_call.deadline - gate_call.started_at) * MS)
         note_half_run(self.counts, Kind(call.route))
         lines = self.dialect.target_lines(
@@ -256,6 +264,8 @@
 
         def judge(headers: Sequence[HeaderPair]) -> Ownership:
             head = gate_call.answer_head = self.dialect.read_answer(headers)
+            if head.request_id == call.request_id and self._pool is pool:
+                self._hear_head(gate_call, head)
             is_own = not head.request_id or head.request_id == call.request_id
             return Ownership(is_own, head.idle_s)
 
@@ -266,6 +276,23 @@
             most_idle_s=USUAL_IDLE_S if gate_call.call.is_idempotent else FRESH_IDLE_S,
         )
 
+    def _hear_head(self, gate_call: GateCall, head: AnswerHead) -> None:
+        """Take what the target says of itself beside an answer."""
+        now = gate_call.head_at = self.now()
+        if head.most_per_s is not None:
+            if head.most_per_s != self.rate.per_s:
+                target = gate_call.call.target_id
+                log_event(Event.TARGET_LIMITED, target=target, per_s=head.most_per_s)
+            name_limit(self.rate, head.most_per_s, now=now)
+
+    def _hear_whole(self, gate_call: GateCall, head: AnswerHead) -> None:
+        """Take that a whole answer names no limit."""
+        heard_at = gate_call.head_at
+        if heard_at is None or head.names_limit:
+            return
+        if hear_no_limit(self.rate, heard_at=heard_at):
+            log_event(Event.TARGET_LIMIT_ENDED, target=gate_call.call.target_id)
+
     def _finish(self, gate_call: GateCall, result: HttpResult) -> None:
         self._forget(gate_call.call_id)
         note_half_run(self.counts, Kind(gate_call.call.route))
@@ -284,6 +311,8 @@
         assert head is not None
         is_own = head.request_id == call.request_id
         is_whole = head.is_signed and is_own and not head.is_encoded
+        if is_whole and result.status < FIRST_FAILURE:
+            self._hear_whole(gate_call, head)
         says_not_run = head.is_not_run or result.status == MISDIRECTED
         # Without its id, a refusal may be a late one to another request.
         if (result.status < 300 and not is_whole) or (says_not_run and not is_own):
--- a/src/daisywharf/_mesh/_http_client.py
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -17,6 +17,7 @@
     HttpResult,
     Judge,
     OnResult,
+    Ownership,
     any_answer,
 )
 from daisywharf._topology import Address
@@ -176,6 +177,7 @@
         # A list of parts would take fifty times the memory of a body in chunks of a byte.
         self._body = bytearray()
         self._counted = MessageBytes()
+        self._ownership: Ownership | None = None
         self._reset_answer()
         self._is_doubtful = False
         self._answer: HttpAnswer | None = None
@@ -267,13 +269,15 @@
             self._headers.append((name, value or b""))
 
     def on_headers_complete(self) -> None:
-        """Tell whether the answer's end shows."""
+        """Tell whether the answer's end shows, and whose answer it is."""
         self._has_head = True
         status = self._parser.get_status_code()
         names = {name.lower() for name, _ in self._headers}
         has_length = b"content-length" in names or b"transfer-encoding" in names
         has_body = status >= 200 and status not in (204, 304)
         self._ends_with_connection = has_body and not has_length
+        if status >= 200 and self.asked is not None:
+            self._ownership = self.asked.judge(self._headers)
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
@@ -295,10 +299,9 @@
             self._complete()
 
     def _complete(self) -> None:
-        asked = self.asked
-        if asked is None:
+        asked, ownership = self.asked, self._ownership
+        if asked is None or ownership is None:
             return
-        ownership = asked.judge(self._headers)
         if not ownership.is_own:
             # A late extra answer: the own one comes behind it, on a connection in doubt.
             self._is_doubtful = True
@@ -351,5 +354,6 @@
         self._has_head = False
         self._reason = b""
         self._headers: list[HeaderPair] = []
+        self._ownership = None
         self._drop_body()
         self._ends_with_connection = False
--- a/src/daisywharf/_mesh/_summaries.py
+++ b/src/daisywharf/_mesh/_summaries.py
@@ -4,6 +4,7 @@
 
 from daisywharf._mesh._counts import EndCounts, EndLabels, MeshCounts, add_ended
 from daisywharf._mesh._gate import Gate
+from daisywharf._overload._start_rate import StartRate
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 
@@ -17,6 +18,7 @@
     def __init__(self, counts: MeshCounts, gate: Gate, *, now: float) -> None:
         self.counts = counts
         self.gate = gate
+        self._started = 0
         self._counted: dict[EndLabels, int] = {}
         self._written_at = now
 
@@ -51,7 +53,10 @@
                 waiting=load.waiting,
                 limit=load.limit,
                 level=load.level,
+                started=self.gate.started - self._started,
+                per_s=_shown(self.gate.rate),
             )
+            self._started = self.gate.started
 
     def _ends_since(self) -> dict[tuple[str, str], EndCounts]:
         ends_by_route: dict[tuple[str, str], EndCounts] = {}
@@ -62,3 +67,10 @@
                 route, service, outcome = labels
                 add_ended(ends_by_route.setdefault((route, service), EndCounts()), outcome, new)
         return ends_by_route
+
+
+def _shown(rate: StartRate) -> float | str:
+    """Return the limit as a line shows it."""
+    if rate.per_s is None:
+        return "unknown"
+    return rate.per_s if rate.is_limited else "any"
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -77,6 +77,10 @@
     TARGET_UNREACHABLE = EventForm(
         207, EventLevel.WARNING, "target {target} takes no connection: {error}"
     )
+    TARGET_LIMITED = EventForm(
+        208, EventLevel.WARNING, "target {target} takes {per_s} requests a second at most"
+    )
+    TARGET_LIMIT_ENDED = EventForm(209, EventLevel.INFO, "target {target} names no limit any more")
 
     CONTRACT_IN_FORCE = EventForm(
         301, EventLevel.INFO, "contract {customer} is in force here at version {version}"
@@ -215,7 +219,7 @@
         711,
         EventLevel.INFO,
         "gate of {target}, {service}: {running} running and {waiting} waiting of {limit},"
-        " level {level}",
+        " level {level}; {started} started, at most {per_s} a second",
     )
 
     @property
--- a/src/daisywharf/platform/_headers.py
+++ b/src/daisywharf/platform/_headers.py
@@ -1,5 +1,6 @@
 """The headers that the platform's clients and targets speak."""
 
+import re
 from collections.abc import Sequence
 from typing import Final
 
@@ -12,9 +13,14 @@
 EXPECTED: Final = b"expected-instance"
 SIGNATURE: Final = b"server-signature"
 NOT_RUN: Final = b"not-executed"
+LIMIT: Final = b"server-limit"  # requests a second from all machines together
+LEAVING: Final = b"server-leaving"
+LEAVES: Final = b"1"
 
 SET_BY_SYSTEM: Final = frozenset({TIME_LEFT, CALLER, EXPECTED})
 LONGEST_TIME_LEFT_S: Final = 3_600.0
+# Six digits before the point are more than any target takes; no sign, exponent or name of a number.
+_RATE: Final = re.compile(rb"[0-9]{1,6}(\.[0-9]{0,9})?")
 
 
 def _milliseconds(value: bytes) -> float | None:
@@ -25,6 +31,10 @@
     return min(max(seconds, 0.0), LONGEST_TIME_LEFT_S)
 
 
+def _per_second(value: bytes) -> float | None:
+    return float(value) if _RATE.fullmatch(value.strip()) else None
+
+
 def _keep_alive_s(value: bytes) -> float | None:
     for token in value.split(b","):
         name, _, number = token.strip().partition(b"=")
@@ -63,8 +73,9 @@
     def read_answer(self, headers: Sequence[HeaderPair]) -> AnswerHead:
         """Read a target's headers."""
         request_id = b""
-        is_signed = is_not_run = is_encoded = False
+        is_signed = is_not_run = is_encoded = is_leaving = False
         idle_s = None
+        limits: list[float | None] = []
         for name, value in headers:
             lowered = name.lower()
             if lowered == REQUEST_ID:
@@ -77,12 +88,19 @@
                 is_encoded = True
             elif lowered == b"keep-alive":
                 idle_s = _keep_alive_s(value)
+            elif lowered == LIMIT:
+                limits.append(_per_second(value))
+            elif lowered == LEAVING:
+                is_leaving = is_leaving or value.strip() == LEAVES
         return AnswerHead(
             request_id.decode("latin-1"),
             is_signed,
             is_not_run,
             is_encoded,
             idle_s,
+            bool(limits),
+            min((limit for limit in limits if limit is not None), default=None),
+            is_leaving,
             head_block(headers, dropped=frozenset()),
         )
 
