--- /dev/null
+++ b/tests/builders_target_words.py
@@ -0,0 +1,181 @@
+"""Build targets that name limits and leavings in answers, and clients that note what they hear."""
+
+import asyncio
+from collections.abc import Iterable
+from random import Random
+from typing import Final
+
+from benchmarks._said_ledger import Arrival, Excuse, Limit, SaidLedger, Told
+
+from builders_mesh import Seen, TargetStandIn, header_of, notice
+from builders_virtual_fleet import ENTRY, VirtualFleet, VirtualVm
+from daisywharf._ids import TargetId
+from daisywharf._mesh._http_answers import HttpAnswer, HttpResult
+from daisywharf._mesh._http_client import HttpPool
+from daisywharf._mesh._model import Readiness
+from daisywharf._topology import Address
+from virtual_net import Process, start_in
+
+TARGET: Final = 8305
+SERVICE: Final = "stock-0"
+WORK_S: Final = 0.09
+HEARTBEAT_S: Final = 1.0
+BOTH_KINDS: Final = ("GET", "POST")
+
+
+class NamingTarget:
+    """Hold one target, what it says of itself in answers, and who asked it."""
+
+    def __init__(self, world: "NamingWorld", vm: VirtualVm, *, number: int) -> None:
+        self.world = world
+        self.vm = vm
+        self.target_id = f"t-{vm.name}-{number}"
+        self.limit_per_s: float | None = None
+        self.is_leaving = False
+        self.work_s = WORK_S
+        self.born_ms = int(world.fleet.now * 1_000)
+        self.sequence = 0
+        self.stand_in = TargetStandIn(self._behave)
+        self.process = Process(vm.host)
+
+    def name_limit(self, per_s: float | None) -> None:
+        """Name a limit from now on, or none any more."""
+        self.limit_per_s = per_s
+        self.world.ledger.limits.append(Limit(self.target_id, per_s, self.world.fleet.now))
+
+    async def start(self) -> None:
+        """Listen, and announce itself now and then."""
+        await start_in(self.process, self.stand_in.server.start(Address(self.vm.host, TARGET)))
+        asyncio.ensure_future(self._announce())
+
+    async def _announce(self) -> None:
+        while True:
+            self.announce()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def announce(self) -> None:
+        """Announce itself as ready to the daemon that runs beside it, if one does."""
+        self.sequence += 1
+        daemon = self.vm.daemon
+        if daemon is not None and not self.vm.process.is_suspended:
+            said = notice(
+                Address(self.vm.host, TARGET),
+                target_id=TargetId(self.target_id),
+                service=SERVICE,
+                slots=40,
+                readiness=Readiness.READY,
+                born_ms=self.born_ms,
+                sequence=self.sequence,
+            )
+            self.vm.process.context.run(daemon.take_notice, said)
+
+    def _behave(self, seen: Seen) -> None:
+        self.world.note_arrival(self, seen)
+        asyncio.get_running_loop().call_later(self.work_s, self._answer, seen)
+
+    def _answer(self, seen: Seen) -> None:
+        said = {"From_Target": self.target_id}
+        if self.limit_per_s is not None:
+            said["Server_Limit"] = f"{self.limit_per_s}"
+        if self.is_leaving:
+            said["Server_Leaving"] = "1"
+        seen.answer(**said)
+
+
+class NamingWorld:
+    """Hold a fleet, the targets beside its daemons, clients on each VM, and what all saw."""
+
+    def __init__(self, fleet: VirtualFleet, *, seed: int = 7) -> None:
+        self.fleet = fleet
+        self.rng = Random(seed)
+        self.ledger = SaidLedger()
+        self.target_by_vm: dict[str, NamingTarget] = {}
+        self.statuses: list[tuple[float, int]] = []
+        self._sent_by_request: dict[str, tuple[str, int, float]] = {}
+        self._client = Process("10.99.0.1")
+        self._pools: dict[tuple[str, int], HttpPool] = {}
+        self._last = 0
+
+    async def start(self) -> None:
+        """Start a target beside each daemon, and let the daemons know of all."""
+        for vm in self.fleet.vm_by_name.values():
+            await self.start_target(vm.name)
+        if self.fleet.version == 1:
+            self.fleet.change()
+        await asyncio.sleep(2.0)
+
+    async def start_target(self, name: str) -> NamingTarget:
+        """Start a target on a VM, in place of the one before it."""
+        earlier = self.target_by_vm.get(name)
+        number = 1 if earlier is None else int(earlier.target_id.rpartition("-")[2]) + 1
+        target = NamingTarget(self, self.fleet.vm_by_name[name], number=number)
+        self.target_by_vm[name] = target
+        await target.start()
+        return target
+
+    def excuse(self, name: str, *, lasts_s: float) -> None:
+        """Note that a VM is frozen or cut off from now on."""
+        now = self.fleet.now
+        self.ledger.excuses.append(Excuse(name, now, now + lasts_s))
+
+    def note_arrival(self, target: NamingTarget, seen: Seen) -> None:
+        """Note that a request reached a target."""
+        request = seen.header["attempt-id"]
+        vm, process, sent_at = self._sent_by_request[request]
+        self.ledger.arrivals.append(
+            Arrival(target.target_id, request, vm, process, sent_at, self.fleet.now)
+        )
+
+    def send(self, name: str, *, method: str = "GET") -> None:
+        """Send a request to the daemon of a VM."""
+        vm = self.fleet.vm_by_name[name]
+        self._last += 1
+        request = f"{name}.{self._last}"
+        place = (name, vm.starts)
+        self._sent_by_request[request] = (*place, self.fleet.now)
+
+        def note(result: HttpResult) -> None:
+            now = self.fleet.now
+            status = result.status if isinstance(result, HttpAnswer) else 0
+            self.statuses.append((now, status))
+            if not isinstance(result, HttpAnswer):
+                return
+            target = header_of(result, "From-Target")
+            if target is not None and header_of(result, "Server-Limit") is not None:
+                self.ledger.told_limits.append(Told(target, *place, now))
+            if target is not None and header_of(result, "Server-Leaving") is not None:
+                self.ledger.told_leavings.append(Told(target, *place, now))
+
+        pool = self._pools.get(place)
+        if pool is None:
+            address = Address(vm.host, ENTRY)
+            pool = self._pools[place] = HttpPool(address, now=self.fleet.net.loop.time)
+        length = "Content-Length: 0\r\n" if method == "POST" else ""
+        head = f"{method} /orders/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {request}\r\n"
+        self._client.context.run(
+            pool.ask, f"{head}Deadline-Ms: 3000\r\n{length}\r\n".encode(), note
+        )
+
+    async def load(
+        self, *, per_s: float, lasts_s: float, names: Iterable[str] | None = None
+    ) -> None:
+        """Send requests to the daemons of these VMs, or of all."""
+        wanted = list(self.fleet.vm_by_name if names is None else names)
+        until = self.fleet.now + lasts_s
+        while self.fleet.now < until:
+            await asyncio.sleep(self.rng.expovariate(per_s))
+            name = self.rng.choice(wanted)
+            if self.fleet.vm_by_name[name].daemon is not None:
+                self.send(name, method=self.rng.choice(BOTH_KINDS))
+
+    def served_part(self, *, since: float) -> float:
+        """Return the part of requests that ended well, of those that ended since a time."""
+        ended = [status for at, status in self.statuses if at >= since]
+        return sum(status == 200 for status in ended) / max(1, len(ended))
+
+    def got(self, target: NamingTarget, *, since: float, until: float) -> int:
+        """Return how many requests reached a target in a time."""
+        return sum(
+            arrival.target == target.target_id and since <= arrival.at < until
+            for arrival in self.ledger.arrivals
+        )
--- /dev/null
+++ b/tests/test_target_limits.py
@@ -0,0 +1,86 @@
+"""A target that names a limit in its answers gets no more than it; one that leaves gets nothing."""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+from benchmarks._said_ledger import broken_words, judged_arrivals
+
+from builders_target_words import NamingWorld
+from builders_virtual_fleet import VirtualFleet
+from virtual_net import VirtualNet, in_virtual_time
+
+ZONES = {"perth-a": 3, "perth-b": 2, "perth-c": 1}
+IN_NEED = "perth-b-1"
+Scenario = Callable[[NamingWorld], Awaitable[None]]
+
+
+def _play(scenario: Scenario, *, seed: int = 7) -> None:
+    async def play(net: VirtualNet) -> None:
+        fleet = VirtualFleet(net, vms_by_zone=ZONES)
+        await fleet.start()
+        world = NamingWorld(fleet, seed=seed)
+        await world.start()
+        await scenario(world)
+
+    in_virtual_time(play)
+
+
+@pytest.mark.parametrize("per_s", [0.0, 0.5, 4.1, 20.5])
+def test_a_target_gets_no_more_than_the_limit_that_it_names(per_s: float) -> None:
+    async def scenario(world: NamingWorld) -> None:
+        await world.load(per_s=300.0, lasts_s=3.0)
+        world.target_by_vm[IN_NEED].name_limit(per_s)
+        await world.load(per_s=300.0, lasts_s=12.0)
+        assert broken_words(world.ledger) == []
+
+    _play(scenario)
+
+
+def test_a_limit_holds_after_a_restart_of_the_daemon_beside_its_target() -> None:
+    async def scenario(world: NamingWorld) -> None:
+        target = world.target_by_vm[IN_NEED]
+        target.name_limit(0.8)
+        target.work_s = 0.6
+        await world.load(per_s=300.0, lasts_s=6.0)
+        for _ in range(3):
+            world.fleet.kill(IN_NEED)
+            await world.load(per_s=300.0, lasts_s=0.5)
+            world.fleet.start_daemon(world.fleet.vm_by_name[IN_NEED])
+            await world.load(per_s=300.0, lasts_s=1.5)
+        await world.load(per_s=300.0, lasts_s=4.0)
+        assert judged_arrivals(world.ledger) > 0
+        assert broken_words(world.ledger) == []
+
+    _play(scenario)
+
+
+def test_a_target_that_says_in_an_answer_that_it_leaves_gets_nothing_more() -> None:
+    async def scenario(world: NamingWorld) -> None:
+        await world.load(per_s=100.0, lasts_s=2.0)
+        target = world.target_by_vm[IN_NEED]
+        target.is_leaving = True
+        await world.load(per_s=100.0, lasts_s=8.0)
+        assert world.ledger.told_leavings
+        assert broken_words(world.ledger) == []
+
+    _play(scenario)
+
+
+def test_a_leaving_said_in_an_answer_holds_after_a_restart_of_the_daemon_beside_the_target() -> (
+    None
+):
+    async def scenario(world: NamingWorld) -> None:
+        fleet = world.fleet
+        await world.load(per_s=100.0, lasts_s=2.0)
+        world.target_by_vm[IN_NEED].is_leaving = True
+        await world.load(per_s=100.0, lasts_s=0.5)
+        # Its daemon and the store know nothing more from here on.
+        fleet.cut_from_store(fleet.vm_by_name)
+        fleet.kill(IN_NEED)
+        await world.load(per_s=100.0, lasts_s=0.5)
+        fleet.start_daemon(fleet.vm_by_name[IN_NEED])
+        await world.load(per_s=100.0, lasts_s=8.0)
+        assert world.ledger.told_leavings
+        assert broken_words(world.ledger) == []
+
+    _play(scenario)
