Keep a target's limit at its gate, and each entry to its part of it

Cause: nobody read Server-Limit. Nothing else would have held calls back, as its slots stay free. Change: the gate, through which all calls for its target go, starts them at the named rate; calls wait by importance, and are refused at once where their turn would come too late. Entries send their parts of the limit while other targets are left. A gate's room is what its rate fills, so that entries shed the least important where all targets of a service are limited. A gate's daemon that has just started learns the limit from the first call of a daemon that had passed it on, before it starts that call; a limit is that of one incarnation, and ends with answers that don't name it.

--- a/src/daisywharf/_experiments/_placement.py
+++ b/src/daisywharf/_experiments/_placement.py
@@ -15,7 +15,18 @@
 from daisywharf._outcomes._next_step import MOST_GATES_TRIED
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
 from daisywharf._overload._queue import WaitingCall
-from daisywharf._overload._slots import SlotGate, arrive, expire, release
+from daisywharf._overload._slots import (
+    SlotGate,
+    arrive,
+    expire,
+    load_part,
+    next_turn_in_s,
+    note_run,
+    release,
+    room,
+    start_waiting,
+)
+from daisywharf._overload._start_rate import name_limit
 from daisywharf._routing._placement import (
     Candidate,
     Placement,
@@ -47,6 +58,9 @@
     slow_targets: int = 1
     slow_factor: float = 12.0
     slow_from_s: float = 3.0
+    # Targets that name a limit from then on, and that limit.
+    limited_targets: int = 0
+    limit_per_s: float = 4.0
     lasts_s: float = 7.0
     reports_each: int = 32  # entries that one target's daemon reports to in a period
 
@@ -74,6 +88,8 @@
         self.latencies: list[float] = []
         self.refused = 0
         self.second_gates = 0
+        self.started = [0] * settings.targets
+        self.most_load = [0.0] * settings.targets
         self.samples: list[Sample] = []
         self._call_by_id: dict[CallId, PlacedCall] = {}
         self._last_number = 0
@@ -85,9 +101,11 @@
 
     def _placement(self, entry: int) -> Placement:
         settings = self.settings
-        return placement_of(
+        placement = placement_of(
             entry=entry, targets=settings.targets, slots=settings.slots, zones=settings.zones
         )
+        placement.entries = settings.entries
+        return placement
 
     def run(self, *, until_s: float) -> None:
         """Let the entries place calls until a time, and sample what comes back."""
@@ -96,6 +114,11 @@
             run_until(self.loop, min(until_s, self.loop.now + SAMPLE_S))
             self._sample(self.latencies[first:], refused=self.refused - refused)
 
+    def name_limits(self) -> None:
+        """Let targets in need name their limits from now on."""
+        for gate in self.gates[: self.settings.limited_targets]:
+            name_limit(gate.rate, self.settings.limit_per_s, now=self.loop.now)
+
     def _sample(self, latencies: list[float], *, refused: int) -> None:
         loads = [len(gate.running) + gate.queue.size for gate in self.gates]
         mean = sum(loads) / len(loads)
@@ -140,9 +163,17 @@
                 self._run(number, action.call_id)
             elif isinstance(action, Refuse):
                 self._go_elsewhere(number, action.call_id)
+        turn_s = next_turn_in_s(self.gates[number], now=self.loop.now)
+        if turn_s:
+            call_later(self.loop, turn_s, lambda: self._take_turn(number))
+
+    def _take_turn(self, number: int) -> None:
+        self._apply(number, start_waiting(self.gates[number], now=self.loop.now))
 
     def _run(self, number: int, call_id: CallId) -> None:
         work_s = self.rng.expovariate(1.0 / self.work_s[number])
+        self.started[number] += 1
+        note_run(self.gates[number], work_s)
         call_later(self.loop, work_s, lambda: self._end(number, call_id))
 
     def _go_elsewhere(self, number: int, call_id: CallId) -> None:
@@ -174,14 +205,16 @@
             placement,
             TargetId(str(number)),
             occupied=len(gate.running) + gate.queue.size,
-            limit=gate.limit,
+            limit=round(room(gate)),
             level=3.0,
             heard_at=self.loop.now,
+            most_per_s=gate.rate.per_s,
         )
 
     def _tick(self) -> None:
         for number, gate in enumerate(self.gates):
             self._apply(number, expire(gate, now=self.loop.now))
+            self.most_load[number] = max(self.most_load[number], load_part(gate))
         call_later(self.loop, TICK_S, self._tick)
 
     def _report(self, number: int) -> None:
@@ -198,6 +231,7 @@
     world.run(until_s=min(settings.slow_from_s, settings.lasts_s))
     for number in range(settings.slow_targets):
         world.work_s[number] *= settings.slow_factor
+    world.name_limits()
     world.run(until_s=settings.lasts_s)
     calls = len(world.latencies) + world.refused
     sums = {
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -373,7 +373,7 @@
             limit=load.limit,
             level=load.level,
             started=self.gate.started,
-            per_s=UNLIMITED_PER_S if self.gate.rate.per_s is None else self.gate.rate.per_s,
+            per_s=UNLIMITED_PER_S if load.most_per_s is None else load.most_per_s,
             version=self.version,
             members=len(self.membership.record_by_vm),
             links_up=sum(link.is_up for link in self.membership.link_by_vm.values()),
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -238,6 +238,7 @@
             is_idempotent=route.is_idempotent,
             head=b"%b %b HTTP/1.1\r\n%b" % (exchange.method, exchange.target, head.passed_on),
             body=exchange.body,
+            most_per_s=candidate.share.per_s,
         )
 
     def _take(self, pending: Pending, result: CallResult) -> None:
@@ -401,4 +402,5 @@
             limit=load.limit,
             level=load.level,
             heard_at=self.now() - age_s,
+            most_per_s=load.most_per_s,
         )
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -22,17 +22,23 @@
 class GateLoad(msgspec.Struct, frozen=True, array_like=True):
     """Announce a gate's load: calls running and waiting, its limit, and its shedding level.
 
-    A request whose importance and sub-order lie at or above `level` is refused at its entry.
+    A request whose importance and sub-order lie at or above `level` is refused at its entry. The
+    target takes `most_per_s` calls a second: infinitely many if it says so by naming no limit, and
+    none of this is known before its first answer.
     """
 
     running: int
     waiting: int
     limit: int
     level: float
+    most_per_s: float | None = None
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Ask a gate to run a call; `head` holds the request line and the headers passed on."""
+    """Ask a gate to run a call; `head` holds the request line and the headers passed on.
+
+    `most_per_s` is the limit that the entry knows of, for a gate that has just started.
+    """
 
     call_id: int
     target_id: str
@@ -46,6 +52,7 @@
     is_idempotent: bool
     head: bytes
     body: bytes
+    most_per_s: float | None = None
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -28,10 +28,14 @@
     close_gate,
     expire,
     load_part,
+    next_turn_in_s,
+    note_run,
     release,
+    room,
+    start_waiting,
     withdraw,
 )
-from daisywharf._overload._start_rate import StartRate, hear_no_limit, name_limit
+from daisywharf._overload._start_rate import hear_no_limit, name_limit
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 
@@ -51,6 +55,7 @@
 # A target ends its work at the deadline that it is given; an answer without an end so long after
 # that holds a slot for nobody.
 OVERTIME_S: Final = 5.0
+LEAST_TURN_S: Final = 0.001  # a timer may fire a moment early
 FIRST_FAILURE: Final = 500  # statuses from here on may come from a failing part of the target
 
 
@@ -79,7 +84,6 @@
         self.notice: TargetNotice | None = None
         self.slots = SlotGate(slots=1)
         self.pressure = Pressure(now=now())
-        self.rate = StartRate()
         self.started = 0
         self.counts = CallCounts(now=now())
         self.ceiling = float(len(Importance))
@@ -89,6 +93,7 @@
         self.unreachable_until = 0.0
         self._unreachable_s = UNREACHABLE_S
         self._is_probing = False
+        self._turn: asyncio.TimerHandle | None = None
         self._running_since = now()
         self._pool: HttpPool | None = None
         self._last_number = 0
@@ -105,7 +110,11 @@
         """Return the load to announce."""
         slots = self.slots
         return GateLoad(
-            len(slots.running), slots.queue.size, slots.limit, round(self.pressure.level, 3)
+            len(slots.running),
+            slots.queue.size,
+            round(room(slots)),
+            round(self.pressure.level, 3),
+            slots.rate.per_s,
         )
 
     def take_notice(self, notice: TargetNotice) -> None:
@@ -134,7 +143,6 @@
         self.slots = SlotGate(slots=notice.slots)
         self.slots.is_closed = self.is_stopping
         self.pressure = Pressure(now=self.now())
-        self.rate = StartRate()
         self._pool = HttpPool(notice.address, now=self.now, held=self.held)
 
     def submit(self, call: Call, on_result: OnCallResult) -> CallId:
@@ -152,6 +160,8 @@
         if self.held.is_full:
             on_result(self._refusal(call, ErrorKind.MEMORY_FULL))
             return call_id
+        if call.most_per_s is not None and self.slots.rate.per_s is None:
+            self._name_limit(call.most_per_s)
         deadline = now + call.time_left_ms / MS
         keep(self.held, len(call.body))
         self.calls_by_id[call_id] = GateCall(call_id, call, on_result, deadline)
@@ -246,6 +256,24 @@
                 self._forget(action.call_id)
                 self._log_refusal(gate_call, action.kind)
                 gate_call.on_result(self._refusal(gate_call.call, action.kind))
+        self._await_turn()
+
+    def _await_turn(self) -> None:
+        """Start the next waiting call when the target's limit allows it."""
+        turn_s = next_turn_in_s(self.slots, now=self.now())
+        if turn_s is not None and self._turn is None:
+            loop = asyncio.get_running_loop()
+            self._turn = loop.call_later(max(LEAST_TURN_S, turn_s), self._take_turn)
+
+    def _renew_turn(self) -> None:
+        if self._turn is not None:
+            self._turn.cancel()
+            self._turn = None
+            self._await_turn()
+
+    def _take_turn(self) -> None:
+        self._turn = None
+        self._apply(start_waiting(self.slots, now=self.now()))
 
     def _start(self, gate_call: GateCall) -> None:
         pool, notice, call = self._pool, self.notice, gate_call.call
@@ -278,24 +306,30 @@
 
     def _hear_head(self, gate_call: GateCall, head: AnswerHead) -> None:
         """Take what the target says of itself beside an answer."""
-        now = gate_call.head_at = self.now()
+        gate_call.head_at = self.now()
         if head.most_per_s is not None:
-            if head.most_per_s != self.rate.per_s:
-                target = gate_call.call.target_id
-                log_event(Event.TARGET_LIMITED, target=target, per_s=head.most_per_s)
-            name_limit(self.rate, head.most_per_s, now=now)
+            self._name_limit(head.most_per_s)
+
+    def _name_limit(self, per_s: float) -> None:
+        assert self.notice is not None
+        if per_s != self.slots.rate.per_s:
+            log_event(Event.TARGET_LIMITED, target=self.notice.target_id, per_s=per_s)
+        name_limit(self.slots.rate, per_s, now=self.now())
+        self._renew_turn()
 
     def _hear_whole(self, gate_call: GateCall, head: AnswerHead) -> None:
         """Take that a whole answer names no limit."""
         heard_at = gate_call.head_at
         if heard_at is None or head.names_limit:
             return
-        if hear_no_limit(self.rate, heard_at=heard_at):
+        if hear_no_limit(self.slots.rate, heard_at=heard_at):
             log_event(Event.TARGET_LIMIT_ENDED, target=gate_call.call.target_id)
+            self._renew_turn()
 
     def _finish(self, gate_call: GateCall, result: HttpResult) -> None:
         self._forget(gate_call.call_id)
         note_half_run(self.counts, Kind(gate_call.call.route))
+        note_run(self.slots, self.now() - gate_call.started_at)
         self._apply(release(self.slots, gate_call.call_id, now=self.now()))
         outcome = self._outcome(gate_call, result)
         if not gate_call.is_given_up:
--- a/src/daisywharf/_mesh/_reporting.py
+++ b/src/daisywharf/_mesh/_reporting.py
@@ -73,6 +73,7 @@
         note_counts(entry.origins, service, entered)
         entry.judge_origins(now=now)
         gate.entries = len(self.membership.record_by_vm)
+        entry.services.set_entries(gate.entries)
         self._send(news, Report(news, rows, service, entered), now=now)
 
     def news(self) -> News:
--- a/src/daisywharf/_mesh/_services.py
+++ b/src/daisywharf/_mesh/_services.py
@@ -5,6 +5,7 @@
 from daisywharf._contract import Importance
 from daisywharf._ids import Incarnation, ServiceName, TargetId, VmId, ZoneName
 from daisywharf._mesh._model import MemberRecord, Readiness, parse_address
+from daisywharf._mesh._said import SaidByTargets, said_on
 from daisywharf._routing._placement import Placement, remove_target, service_level, set_target
 from daisywharf._topology import Target
 
@@ -17,6 +18,8 @@
     def __init__(self, *, zone: ZoneName) -> None:
         self.zone = zone
         self.ceiling = float(len(Importance))
+        self.entries = 1
+        self.said = SaidByTargets()
         self.placement_by_service: dict[ServiceName, Placement] = {}
         self._target_by_vm: dict[VmId, Target] = {}
         self._service_by_target: dict[TargetId, ServiceName] = {}
@@ -28,8 +31,15 @@
         placement = self.placement_by_service.get(service)
         if placement is None:
             placement = self.placement_by_service[service] = Placement(zone=self.zone)
+            placement.entries = self.entries
         return placement
 
+    def set_entries(self, entries: int) -> None:
+        """Take how many daemons place calls at the same targets."""
+        self.entries = entries
+        for placement in self.placement_by_service.values():
+            placement.entries = entries
+
     def level_by_service(self, *, now: float) -> dict[ServiceName, float]:
         """Return the shedding level of each service."""
         if now - self._levels_at > LEVEL_LIFETIME_S:
@@ -82,5 +92,10 @@
             self._target_by_vm[record.vm] = target
             self._service_by_target[said.target_id] = said.service
             set_target(
-                self.placement_of(said.service), record.vm, target, cold_s=said.cold_s, now=now
+                self.placement_of(said.service),
+                record.vm,
+                target,
+                cold_s=said.cold_s,
+                now=now,
+                share=said_on(self.said, record.vm, said).share,
             )
--- a/src/daisywharf/_mesh/_summaries.py
+++ b/src/daisywharf/_mesh/_summaries.py
@@ -54,7 +54,7 @@
                 limit=load.limit,
                 level=load.level,
                 started=self.gate.started - self._started,
-                per_s=_shown(self.gate.rate),
+                per_s=_shown(self.gate.slots.rate),
             )
             self._started = self.gate.started
 
--- a/src/daisywharf/_overload/_rates.py
+++ b/src/daisywharf/_overload/_rates.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from daisywharf._ids import CallClassName, CustomerId
+from daisywharf._token_bucket import Bucket, refill, wait_s
 
 
 class BucketKey(msgspec.Struct, frozen=True):
@@ -12,15 +13,6 @@
     call_class: CallClassName
 
 
-class Bucket(msgspec.Struct):
-    """Hold the tokens of one call class; rate in requests a second, burst in requests."""
-
-    rate_per_second: float
-    burst: float
-    tokens: float
-    refilled_at: float
-
-
 class RateState:
     """Hold the buckets that were used."""
 
@@ -35,12 +27,8 @@
     bucket = state.bucket_by_key.get(key)
     if bucket is None:
         bucket = state.bucket_by_key[key] = Bucket(rate_per_second, burst, burst, now)
-    gained = max(0.0, now - bucket.refilled_at) * bucket.rate_per_second
-    bucket.rate_per_second = rate_per_second
-    bucket.burst = burst
-    bucket.tokens = min(burst, bucket.tokens + gained)
-    bucket.refilled_at = now
-    if bucket.tokens >= 1.0:
+    refill(bucket, rate_per_second=rate_per_second, burst=burst, now=now)
+    until_s = wait_s(bucket)
+    if not until_s:
         bucket.tokens -= 1.0
-        return 0.0
-    return (1.0 - bucket.tokens) / max(rate_per_second, 1e-9)
+    return until_s
--- a/src/daisywharf/_overload/_slots.py
+++ b/src/daisywharf/_overload/_slots.py
@@ -18,6 +18,7 @@
     pop_worst,
     push,
 )
+from daisywharf._overload._start_rate import StartRate, most_waiting, note_start, turn_in_s
 
 # Part of the announced slots that is used: a target slows down when it is nearly full. Of 18 or 19
 # slots, one stays free.
@@ -27,6 +28,9 @@
 # From this wait of the oldest call on, the newest starts first: it has most time left.
 NEWEST_FIRST_WAIT_S: Final = 0.3
 DRAINING_RETRY_AFTER_S: Final = 0.1
+# Weight of one more run in the time that calls run, and that time before any has ended.
+RUN_WEIGHT: Final = 0.1
+FIRST_RUN_S: Final = 0.1
 
 
 class SlotGate:
@@ -38,6 +42,8 @@
         self.waiting_by_id: dict[CallId, WaitingCall] = {}
         self.queue = WaitingQueue()
         self.is_closed = False
+        self.rate = StartRate()
+        self.run_s = FIRST_RUN_S
 
 
 def usable_slots(slots: int) -> int:
@@ -45,9 +51,21 @@
     return max(1, int(slots * USED_PART))
 
 
+def room(gate: SlotGate) -> float:
+    """Return how many calls run at once at a full gate: its slots, or what its rate fills."""
+    if gate.rate.per_s is None:
+        return gate.limit
+    return min(float(gate.limit), max(1.0, gate.rate.per_s * gate.run_s))
+
+
 def load_part(gate: SlotGate) -> float:
-    """Return the calls that run and wait, over the limit."""
-    return (len(gate.running) + gate.queue.size) / gate.limit
+    """Return the calls that run and wait, over the gate's room."""
+    return (len(gate.running) + gate.queue.size) / room(gate)
+
+
+def note_run(gate: SlotGate, seconds: float) -> None:
+    """Learn how long a call ran."""
+    gate.run_s += (seconds - gate.run_s) * RUN_WEIGHT
 
 
 def arrive(gate: SlotGate, call: WaitingCall, *, now: float) -> list[AdmissionAction]:
@@ -56,12 +74,14 @@
         return [Refuse(call.call_id, ErrorKind.DRAINING, DRAINING_RETRY_AFTER_S)]
     if now >= call.deadline:
         return [Refuse(call.call_id, ErrorKind.TOO_LATE, 0.0)]
-    if len(gate.running) < gate.limit and not gate.queue.size:
-        gate.running.add(call.call_id)
-        return [Admit(call.call_id)]
+    if not gate.queue.size and _may_start(gate, now=now):
+        return [_start(gate, call)]
+    if gate.rate.is_limited and now + _turn_of(gate, call, now=now) > call.deadline:
+        # Its wait is known beforehand: it is better off elsewhere, at once.
+        return [Refuse(call.call_id, ErrorKind.SHED, 0.0)]
     push(gate.queue, call)
     gate.waiting_by_id[call.call_id] = call
-    if gate.queue.size <= gate.limit * MAX_QUEUE_PART:
+    if gate.queue.size <= min(gate.limit * MAX_QUEUE_PART, most_waiting(gate.rate)):
         return [Enqueue(call.call_id)]
     worst = pop_worst(gate.queue)
     if worst is None:
@@ -73,7 +93,7 @@
 def release(gate: SlotGate, call_id: CallId, *, now: float) -> list[AdmissionAction]:
     """Give the slot of a call that ended to one that waits."""
     gate.running.discard(call_id)
-    return _start_waiting(gate, now=now)
+    return start_waiting(gate, now=now)
 
 
 def withdraw(gate: SlotGate, call_id: CallId) -> None:
@@ -103,12 +123,35 @@
 def change_slots(gate: SlotGate, slots: int, *, now: float) -> list[AdmissionAction]:
     """Follow an announcement of more or fewer slots."""
     gate.limit = usable_slots(slots)
-    return _start_waiting(gate, now=now)
+    return start_waiting(gate, now=now)
+
+
+def next_turn_in_s(gate: SlotGate, *, now: float) -> float | None:
+    """Return the seconds until a waiting call may start by its target's rate, or none."""
+    has_slot = len(gate.running) < gate.limit
+    return turn_in_s(gate.rate, now=now) if has_slot and gate.queue.size else None
+
+
+def _turn_of(gate: SlotGate, call: WaitingCall, *, now: float) -> float:
+    """Return the seconds until a call's turn, behind what waits and is no less important."""
+    ahead = sum(waiting.importance <= call.importance for waiting in gate.waiting_by_id.values())
+    return turn_in_s(gate.rate, now=now) + ahead / gate.rate.bucket.rate_per_second
+
+
+def _may_start(gate: SlotGate, *, now: float) -> bool:
+    return len(gate.running) < gate.limit and not turn_in_s(gate.rate, now=now)
+
+
+def _start(gate: SlotGate, call: WaitingCall) -> Admit:
+    gate.running.add(call.call_id)
+    note_start(gate.rate)
+    return Admit(call.call_id)
 
 
-def _start_waiting(gate: SlotGate, *, now: float) -> list[AdmissionAction]:
+def start_waiting(gate: SlotGate, *, now: float) -> list[AdmissionAction]:
+    """Start waiting calls for which there is a slot and whose turn it is."""
     actions: list[AdmissionAction] = []
-    while len(gate.running) < gate.limit and gate.queue.size:
+    while gate.queue.size and _may_start(gate, now=now):
         is_late = oldest_wait_s(gate.queue, now=now) > NEWEST_FIRST_WAIT_S
         call = pop_next(gate.queue, newest_first=is_late)
         if call is None:
@@ -117,6 +160,5 @@
         if now >= call.deadline:
             actions.append(Refuse(call.call_id, ErrorKind.TOO_LATE, 0.0))
         else:
-            gate.running.add(call.call_id)
-            actions.append(Admit(call.call_id))
+            actions.append(_start(gate, call))
     return actions
--- a/src/daisywharf/_overload/_start_rate.py
+++ b/src/daisywharf/_overload/_start_rate.py
@@ -1,12 +1,24 @@
-"""Know how many calls a second a target in need takes.
+"""Start calls no faster than a target in need says that it takes them.
 
 Load pattern: a target that is in trouble names a limit far below what it gets, in each of its
-answers and for as long as it is in need. Its slots stay free, so nothing else holds calls back.
+answers and for as long as it is in need. Its slots stay free, so nothing else holds calls back. All
+calls for a target start at its gate: the sum is kept there, and calls wait for their turn by
+importance.
 """
 
 from typing import Final
 
+from daisywharf._token_bucket import Bucket, refill, wait_s
+
 UNLIMITED_PER_S: Final = float("inf")
+# A target that takes less gets this all the same: only answers tell that it takes more. The rule
+# bears 5 requests in 4 s beyond a limit.
+LEAST_PER_S: Final = 0.25
+# What may start at once after a pause: a call, and what the limit allows in this time. The rule
+# bears what it allows in 2 s.
+BURST_S: Final = 0.25
+# Calls wait for their turn as many as start in this time; others are better off elsewhere.
+MOST_WAIT_S: Final = 0.5
 # Answers on several connections are read out of order, and a failing part of a target may leave the
 # limit out: an answer that doesn't name it ends it only so long after the last one that did.
 KEPT_S: Final = 1.0
@@ -18,6 +30,7 @@
     def __init__(self) -> None:
         self.per_s: float | None = None
         self.named_at = float("-inf")
+        self.bucket = Bucket(LEAST_PER_S, 1.0, 0.0, 0.0)
 
     @property
     def is_limited(self) -> bool:
@@ -27,8 +40,12 @@
 
 def name_limit(rate: StartRate, per_s: float, *, now: float) -> None:
     """Take a limit that an answer named, when its head was read."""
+    if not rate.is_limited:
+        # What started before counts as the first burst.
+        rate.bucket = Bucket(LEAST_PER_S, 1.0, 0.0, now)
     rate.per_s = per_s
     rate.named_at = now
+    _refill(rate, now=now)
 
 
 def hear_no_limit(rate: StartRate, *, heard_at: float) -> bool:
@@ -38,3 +55,28 @@
         rate.per_s = UNLIMITED_PER_S
         return was_limited
     return False
+
+
+def turn_in_s(rate: StartRate, *, now: float) -> float:
+    """Return the seconds until a call may start."""
+    if not rate.is_limited:
+        return 0.0
+    _refill(rate, now=now)
+    return wait_s(rate.bucket)
+
+
+def note_start(rate: StartRate) -> None:
+    """Count a call that starts."""
+    if rate.is_limited:
+        rate.bucket.tokens -= 1.0
+
+
+def most_waiting(rate: StartRate) -> float:
+    """Return how many calls may wait for their turn."""
+    return max(1.0, rate.per_s * MOST_WAIT_S) if rate.per_s is not None else UNLIMITED_PER_S
+
+
+def _refill(rate: StartRate, *, now: float) -> None:
+    assert rate.per_s is not None
+    per_s = max(LEAST_PER_S, rate.per_s)
+    refill(rate.bucket, rate_per_second=per_s, burst=1.0 + BURST_S * per_s, now=now)
--- a/src/daisywharf/_routing/_placement.py
+++ b/src/daisywharf/_routing/_placement.py
@@ -7,7 +7,7 @@
 drawn by room and speed instead.
 """
 
-from math import exp
+from math import exp, isinf
 from random import Random
 from typing import Final
 
@@ -15,6 +15,7 @@
 
 from daisywharf._ids import TargetId, VmId, ZoneName
 from daisywharf._routing._ejection import is_probe_due, note_answer, note_failure, note_probe
+from daisywharf._routing._rate_share import RateShare, has_share, set_share, spend_share
 from daisywharf._routing._record import FAILED_PENALTY, TargetRecord, freshness, learn
 from daisywharf._topology import Target
 
@@ -68,8 +69,11 @@
 class Candidate:
     """Hold one target of the service with the VM whose daemon leads to it."""
 
-    def __init__(self, vm: VmId, record: TargetRecord, *, cold_until: float) -> None:
+    def __init__(
+        self, vm: VmId, record: TargetRecord, *, cold_until: float, share: RateShare
+    ) -> None:
         self.vm = vm
+        self.share = share
         self.record = record
         self.cold_until = cold_until
         self.load: AnnouncedLoad | None = None
@@ -84,14 +88,21 @@
 
     def __init__(self, *, zone: ZoneName) -> None:
         self.zone = zone
+        self.entries = 1  # that share out what a target in need takes
         self.candidate_by_id: dict[TargetId, Candidate] = {}
         self.candidates: list[Candidate] = []
 
 
 def set_target(
-    placement: Placement, vm: VmId, target: Target, *, cold_s: float, now: float
+    placement: Placement,
+    vm: VmId,
+    target: Target,
+    *,
+    cold_s: float,
+    now: float,
+    share: RateShare | None = None,
 ) -> None:
-    """Add a target that takes calls, or update it."""
+    """Add a target that takes calls, or update it; `share` is what is known of its limit."""
     known = placement.candidate_by_id.get(target.target_id)
     if known is not None and known.record.target.incarnation == target.incarnation:
         known.record.target = target
@@ -100,7 +111,9 @@
         return
     is_own = target.zone == placement.zone
     record = TargetRecord(target, is_own_zone=is_own, warm_at=float("-inf"))
-    placement.candidate_by_id[target.target_id] = Candidate(vm, record, cold_until=now + cold_s)
+    placement.candidate_by_id[target.target_id] = Candidate(
+        vm, record, cold_until=now + cold_s, share=share or RateShare()
+    )
     placement.candidates = list(placement.candidate_by_id.values())
 
 
@@ -118,12 +131,18 @@
     limit: int,
     level: float,
     heard_at: float,
+    most_per_s: float | None = None,
 ) -> None:
-    """Take the load that a gate announced, unless a newer one is known."""
+    """Take the load that a gate announced, unless a newer one is known.
+
+    A gate that has just started doesn't know its target's limit, `most_per_s`: it stays as it was.
+    """
     candidate = placement.candidate_by_id.get(target_id)
     if candidate is None or (candidate.load is not None and candidate.load.heard_at > heard_at):
         return
     candidate.load = AnnouncedLoad(occupied, limit, level, heard_at)
+    if most_per_s is not None:
+        set_share(candidate.share, None if isinf(most_per_s) else most_per_s, now=heard_at)
 
 
 def place(
@@ -137,6 +156,8 @@
     ]
     if not usable:
         return None
+    # Where the shares of all are spent, their gates choose.
+    usable = [c for c in usable if has_share(c.share, entries=placement.entries, now=now)] or usable
     probe = next((c for c in usable if is_probe_due(c.record, now=now)), None)
     if probe is not None:
         return probe
@@ -190,6 +211,7 @@
 def note_sent(candidate: Candidate, *, now: float) -> None:
     """Count a call that leaves for a target."""
     candidate.record.in_flight += 1
+    spend_share(candidate.share)
     candidate.sent_lately = _still_lately(candidate, now) + 1.0
     candidate.sent_at = now
     if candidate.load is not None:
--- /dev/null
+++ b/src/daisywharf/_routing/_rate_share.py
@@ -0,0 +1,44 @@
+"""Keep an entry to its part of the calls a second that a target in need takes.
+
+Load pattern: a target takes a few calls a second while the others of its service have room. Between
+two words of its load it looks idle to each of many entries; what they all send there waits for
+nothing and is turned away. Entries that know the limit send their parts of it, which its gate still
+adds up; where no other target is left, they send there what must be sent, and its gate chooses.
+"""
+
+from typing import Final
+
+from daisywharf._token_bucket import Bucket, refill, wait_s
+
+# Part of the limit that entries share out: a gate that is asked for all of it counts as full, and
+# would have its service refuse requests for which the others have room.
+SHARED_PART: Final = 0.8
+
+
+class RateShare:
+    """Hold what one target takes in all, in calls a second, and this entry's part of it."""
+
+    def __init__(self) -> None:
+        self.per_s: float | None = None
+        self.bucket = Bucket(0.0, 1.0, 0.0, 0.0)
+
+
+def set_share(share: RateShare, per_s: float | None, *, now: float) -> None:
+    """Take what a target takes in all; none where it names no limit."""
+    if share.per_s is None:
+        share.bucket = Bucket(0.0, 1.0, 0.0, now)
+    share.per_s = per_s
+
+
+def has_share(share: RateShare, *, entries: int, now: float) -> bool:
+    """Tell whether one of so many entries may send a call."""
+    if share.per_s is None:
+        return True
+    rate_per_s = share.per_s * SHARED_PART / max(1, entries)
+    refill(share.bucket, rate_per_second=rate_per_s, burst=1.0, now=now)
+    return not wait_s(share.bucket)
+
+
+def spend_share(share: RateShare) -> None:
+    """Count a call that was sent."""
+    share.bucket.tokens = max(0.0, share.bucket.tokens - 1.0)
--- /dev/null
+++ b/tests/test_overload_start_rate.py
@@ -0,0 +1,138 @@
+"""A target in need: calls start no faster than it says, and by importance."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from daisywharf._contract import Importance
+from daisywharf._experiments._placement import PlacementSettings, PlacementWorld
+from daisywharf._ids import CallClassName, RequestId
+from daisywharf._overload._actions import Admit, CallId
+from daisywharf._overload._queue import WaitingCall
+from daisywharf._overload._slots import (
+    SlotGate,
+    arrive,
+    load_part,
+    next_turn_in_s,
+    release,
+    start_waiting,
+)
+from daisywharf._overload._start_rate import (
+    BURST_S,
+    KEPT_S,
+    StartRate,
+    hear_no_limit,
+    name_limit,
+    turn_in_s,
+)
+
+# The load of karri-mesh's catalogue in the incident's day.
+CATALOGUE = PlacementSettings(
+    targets=6,
+    slots=158,
+    entries=16,
+    work_ms=90.0,
+    calls_per_s=440.0,
+    patience_ms=360.0,
+    slow_targets=0,
+    slow_from_s=3.0,
+    lasts_s=13.0,
+)
+SEEDS = range(1, 6)
+
+
+def _limited(per_s: float) -> SlotGate:
+    gate = SlotGate(slots=20)
+    name_limit(gate.rate, per_s, now=0.0)
+    return gate
+
+
+def _call(number: int, *, importance: Importance = Importance.LOW) -> WaitingCall:
+    call_id = CallId(RequestId(str(number)), number)
+    return WaitingCall(call_id, CallClassName("r"), importance, 0, 0, 60.0, 0.0)
+
+
+def _starts(gate: SlotGate, *, until: float) -> Iterator[float]:
+    """Offer more than the limit and return when calls start."""
+    now, number = 0.0, 0
+    while now < until:
+        number += 1
+        for action in [*start_waiting(gate, now=now), *arrive(gate, _call(number), now=now)]:
+            if isinstance(action, Admit):
+                yield now
+                release(gate, action.call_id, now=now)
+        now += 0.01
+
+
+@pytest.mark.parametrize("per_s", [0.5, 4.1, 39.4])
+def test_no_four_seconds_have_more_starts_than_the_rule_allows(per_s: float) -> None:
+    starts = list(_starts(_limited(per_s), until=30.0))
+    most = max(sum(first <= at <= first + 4.0 for at in starts) for first in starts)
+    assert most <= 4.0 * per_s + BURST_S * per_s + 2.0
+    assert len(starts) >= 30.0 * per_s * 0.95 - 1.0
+
+
+def test_the_most_important_call_has_the_next_turn() -> None:
+    gate = _limited(4.0)
+    arrive(gate, _call(1), now=0.0)
+    arrive(gate, _call(2, importance=Importance.HIGH), now=0.1)
+    turn_s = next_turn_in_s(gate, now=0.1)
+    assert turn_s == pytest.approx(0.15)
+    assert start_waiting(gate, now=0.2) == []
+    assert start_waiting(gate, now=0.25) == [Admit(CallId(RequestId("2"), 2))]
+
+
+def test_a_gate_whose_rate_is_used_up_counts_as_full_though_its_slots_are_free() -> None:
+    gate = _limited(4.0)
+    for number in range(3):
+        arrive(gate, _call(number), now=0.0)
+    assert load_part(gate) > 1.0
+
+
+def test_a_limit_may_change_and_a_lower_one_holds_at_once() -> None:
+    rate = StartRate()
+    name_limit(rate, 100.0, now=0.0)
+    assert turn_in_s(rate, now=5.0) == 0.0
+    name_limit(rate, 1.0, now=5.0)
+    assert rate.bucket.tokens <= 1.0 + BURST_S
+
+
+def test_a_limit_ends_with_an_answer_that_does_not_name_it_but_not_with_one_read_out_of_order() -> (
+    None
+):
+    rate = StartRate()
+    name_limit(rate, 4.0, now=10.0)
+    assert not hear_no_limit(rate, heard_at=10.0 + KEPT_S / 2)
+    assert rate.is_limited
+    assert hear_no_limit(rate, heard_at=10.0 + KEPT_S)
+    assert turn_in_s(rate, now=11.0) == 0.0
+
+
+def test_a_limit_of_nothing_still_lets_a_call_through_now_and_then() -> None:
+    starts = list(_starts(_limited(0.0), until=60.0))
+    assert 10 <= len(starts) <= 16
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_while_others_have_room_a_target_in_need_costs_callers_nothing(seed: int) -> None:
+    world = PlacementWorld(CATALOGUE, seed=seed)
+    world.run(until_s=CATALOGUE.slow_from_s)
+    world.gates[0].rate = StartRate()
+    name_limit(world.gates[0].rate, 4.1, now=world.loop.now)
+    before, answered = world.started[0], len(world.latencies)
+    world.run(until_s=CATALOGUE.lasts_s)
+    assert world.started[0] - before <= 4.1 * 10.0 + 3.0
+    assert world.refused == 0
+    assert world.second_gates <= 0.01 * (len(world.latencies) - answered)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_where_all_targets_name_limits_all_that_they_take_is_used(seed: int) -> None:
+    world = PlacementWorld(CATALOGUE, seed=seed)
+    world.run(until_s=CATALOGUE.slow_from_s)
+    for gate in world.gates:
+        name_limit(gate.rate, 20.0, now=world.loop.now)
+    before = sum(world.started)
+    world.run(until_s=CATALOGUE.lasts_s)
+    taken = sum(world.started) - before
+    assert 0.9 * 6 * 20.0 * 10.0 <= taken <= 1.1 * 6 * 20.0 * 10.0
