Test added fields behind those that there are now

GateLoad has a fifth field since the limit is told; the test of what a newer version adds had its addition in that place. It adds a sixth now, and a load of an older version, without the field, is tested as well.

--- a/tests/test_mesh_versions.py
+++ b/tests/test_mesh_versions.py
@@ -55,9 +55,15 @@
 
 
 def test_fields_that_a_newer_version_adds_at_the_end_are_left_out() -> None:
-    newer = _framed([12, 7, True, [1, 2, 3, 2.5, "added"], 40, "added as well"])
+    newer = _framed([12, 7, True, [1, 2, 3, 2.5, 7.5, "added"], 40, "added as well"])
     taken, is_closed = _receive(newer)
-    assert taken == [News(7, True, GateLoad(1, 2, 3, 2.5), confirmed_ms=40)]
+    assert taken == [News(7, True, GateLoad(1, 2, 3, 2.5, 7.5), confirmed_ms=40)]
+    assert not is_closed
+
+
+def test_a_load_of_a_version_that_doesn_t_tell_a_target_s_limit_is_taken_without_it() -> None:
+    taken, is_closed = _receive(_framed([12, 7, True, [1, 2, 3, 2.5], 40]))
+    assert taken == [News(7, True, GateLoad(1, 2, 3, 2.5, None), confirmed_ms=40)]
     assert not is_closed
 
 
