Send nothing more to a target that says in an answer that it leaves

Change: its gate takes the word for a leaving, which is final for that incarnation, and tells the fleet and the store as it does with an announced one. Each daemon that passes such an answer on keeps it for itself, whatever becomes of links, of the gate's daemon and of the store.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -95,7 +95,7 @@
         self.now = now
         self.is_stopping = False
         self.held = HeldBytes(most=most_held(settings.memory_bytes))
-        self.gate = Gate(dialect=dialect, now=now, held=self.held)
+        self.gate = Gate(dialect=dialect, now=now, held=self.held, on_leaving=self._take_leaving)
         self.local_way = LocalWay(self.gate)
         self.services = Services(zone=settings.zone)
         own = MemberRecord(
@@ -263,6 +263,16 @@
             self._announce_target(notice)
         return verdict
 
+    def _take_leaving(self) -> None:
+        """Take from an answer that the target leaves, as if it had announced that."""
+        notice = self.gate.notice
+        if notice is None or notice.readiness is not Readiness.READY:
+            return
+        log_event(Event.TARGET_SAID_LEAVING, target=notice.target_id)
+        leaving = replace(notice, readiness=Readiness.DRAINING)
+        self.gate.take_notice(leaving)
+        self._announce_target(leaving)
+
     def _announce_target(self, notice: TargetNotice) -> None:
         event = {
             Readiness.READY: Event.TARGET_ANNOUNCED,
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -249,6 +249,8 @@
         note_ended(candidate)
         if result.load is not None:
             self.hear(pending.service, candidate.record.target.target_id, result.load)
+        if isinstance(result, Answered) and result.is_leaving:
+            self.services.note_leaving(candidate.record.target)
         end = end_of(result)
         pending.last_kind = kind_of(result)
         self._learn(pending, candidate, end, now=now)
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -62,7 +62,10 @@
 
 
 class Answered(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Carry a target's whole answer as it came; `headers` are those to pass on."""
+    """Carry a target's whole answer as it came; `headers` are those to pass on.
+
+    `is_leaving` tells that the target says in it that it leaves.
+    """
 
     call_id: int
     status: int
@@ -72,6 +75,7 @@
     is_signed: bool
     is_not_run: bool
     load: GateLoad
+    is_leaving: bool = False
 
 
 class Unanswered(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -77,8 +77,16 @@
 class Gate:
     """Hold the target beside this daemon, its slots, and the calls at it."""
 
-    def __init__(self, *, dialect: Dialect, now: Callable[[], float], held: HeldBytes) -> None:
+    def __init__(
+        self,
+        *,
+        dialect: Dialect,
+        now: Callable[[], float],
+        held: HeldBytes,
+        on_leaving: Callable[[], None] = lambda: None,
+    ) -> None:
         self.dialect = dialect
+        self.on_leaving = on_leaving
         self.now = now
         self.held = held
         self.notice: TargetNotice | None = None
@@ -309,6 +317,8 @@
         gate_call.head_at = self.now()
         if head.most_per_s is not None:
             self._name_limit(head.most_per_s)
+        if head.is_leaving:
+            self.on_leaving()
 
     def _name_limit(self, per_s: float) -> None:
         assert self.notice is not None
@@ -360,6 +370,7 @@
             head.is_signed,
             says_not_run,
             self.load(),
+            head.is_leaving,
         )
 
     def _log_refusal(self, gate_call: GateCall, kind: ErrorKind) -> None:
--- a/src/daisywharf/_mesh/_services.py
+++ b/src/daisywharf/_mesh/_services.py
@@ -5,7 +5,7 @@
 from daisywharf._contract import Importance
 from daisywharf._ids import Incarnation, ServiceName, TargetId, VmId, ZoneName
 from daisywharf._mesh._model import MemberRecord, Readiness, parse_address
-from daisywharf._mesh._said import SaidByTargets, said_on
+from daisywharf._mesh._said import SaidByTargets, said_by
 from daisywharf._routing._placement import Placement, remove_target, service_level, set_target
 from daisywharf._topology import Target
 
@@ -62,6 +62,11 @@
         """Return the service of a target that takes calls."""
         return self._service_by_target.get(target_id)
 
+    def note_leaving(self, target: Target) -> None:
+        """Take from an answer that a target leaves: it gets nothing more from here."""
+        said_by(self.said, target.target_id, target.incarnation).is_leaving = True
+        remove_target(self.placement_of(target.service), target.target_id)
+
     def follow(self, record: MemberRecord, *, is_reachable: bool, now: float) -> None:
         """Take in what a daemon says of the target beside it."""
         known = self._target_by_vm.get(record.vm)
@@ -71,6 +76,7 @@
             and not record.is_leaving
             and said is not None
             and said.readiness is Readiness.READY
+            and not said_by(self.said, said.target_id, Incarnation(said.born_ms)).is_leaving
         )
         if known is not None and (
             not takes_calls or said is None or known.target_id != said.target_id
@@ -97,5 +103,5 @@
                 target,
                 cold_s=said.cold_s,
                 now=now,
-                share=said_on(self.said, record.vm, said).share,
+                share=said_by(self.said, said.target_id, Incarnation(said.born_ms)).share,
             )
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -81,6 +81,9 @@
         208, EventLevel.WARNING, "target {target} takes {per_s} requests a second at most"
     )
     TARGET_LIMIT_ENDED = EventForm(209, EventLevel.INFO, "target {target} names no limit any more")
+    TARGET_SAID_LEAVING = EventForm(
+        210, EventLevel.INFO, "target {target} says in an answer that it leaves"
+    )
 
     CONTRACT_IN_FORCE = EventForm(
         301, EventLevel.INFO, "contract {customer} is in force here at version {version}"
