--- a/tests/builders_target_words.py
+++ b/tests/builders_target_words.py
@@ -29,6 +29,7 @@
     def __init__(self, world: "NamingWorld", vm: VirtualVm, *, number: int) -> None:
         self.world = world
         self.vm = vm
+        self.has_left = False
         self.target_id = f"t-{vm.name}-{number}"
         self.limit_per_s: float | None = None
         self.is_leaving = False
@@ -38,6 +39,15 @@
         self.stand_in = TargetStandIn(self._behave)
         self.process = Process(vm.host)
 
+    def leave(self) -> None:
+        """End, with all connections."""
+        self.has_left = True
+        if self.limit_per_s is not None:
+            self.name_limit(None)
+        self.stand_in.server.stop()
+        for connection in list(self.stand_in.server.connections):
+            connection.close()
+
     def name_limit(self, per_s: float | None) -> None:
         """Name a limit from now on, or none any more."""
         self.limit_per_s = per_s
@@ -49,7 +59,7 @@
         asyncio.ensure_future(self._announce())
 
     async def _announce(self) -> None:
-        while True:
+        while not self.has_left:
             self.announce()
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -57,7 +67,8 @@
         """Announce itself as ready to the daemon that runs beside it, if one does."""
         self.sequence += 1
         daemon = self.vm.daemon
-        if daemon is not None and not self.vm.process.is_suspended:
+        is_running = daemon is not None and not daemon.stopped.is_set()
+        if daemon is not None and is_running and not self.vm.process.is_suspended:
             said = notice(
                 Address(self.vm.host, TARGET),
                 target_id=TargetId(self.target_id),
@@ -92,7 +103,7 @@
         self.target_by_vm: dict[str, NamingTarget] = {}
         self.statuses: list[tuple[float, int]] = []
         self._sent_by_request: dict[str, tuple[str, int, float]] = {}
-        self._client = Process("10.99.0.1")
+        self.client = Process("10.99.0.1")
         self._pools: dict[tuple[str, int], HttpPool] = {}
         self._last = 0
 
@@ -107,6 +118,8 @@
     async def start_target(self, name: str) -> NamingTarget:
         """Start a target on a VM, in place of the one before it."""
         earlier = self.target_by_vm.get(name)
+        if earlier is not None:
+            earlier.leave()
         number = 1 if earlier is None else int(earlier.target_id.rpartition("-")[2]) + 1
         target = NamingTarget(self, self.fleet.vm_by_name[name], number=number)
         self.target_by_vm[name] = target
@@ -152,9 +165,7 @@
             pool = self._pools[place] = HttpPool(address, now=self.fleet.net.loop.time)
         length = "Content-Length: 0\r\n" if method == "POST" else ""
         head = f"{method} /orders/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {request}\r\n"
-        self._client.context.run(
-            pool.ask, f"{head}Deadline-Ms: 3000\r\n{length}\r\n".encode(), note
-        )
+        self.client.context.run(pool.ask, f"{head}Deadline-Ms: 3000\r\n{length}\r\n".encode(), note)
 
     async def load(
         self, *, per_s: float, lasts_s: float, names: Iterable[str] | None = None
--- /dev/null
+++ b/tests/builders_word_troubles.py
@@ -0,0 +1,148 @@
+"""Draw troubles from a seed, for targets that name limits and leavings meanwhile."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Final
+
+from builders_target_words import NamingWorld
+
+Trouble = Callable[[NamingWorld, Random], Awaitable[None]]
+
+LIMITS_PER_S: Final = (0.0, 0.7, 4.1, 10.3, 39.4)
+
+
+def _a_vm(world: NamingWorld, rng: Random) -> str:
+    return rng.choice(list(world.fleet.vm_by_name))
+
+
+def _is_up(world: NamingWorld, name: str) -> bool:
+    vm = world.fleet.vm_by_name[name]
+    return vm.daemon is not None and not vm.process.is_suspended and not vm.daemon.is_stopping
+
+
+async def _name_limits(world: NamingWorld, rng: Random) -> None:
+    """Name a limit that changes, and ends."""
+    target = world.target_by_vm[_a_vm(world, rng)]
+    if target.limit_per_s is not None or target.has_left:
+        return
+    for _ in range(rng.choice((1, 1, 3))):
+        target.name_limit(rng.choice(LIMITS_PER_S))
+        await asyncio.sleep(rng.uniform(1.0, 9.0))
+        if target.has_left:
+            return
+    target.name_limit(None)
+
+
+async def _say_leaving(world: NamingWorld, rng: Random) -> None:
+    """Say in answers only that a target leaves; another follows at its address."""
+    name = _a_vm(world, rng)
+    target = world.target_by_vm[name]
+    if target.is_leaving or sum(t.is_leaving for t in world.target_by_vm.values()) >= 2:
+        return
+    target.is_leaving = True
+    await asyncio.sleep(rng.uniform(2.0, 8.0))
+    await world.start_target(name)
+
+
+async def _kill(world: NamingWorld, rng: Random) -> None:
+    """Kill a daemon, up to three times in a row."""
+    name = _a_vm(world, rng)
+    for _ in range(rng.choice((1, 1, 3))):
+        if not _is_up(world, name):
+            return
+        world.fleet.kill(name)
+        await asyncio.sleep(rng.uniform(0.1, 1.0))
+        world.fleet.start_daemon(world.fleet.vm_by_name[name])
+        await asyncio.sleep(rng.uniform(0.5, 2.0))
+
+
+async def _freeze(world: NamingWorld, rng: Random) -> None:
+    name = _a_vm(world, rng)
+    if not _is_up(world, name):
+        return
+    lasts_s = rng.uniform(0.3, 3.0)
+    world.excuse(name, lasts_s=lasts_s)
+    world.fleet.suspend(name)
+    await asyncio.sleep(lasts_s)
+    world.fleet.resume(name)
+
+
+async def _cut(world: NamingWorld, rng: Random) -> None:
+    """Cut a VM, or its zone, off from all others and from the store."""
+    name, is_zone = _a_vm(world, rng), rng.random() < 0.5
+    fleet = world.fleet
+    zone = fleet.vm_by_name[name].zone
+    apart = [v for v in fleet.vm_by_name.values() if v.name == name or (is_zone and v.zone == zone)]
+    lasts_s = rng.uniform(0.5, 6.0)
+    for vm in apart:
+        world.excuse(vm.name, lasts_s=lasts_s)
+    hosts = frozenset(vm.host for vm in apart)
+    others = {vm.host for vm in fleet.vm_by_name.values()} | {fleet.store.address.host}
+    cut = (hosts, frozenset(others - hosts))
+    fleet.net.cuts.append(cut)
+    await asyncio.sleep(lasts_s)
+    fleet.net.cuts.remove(cut)
+
+
+async def _silence(world: NamingWorld, _rng: Random) -> None:
+    """Let open connections between daemons and to the store carry nothing more."""
+    for name in world.fleet.vm_by_name:
+        world.excuse(name, lasts_s=0.0)
+    clients = {world.client.host}
+    world.fleet.net.silence(lambda one, other: one != other and not clients & {one, other})
+    await asyncio.sleep(0.0)
+
+
+async def _stop(world: NamingWorld, rng: Random) -> None:
+    """Stop a daemon as planned work does, and start it again."""
+    name = _a_vm(world, rng)
+    if _is_up(world, name):
+        daemon = world.fleet.vm_by_name[name].daemon
+        assert daemon is not None
+        world.fleet.stop(name)
+        await daemon.stopped.wait()
+        await asyncio.sleep(rng.uniform(0.1, 1.0))
+        if world.fleet.vm_by_name[name].daemon is daemon:
+            world.fleet.start_daemon(world.fleet.vm_by_name[name])
+
+
+async def _surge(world: NamingWorld, rng: Random) -> None:
+    await world.load(per_s=rng.choice((300.0, 600.0)), lasts_s=2.0)
+
+
+TROUBLES: Final[tuple[Trouble, ...]] = (
+    _name_limits,
+    _name_limits,
+    _name_limits,
+    _say_leaving,
+    _kill,
+    _kill,
+    _freeze,
+    _cut,
+    _silence,
+    _stop,
+    _surge,
+)
+
+
+async def play_troubles(
+    world: NamingWorld, *, seed: int, lasts_s: float, load_per_s: float
+) -> None:
+    """Play troubles that overlap, beside a load."""
+    rng = Random(f"troubles {seed}")
+    load = asyncio.ensure_future(world.load(per_s=load_per_s, lasts_s=lasts_s))
+    await _name_limits_at_first(world, rng)
+    until = world.fleet.now + lasts_s
+    under_way: list[asyncio.Future[None]] = []
+    while world.fleet.now < until - 6.0:
+        under_way.append(asyncio.ensure_future(rng.choice(TROUBLES)(world, rng)))
+        await asyncio.sleep(rng.uniform(0.1, 2.5))
+    await load
+    await asyncio.gather(*under_way)
+
+
+async def _name_limits_at_first(world: NamingWorld, rng: Random) -> None:
+    """Have two targets in need all the while, so that each seed judges something."""
+    for name in rng.sample(list(world.fleet.vm_by_name), 2):
+        world.target_by_vm[name].name_limit(rng.choice(LIMITS_PER_S))
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -7,6 +7,7 @@
 
 from builders_target_words import NamingWorld
 from builders_virtual_fleet import VirtualFleet
+from builders_word_troubles import play_troubles
 from virtual_net import VirtualNet, in_virtual_time
 
 ZONES = {"perth-a": 3, "perth-b": 2, "perth-c": 1}
@@ -84,3 +85,39 @@
         assert broken_words(world.ledger) == []
 
     _play(scenario)
+
+
+def test_a_target_gets_its_part_again_soon_after_it_names_no_limit_any_more() -> None:
+    async def scenario(world: NamingWorld) -> None:
+        target = world.target_by_vm[IN_NEED]
+        target.name_limit(4.1)
+        await world.load(per_s=300.0, lasts_s=6.0)
+        target.name_limit(None)
+        await world.load(per_s=300.0, lasts_s=2.0)
+        ended_at = world.fleet.now
+        await world.load(per_s=300.0, lasts_s=3.0)
+        got = world.got(target, since=ended_at, until=world.fleet.now)
+        assert got >= 0.5 * 300.0 * 3.0 / 6
+
+    _play(scenario)
+
+
+def test_callers_are_served_while_one_target_names_a_limit_and_another_leaves() -> None:
+    async def scenario(world: NamingWorld) -> None:
+        world.target_by_vm[IN_NEED].name_limit(1.0)
+        world.target_by_vm["perth-a-1"].is_leaving = True
+        began_at = world.fleet.now
+        await world.load(per_s=300.0, lasts_s=10.0)
+        assert world.served_part(since=began_at) >= 0.999
+
+    _play(scenario)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_words_of_targets_hold_through_troubles_that_overlap(seed: int) -> None:
+    async def scenario(world: NamingWorld) -> None:
+        await play_troubles(world, seed=seed, lasts_s=30.0, load_per_s=150.0)
+        assert judged_arrivals(world.ledger) > 0
+        assert broken_words(world.ledger) == []
+
+    _play(scenario, seed=seed)
