--- a/benchmarks/_soak_daemon.py
+++ b/benchmarks/_soak_daemon.py
@@ -102,6 +102,17 @@
     StoreSync._watch = never  # type: ignore[method-assign]
 
 
+def _break_limit() -> None:
+    """Read no limit, and no leaving, in answers."""
+    read = PlatformDialect.read_answer
+
+    def read_none(self: PlatformDialect, headers: Any) -> Any:
+        head = read(self, headers)
+        return replace(head, names_limit=False, most_per_s=None, is_leaving=False)
+
+    PlatformDialect.read_answer = read_none  # type: ignore[method-assign]
+
+
 BREAKS: Final[dict[str, Callable[[], None]]] = {
     "WHOLE": _break_whole,
     "ONCE": _break_once,
@@ -110,6 +121,7 @@
     "STOP": _break_stop,
     "BUDGET": _break_budget,
     "CONFIG": _break_config,
+    "LIMIT": _break_limit,
 }
 
 
--- a/benchmarks/_soak_faults.py
+++ b/benchmarks/_soak_faults.py
@@ -15,6 +15,8 @@
 Fault = Callable[[SoakFleet], Awaitable[None]]
 EVERYWHERE: Final = "*"
 # A clock of another zone, or one that was never set.
+# Requests a second that targets in need name: from nothing to more than they get.
+LIMITS_PER_S: Final = (0.0, 0.7, 4.1, 10.3, 39.4)
 CLOCKS_OFF_MS: Final = (0, 0, 3_600_000, -3_600_000, -40 * 365 * 86_400_000)
 
 
@@ -247,6 +249,35 @@
         target.work_s, target.misbehaves = 0.02, None
 
 
+async def name_limits(fleet: SoakFleet) -> None:
+    """Have a target name a limit that may change, and ends."""
+    vm = fleet.rng.choice(fleet.vms)
+    target = vm.target
+    if target is None or target.is_down or target.limit_per_s is not None:
+        return
+    with _noted(fleet, "target in need", vm.name, is_of_target=True):
+        for _ in range(fleet.rng.choice((1, 1, 3))):
+            target.name_limit(fleet.rng.choice(LIMITS_PER_S))
+            await asyncio.sleep(fleet.rng.uniform(2.0, 9.0))
+            if target.is_down:
+                return
+        target.name_limit(None)
+
+
+async def say_leaving(fleet: SoakFleet) -> None:
+    """Let a target say in its answers only that it leaves; a new incarnation follows."""
+    vm = fleet.rng.choice(fleet.vms)
+    target = vm.target
+    if target is None or vm.is_target_going or target.is_down:
+        return
+    with _noted(fleet, "target says it leaves", vm.name, is_of_target=True), _going(vm):
+        target.says_leaving = True
+        await asyncio.sleep(fleet.rng.uniform(3.0, 6.0))
+        target.crash()
+        await fleet.start_target(vm)
+        await asyncio.sleep(1.0)
+
+
 async def fail_service(fleet: SoakFleet) -> None:
     """Have all targets of a service fail, as after a bad release."""
     service = fleet.rng.choice((FRONT, BACK))
@@ -328,6 +359,10 @@
     trouble_target,
     trouble_target,
     fail_service,
+    name_limits,
+    name_limits,
+    name_limits,
+    say_leaving,
     change_configuration,
     change_configuration,
     change_in_series,
--- a/benchmarks/_soak_fleet.py
+++ b/benchmarks/_soak_fleet.py
@@ -120,7 +120,8 @@
         path = self.directory / f"{vm.name}.yaml"
         path.write_text(yaml.safe_dump(self._settings(vm)))
         vm.starts += 1
-        self.clients[vm.name].process = self.vms.index(vm) * 1_000 + vm.starts
+        process = self.vms.index(vm) * 1_000 + vm.starts
+        self.clients[vm.name].process = self.ledger.process_by_vm[vm.name] = process
         log = (self.directory / f"{vm.name}.log").open("ab")
         listen = vm.at(LINKS if self.is_direct else BEHIND)
         command = [sys.executable, "-m", "benchmarks._soak_daemon", str(listen)]
--- a/benchmarks/_soak_ledger.py
+++ b/benchmarks/_soak_ledger.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from benchmarks._said_ledger import Excuse, SaidLedger, broken_words
+
 # Of the site files: `drainMs`, `configApplyMs`, `stabilityWindowMs`, `gracePeriodS`, the budget.
 DRAIN_S: Final = 2.0
 CONFIG_APPLY_S: Final = 2.0
@@ -83,6 +85,10 @@
         self.leavings: list[Leaving] = []
         self.applied: list[Applied] = []
         self.troubles: list[Trouble] = []
+        self.said = SaidLedger()
+        # The VM, the daemon's process and the time at which a client's request was sent.
+        self.began_by_request: dict[str, tuple[str, int, float]] = {}
+        self.process_by_vm: dict[str, int] = {}
 
 
 def broken_promises(ledger: Ledger) -> list[str]:
@@ -97,7 +103,23 @@
         *_over_budget(ledger),
         *_wrong_configuration(ledger),
         *_run_by_another_service(ledger),
+        *_words_not_kept(ledger),
+    ]
+
+
+def _words_not_kept(ledger: Ledger) -> list[str]:
+    """Look for targets that got more than they said they take; a restart is another process."""
+    ledger.said.excuses = [
+        Excuse(vm, trouble.began_at, trouble.ended_at)
+        for trouble in ledger.troubles
+        if not (trouble.is_of_target or trouble.is_planned or trouble.name.startswith("store"))
+        for vm in _vms_of(ledger, trouble)
     ]
+    return broken_words(ledger.said)
+
+
+def _vms_of(ledger: Ledger, trouble: Trouble) -> set[str]:
+    return {sent.vm for sent in ledger.sent} if trouble.vm == "*" else {trouble.vm}
 
 
 def _not_whole(ledger: Ledger) -> list[str]:
--- a/benchmarks/_soak_parts.py
+++ b/benchmarks/_soak_parts.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from benchmarks._soak_ledger import REFUSALS, Leaving, Ledger, Run, Sent
+from benchmarks._said_ledger import Arrival, Limit, Told
+from benchmarks._soak_ledger import REFUSALS, Leaving, Ledger, Run, Sent, vm_of
 from daisywharf._mesh._headers import HeaderPair
 from daisywharf._mesh._http_answers import HttpAnswer, HttpFailure
 from daisywharf._mesh._http_client import HttpPool
@@ -51,6 +52,8 @@
         self.work_s = 0.02
         self.slots = 20
         self.state = "ready"
+        self.limit_per_s: float | None = None
+        self.says_leaving = False
         self.misbehaves: Callable[[Exchange, str], bool] | None = None
         self.server = HttpServer(self._handle, now=time.monotonic)
         self._control = HttpPool(control, now=time.monotonic)
@@ -70,6 +73,8 @@
     def crash(self) -> None:
         """End without a word; what runs is lost."""
         self.is_down = True
+        if self.limit_per_s is not None:
+            self.name_limit(None)
         if self._beats is not None:
             self._beats.cancel()
         self.server.stop()
@@ -79,8 +84,14 @@
         self._control.close()
         self._entry.close()
 
+    def name_limit(self, per_s: float | None) -> None:
+        """Name a limit in answers from now on, in requests a second, or none any more."""
+        self.limit_per_s = per_s
+        self.ledger.said.limits.append(Limit(self.name, per_s, time.monotonic()))
+
     async def leave(self, *, drain_s: float) -> None:
         """Announce the leaving, serve on for a while, and go."""
+        self.says_leaving = True
         self.state = "draining"
         while not await self._beat():
             await asyncio.sleep(0.1)
@@ -112,8 +123,12 @@
 
     def _handle(self, exchange: Exchange) -> None:
         request = header_of(exchange.headers, b"attempt-id")
+        began = self.ledger.began_by_request.get(request)
+        if began is not None:
+            self.ledger.said.arrivals.append(Arrival(self.name, request, *began, time.monotonic()))
         if self._running >= self.slots:
-            exchange.respond(503, lines=f"Attempt-Id: {request}\r\nNot-Executed: 1\r\n".encode())
+            lines = f"Attempt-Id: {request}\r\nNot-Executed: 1\r\n".encode()
+            exchange.respond(503, lines=lines + self.said_lines())
             return
         self._running += 1
         run = Run(self.name, self.service, time.monotonic())
@@ -131,14 +146,27 @@
         status = await self._call_below(request) if is_above else 200
         if self.misbehaves is not None and self.misbehaves(exchange, request):
             return
-        lines = f"Attempt-Id: {request}\r\nServer-Signature: s\r\n".encode()
+        lines = f"Attempt-Id: {request}\r\nServer-Signature: s\r\nFrom: {self.name}\r\n".encode()
         run.answered_at = time.monotonic()
-        exchange.respond(status, lines=lines, body=body_of(request, self.name))
+        exchange.respond(status, lines=lines + self.said_lines(), body=body_of(request, self.name))
+
+    def said_lines(self) -> bytes:
+        """Return the header lines in which the target tells of itself."""
+        lines = (
+            b"" if self.limit_per_s is None else f"Server-Limit: {self.limit_per_s}\r\n".encode()
+        )
+        return lines + (b"Server-Leaving: 1\r\n" if self.says_leaving else b"")
 
     async def _call_below(self, request: str) -> int:
         self._last_call += 1
-        head = request_head("GET", "/back/inner", f"{request}.{self._last_call}", time_left_s=1.0)
+        inner = f"{request}.{self._last_call}"
+        head = request_head("GET", "/back/inner", inner, time_left_s=1.0)
+        vm = vm_of(self.name)
+        process = self.ledger.process_by_vm[vm]
+        self.ledger.began_by_request[inner] = (vm, process, time.monotonic())
         result = await self._entry.fetch(head + b"\r\n", within_s=1.2)
+        if isinstance(result, HttpAnswer):
+            note_said(self.ledger, result, vm=vm, process=process)
         return 200 if isinstance(result, HttpAnswer) and result.status == 200 else 500
 
 
@@ -162,12 +190,14 @@
         request = f"{self.vm}-{self._last}"
         sent = Sent(request, self.vm, self.process, path, method == "GET", time.monotonic())
         self.ledger.sent.append(sent)
+        self.ledger.began_by_request[request] = (self.vm, self.process, sent.sent_at)
         body = b"order" if method == "POST" else b""
         head = request_head(method, path, request, time_left_s=CLIENT_TIME_S, length=len(body))
         result = await self.pool.fetch(head + b"\r\n" + body, within_s=CLIENT_TIME_S + 0.5)
         sent.ended_at = time.monotonic()
         if isinstance(result, HttpAnswer):
             sent.status = result.status
+            note_said(self.ledger, result, vm=sent.vm, process=sent.process)
             promises = any(name.lower() == b"retry-after" for name, _ in result.headers)
             sent.promises_not_run = result.status in REFUSALS and promises
             wholes = (body_of(request, r.target) for r in self.ledger.runs_by_request[request])
@@ -177,6 +207,16 @@
         return sent
 
 
+def note_said(ledger: Ledger, answer: HttpAnswer, *, vm: str, process: int) -> None:
+    """Note what a target's answer said, which a daemon has passed on."""
+    target = header_of(answer.headers, b"from")
+    told = Told(target, vm, process, time.monotonic())
+    if target and header_of(answer.headers, b"server-limit"):
+        ledger.said.told_limits.append(told)
+    if target and header_of(answer.headers, b"server-leaving"):
+        ledger.said.told_leavings.append(told)
+
+
 def request_head(
     method: str, path: str, request: str, *, time_left_s: float, length: int = 0
 ) -> bytes:
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -13,6 +13,7 @@
 
 import uvloop
 
+from benchmarks._said_ledger import judged_arrivals
 from benchmarks._soak_daemon import BREAKS
 from benchmarks._soak_faults import EVERYWHERE, FAULTS, RELAY_FAULTS, Fault
 from benchmarks._soak_fleet import SoakFleet
@@ -179,6 +180,8 @@
         "requests": len(sent),
         "served_part": round(served / max(1, len(sent)), 4),
         "runs_judged": sum(1 for _ in judged_runs(fleet.ledger)),
+        "limits_judged": judged_arrivals(fleet.ledger.said),
+        "leavings_told": len(fleet.ledger.said.told_leavings),
         "broken": len(lines),
     }
     if options.json:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 from benchmarks import soak
+from benchmarks._said_ledger import Arrival, Limit, Told
 from benchmarks._soak_ledger import (
     Applied,
     Leaving,
@@ -83,6 +84,22 @@
     ledger.runs_by_request["b"].append(_run())
 
 
+def _over_limit(ledger: Ledger) -> None:
+    said = ledger.said
+    said.limits.append(Limit("t-1", 2.0, 0.0))
+    said.told_limits.append(Told("t-1", "vm-1", 1, 1.0))
+    said.arrivals += [
+        Arrival("t-1", f"x{number}", "vm-1", 1, at, at)
+        for number in range(60)
+        if (at := 1.6 + number / 5.0)
+    ]
+
+
+def _after_a_leaving_in_an_answer(ledger: Ledger) -> None:
+    ledger.said.told_leavings.append(Told("t-1", "vm-1", 1, 1.0))
+    ledger.said.arrivals.append(Arrival("t-1", "a", "vm-1", 1, 3.1, 3.2))
+
+
 BROKEN = {
     "WHOLE": _not_whole,
     "ONCE": _twice,
@@ -94,6 +111,8 @@
     "CONFIG": _late_configuration,
     "CONFIG went back": _earlier_configuration,
     "CONFIG old service": _run_by_the_old_service,
+    "LIMIT": _over_limit,
+    "DRAIN in an answer": _after_a_leaving_in_an_answer,
 }
 
 
@@ -162,9 +181,33 @@
     ledger.troubles.append(Trouble("store silent", "*", 6.0, ended_at=7.1))
 
 
+def _over_a_limit_told_before_a_freeze(ledger: Ledger) -> None:
+    _over_limit(ledger)
+    ledger.troubles.append(Trouble("freeze", "vm-1", 1.2, ended_at=1.5))
+
+
+def _over_a_limit_told_to_an_earlier_process(ledger: Ledger) -> None:
+    _over_limit(ledger)
+    ledger.said.told_limits = [Told("t-1", "vm-1", 0, 1.0)]
+
+
+def _within_a_limit(ledger: Ledger) -> None:
+    _over_limit(ledger)
+    ledger.said.limits = [Limit("t-1", 2.8, 0.0)]
+
+
+def _sent_before_a_leaving_had_to_be_kept(ledger: Ledger) -> None:
+    _after_a_leaving_in_an_answer(ledger)
+    ledger.said.arrivals = [Arrival("t-1", "a", "vm-1", 1, 2.9, 3.2)]
+
+
 @pytest.mark.parametrize(
     "allowed",
     [
+        _over_a_limit_told_before_a_freeze,
+        _over_a_limit_told_to_an_earlier_process,
+        _within_a_limit,
+        _sent_before_a_leaving_had_to_be_kept,
         _answered_late,
         _cut_while_frozen,
         _given_up_as_its_target_s_vm_froze,
