Take a limit that entries know only for the first target that a gate hears of

A target that starts again under its id was held to the limit of its earlier incarnation, for a second or more, if a daemon that hadn't heard of the start yet sent it a call. Cause: a call names its target by id, and carries what its entry knows of the limit to a gate whose target has said nothing yet; that is so after each new incarnation, not just after the gate's own start. Change: only a gate that has just started, and knows no other incarnation, takes it.

--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -101,6 +101,8 @@
         self.unreachable_until = 0.0
         self._unreachable_s = UNREACHABLE_S
         self._is_probing = False
+        # What entries know may have been said by an incarnation before the one that replaced it.
+        self._is_first_target = False
         self._turn: asyncio.TimerHandle | None = None
         self._running_since = now()
         self._pool: HttpPool | None = None
@@ -134,6 +136,7 @@
             notice.address,
         )
         if not is_same:
+            self._is_first_target = known is None
             self._replace_target(notice)
         self.notice = notice
         self.unreachable_until = 0.0
@@ -168,7 +171,8 @@
         if self.held.is_full:
             on_result(self._refusal(call, ErrorKind.MEMORY_FULL))
             return call_id
-        if call.most_per_s is not None and self.slots.rate.per_s is None:
+        is_unheard = self._is_first_target and self.slots.rate.per_s is None
+        if call.most_per_s is not None and is_unheard:
             self._name_limit(call.most_per_s)
         deadline = now + call.time_left_ms / MS
         keep(self.held, len(call.body))
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -5,9 +5,14 @@
 import pytest
 from benchmarks._said_ledger import broken_words, judged_arrivals
 
+from builders_mesh import NOWHERE, in_loop, notice
 from builders_target_words import NamingWorld
 from builders_virtual_fleet import VirtualFleet
 from builders_word_troubles import play_troubles
+from daisywharf._mesh._frames import Call
+from daisywharf._mesh._gate import Gate
+from daisywharf._mesh._held import HeldBytes
+from daisywharf.platform._headers import PlatformDialect
 from virtual_net import VirtualNet, in_virtual_time
 
 ZONES = {"perth-a": 3, "perth-b": 2, "perth-c": 1}
@@ -121,3 +126,30 @@
         assert broken_words(world.ledger) == []
 
     _play(scenario, seed=seed)
+
+
+def _call(*, most_per_s: float | None) -> Call:
+    head = b"GET /orders/x HTTP/1.1\r\n"
+    return Call(1, "t-1", "a", "s", "r stock", 5_000, 5_000, 0, 0, True, head, b"", most_per_s)
+
+
+def test_a_gate_that_has_just_started_takes_the_limit_from_entries_that_know_it() -> None:
+    async def scenario() -> None:
+        gate = Gate(dialect=PlatformDialect(), now=lambda: 1.0, held=HeldBytes(most=1e6))
+        gate.take_notice(notice(NOWHERE))
+        gate.submit(_call(most_per_s=0.5), lambda _result: None)
+        assert gate.load().most_per_s == 0.5
+        assert (gate.load().running, gate.load().waiting) == (0, 1)
+
+    in_loop(scenario)
+
+
+def test_a_limit_that_entries_know_is_not_that_of_the_next_incarnation_under_the_same_id() -> None:
+    async def scenario() -> None:
+        gate = Gate(dialect=PlatformDialect(), now=lambda: 1.0, held=HeldBytes(most=1e6))
+        gate.take_notice(notice(NOWHERE))
+        gate.take_notice(notice(NOWHERE, born_ms=2))
+        gate.submit(_call(most_per_s=0.5), lambda _result: None)
+        assert gate.load().most_per_s is None
+
+    in_loop(scenario)
