Replay a deep service that names a limit, and one target of six that does

The load patterns of the incident, apart from input and output: 16 entries and six targets of which one or all name limits, and a chain whose deep service is limited to a quarter of the demand. The experiments give each gate one timer for its next turn; one more with each call had slowed them to a stop. Tried and dropped: a gate's room of what its rate fills and 0.1 s of queue besides, for more use of a small limit.

--- a/src/daisywharf/_experiments/_placement.py
+++ b/src/daisywharf/_experiments/_placement.py
@@ -89,6 +89,7 @@
         self.refused = 0
         self.second_gates = 0
         self.started = [0] * settings.targets
+        self._awaiting_turn: set[int] = set()
         self.most_load = [0.0] * settings.targets
         self.samples: list[Sample] = []
         self._call_by_id: dict[CallId, PlacedCall] = {}
@@ -164,10 +165,12 @@
             elif isinstance(action, Refuse):
                 self._go_elsewhere(number, action.call_id)
         turn_s = next_turn_in_s(self.gates[number], now=self.loop.now)
-        if turn_s:
+        if turn_s and number not in self._awaiting_turn:
+            self._awaiting_turn.add(number)
             call_later(self.loop, turn_s, lambda: self._take_turn(number))
 
     def _take_turn(self, number: int) -> None:
+        self._awaiting_turn.discard(number)
         self._apply(number, start_waiting(self.gates[number], now=self.loop.now))
 
     def _run(self, number: int, call_id: CallId) -> None:
--- a/src/daisywharf/_experiments/_surge.py
+++ b/src/daisywharf/_experiments/_surge.py
@@ -10,7 +10,17 @@
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
 from daisywharf._overload._pressure import OPEN, Pressure, is_shed, move_pressure, note_arrival
 from daisywharf._overload._queue import WaitingCall
-from daisywharf._overload._slots import SlotGate, arrive, expire, load_part, release
+from daisywharf._overload._slots import (
+    SlotGate,
+    arrive,
+    expire,
+    load_part,
+    next_turn_in_s,
+    note_run,
+    release,
+    start_waiting,
+)
+from daisywharf._overload._start_rate import name_limit
 from daisywharf._virtual._loop import VirtualLoop, call_later, run_until
 
 ENTRIES = 16
@@ -41,10 +51,22 @@
 class Surge:
     """Hold one deep service's gate and the requests that reach it."""
 
-    def __init__(self, *, slots: int, work_s: float, follows_level: bool, seed: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        slots: int,
+        work_s: float,
+        follows_level: bool,
+        limit_per_s: float | None = None,
+        seed: int = 1,
+    ) -> None:
         self.loop = VirtualLoop()
         self.gate = SlotGate(slots=slots)
         self.pressure = Pressure(now=0.0)
+        if limit_per_s is not None:
+            name_limit(self.gate.rate, limit_per_s, now=0.0)
+        self.started = 0
+        self._awaits_turn = False
         self.work_s = work_s
         self.follows_level = follows_level
         self.rng = Random(seed)
@@ -128,9 +150,19 @@
             elif isinstance(action, Refuse):
                 stream, _ = self._left_by_id.pop(action.call_id)
                 self.outcome_by_importance[stream.importance].thrown_away += 1
+        turn_s = next_turn_in_s(self.gate, now=self.loop.now)
+        if turn_s and not self._awaits_turn:
+            self._awaits_turn = True
+            call_later(self.loop, turn_s, self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._awaits_turn = False
+        self._apply(start_waiting(self.gate, now=self.loop.now))
 
     def _run(self, call_id: CallId) -> None:
         work_s = self.rng.expovariate(1.0 / self.work_s)
+        self.started += 1
+        note_run(self.gate, work_s)
         call_later(self.loop, work_s, lambda: self._end(call_id))
 
     def _end(self, call_id: CallId) -> None:
@@ -153,6 +185,7 @@
     calls_each: int = 4
     lasts_s: float = 8.0
     follows_level: bool = True
+    limit_per_s: float | None = None  # that the deep service's target names
 
 
 def play_surge(settings: SurgeSettings, seed: int) -> Played:
@@ -161,6 +194,7 @@
         slots=settings.slots,
         work_s=settings.work_ms / 1_000.0,
         follows_level=settings.follows_level,
+        limit_per_s=settings.limit_per_s,
         seed=seed,
     )
     calls = settings.calls_each
--- a/src/daisywharf/_routing/_placement.py
+++ b/src/daisywharf/_routing/_placement.py
@@ -157,7 +157,11 @@
     if not usable:
         return None
     # Where the shares of all are spent, their gates choose.
-    usable = [c for c in usable if has_share(c.share, entries=placement.entries, now=now)] or usable
+    usable = [
+        c
+        for c in usable
+        if c.share.per_s is None or has_share(c.share, entries=placement.entries, now=now)
+    ] or usable
     probe = next((c for c in usable if is_probe_due(c.record, now=now)), None)
     if probe is not None:
         return probe
--- a/tests/test_overload_start_rate.py
+++ b/tests/test_overload_start_rate.py
@@ -6,6 +6,7 @@
 
 from daisywharf._contract import Importance
 from daisywharf._experiments._placement import PlacementSettings, PlacementWorld
+from daisywharf._experiments._surge import Stream, Surge
 from daisywharf._ids import CallClassName, RequestId
 from daisywharf._overload._actions import Admit, CallId
 from daisywharf._overload._queue import WaitingCall
@@ -136,3 +137,29 @@
     world.run(until_s=CATALOGUE.lasts_s)
     taken = sum(world.started) - before
     assert 0.9 * 6 * 20.0 * 10.0 <= taken <= 1.1 * 6 * 20.0 * 10.0
+
+
+def _surge(*, follows_level: bool, seed: int) -> Surge:
+    """Play four times what a limited deep service takes, with four calls for most requests."""
+    surge = Surge(slots=81, work_s=0.022, follows_level=follows_level, limit_per_s=200.0, seed=seed)
+    streams = [
+        Stream(Importance.NORMAL, 100.0, 4),
+        Stream(Importance.CRITICAL, 34.0, 4),
+        Stream(Importance.HIGH, 264.0, 1, patience_s=0.05),
+    ]
+    surge.run(streams, lasts_s=8.0)
+    return surge
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_where_a_deep_service_is_limited_the_least_important_is_refused_before_work_is_done(
+    seed: int,
+) -> None:
+    with_level = _surge(follows_level=True, seed=seed).outcome_by_importance
+    without = _surge(follows_level=False, seed=seed).outcome_by_importance
+    critical, normal = with_level[Importance.CRITICAL], with_level[Importance.NORMAL]
+    # The users' price begins where the more important is served less often by 5 in 100.
+    assert critical.whole / critical.offered >= normal.whole / normal.offered - 0.05
+    assert critical.refused_at_entry / critical.offered <= 0.05
+    thrown_away = sum(outcome.thrown_away for outcome in with_level.values())
+    assert thrown_away <= 0.5 * sum(outcome.thrown_away for outcome in without.values())
