Read the change to gates and experiments as a newcomer would

A gate's room names its case, an unused figure of the placement experiment goes, the replays use its settings, and the metric of a gate's limit says what it holds now that a target's limit counts too. Behaviour is as before.

--- a/src/daisywharf/_experiments/_placement.py
+++ b/src/daisywharf/_experiments/_placement.py
@@ -19,7 +19,6 @@
     SlotGate,
     arrive,
     expire,
-    load_part,
     next_turn_in_s,
     note_run,
     release,
@@ -90,7 +89,6 @@
         self.second_gates = 0
         self.started = [0] * settings.targets
         self._awaiting_turn: set[int] = set()
-        self.most_load = [0.0] * settings.targets
         self.samples: list[Sample] = []
         self._call_by_id: dict[CallId, PlacedCall] = {}
         self._last_number = 0
@@ -217,7 +215,6 @@
     def _tick(self) -> None:
         for number, gate in enumerate(self.gates):
             self._apply(number, expire(gate, now=self.loop.now))
-            self.most_load[number] = max(self.most_load[number], load_part(gate))
         call_later(self.loop, TICK_S, self._tick)
 
     def _report(self, number: int) -> None:
--- a/src/daisywharf/_mesh/_counts.py
+++ b/src/daisywharf/_mesh/_counts.py
@@ -110,7 +110,7 @@
     given = (
         ("daisywharf_gate_running", "Calls that run at the target.", running),
         ("daisywharf_gate_waiting", "Calls that wait for a slot.", waiting),
-        ("daisywharf_gate_limit", "Slots that are used at once.", limit),
+        ("daisywharf_gate_limit", "Calls that run at once at a full gate.", limit),
         ("daisywharf_gate_level", "Importance from which requests are refused.", level),
         ("daisywharf_gate_limit_per_second", "Calls a second that the target takes.", per_s),
         ("daisywharf_configuration_version", "Version in force.", version),
--- a/src/daisywharf/_overload/_slots.py
+++ b/src/daisywharf/_overload/_slots.py
@@ -53,8 +53,8 @@
 
 def room(gate: SlotGate) -> float:
     """Return how many calls run at once at a full gate: its slots, or what its rate fills."""
-    if gate.rate.per_s is None:
-        return gate.limit
+    if gate.rate.per_s is None or not gate.rate.is_limited:
+        return float(gate.limit)
     return min(float(gate.limit), max(1.0, gate.rate.per_s * gate.run_s))
 
 
--- a/tests/test_overload_start_rate.py
+++ b/tests/test_overload_start_rate.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 import pytest
+from msgspec.structs import replace
 
 from daisywharf._contract import Importance
 from daisywharf._experiments._placement import PlacementSettings, PlacementWorld
@@ -116,10 +117,9 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_while_others_have_room_a_target_in_need_costs_callers_nothing(seed: int) -> None:
-    world = PlacementWorld(CATALOGUE, seed=seed)
+    world = PlacementWorld(replace(CATALOGUE, limited_targets=1, limit_per_s=4.1), seed=seed)
     world.run(until_s=CATALOGUE.slow_from_s)
-    world.gates[0].rate = StartRate()
-    name_limit(world.gates[0].rate, 4.1, now=world.loop.now)
+    world.name_limits()
     before, answered = world.started[0], len(world.latencies)
     world.run(until_s=CATALOGUE.lasts_s)
     assert world.started[0] - before <= 4.1 * 10.0 + 3.0
@@ -129,10 +129,9 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_where_all_targets_name_limits_all_that_they_take_is_used(seed: int) -> None:
-    world = PlacementWorld(CATALOGUE, seed=seed)
+    world = PlacementWorld(replace(CATALOGUE, limited_targets=6, limit_per_s=20.0), seed=seed)
     world.run(until_s=CATALOGUE.slow_from_s)
-    for gate in world.gates:
-        name_limit(gate.rate, 20.0, now=world.loop.now)
+    world.name_limits()
     before = sum(world.started)
     world.run(until_s=CATALOGUE.lasts_s)
     taken = sum(world.started) - before
