Share a limit among the entries of the target's zone, and try a limit of nothing again

A target that had named a limit of 0 got no request any more after it was well again, as long as others of its service had room (0 of 150 in 3 s, 12 s later); one that had named 4.1 of 6 targets got a quarter of it, and among hundreds of entries would have got its first request after a minute. Cause: a part of 0 is never sent, parts were shared among all entries though those of other zones don't send theirs while their own zone has room, and all began empty at one moment. Change: entries of the target's zone share it, each limit counts as a call each 4 s at least, and the parts begin at random. After: its part is back within 12 s of a limit of 0 (recovery is due in 15), 2 s of one of 4.1. Tests of a gate's burst after a pause, and of a leaving said in one answer, fail now when their protection is taken out.

--- a/src/daisywharf/_experiments/_placement.py
+++ b/src/daisywharf/_experiments/_placement.py
@@ -103,7 +103,7 @@
         placement = placement_of(
             entry=entry, targets=settings.targets, slots=settings.slots, zones=settings.zones
         )
-        placement.entries = settings.entries
+        placement.entries = -(-settings.entries // settings.zones)
         return placement
 
     def run(self, *, until_s: float) -> None:
--- a/src/daisywharf/_mesh/_reporting.py
+++ b/src/daisywharf/_mesh/_reporting.py
@@ -73,7 +73,9 @@
         note_counts(entry.origins, service, entered)
         entry.judge_origins(now=now)
         gate.entries = len(self.membership.record_by_vm)
-        entry.services.set_entries(gate.entries)
+        zone = self.membership.own.zone
+        records = self.membership.record_by_vm.values()
+        entry.services.set_entries(sum(record.zone == zone for record in records))
         self._send(news, Report(news, rows, service, entered), now=now)
 
     def news(self) -> News:
--- a/src/daisywharf/_mesh/_services.py
+++ b/src/daisywharf/_mesh/_services.py
@@ -35,7 +35,7 @@
         return placement
 
     def set_entries(self, entries: int) -> None:
-        """Take how many daemons place calls at the same targets."""
+        """Take how many daemons of the zone place calls at the same targets."""
         self.entries = entries
         for placement in self.placement_by_service.values():
             placement.entries = entries
--- a/src/daisywharf/_routing/_placement.py
+++ b/src/daisywharf/_routing/_placement.py
@@ -88,7 +88,7 @@
 
     def __init__(self, *, zone: ZoneName) -> None:
         self.zone = zone
-        self.entries = 1  # that share out what a target in need takes
+        self.entries = 1  # of the zone, that share out what a target in need takes
         self.candidate_by_id: dict[TargetId, Candidate] = {}
         self.candidates: list[Candidate] = []
 
@@ -142,7 +142,7 @@
         return
     candidate.load = AnnouncedLoad(occupied, limit, level, heard_at)
     if most_per_s is not None:
-        set_share(candidate.share, None if isinf(most_per_s) else most_per_s, now=heard_at)
+        set_share(candidate.share, None if isinf(most_per_s) else most_per_s)
 
 
 def place(
@@ -158,9 +158,7 @@
         return None
     # Where the shares of all are spent, their gates choose.
     usable = [
-        c
-        for c in usable
-        if c.share.per_s is None or has_share(c.share, entries=placement.entries, now=now)
+        c for c in usable if c.share.per_s is None or _is_its_turn(c, placement, now=now, rng=rng)
     ] or usable
     probe = next((c for c in usable if is_probe_due(c.record, now=now)), None)
     if probe is not None:
@@ -179,6 +177,13 @@
     return min(sound, key=cost)
 
 
+def _is_its_turn(candidate: Candidate, placement: Placement, *, now: float, rng: Random) -> bool:
+    """Tell whether a target in need may get a call of this entry while others are left."""
+    return candidate.record.is_own_zone and has_share(
+        candidate.share, entries=placement.entries, now=now, rng=rng
+    )
+
+
 def _draw(sound: list[Candidate], kind: str, *, now: float, rng: Random) -> Candidate:
     """Draw a target by its room and speed, in the own zone while that has room."""
     typical_s = _typical_latency(sound, kind)
--- a/src/daisywharf/_routing/_rate_share.py
+++ b/src/daisywharf/_routing/_rate_share.py
@@ -2,12 +2,15 @@
 
 Load pattern: a target takes a few calls a second while the others of its service have room. Between
 two words of its load it looks idle to each of many entries; what they all send there waits for
-nothing and is turned away. Entries that know the limit send their parts of it, which its gate still
-adds up; where no other target is left, they send there what must be sent, and its gate chooses.
+nothing and is turned away. The entries of its zone, which know the limit, send their parts of it;
+its gate still adds them up. Where no other target is left, all send there what must be sent, and
+its gate chooses.
 """
 
+from random import Random
 from typing import Final
 
+from daisywharf._overload._start_rate import LEAST_PER_S
 from daisywharf._token_bucket import Bucket, refill, wait_s
 
 # Part of the limit that entries share out: a gate that is asked for all of it counts as full, and
@@ -20,25 +23,29 @@
 
     def __init__(self) -> None:
         self.per_s: float | None = None
-        self.bucket = Bucket(0.0, 1.0, 0.0, 0.0)
+        self.bucket: Bucket | None = None
 
 
-def set_share(share: RateShare, per_s: float | None, *, now: float) -> None:
+def set_share(share: RateShare, per_s: float | None) -> None:
     """Take what a target takes in all; none where it names no limit."""
-    if share.per_s is None:
-        share.bucket = Bucket(0.0, 1.0, 0.0, now)
+    if share.per_s is None or per_s is None:
+        share.bucket = None
     share.per_s = per_s
 
 
-def has_share(share: RateShare, *, entries: int, now: float) -> bool:
-    """Tell whether one of so many entries may send a call."""
+def has_share(share: RateShare, *, entries: int, now: float, rng: Random) -> bool:
+    """Tell whether one of so many entries in the target's zone may send a call."""
     if share.per_s is None:
         return True
-    rate_per_s = share.per_s * SHARED_PART / max(1, entries)
+    rate_per_s = max(LEAST_PER_S, share.per_s) * SHARED_PART / max(1, entries)
+    if share.bucket is None:
+        # Entries hear of a limit at one moment; their parts are spread from the start.
+        share.bucket = Bucket(rate_per_s, 1.0, rng.random(), now)
     refill(share.bucket, rate_per_second=rate_per_s, burst=1.0, now=now)
     return not wait_s(share.bucket)
 
 
 def spend_share(share: RateShare) -> None:
     """Count a call that was sent."""
-    share.bucket.tokens = max(0.0, share.bucket.tokens - 1.0)
+    if share.bucket is not None:
+        share.bucket.tokens = max(0.0, share.bucket.tokens - 1.0)
--- a/tests/test_overload_start_rate.py
+++ b/tests/test_overload_start_rate.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 import pytest
+from benchmarks._said_ledger import ALLOWED_EXTRA, ALLOWED_FACTOR, WINDOW_S
 from msgspec.structs import replace
 
 from daisywharf._contract import Importance
@@ -54,24 +55,30 @@
     return WaitingCall(call_id, CallClassName("r"), importance, 0, 0, 60.0, 0.0)
 
 
-def _starts(gate: SlotGate, *, until: float) -> Iterator[float]:
-    """Offer more than the limit and return when calls start."""
+def _starts(gate: SlotGate, *, until: float, pause_s: float = 0.0) -> Iterator[float]:
+    """Offer more than the limit, with a pause before each 5 s, and return when calls start."""
     now, number = 0.0, 0
     while now < until:
         number += 1
-        for action in [*start_waiting(gate, now=now), *arrive(gate, _call(number), now=now)]:
+        is_offered = now % (5.0 + pause_s) >= pause_s
+        offered = arrive(gate, _call(number), now=now) if is_offered else []
+        for action in [*start_waiting(gate, now=now), *offered]:
             if isinstance(action, Admit):
                 yield now
                 release(gate, action.call_id, now=now)
         now += 0.01
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 6.0])
 @pytest.mark.parametrize("per_s", [0.5, 4.1, 39.4])
-def test_no_four_seconds_have_more_starts_than_the_rule_allows(per_s: float) -> None:
-    starts = list(_starts(_limited(per_s), until=30.0))
+def test_no_four_seconds_have_more_starts_than_the_rule_allows(
+    per_s: float, pause_s: float
+) -> None:
+    starts = list(_starts(_limited(per_s), until=33.0, pause_s=pause_s))
     most = max(sum(first <= at <= first + 4.0 for at in starts) for first in starts)
-    assert most <= 4.0 * per_s + BURST_S * per_s + 2.0
-    assert len(starts) >= 30.0 * per_s * 0.95 - 1.0
+    assert most <= ALLOWED_FACTOR * WINDOW_S * per_s + ALLOWED_EXTRA
+    assert most <= WINDOW_S * per_s + BURST_S * per_s + 2.0
+    assert len(starts) >= 33.0 * 5.0 / (5.0 + pause_s) * per_s * 0.95 - 1.0
 
 
 def test_the_most_important_call_has_the_next_turn() -> None:
@@ -162,3 +169,16 @@
     assert critical.refused_at_entry / critical.offered <= 0.05
     thrown_away = sum(outcome.thrown_away for outcome in with_level.values())
     assert thrown_away <= 0.5 * sum(outcome.thrown_away for outcome in without.values())
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_while_the_others_are_full_a_target_in_need_gets_most_of_what_it_takes(seed: int) -> None:
+    settings = replace(
+        CATALOGUE, slots=20, calls_per_s=1_150.0, limited_targets=1, limit_per_s=40.0
+    )
+    world = PlacementWorld(settings, seed=seed)
+    world.run(until_s=CATALOGUE.slow_from_s)
+    world.name_limits()
+    before = world.started[0]
+    world.run(until_s=CATALOGUE.lasts_s)
+    assert 0.5 * 40.0 * 10.0 <= world.started[0] - before <= 40.0 * 10.0 + 11.0
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -1,5 +1,6 @@
 """A target that names a limit in its answers gets no more than it; one that leaves gets nothing."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -74,6 +75,21 @@
     _play(scenario)
 
 
+def test_a_leaving_said_in_one_answer_is_known_to_all_daemons() -> None:
+    async def scenario(world: NamingWorld) -> None:
+        await world.load(per_s=100.0, lasts_s=2.0)
+        await asyncio.sleep(1.0)
+        target = world.target_by_vm[IN_NEED]
+        target.is_leaving = True
+        await world.load(per_s=20.0, lasts_s=2.0, names=[IN_NEED])
+        assert world.ledger.told_leavings
+        known_at = world.fleet.now
+        await world.load(per_s=100.0, lasts_s=3.0)
+        assert world.got(target, since=known_at, until=world.fleet.now) == 0
+
+    _play(scenario)
+
+
 def test_a_leaving_said_in_an_answer_holds_after_a_restart_of_the_daemon_beside_the_target() -> (
     None
 ):
@@ -94,13 +110,17 @@
     _play(scenario)
 
 
-def test_a_target_gets_its_part_again_soon_after_it_names_no_limit_any_more() -> None:
+# The users' `recoveryS` is 15 s.
+@pytest.mark.parametrize(("per_s", "within_s"), [(4.1, 2.0), (0.0, 12.0)])
+def test_a_target_gets_its_part_again_soon_after_it_names_no_limit_any_more(
+    per_s: float, within_s: float
+) -> None:
     async def scenario(world: NamingWorld) -> None:
         target = world.target_by_vm[IN_NEED]
-        target.name_limit(4.1)
+        target.name_limit(per_s)
         await world.load(per_s=300.0, lasts_s=6.0)
         target.name_limit(None)
-        await world.load(per_s=300.0, lasts_s=2.0)
+        await world.load(per_s=300.0, lasts_s=within_s)
         ended_at = world.fleet.now
         await world.load(per_s=300.0, lasts_s=3.0)
         got = world.got(target, since=ended_at, until=world.fleet.now)
