Give a call at its gate a module, as a request at its entry has; test how a limit is read

The adapter's reading of limits and leavings is tested value by value: no sign, exponent, name of a number or endless digits; of two the smaller.

--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -4,18 +4,18 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-import msgspec
-
 from daisywharf._contract import Importance
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import CallClassName, RequestId
 from daisywharf._mesh._dialect import AnswerHead, Dialect
 from daisywharf._mesh._frames import Answered, Call, CallResult, GateLoad, OnCallResult, Unanswered
+from daisywharf._mesh._gate_call import GateCall, log_call_failed, log_call_refused
 from daisywharf._mesh._headers import HeaderPair
 from daisywharf._mesh._held import HeldBytes, keep
-from daisywharf._mesh._http_answers import Asked, HttpFailure, HttpResult, Ownership
+from daisywharf._mesh._http_answers import HttpFailure, HttpResult, Ownership
 from daisywharf._mesh._http_client import HttpPool
 from daisywharf._mesh._model import Readiness, TargetNotice
+from daisywharf._mesh._pending import MS
 from daisywharf._mesh._results import MISDIRECTED
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
 from daisywharf._overload._calls_below import CallCounts, Kind, note_half_run
@@ -41,7 +41,6 @@
 
 # A call with less time than this can't be answered; it isn't offered to the target.
 LEAST_TIME_S: Final = 0.005
-MS: Final = 1000.0
 # What can't be repeated goes out on connections that were used a moment ago, or on new ones.
 FRESH_IDLE_S: Final = 0.25
 USUAL_IDLE_S: Final = 4.0
@@ -59,21 +58,6 @@
 FIRST_FAILURE: Final = 500  # statuses from here on may come from a failing part of the target
 
 
-class GateCall(msgspec.Struct):
-    """Hold a call that waits or runs at the gate."""
-
-    call_id: CallId
-    call: Call
-    on_result: OnCallResult
-    deadline: float
-    asked: Asked | None = None
-    is_given_up: bool = False
-    answer_head: AnswerHead | None = None
-    started_at: float = 0.0
-    # When the target's own head was read; none where it came from an earlier incarnation.
-    head_at: float | None = None
-
-
 class Gate:
     """Hold the target beside this daemon, its slots, and the calls at it."""
 
@@ -266,7 +250,7 @@
                 self._start(gate_call)
             elif isinstance(action, Refuse):
                 self._forget(action.call_id)
-                self._log_refusal(gate_call, action.kind)
+                log_call_refused(gate_call, action.kind, self.load(), now=self.now())
                 gate_call.on_result(self._refusal(gate_call.call, action.kind))
         self._await_turn()
 
@@ -352,7 +336,7 @@
     def _outcome(self, gate_call: GateCall, result: HttpResult) -> CallResult:
         call, head = gate_call.call, gate_call.answer_head
         if isinstance(result, HttpFailure):
-            self._log_failure(gate_call, result)
+            log_call_failed(gate_call, result, now=self.now())
             if result.kind is ErrorKind.CONNECT_FAILED:
                 self._lose_target(result.detail)
             return Unanswered(call.call_id, result.kind, result.has_begun, self.load())
@@ -377,33 +361,6 @@
             head.is_leaving,
         )
 
-    def _log_refusal(self, gate_call: GateCall, kind: ErrorKind) -> None:
-        call, load = gate_call.call, self.load()
-        arrived_at = gate_call.deadline - call.time_left_ms / MS
-        log_event(
-            Event.CALL_REFUSED,
-            request=call.request_id,
-            route=call.route,
-            target=call.target_id,
-            kind=kind.value,
-            waited_ms=round((self.now() - arrived_at) * MS, 1),
-            running=load.running,
-            waiting=load.waiting,
-            limit=load.limit,
-        )
-
-    def _log_failure(self, gate_call: GateCall, failure: HttpFailure) -> None:
-        call = gate_call.call
-        log_event(
-            Event.CALL_FAILED,
-            request=call.request_id,
-            route=call.route,
-            target=call.target_id,
-            kind=failure.kind.value,
-            error=failure.detail,
-            ran_ms=round((self.now() - gate_call.started_at) * MS, 1),
-        )
-
     def _lose_target(self, detail: str) -> None:
         now = self.now()
         if now < self.unreachable_until or self.notice is None:
--- /dev/null
+++ b/src/daisywharf/_mesh/_gate_call.py
@@ -0,0 +1,58 @@
+"""A call at its target's gate until it ends, and the lines that tell of it."""
+
+import msgspec
+
+from daisywharf._errors import ErrorKind
+from daisywharf._mesh._dialect import AnswerHead
+from daisywharf._mesh._frames import Call, GateLoad, OnCallResult
+from daisywharf._mesh._http_answers import Asked, HttpFailure
+from daisywharf._mesh._pending import MS
+from daisywharf._overload._actions import CallId
+from daisywharf._signals._events import Event
+from daisywharf._signals._log import log_event
+
+
+class GateCall(msgspec.Struct):
+    """Hold a call that waits or runs at the gate."""
+
+    call_id: CallId
+    call: Call
+    on_result: OnCallResult
+    deadline: float
+    asked: Asked | None = None
+    is_given_up: bool = False
+    answer_head: AnswerHead | None = None
+    started_at: float = 0.0
+    # When the target's own head was read; none where it came from an earlier incarnation.
+    head_at: float | None = None
+
+
+def log_call_refused(gate_call: GateCall, kind: ErrorKind, load: GateLoad, *, now: float) -> None:
+    """Tell of a call that the gate refused unrun."""
+    call = gate_call.call
+    arrived_at = gate_call.deadline - call.time_left_ms / MS
+    log_event(
+        Event.CALL_REFUSED,
+        request=call.request_id,
+        route=call.route,
+        target=call.target_id,
+        kind=kind.value,
+        waited_ms=round((now - arrived_at) * MS, 1),
+        running=load.running,
+        waiting=load.waiting,
+        limit=load.limit,
+    )
+
+
+def log_call_failed(gate_call: GateCall, failure: HttpFailure, *, now: float) -> None:
+    """Tell of a call that the target didn't answer."""
+    call = gate_call.call
+    log_event(
+        Event.CALL_FAILED,
+        request=call.request_id,
+        route=call.route,
+        target=call.target_id,
+        kind=failure.kind.value,
+        error=failure.detail,
+        ran_ms=round((now - gate_call.started_at) * MS, 1),
+    )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -226,3 +226,31 @@
         10.0,
     )
     assert head.passed_on == b"attempt-id: 9c41\r\nSERVER-SIGNATURE: 3e1b\r\n"
+
+
+@pytest.mark.parametrize(
+    ("values", "most_per_s"),
+    [
+        ([b"10.3"], 10.3),
+        ([b" 0 "], 0.0),
+        ([b"7", b"4.5"], 4.5),
+        ([b"7", b"soon"], 7.0),
+        *(([value], None) for value in (b"", b"-1", b"inf", b"nan", b"1e3", b"1_0", b"9" * 400)),
+    ],
+)
+def test_a_limit_is_a_plain_decimal_number_and_the_smallest_counts(
+    values: list[bytes], most_per_s: float | None
+) -> None:
+    head = PlatformDialect().read_answer([(b"SERVER-LIMIT", value) for value in values])
+    assert (head.names_limit, head.most_per_s) == (True, most_per_s)
+
+
+def test_an_answer_that_names_no_limit_says_so() -> None:
+    head = PlatformDialect().read_answer([(b"Attempt-Id", b"9c41")])
+    assert (head.names_limit, head.most_per_s, head.is_leaving) == (False, None, False)
+
+
+@pytest.mark.parametrize(("value", "is_leaving"), [(b"1", True), (b"0", False), (b"", False)])
+def test_a_leaving_is_said_by_a_one(value: bytes, is_leaving: bool) -> None:
+    head = PlatformDialect().read_answer([(b"server-leaving", value)])
+    assert head.is_leaving is is_leaving
