--- a/review/1/case.py
+++ b/review/1/case.py
@@ -37,7 +37,11 @@
         await backend.start()
     await world.wait_ready(world.machines)
     await asyncio.sleep(4)
-    use_by_machine = {berth: ("POST", "/book/x"), book: ("GET", "/tide/x"), lock: ("GET", "/slot/x")}
+    use_by_machine = {
+        berth: ("POST", "/book/x"),
+        book: ("GET", "/tide/x"),
+        lock: ("GET", "/slot/x"),
+    }
     clients = []
     for machine, use in use_by_machine.items():
         uses = list(use_by_machine.values()) if SAME_MIX else [use]
@@ -68,7 +72,9 @@
         if ended_at - sent_at < WORK_S
         if sent_at > stopped_at + 3 or ended_at < stopped_at + grace_s * 5 / 6
     ]
-    world.record(f"requests passed on and cut (id, status, sent and cut after SIGTERM): {len(lost)} {lost}")
+    world.record(
+        f"requests passed on and cut (id, status, sent and cut after SIGTERM): {len(lost)} {lost}"
+    )
     return bool(lost)
 
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -66,7 +66,9 @@
     )
     late_runs = [run[1] for run in leaver.runs if run[0] > from_s]
     cut = [
-        r[0] for _, results in clients for r in results
+        r[0]
+        for _, results in clients
+        for r in results
         if r[0] in set(late_runs) and r[2] != 200 and r[3] >= ended_at - 0.5
     ]
     world.record(f"runs at {leaver.ident} later than drainMs after its leaving: {len(late_runs)}")
--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -82,7 +82,7 @@
                 writer.write(await self._answer(*message))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
-            pass
+            pass  # the daemon was killed or closed the connection
         finally:
             self.writers.discard(writer)
             writer.close()
@@ -90,7 +90,9 @@
     async def _answer(self, start, headers, body):
         method, path, _ = start.split(" ", 2)
         if path == "/health":
-            return http.answer_bytes(200 if self.state == "ready" else 503, {"Instance-Id": self.ident})
+            return http.answer_bytes(
+                200 if self.state == "ready" else 503, {"Instance-Id": self.ident}
+            )
         attempt = headers.get("attempt-id", "")
         echo = {"Attempt-Id": attempt}
         if headers.get("expected-instance", self.ident) != self.ident:
@@ -99,7 +101,9 @@
             return http.answer_bytes(503, echo | {"Not-Executed": "1"})
         self.running += 1
         self.runs.append((time.monotonic(), attempt, method, path, headers, len(body)))
-        self.record(f"run      {attempt} {method} {path} body {len(body)} at {self.ident} ({self.machine.name})")
+        self.record(
+            f"run      {attempt} {method} {path} body {len(body)} at {self.ident} ({self.machine.name})"
+        )
         try:
             await asyncio.sleep(self.work_by_path.get(path, self.work_s))
         finally:
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -66,7 +66,11 @@
         name = metadata.get("name") if method == "POST" else parts[1]
         known = self.objects.get((parts[0], name))
         if method == "POST":
-            return (409, known) if known else (200, self.write(parts[0], name, content.get("specification")))
+            return (
+                (409, known)
+                if known
+                else (200, self.write(parts[0], name, content.get("specification")))
+            )
         if known is None:
             return 404, {}
         revision = metadata.get("revision", query.get("revision"))
@@ -84,9 +88,16 @@
             after = query.get("after", "")
             items = [o for (k, n), o in sorted(self.objects.items()) if k == kind and n > after]
             return 200, {"items": items, "hasMore": False, "at": self.revision}
-        since, until = int(query["watch"]), asyncio.get_running_loop().time() + int(query.get("waitMs", 0)) / 1000
+        since, until = (
+            int(query["watch"]),
+            asyncio.get_running_loop().time() + int(query.get("waitMs", 0)) / 1000,
+        )
         while True:
-            events = [{"object": o, "deleted": False} for r, k, o in self.history if r > since and k == kind]
+            events = [
+                {"object": o, "deleted": False}
+                for r, k, o in self.history
+                if r > since and k == kind
+            ]
             left = until - asyncio.get_running_loop().time()
             if events or left <= 0:
                 return 200, {"events": events, "at": self.revision}
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -19,13 +19,27 @@
 HOST_NAME = "hulo84.example"
 INBOUND, BACKEND, READY, OUTBOUND, CONTROL, STORE = 8300, 8301, 8302, 8304, 8306, 8309
 BOUNDS = {
-    "seedLagS": 3, "addressReuseS": 2, "stabilityWindowMs": 3000, "ackTimeoutMs": 4000,
-    "catchUpS": 4, "drainMs": 2000, "gracePeriodS": 6, "lossSlackMs": 200, "configApplyMs": 2000,
-    "downgradeSlackMs": 250, "maxStretchMs": 5000, "retryBudgetRatio": 0.2, "budgetWindowS": 10,
-    "retryBudgetExtra": 47, "recoveryS": 15,
+    "seedLagS": 3,
+    "addressReuseS": 2,
+    "stabilityWindowMs": 3000,
+    "ackTimeoutMs": 4000,
+    "catchUpS": 4,
+    "drainMs": 2000,
+    "gracePeriodS": 6,
+    "lossSlackMs": 200,
+    "configApplyMs": 2000,
+    "downgradeSlackMs": 250,
+    "maxStretchMs": 5000,
+    "retryBudgetRatio": 0.2,
+    "budgetWindowS": 10,
+    "retryBudgetExtra": 47,
+    "recoveryS": 15,
 }
 LIMITS = {
-    "maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
+    "maxHeaderBytes": 16384,
+    "maxBodyBytes": 67108864,
+    "headerTimeoutMs": 3000,
+    "idleTimeoutMs": 15000,
 }
 CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover", "pressure", "platform"]
 
@@ -36,8 +50,14 @@
         "resourceKind": "routes",
         "metadata": {"name": name},
         "specification": {
-            "host": HOST_NAME, "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout_ms,
-            "targetLatencyMs": 1500, "priority": 1, "service": service, "maxAttempts": attempts,
+            "host": HOST_NAME,
+            "pathPrefix": prefix,
+            "kind": kind,
+            "timeoutMs": timeout_ms,
+            "targetLatencyMs": 1500,
+            "priority": 1,
+            "service": service,
+            "maxAttempts": attempts,
         },
     }
 
@@ -84,7 +104,10 @@
                 "resourceKind": "services",
                 "metadata": {"name": service},
                 "specification": {
-                    "healthCheckPath": "/health", "maxConnections": 1000, "protocol": "h1", "tls": False,
+                    "healthCheckPath": "/health",
+                    "maxConnections": 1000,
+                    "protocol": "h1",
+                    "tls": False,
                 },
             }
             for service in sorted({machine.service for machine in self.machines})
@@ -99,30 +122,52 @@
         at = {
             name: f"{machine.host}:{port}"
             for name, port in (
-                ("inbound", INBOUND), ("outbound", OUTBOUND), ("ready", READY), ("controlPlane", CONTROL)
+                ("inbound", INBOUND),
+                ("outbound", OUTBOUND),
+                ("ready", READY),
+                ("controlPlane", CONTROL),
             )
         }
         return {
             "self": {
-                "nodeName": machine.name, "role": "daemon", "machineClass": "sidecar",
-                "serves": ["sidecar"], "ipAddress": machine.host, "zone": machine.zone,
-                "region": "vlaanderen", "countsTowardTolerance": False,
-                "bootstrap": machine.starts == 0, "dataDirectory": None,
+                "nodeName": machine.name,
+                "role": "daemon",
+                "machineClass": "sidecar",
+                "serves": ["sidecar"],
+                "ipAddress": machine.host,
+                "zone": machine.zone,
+                "region": "vlaanderen",
+                "countsTowardTolerance": False,
+                "bootstrap": machine.starts == 0,
+                "dataDirectory": None,
                 "limits": {
-                    "cpuShare": 0.86, "cpuCores": 2, "memoryMb": 300, "fileDescriptors": 4100,
-                    "linkMbps": 1000.0, "diskMb": 0,
+                    "cpuShare": 0.86,
+                    "cpuCores": 2,
+                    "memoryMb": 300,
+                    "fileDescriptors": 4100,
+                    "linkMbps": 1000.0,
+                    "diskMb": 0,
                 },
-                "applicationAddress": f"{machine.host}:{BACKEND}", "service": machine.service,
+                "applicationAddress": f"{machine.host}:{BACKEND}",
+                "service": machine.service,
             },
             "network": {
-                "listenAddresses": at, "internalPortRange": [7620, 7635], "seedNodes": [],
+                "listenAddresses": at,
+                "internalPortRange": [7620, 7635],
+                "seedNodes": [],
                 "zones": {m.zone: "vlaanderen" for m in self.machines},
             },
             "platform": {
-                "discovery": "local", "entry": "local", "heartbeatIntervalMs": 1500,
+                "discovery": "local",
+                "entry": "local",
+                "heartbeatIntervalMs": 1500,
                 "platform": {
-                    "address": f"{self.store.host}:{self.store.port}", "form": "objects",
-                    "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576,
+                    "address": f"{self.store.host}:{self.store.port}",
+                    "form": "objects",
+                    "writesPerS": 400,
+                    "readsPerS": 2000,
+                    "historyS": 20,
+                    "valueBytes": 1048576,
                     "minTtlMs": 1000,
                 },
             },
@@ -142,7 +187,10 @@
         log = (self.directory / f"{machine.name}.log").open("ab")
         machine.process = subprocess.Popen(
             ["python3", "deploy/run.py"],
-            cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+            cwd=ROOT,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
             env=keep | {"DAISYWHARF_SETTINGS": str(path), "PYTHONPATH": "target/deps"},
         )
         self.record(f"start    daemon of {machine.name} (start {machine.starts})")
@@ -208,7 +256,9 @@
                     await asyncio.sleep(0.05)
                     continue
                 try:
-                    while await self._exchange(reader, writer, machine, method, path, deadline_ms, results):
+                    while await self._exchange(
+                        reader, writer, machine, method, path, deadline_ms, results
+                    ):
                         await asyncio.sleep(pause_s)
                 finally:
                     writer.close()
