--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+sys.path.insert(0, str(Path(__file__).resolve().parent))
 
 from standins import world as w  # noqa: E402
 from standins.backend import Backend  # noqa: E402
--- a/review/standins/world.py
+++ b/review/1/standins/world.py
@@ -15,7 +15,7 @@
 from . import http
 from .store import Store
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 HOST_NAME = "hulo84.example"
 INBOUND, BACKEND, READY, OUTBOUND, CONTROL, STORE = 8300, 8301, 8302, 8304, 8306, 8309
 BOUNDS = {
