Accept nothing in a stop that may outlast it, whoever sent it

Cause: the entry refused late requests only on routes that it took for clients' ones. Which routes carry targets' own calls is inferred from the VMs that use them; where each VM's clients use a route of their own, their requests look like calls and were accepted until the cut. Real calls were accepted too although their deadline lay beyond the stop.

Ruled out: requests accepted early and cut late (all six were sent at 4.9 s); refusals that begin late (with the same mix at all VMs they begin at 2.6 s).

Change: _mesh/_stopping.py schedules the stop and decides without the inference: after 2.6 s, or half of a short grace period, a request is accepted only while the local target is busy and if its deadline lies before the end.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any, Final
 
@@ -30,6 +31,7 @@
 from daisywharf._mesh._running import keep_running
 from daisywharf._mesh._services import Services
 from daisywharf._mesh._settings import MeshSettings
+from daisywharf._mesh._stopping import StopSchedule, can_accept, schedule_stop
 from daisywharf._mesh._store import Store
 from daisywharf._mesh._store_sync import StoreSync
 from daisywharf._mesh._summaries import Summaries
@@ -50,19 +52,8 @@
 READY_WITHOUT_TARGETS_S: Final = 3.0
 # The daemon's record is written at the target's first announcement, or after this time without one.
 FIRST_WRITE_AFTER_S: Final = 1.0
-# A stopping daemon accepts requests for this long, if its grace period allows: clients check
-# readiness every second and stop using a daemon after its second failed check.
-MIN_STOPPING_S: Final = 2.6
-# The gate stays open for this long, so that a healthy target keeps serving during the shutdown. The
-# rest of `MIN_STOPPING_S` lets other entries learn that the daemon leaves, and lets calls end.
-OPEN_WHILE_STOPPING_S: Final = 1.8
-# With a short grace period, the gate stays open for this fraction of it; the other three quarters
-# are left for the calls that run.
-OPEN_GRACE_FRACTION: Final = 0.25
 # Retry-After of a refusal for lack of memory: by then clients have read a few answers.
 MEMORY_FULL_RETRY_AFTER_S: Final = 1.0
-# The time left of the grace period when running calls are cut off: the exit itself takes a moment.
-STOP_MARGIN_S: Final = 0.7
 
 
 class LocalGateChannel:
@@ -448,31 +439,26 @@
         if self.is_stopping:
             return
         self.is_stopping = True
-        began_at = self.now()
+        schedule = schedule_stop(grace_s=self.settings.bounds.grace_s, now=self.now())
         log_event(Event.DAEMON_STOPPING, vm=self.settings.vm, in_flight=len(self.entry.pending))
+        self.entry.can_accept = partial(self._can_accept, schedule)
         self.clients.start_closing()
-        grace_s = self.settings.bounds.grace_s
-        await self._wait_while_gate_open(min(OPEN_WHILE_STOPPING_S, OPEN_GRACE_FRACTION * grace_s))
+        while self.gate.is_open and self.now() < schedule.gate_closes_at:
+            await asyncio.sleep(TICK_S)
         self.gate.start_stopping()
         self._update_own_record(is_leaving=True)
-        deadline = began_at + grace_s - STOP_MARGIN_S
-        while self.now() < deadline:
-            if self.now() - began_at >= MIN_STOPPING_S:
-                # Clients know by now that this daemon stops. Requests that still arrive on open
-                # connections are refused, so that accepted ones have the rest of the grace period.
-                self.entry.is_draining = True
-                if self._is_idle():
-                    break
-            await asyncio.sleep(0.05)
+        while self.now() < schedule.ends_at:
+            if self.now() >= schedule.accepts_until and self._is_idle():
+                break
+            await asyncio.sleep(TICK_S)
         cut_off = len(self.entry.pending)
         self.summaries.write(now=self.now())
         self.close()
         log_event(Event.DAEMON_STOPPED, vm=self.settings.vm, cut_off=cut_off)
 
-    async def _wait_while_gate_open(self, seconds: float) -> None:
-        until = self.now() + seconds
-        while self.gate.is_open and self.now() < until:
-            await asyncio.sleep(TICK_S)
+    def _can_accept(self, schedule: StopSchedule, deadline: float, now: float) -> bool:
+        is_target_busy = bool(self.gate.slots.running)
+        return can_accept(schedule, deadline=deadline, is_target_busy=is_target_busy, now=now)
 
     def _is_idle(self) -> bool:
         return not (self.entry.pending or self.gate.calls_by_id or self.clients.unsent_bytes)
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -112,8 +112,9 @@
         self.origins = Origins(now=now())
         self.entered_by_route: dict[RouteName, int] = {}
         self.split = SplitState()
-        # Set during shutdown, once a new request might not finish before the process exits.
-        self.is_draining = False
+        # Tells whether a request with this deadline can end, at this time, before the process
+        # exits. Replaced when the daemon begins to stop.
+        self.can_accept: Callable[[float, float], bool] = lambda _deadline, _now: True
         self.pending: set[PendingRequest] = set()
         self.request_stats = RequestStats()
         self.sampled_at = float("-inf")
@@ -163,15 +164,14 @@
         self.entered_by_route[route.name] = self.entered_by_route.get(route.name, 0) + 1
         if pending.is_from_target:
             record_call(self.call_counts, Callee(f"{route.name} {pending.service}"))
-        else:
-            if is_request(self.origins, route.name):
-                record_first_attempt(self.retry_permits.budget, pending.service, now=now)
-            refusal_kind = self._refusal_kind()
-            if refusal_kind is not None:
-                self._refuse(pending, refusal_kind, now=now)
-                return
-            if self._shed_if_overloaded(pending, now=now):
-                return
+        elif is_request(self.origins, route.name):
+            record_first_attempt(self.retry_permits.budget, pending.service, now=now)
+        refusal_kind = self._refusal_kind(pending, now=now)
+        if refusal_kind is not None:
+            self._refuse(pending, refusal_kind, now=now)
+            return
+        if not pending.is_from_target and self._shed_if_overloaded(pending, now=now):
+            return
         self.pending.add(pending)
         exchange.on_client_gone = lambda: self._abandon(pending)
         pending.timer = asyncio.get_running_loop().call_later(
@@ -179,10 +179,14 @@
         )
         self._send(pending)
 
-    def _refusal_kind(self) -> ErrorKind | None:
-        """Return why this daemon refuses every client request at present, or None."""
-        if self.is_draining:
+    def _refusal_kind(self, pending: PendingRequest, *, now: float) -> ErrorKind | None:
+        """Return why this daemon can't accept a request at present, or None."""
+        # Whether the target sent the request is inferred from its route, so it doesn't count here:
+        # a request that was accepted by mistake would be lost.
+        if not self.can_accept(pending.deadline, now):
             return ErrorKind.DRAINING
+        if pending.is_from_target:
+            return None
         return ErrorKind.MEMORY_FULL if self.memory.is_full else None
 
     def _shed_if_overloaded(self, pending: PendingRequest, *, now: float) -> bool:
--- a/tests/test_stopping_in_time.py
+++ b/tests/test_stopping_in_time.py
@@ -4,8 +4,15 @@
 import re
 from typing import Final
 
+import pytest
+
 from builders_mesh import SeenRequest, TargetStandIn, announcement
 from builders_virtual_fleet import ENTRY, VirtualFleet
+from daisywharf._configuration import RouteName
+from daisywharf._contract import Importance
+from daisywharf._mesh._entry import Entry
+from daisywharf._mesh._frames import Call
+from daisywharf._mesh._stopping import can_accept, schedule_stop
 from daisywharf._topology import Address
 from virtual_net import Process, VirtualNet, in_virtual_time, start_in
 
@@ -31,11 +38,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_lost = True
 
-    def send(self, request: str, path: str) -> None:
+    def send(self, request: str, path: str, *, deadline_ms: int = 6_000) -> None:
         """Send a request, unless the daemon has closed the connection."""
         if not self.is_lost and self.transport is not None:
             head = f"GET {path} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {request}\r\n"
-            self.transport.write(f"{head}Deadline-Ms: 6000\r\n\r\n".encode())
+            self.transport.write(f"{head}Deadline-Ms: {deadline_ms}\r\n\r\n".encode())
 
 
 class StoppingWorld:
@@ -63,6 +70,33 @@
         self.fleet.change()
         await asyncio.sleep(1.0)
 
+    async def start_busy_target(self, name: str) -> None:
+        """Start a target at a VM, and a request there that lasts for the whole stop."""
+        vm = self.fleet.vm_by_name[name]
+        assert vm.daemon is not None
+        target = TargetStandIn(lambda _seen: None)
+        target.address = Address(vm.host, 1)
+        await start_in(vm.process, target.server.start(target.address))
+        given = announcement(target.address, target_id="t-busy", service="other")
+        vm.process.context.run(vm.daemon.handle_announcement, given)
+        call = Call(
+            call_id=0,
+            target_id=given.target_id,
+            request_id="busy",
+            caller_service=given.service,
+            route="other other",
+            time_left_ms=20_000,
+            max_wait_ms=1_000,
+            importance=Importance.NORMAL,
+            sub_order=0.5,
+            is_idempotent=False,
+            head=b"GET /busy HTTP/1.1\r\nAttempt-Id: busy\r\n",
+            body=b"",
+        )
+        vm.process.context.run(vm.daemon.gate.submit, call, lambda _result: None)
+        await asyncio.sleep(0.1)
+        assert vm.daemon.gate.slots.running
+
     async def connect(self) -> Connection:
         """Open a connection of a client."""
         host = self.fleet.vm_by_name["antwerpen-1"].host
@@ -128,3 +162,82 @@
         assert [_statuses(connection) for connection in connections] == [[200]] * 8
 
     in_virtual_time(scenario)
+
+
+def _take_for_calls(world: StoppingWorld) -> Entry:
+    """Make the entry believe that its clients' route carries targets' calls; return the entry."""
+    daemon = world.fleet.vm_by_name["antwerpen-1"].daemon
+    assert daemon is not None
+    daemon.entry.origins.call_routes = frozenset({RouteName("orders")})
+    return daemon.entry
+
+
+@pytest.mark.parametrize("is_target_busy", [False, True])
+def test_late_requests_on_a_route_that_seems_to_carry_calls_are_not_cut_off(
+    is_target_busy: bool,
+) -> None:
+    """Clients of each VM use routes of their own, which look like routes of targets' calls."""
+
+    async def scenario(net: VirtualNet) -> None:
+        fleet = VirtualFleet(net, vms_by_zone={"antwerpen": 2})
+        await fleet.start()
+        world = StoppingWorld(fleet)
+        await world.start()
+        if is_target_busy:
+            await world.start_busy_target("antwerpen-1")
+        entry = _take_for_calls(world)
+        connections = [await world.connect() for _ in range(12)]
+        world.stop()
+        for number, connection in enumerate(connections):
+            await world.until(0.1 + 0.45 * number)
+            assert entry.origins.call_routes
+            connection.send(f"id-{number}", "/orders/quick")
+        await world.until(GRACE_S)
+        # Requests of the first 2.6 s are served; later ones aren't run, as they may last for 6 s.
+        served = [_statuses(connection) == [200] for connection in connections]
+        assert served == [True] * 6 + [False] * 6
+        assert [world.ran(f"id-{number}") for number in range(12)] == served
+        # Without a busy target the process ends once it is idle; its connections close unread.
+        for connection in connections[6:]:
+            assert _statuses(connection) in ([503], [])
+            assert _statuses(connection) or connection.is_lost
+        refused = [connection for connection in connections if _statuses(connection) == [503]]
+        assert len(refused) >= (5 if is_target_busy else 0)
+
+    in_virtual_time(scenario)
+
+
+def test_a_call_of_a_running_request_is_served_while_its_deadline_lies_within_the_stop() -> None:
+    async def scenario(net: VirtualNet) -> None:
+        fleet = VirtualFleet(net, vms_by_zone={"antwerpen": 2})
+        await fleet.start()
+        world = StoppingWorld(fleet)
+        await world.start()
+        await world.start_busy_target("antwerpen-1")
+        _take_for_calls(world)
+        connections = [await world.connect() for _ in range(2)]
+        world.stop()
+        await world.until(4.0)
+        connections[0].send("call", "/orders/quick", deadline_ms=1_000)
+        await world.until(4.4)
+        connections[1].send("long-call", "/orders/quick", deadline_ms=1_000)
+        await world.until(GRACE_S)
+        assert [_statuses(connection) for connection in connections] == [[200], [503]]
+        assert not world.ran("long-call")
+
+    in_virtual_time(scenario)
+
+
+@pytest.mark.parametrize("grace_s", [0.5, 1.0, 3.0, 6.0, 10.0])
+def test_a_stop_ends_in_its_grace_period_and_accepts_nothing_that_can_last_longer(
+    grace_s: float,
+) -> None:
+    schedule = schedule_stop(grace_s=grace_s, now=100.0)
+    assert 100.0 <= schedule.gate_closes_at <= schedule.ends_at < 100.0 + grace_s
+    assert schedule.accepts_until <= schedule.ends_at
+    late = schedule.accepts_until
+    for is_target_busy in (False, True):
+        assert not can_accept(
+            schedule, deadline=schedule.ends_at, is_target_busy=is_target_busy, now=late
+        )
+    assert not can_accept(schedule, deadline=late, is_target_busy=False, now=late)
