Refuse requests that seem to be targets' calls while memory is full

What callers would see: where each VM's clients use a route of their own, a daemon accepts their requests beyond its bound on memory; once it is killed for that, all of its requests are lost.

The entry skipped its refusal for routes that seem to carry calls, and that is an inference.

Change: the refusal for full memory holds for all requests.

Before: test_a_daemon_whose_buffers_are_full_refuses_requests_that_seem_to_be_calls failed with 200 (1 failed). After: it passes. Not seen with real processes.

--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -182,11 +182,9 @@
     def _refusal_kind(self, pending: PendingRequest, *, now: float) -> ErrorKind | None:
         """Return why this daemon can't accept a request at present, or None."""
         # Whether the target sent the request is inferred from its route, so it doesn't count here:
-        # a request that was accepted by mistake would be lost.
+        # accepting a request by mistake would lose it, or this process with all of its requests.
         if not self.can_accept(pending.deadline, now):
             return ErrorKind.DRAINING
-        if pending.is_from_target:
-            return None
         return ErrorKind.MEMORY_FULL if self.memory.is_full else None
 
     def _shed_if_overloaded(self, pending: PendingRequest, *, now: float) -> bool:
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -16,9 +16,10 @@
     in_loop,
     route,
 )
-from daisywharf._configuration import ClientLimits, Configuration
+from daisywharf._configuration import ClientLimits, Configuration, RouteName
 from daisywharf._mesh._daemon import MeshDaemon
 from daisywharf._mesh._http_answers import HttpAnswer
+from daisywharf._mesh._memory_budget import add_buffered
 from daisywharf._mesh._routes import RouteTable, find_route
 from daisywharf._topology import Address
 
@@ -155,6 +156,31 @@
     in_loop(scenario)
 
 
+def test_a_daemon_whose_buffers_are_full_refuses_requests_that_seem_to_be_calls() -> None:
+    """The inference may be wrong, and a daemon that outgrows its memory loses all requests."""
+
+    async def scenario() -> None:
+        world = MeshWorld()
+        entry = await world.add()
+        target = TargetStandIn()
+        await world.add(target)
+        await world.settle()
+        entry.entry.origins.call_routes = frozenset({RouteName("r")})
+        held_bytes = int(entry.memory.max_bytes) + 1
+        add_buffered(entry.memory, held_bytes)
+        refused = await Client(entry).ask()
+        assert isinstance(refused, HttpAnswer)
+        assert refused.status == 503
+        assert not target.seen
+        add_buffered(entry.memory, -held_bytes)
+        served = await Client(entry).ask()
+        assert isinstance(served, HttpAnswer)
+        assert served.status == 200
+        await world.close()
+
+    in_loop(scenario)
+
+
 def test_buffered_bytes_are_released_when_a_client_disconnects_within_its_body() -> None:
     async def scenario() -> None:
         world = MeshWorld()
