Keep a deregistration of a target that a restarted daemon doesn't know

What callers saw: a daemon was restarted while its target left.

Cause: the adapter acknowledged a deregistration of a target that the process had not heard of, and dropped it. On related paths a departure was forgotten too: the process between two restarts replaced the stored departure by a record without a target, and a departure was acknowledged before anything but the process had it.

Ruled out: a recorded departure that the late heartbeat overrides (the new process had logged none); the earlier process's record bringing the target back (it is read for departures only).

Change: departures are remembered by target and incarnation, known or not (_mesh/_departures.py). A write returns an earlier process's record before replacing it, so that its departure is carried on. A departure is acknowledged once the store has it, or a peer while the store doesn't answer; else 503.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -9,9 +9,16 @@
 from msgspec.structs import replace
 
 from daisywharf._configuration import Configuration
-from daisywharf._ids import VmId
+from daisywharf._ids import TargetId, VmId
 from daisywharf._mesh._announcements import Verdict, check_announcement
 from daisywharf._mesh._counts import daemon_metrics, request_metrics
+from daisywharf._mesh._departures import (
+    Departure,
+    Departures,
+    departure_of,
+    record_departure,
+    with_departure,
+)
 from daisywharf._mesh._dialect import Dialect
 from daisywharf._mesh._entry import Entry
 from daisywharf._mesh._frames import Call, CallResult, Frame
@@ -23,7 +30,13 @@
 from daisywharf._mesh._links import LinkServer, OutLink
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._memory_budget import MemoryBudget, max_buffered_bytes, record_unsent
-from daisywharf._mesh._model import MemberRecord, Readiness, TargetAnnouncement, TargetRecord
+from daisywharf._mesh._model import (
+    MemberRecord,
+    Readiness,
+    TargetAnnouncement,
+    TargetDeparture,
+    TargetRecord,
+)
 from daisywharf._mesh._peers import Peers
 from daisywharf._mesh._pending import GateChannel
 from daisywharf._mesh._reporting import Reporter
@@ -54,6 +67,9 @@
 FIRST_WRITE_AFTER_S: Final = 1.0
 # Retry-After of a refusal for lack of memory: by then clients have read a few answers.
 MEMORY_FULL_RETRY_AFTER_S: Final = 1.0
+# A target's departure is acknowledged within this time, or not at all: targets wait for a second.
+KEEP_WITHIN_S: Final = 0.7
+MS_PER_S: Final = 1000.0
 
 
 class LocalGateChannel:
@@ -184,7 +200,8 @@
         self._started_at = now()
         self._swept_at = now()
         self._has_written = False
-        self._earlier_departure: TargetRecord | None = None
+        self._started_ms = started_ms
+        self._departures = Departures()
         self._tasks: list[asyncio.Task[Any]] = []
 
     @property
@@ -263,7 +280,9 @@
         if verdict is not Verdict.TAKEN:
             log_event(Event.ANNOUNCEMENT_LATE, target=announcement.target_id, verdict=verdict.value)
             return verdict
-        announcement = self._apply_earlier_departure(announcement)
+        announcement = with_departure(self._departures, announcement)
+        if announcement.readiness is not Readiness.READY:
+            self._record_departure(announcement)
         is_changed = known is None or (
             known.target_id,
             known.born_ms,
@@ -280,6 +299,56 @@
             self._publish_target(announcement)
         return verdict
 
+    def handle_departure(self, message: TargetDeparture) -> None:
+        """Apply a target's message that it has left, also of a target that isn't known here."""
+        departure = departure_of(message, now_ms=self._wall_ms())
+        record_departure(self._departures, message.target_id, departure)
+        known = self.gate.announcement
+        if known is None:
+            # This process has just started, or the target's announcements were lost. What the
+            # target says from now on is judged by this departure, also after another restart.
+            self._publish_departure(message.target_id, departure)
+        elif known.target_id == message.target_id and known.born_ms <= departure.born_ms:
+            self.handle_announcement(
+                replace(
+                    known,
+                    readiness=Readiness.LEFT,
+                    cold_s=0.0,
+                    born_ms=known.born_ms if message.born_ms is None else message.born_ms,
+                    sequence=max(known.sequence + 1, departure.sequence),
+                )
+            )
+
+    async def is_departure_kept(self) -> bool:
+        """Wait until this daemon's record outlives its process; return whether it does.
+
+        A record outlives the process once the store has it, or peers.
+        """
+        has_peers = any(link.is_up for link in self.membership.link_by_vm.values())
+        if has_peers and self.sync.is_store_unavailable:
+            return True
+        return await self.sync.is_written(within_s=KEEP_WITHIN_S) or has_peers
+
+    def _publish_departure(self, target_id: TargetId, departure: Departure) -> None:
+        """Publish that a target leaves of which nothing else is known."""
+        target = TargetRecord(
+            target_id,
+            self.settings.service,
+            0,
+            departure.readiness,
+            departure.born_ms,
+            departure.sequence,
+        )
+        log_event(Event.TARGET_LEFT, target=target_id, service=target.service, slots=0)
+        self._update_own_record(target=target)
+
+    def _record_departure(self, target: TargetAnnouncement | TargetRecord) -> None:
+        departure = Departure(target.readiness, target.born_ms, target.sequence)
+        record_departure(self._departures, target.target_id, departure)
+
+    def _wall_ms(self) -> int:
+        return self._started_ms + int((self.now() - self._started_at) * MS_PER_S)
+
     def _on_target_leaving(self) -> None:
         """Treat an answer that marks the target as leaving like an announcement of that."""
         announcement = self.gate.announcement
@@ -287,6 +356,7 @@
             return
         log_event(Event.TARGET_SAID_LEAVING, target=announcement.target_id)
         leaving = replace(announcement, readiness=Readiness.DRAINING)
+        self._record_departure(leaving)
         self.gate.handle_announcement(leaving)
         self._publish_target(leaving)
 
@@ -323,42 +393,23 @@
 
     def _apply_earlier_record(self, earlier: MemberRecord) -> None:
         """Continue from the record of an earlier process on this VM."""
-        own, earlier_target, announcement = (
-            self.membership.own,
-            earlier.target,
-            self.gate.announcement,
-        )
-        if earlier.started_ms >= own.started_ms:
+        if earlier.started_ms >= self.membership.own.started_ms:
             self._update_own_record(started_ms=earlier.started_ms + 1)
-        if earlier_target is None or earlier_target.readiness is Readiness.READY:
+        if earlier.target is None or earlier.target.readiness is Readiness.READY:
             return
-        self._earlier_departure = earlier_target
-        if announcement is not None and announcement.readiness is Readiness.READY:
+        self._record_departure(earlier.target)
+        announcement = self.gate.announcement
+        if announcement is None:
+            if self.membership.own.target is None:
+                # For the next process, should this one end before it hears of its target.
+                self._update_own_record(target=earlier.target)
+        elif announcement.readiness is Readiness.READY:
             # A late announcement arrived before the record of the acknowledged departure was read.
-            leaving = self._apply_earlier_departure(announcement)
+            leaving = with_departure(self._departures, announcement)
             if leaving is not announcement:
                 self.gate.handle_announcement(leaving)
                 self._publish_target(leaving)
 
-    def _apply_earlier_departure(self, announcement: TargetAnnouncement) -> TargetAnnouncement:
-        """Return the announcement, as leaving if an earlier process on this VM acknowledged that.
-
-        A departure is final for an incarnation of the target.
-        """
-        earlier_target = self._earlier_departure
-        if earlier_target is None or (earlier_target.target_id, earlier_target.born_ms) != (
-            announcement.target_id,
-            announcement.born_ms,
-        ):
-            return announcement
-        if announcement.readiness is not Readiness.READY:
-            return announcement
-        return replace(
-            announcement,
-            readiness=earlier_target.readiness,
-            sequence=max(earlier_target.sequence, announcement.sequence),
-        )
-
     # Requests from clients and from the target.
 
     def _has_unnoticed_pause(self) -> bool:
--- a/src/daisywharf/_mesh/_model.py
+++ b/src/daisywharf/_mesh/_model.py
@@ -33,6 +33,14 @@
     sequence: int
 
 
+class TargetDeparture(msgspec.Struct, frozen=True):
+    """Hold a target's message that it has left; what the message doesn't give is None."""
+
+    target_id: TargetId
+    born_ms: int | None
+    sequence: int | None
+
+
 class TargetRecord(msgspec.Struct, frozen=True, array_like=True):
     """Hold what a daemon knows of its local target."""
 
--- a/src/daisywharf/_mesh/_store.py
+++ b/src/daisywharf/_mesh/_store.py
@@ -36,7 +36,11 @@
         """
 
     async def write_member(self, record: MemberRecord) -> MemberRecord | None:
-        """Write a daemon's own record; return the earlier process's record that it replaced."""
+        """Write a daemon's own record.
+
+        If an earlier process's record is found there, returns that and writes nothing; the next
+        call replaces it.
+        """
 
     async def read_learned_calls(self) -> LearnedCalls:
         """Read what the fleet has learned about its calls; empty if nothing was written."""
--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -91,6 +91,7 @@
         self._unwritten: MemberRecord | None = None
         self._has_to_restore = False
         self._has_work = asyncio.Event()
+        self._is_written = asyncio.Event()
 
     def is_reliable_watcher(self) -> bool:
         """Return whether the others may rely on this daemon's watch."""
@@ -117,8 +118,18 @@
     def write(self, record: MemberRecord) -> None:
         """Write this daemon's record as soon as the store is available."""
         self._unwritten = record
+        self._is_written.clear()
         self._has_work.set()
 
+    async def is_written(self, *, within_s: float) -> bool:
+        """Wait until the store has this daemon's record as it is now; return whether it has."""
+        try:
+            async with asyncio.timeout(within_s):
+                await self._is_written.wait()
+        except TimeoutError:
+            return False
+        return True
+
     async def run_configuration(self) -> None:
         """Read the configuration, and watch it while this daemon is one of the zone's watchers."""
         revision: int | None = None
@@ -228,9 +239,13 @@
                 continue
             earlier = await self._retry_until_answered(partial(self.store.write_member, record))
             if earlier is not None:
+                # It may change this daemon's record, which replaces it in the next turn.
                 self.apply_earlier_record(earlier)
+                self._has_work.set()
+                continue
             if self._unwritten is record:
                 self._unwritten = None
+                self._is_written.set()
             if not self.has_listed:
                 records = await self._retry_until_answered(self.store.list_members)
                 self.has_listed = True
--- a/src/daisywharf/platform/_control.py
+++ b/src/daisywharf/platform/_control.py
@@ -1,12 +1,13 @@
 """Answer the platform's own calls to a daemon: readiness, metrics and target announcements."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import ServiceName, TargetId
 from daisywharf._mesh._http_server import Exchange, Handler
-from daisywharf._mesh._model import Readiness, TargetAnnouncement
+from daisywharf._mesh._model import Readiness, TargetAnnouncement, TargetDeparture
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 from daisywharf._signals._metrics import Metric, render
@@ -50,35 +51,61 @@
 def control_handler(
     *,
     service: Callable[[], ServiceName],
-    last_announcement: Callable[[], TargetAnnouncement | None],
     handle_announcement: Callable[[TargetAnnouncement], object],
+    handle_departure: Callable[[TargetDeparture], None],
+    is_departure_kept: Callable[[], Awaitable[bool]],
 ) -> Handler:
     """Return a handler for heartbeats and deregistrations of this VM's target.
 
-    `service` returns this VM's service, and `last_announcement` the announcement of its target that
-    is in force, or None before the first one.
+    `service` returns this VM's service. A message that the target leaves is acknowledged once
+    `is_departure_kept` says that a restart of this process won't forget it.
     """
 
     def handle(exchange: Exchange) -> None:
         path = exchange.request_target.decode("latin-1").partition("?")[0]
         try:
-            announcement = _read_announcement(path, exchange.body, last_announcement())
-            if announcement is not None and announcement.service != service():
-                _refuse_other_service(announcement, service())
+            message = _read_message(path, exchange.body, service())
         except RequestError as error:
-            log_event(Event.ANNOUNCEMENT_REFUSED, error=str(error))
-            exchange.respond(error.answer.status, lines=JSON_LINES, body=error_body(str(error)))
+            _respond_with_error(exchange, error)
             return
-        if announcement is None and match_target_id(path, DEREGISTER_PATH) is None:
+        if message is None:
             exchange.respond(404)
             return
-        if announcement is not None:
-            handle_announcement(announcement)
-        exchange.respond(200, lines=JSON_LINES, body=acknowledgement())
+        if isinstance(message, TargetDeparture):
+            handle_departure(message)
+        else:
+            handle_announcement(message)
+            if message.readiness is Readiness.READY:
+                _acknowledge(exchange)
+                return
+        asyncio.ensure_future(_acknowledge_if_kept(exchange, message.target_id, is_departure_kept))
 
     return handle
 
 
+async def _acknowledge_if_kept(
+    exchange: Exchange, target_id: TargetId, is_departure_kept: Callable[[], Awaitable[bool]]
+) -> None:
+    if await is_departure_kept():
+        _acknowledge(exchange)
+    else:
+        error = RequestError(
+            ErrorKind.PLATFORM_UNAVAILABLE,
+            f"the departure of target {target_id} is in force here, but neither the store nor "
+            "another daemon could be told; announce it again",
+        )
+        _respond_with_error(exchange, error)
+
+
+def _acknowledge(exchange: Exchange) -> None:
+    exchange.respond(200, lines=JSON_LINES, body=acknowledgement())
+
+
+def _respond_with_error(exchange: Exchange, error: RequestError) -> None:
+    log_event(Event.ANNOUNCEMENT_REFUSED, error=str(error))
+    exchange.respond(error.answer.status, lines=JSON_LINES, body=error_body(str(error)))
+
+
 def _refuse_other_service(announcement: TargetAnnouncement, service: ServiceName) -> None:
     """Refuse the announcement of a target of another service than this VM's."""
     raise RequestError(
@@ -88,35 +115,20 @@
     )
 
 
-def _read_announcement(
-    path: str, body: bytes, last_announcement: TargetAnnouncement | None
-) -> TargetAnnouncement | None:
-    """Decode a heartbeat or a deregistration; raise `RequestError` if it is invalid.
+def _read_message(
+    path: str, body: bytes, service: ServiceName
+) -> TargetAnnouncement | TargetDeparture | None:
+    """Decode a heartbeat or a deregistration; return None for another path.
 
-    Returns None for another path, and for a deregistration of another target or of an earlier
-    incarnation, which is acknowledged but changes nothing.
+    Raises `RequestError` if the message is invalid or of another service's target.
     """
-    target_id = match_target_id(path, HEARTBEAT_PATH)
-    if target_id is not None:
-        return read_heartbeat(target_id, body)
     target_id = match_target_id(path, DEREGISTER_PATH)
-    if (
-        target_id is None
-        or last_announcement is None
-        or last_announcement.target_id != TargetId(target_id)
-    ):
-        return None
-    deregistration = read_deregistration(body)
-    if deregistration.born is not None and deregistration.born < last_announcement.born_ms:
+    if target_id is not None:
+        return read_deregistration(target_id, body)
+    target_id = match_target_id(path, HEARTBEAT_PATH)
+    if target_id is None:
         return None
-    return TargetAnnouncement(
-        target_id=last_announcement.target_id,
-        service=last_announcement.service,
-        address=last_announcement.address,
-        slots=last_announcement.slots,
-        readiness=Readiness.LEFT,
-        cold_s=0.0,
-        born_ms=last_announcement.born_ms,
-        # A deregistration without a sequence number follows all earlier announcements.
-        sequence=max(last_announcement.sequence + 1, deregistration.sequence or 0),
-    )
+    announcement = read_heartbeat(target_id, body)
+    if announcement.service != service:
+        _refuse_other_service(announcement, service)
+    return announcement
--- a/src/daisywharf/platform/_heartbeats.py
+++ b/src/daisywharf/platform/_heartbeats.py
@@ -8,7 +8,12 @@
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import ServiceName, TargetId
 from daisywharf._limits import MAX_SLOTS
-from daisywharf._mesh._model import Readiness, TargetAnnouncement, parse_address
+from daisywharf._mesh._model import (
+    Readiness,
+    TargetAnnouncement,
+    TargetDeparture,
+    parse_address,
+)
 
 # Paths of a target's announcements; the group is the target's id.
 HEARTBEAT_PATH: Final = re.compile(r"/-/instances/([^/]+)/heartbeat\Z")
@@ -69,16 +74,15 @@
     )
 
 
-def read_deregistration(body: bytes) -> DeregistrationBody:
+def read_deregistration(target_id: str, body: bytes) -> TargetDeparture:
     """Decode a deregistration; raise `RequestError` (bad request) if it is malformed."""
-    if not body:
-        return DeregistrationBody()
     try:
-        return _deregistration_decoder.decode(body)
+        message = _deregistration_decoder.decode(body or b"{}")
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise RequestError(
-            ErrorKind.BAD_REQUEST, f"deregistration can't be read: {error}"
+            ErrorKind.BAD_REQUEST, f"deregistration of {target_id} can't be read: {error}"
         ) from error
+    return TargetDeparture(TargetId(target_id), born_ms=message.born, sequence=message.sequence)
 
 
 def acknowledgement() -> bytes:
--- a/src/daisywharf/platform/_program.py
+++ b/src/daisywharf/platform/_program.py
@@ -63,8 +63,9 @@
     control = HttpServer(
         control_handler(
             service=lambda: daemon.settings.service,
-            last_announcement=lambda: daemon.gate.announcement,
             handle_announcement=daemon.handle_announcement,
+            handle_departure=daemon.handle_departure,
+            is_departure_kept=daemon.is_departure_kept,
         ),
         now=boot_now,
     )
--- a/src/daisywharf/platform/_store.py
+++ b/src/daisywharf/platform/_store.py
@@ -73,15 +73,16 @@
         """Write a daemon's own record, if the stored one is as this daemon last wrote it.
 
         A write whose answer was lost may take effect much later; the condition then prevents it.
-        Returns the stored record if it is another one than this daemon last wrote, else None: it is
-        an earlier process's, or this daemon's from a write whose answer was lost.
+        If another record is stored, returns that and writes nothing; the next call replaces it. It
+        is an earlier process's, or this daemon's from a write whose answer was lost.
         """
-        earlier = None
         try:
             written = await self._put_member(record)
         except PlatformError as error:
             if error.kind is ErrorKind.PLATFORM_CONFLICT:
                 earlier = await self._read_own_record(record)
+                if earlier is not None:
+                    return earlier
             elif error.kind is ErrorKind.PLATFORM_GONE:
                 self._own_revision = None
             else:
@@ -89,7 +90,7 @@
             written = await self._put_member(record)
         with _unreadable_as_error():
             self._own_revision = int(written["metadata"]["revision"])
-        return earlier
+        return None
 
     async def _read_own_record(self, record: MemberRecord) -> MemberRecord | None:
         """Return the record stored under this VM's name, and store its revision for the next write.
