Let an odd entry or record cost only itself

Cause: an answer of the store was decoded as a whole, so a value nested too deeply (RecursionError) or a number out of range made the list unreadable at each turn; an address without a port was found only after the record had been stored and the list marked as read; an entry could name another VM.

Change: platform/_json.py decodes a document with null in place of what can't be decoded; records are checked whole, from the store and from peers, and an unusable one is skipped and logged once; learned calls and entries beside the configuration likewise; a frame that makes its handler fail is dropped; the list is marked as read once it is merged.

--- a/src/daisywharf/_limits.py
+++ b/src/daisywharf/_limits.py
@@ -21,3 +21,6 @@
 MAX_RATE_PER_SECOND: Final = 10_000_000
 MAX_BURST: Final = 10_000_000
 MAX_VERSION: Final = 2**63 - 1
+# The largest integer that JSON readers exchange without loss, also a bound for milliseconds.
+MAX_EXACT_INT: Final = 2**53 - 1
+MAX_COLD_S: Final = 86_400.0
--- a/src/daisywharf/_mesh/_frame_protocol.py
+++ b/src/daisywharf/_mesh/_frame_protocol.py
@@ -62,13 +62,17 @@
             start = end
             try:
                 frame = decode_frame(body)
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            except (msgspec.DecodeError, RecursionError) as error:
                 if is_unknown_kind(body):
                     self._log_bad_frame(f"ignored a frame of unknown kind: {error}")
                     continue
                 self._refuse(str(error))
                 return
-            self._on_frame(self, frame)
+            try:
+                self._on_frame(self, frame)
+            except Exception as error:
+                # The frame is dropped: handled again, it would fail again with each read.
+                log_event(Event.UNEXPECTED_ERROR, part=type(frame).__name__, error=repr(error))
         if start:
             del received[:start]
 
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -235,7 +235,10 @@
 
 
 def decode_frame(body: bytes | memoryview) -> Frame:
-    """Decode a frame without its length prefix; raise `msgspec.DecodeError` if it is malformed."""
+    """Decode a frame without its length prefix; raise `msgspec.DecodeError` if it is malformed.
+
+    Raises RecursionError if it is nested too deeply.
+    """
     return _decoder.decode(body)
 
 
@@ -243,7 +246,7 @@
     """Return whether a frame that can't be decoded is of a kind that only newer daemons know."""
     try:
         content = msgspec.msgpack.decode(body)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return False
     return (
         isinstance(content, list)
--- a/src/daisywharf/_mesh/_learned.py
+++ b/src/daisywharf/_mesh/_learned.py
@@ -19,6 +19,7 @@
 ROUNDING_STEP_CALLS: Final = 0.5
 # What was read at the start is dropped after this time: by then current runs have been learned.
 RESTORED_LIFETIME_S: Final = 20.0
+MAX_CALLS_PER_RUN: Final = 10_000.0
 # Restored calls are recorded under this name, in place of the VM that reports current ones.
 STORE_REPORTER: Final = "store"
 
@@ -33,6 +34,16 @@
     called: tuple[RouteName, ...] = ()
 
 
+def check_learned_calls(learned: LearnedCalls) -> None:
+    """Check values from outside; raise ValueError for one that can't be used."""
+    for row in learned.rows:
+        if not 0 <= row.calls <= MAX_CALLS_PER_RUN:
+            raise ValueError(
+                f"{row.calls} calls of {row.callee_route!r} by a run of {row.route!r}; "
+                f"use 0 to {MAX_CALLS_PER_RUN}"
+            )
+
+
 def snapshot_learned_calls(chain: ChainState, origins: Origins) -> LearnedCalls:
     """Return what is known now, with calls per run rounded to `ROUNDING_STEP_CALLS`."""
     rows = [
--- a/src/daisywharf/_mesh/_membership.py
+++ b/src/daisywharf/_mesh/_membership.py
@@ -5,9 +5,10 @@
 from typing import Final
 
 from daisywharf._ids import VmId
+from daisywharf._limits import MAX_NAME_CHARS
 from daisywharf._mesh._frames import Frame, Hello, Members, RewriteRecord
 from daisywharf._mesh._links import OutLink
-from daisywharf._mesh._model import MemberRecord, is_newer, parse_address
+from daisywharf._mesh._model import MemberRecord, check_member, is_newer, parse_address
 from daisywharf._mesh._services import Services
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
@@ -23,6 +24,7 @@
 MEMBER_LIST_PERIOD_S: Final = 1.0
 # Sent as `Hello.known_members` when no list is wanted: more members than any fleet has.
 NO_LIST_MEMBER_COUNT: Final = 1_000_000
+MAX_UNUSABLE_VMS: Final = 256
 # A daemon that is unreachable for this long is removed; it is added again when it comes back.
 FORGET_AFTER_S: Final = 60.0
 
@@ -52,6 +54,8 @@
         self._on_frame = on_frame
         self._version = version
         self._lists_requested = 0
+        # VMs of which an unusable record was logged.
+        self._unusable_vms: set[VmId] = set()
         self._list_period_began_at = float("-inf")
 
     def publish_own(self, own: MemberRecord) -> None:
@@ -66,7 +70,7 @@
         """Merge received records; return whether one is newer than this daemon's own record."""
         changed = []
         is_superseded = False
-        for record in records:
+        for record in self.usable(records):
             if record.vm == self.own.vm:
                 is_superseded = is_superseded or is_newer(record, self.own)
             elif self._is_update(record):
@@ -78,6 +82,24 @@
                 link.send(Members(tuple(changed)))
         return is_superseded
 
+    def usable(self, records: Iterable[MemberRecord]) -> list[MemberRecord]:
+        """Return the records whose values can be used; each VM's first unusable one is logged."""
+        usable = []
+        for record in records:
+            try:
+                check_member(record)
+            except ValueError as error:
+                self._log_unusable(record.vm, error)
+            else:
+                usable.append(record)
+        return usable
+
+    def _log_unusable(self, vm: VmId, error: ValueError) -> None:
+        name = VmId(vm[:MAX_NAME_CHARS])
+        if name not in self._unusable_vms and len(self._unusable_vms) < MAX_UNUSABLE_VMS:
+            self._unusable_vms.add(name)
+            log_event(Event.ENTRY_UNREADABLE, entry=name, error=str(error))
+
     def _is_update(self, record: MemberRecord) -> bool:
         if not is_newer(record, self.record_by_vm.get(record.vm)):
             return False
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -101,6 +101,7 @@
     def merge(self, records: tuple[MemberRecord, ...]) -> None:
         """Merge records of daemons, including those of an earlier process on this VM."""
         own = self.membership.own.vm
+        records = tuple(self.membership.usable(records))
         for record in records:
             if record.vm == own and record.started_ms < self.membership.own.started_ms:
                 # A departure that this VM's earlier process acknowledged also applies before the
--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -248,8 +248,8 @@
                 self._is_written.set()
             if not self.has_listed:
                 records = await self._retry_until_answered(self.store.list_members)
-                self.has_listed = True
                 self.membership.merge(records)
+                self.has_listed = True
                 self.restore_learned_calls(
                     await self._retry_until_answered(self.store.read_learned_calls)
                 )
--- /dev/null
+++ b/src/daisywharf/platform/_json.py
@@ -0,0 +1,52 @@
+"""Decode JSON documents that hold values of several writers."""
+
+import re
+from collections.abc import Iterator
+from typing import Any, Final
+
+import msgspec
+
+# Levels of nesting that are read; documents of the project and the platform have fewer than ten.
+MAX_DEPTH: Final = 64
+UNREADABLE: Final = (msgspec.DecodeError, RecursionError, UnicodeDecodeError)
+
+# A string, a bracket, a separator, or a number or name.
+_TOKEN: Final = re.compile(
+    rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]|[,:]|[^\s"\[\]{},:]+', flags=re.DOTALL
+)
+
+
+def decode_json(body: bytes) -> Any:
+    """Decode a JSON document; raise `msgspec.DecodeError` if it is malformed.
+
+    In place of a value that can't be decoded stands None, or "" for a string: a number out of
+    range, bytes that are no UTF-8, nesting beyond `MAX_DEPTH`. The others are as they were written.
+    """
+    try:
+        return msgspec.json.decode(body)
+    except UNREADABLE:
+        return msgspec.json.decode(b"".join(_readable_tokens(body)))
+
+
+def _readable_tokens(body: bytes) -> Iterator[bytes]:
+    depth = 0
+    for match in _TOKEN.finditer(body):
+        token = match.group()
+        if token in (b"[", b"{"):
+            depth += 1
+            if depth == MAX_DEPTH + 1:
+                yield b"null"
+        if depth <= MAX_DEPTH:
+            yield token if _is_readable(token) else b'""' if token[:1] == b'"' else b"null"
+        if token in (b"]", b"}"):
+            depth -= 1
+
+
+def _is_readable(token: bytes) -> bool:
+    if token in b"[]{},:" or (token.isascii() and token[:1] == b'"' and b"\\" not in token):
+        return True
+    try:
+        msgspec.json.decode(token)
+    except UNREADABLE:
+        return False
+    return True
--- a/src/daisywharf/platform/_store.py
+++ b/src/daisywharf/platform/_store.py
@@ -11,13 +11,14 @@
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._mesh._http_answers import HttpAnswer, HttpFailure
 from daisywharf._mesh._http_client import HttpPool
-from daisywharf._mesh._learned import LearnedCalls
-from daisywharf._mesh._model import MemberRecord
+from daisywharf._mesh._learned import LearnedCalls, check_learned_calls
+from daisywharf._mesh._model import MemberRecord, check_member
 from daisywharf._mesh._store import ConfigurationRead
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 from daisywharf._topology import Address
 from daisywharf.platform._configuration import read_configuration
+from daisywharf.platform._json import UNREADABLE, decode_json
 
 CONFIGURATION_KIND: Final = "config"
 CONFIGURATION_NAME: Final = "main"
@@ -28,6 +29,10 @@
 TIMEOUT_S: Final = 1.5
 MS_PER_S: Final = 1000.0
 MAX_PAGES: Final = 100
+MAX_UNUSABLE_NAMES: Final = 256
+MAX_LOGGED_CHARS: Final = 200
+# Raised for an entry with a missing field, a value of another type, or one that is out of range.
+UNUSABLE: Final = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 # 503 means that nothing was done, 429 that the rate limit is exhausted.
 KINDS_BY_STATUS: Final[dict[int, ErrorKind]] = {
@@ -46,6 +51,8 @@
         self._host = str(address)
         self._pool = HttpPool(address, now=now, max_idle=4)
         self._own_revision: int | None = None
+        # Names of entries that were logged as unusable.
+        self._unusable_names: set[str] = set()
         self.calls = 0
 
     async def read_configuration(self) -> ConfigurationRead:
@@ -66,7 +73,11 @@
         query = urlencode({"watch": after, "waitMs": int(wait_s * MS_PER_S)})
         found = await self._call("GET", f"/{CONFIGURATION_KIND}?{query}", timeout_s=within_s)
         with _unreadable_as_error():
-            written = [event["object"] for event in found["events"] if not event.get("deleted")]
+            written = [
+                event.get("object")
+                for event in found["events"]
+                if isinstance(event, dict) and not event.get("deleted")
+            ]
             return ConfigurationRead(_latest_configuration(written), int(found["at"]))
 
     async def write_member(self, record: MemberRecord) -> MemberRecord | None:
@@ -100,7 +111,7 @@
         found = await self._call("GET", _member_path(record))
         with _unreadable_as_error():
             self._own_revision = int(found["metadata"]["revision"])
-        return _decode_member(found)
+        return self._decode_member(found)
 
     async def _put_member(self, record: MemberRecord) -> Any:
         """Create the record, or replace it if its revision is known and still the same."""
@@ -119,12 +130,14 @@
             # A stale read may be seconds old but costs a tenth. It is good enough, as reports
             # correct it.
             found = await self._call("GET", f"/{LEARNED_KIND}/{LEARNED_NAME}?staleRead=1")
-            return msgspec.convert(found["specification"], LearnedCalls)
+            learned = msgspec.convert(found["specification"], LearnedCalls)
+            check_learned_calls(learned)
+            return learned
         except PlatformError as error:
             if error.kind is not ErrorKind.PLATFORM_GONE:
                 raise
-        except (msgspec.ValidationError, KeyError, TypeError) as error:
-            log_event(Event.ENTRY_UNREADABLE, entry=LEARNED_NAME, error=repr(error))
+        except UNUSABLE as error:
+            self._log_unusable(LEARNED_NAME, error)
         return LearnedCalls()
 
     async def write_learned_calls(self, learned: LearnedCalls) -> None:
@@ -146,13 +159,35 @@
             query = "?" + urlencode({"after": after}) if after else ""
             page = await self._call("GET", f"/{MEMBER_KIND}{query}")
             with _unreadable_as_error():
-                found = [_decode_member(entry) for entry in page["items"]]
+                entries = page["items"]
+                found = [self._decode_member(entry) for entry in entries]
                 records.extend(record for record in found if record is not None)
-                if not page.get("hasMore"):
+                names = [name for entry in entries if (name := _name_of(entry))]
+                if not page.get("hasMore") or not names:
                     break
-                after = page["items"][-1]["metadata"]["name"]
+                after = names[-1]
         return records
 
+    def _decode_member(self, entry: Any) -> MemberRecord | None:
+        """Return the record of an entry, or None if it isn't usable, which is logged once."""
+        name = _name_of(entry)
+        try:
+            record = msgspec.convert(entry["specification"]["record"], MemberRecord)
+            check_member(record)
+            if record.vm != name:
+                raise ValueError(f"it names the VM {record.vm!r}")
+        except UNUSABLE as error:
+            self._log_unusable(name, error)
+            return None
+        return record
+
+    def _log_unusable(self, name: str, error: Exception) -> None:
+        if name in self._unusable_names:
+            return
+        if len(self._unusable_names) < MAX_UNUSABLE_NAMES:
+            self._unusable_names.add(name)
+        log_event(Event.ENTRY_UNREADABLE, entry=name, error=repr(error)[:MAX_LOGGED_CHARS])
+
     async def _call(
         self, method: str, path: str, content: Any = None, *, timeout_s: float = TIMEOUT_S
     ) -> Any:
@@ -183,21 +218,20 @@
 def _latest_configuration(entries: list[Any]) -> Configuration | None:
     latest = None
     for entry in entries:
-        if entry["metadata"]["name"] == CONFIGURATION_NAME:
+        if _name_of(entry) == CONFIGURATION_NAME:
             latest = read_configuration(entry["specification"])
     return latest
 
 
-def _member_path(record: MemberRecord) -> str:
-    return f"/{MEMBER_KIND}/{quote(record.vm, safe='')}"
+def _name_of(entry: Any) -> str:
+    """Return the name of an entry, or "" if it has none."""
+    metadata = entry.get("metadata") if isinstance(entry, dict) else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    return name if isinstance(name, str) else ""
 
 
-def _decode_member(entry: Any) -> MemberRecord | None:
-    try:
-        return msgspec.convert(entry["specification"]["record"], MemberRecord)
-    except (msgspec.ValidationError, KeyError, TypeError) as error:
-        log_event(Event.ENTRY_UNREADABLE, entry=repr(entry), error=repr(error))
-        return None
+def _member_path(record: MemberRecord) -> str:
+    return f"/{MEMBER_KIND}/{quote(record.vm, safe='')}"
 
 
 def _call_error(method: str, detail: str) -> PlatformError:
@@ -211,6 +245,6 @@
         kind = KINDS_BY_STATUS.get(answer.status, ErrorKind.PLATFORM_OUTCOME_UNKNOWN)
         raise PlatformError(kind, f"{method} {path} at the store returned status {answer.status}")
     try:
-        return msgspec.json.decode(answer.body) if answer.body else {}
-    except msgspec.DecodeError as error:
+        return decode_json(answer.body) if answer.body else {}
+    except UNREADABLE as error:
         raise _call_error(method, f"unreadable answer: {error}") from error
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -161,6 +161,20 @@
         return list(self.record_by_vm.values())
 
 
+def daemon_at_rest(
+    store: MemoryStore | None = None, *, vm: str = "vm-1", started_ms: int = 2
+) -> MeshDaemon:
+    """Build a daemon that isn't started; its wall clock shows `started_ms`."""
+    return MeshDaemon(
+        settings(vm),
+        dialect=PlatformDialect(),
+        store=store or MemoryStore(configuration(route())),
+        now=time.monotonic,
+        started_ms=started_ms,
+        rng=Random(7),
+    )
+
+
 class SeenRequest:
     """A request as a target received it."""
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from random import Random
 from typing import Any
 
 import pytest
@@ -12,6 +11,7 @@
     MemoryStore,
     announcement,
     configuration,
+    daemon_at_rest,
     eventually,
     in_loop,
     route,
@@ -32,24 +32,11 @@
 from daisywharf._mesh._http_server import HttpServer
 from daisywharf._mesh._model import Readiness, TargetDeparture
 from daisywharf.platform._control import control_handler
-from daisywharf.platform._headers import PlatformDialect
 
 TARGET = TargetId("t-1")
 NOW_MS = 5_000
 
 
-def _daemon(store: MemoryStore, *, vm: str = "vm-1", started_ms: int = 2) -> MeshDaemon:
-    """Build a daemon whose wall clock shows `started_ms` at its start."""
-    return MeshDaemon(
-        settings(vm),
-        dialect=PlatformDialect(),
-        store=store,
-        now=asyncio.get_running_loop().time,
-        started_ms=started_ms,
-        rng=Random(7),
-    )
-
-
 def _left(**changes: Any) -> TargetDeparture:
     """Build a deregistration of the target `t-1` that announcements are built of."""
     return TargetDeparture(**{"target_id": TARGET, "born_ms": 1, "sequence": 7, **changes})
@@ -68,7 +55,7 @@
     """The new process hears of its target for the first time by the deregistration."""
 
     async def scenario() -> None:
-        daemon = _daemon(MemoryStore(configuration(route())))
+        daemon = daemon_at_rest(MemoryStore(configuration(route())))
         await daemon.start()
         daemon.handle_departure(_left(**given))
         daemon.handle_announcement(announcement(NOWHERE, sequence=6))
@@ -87,10 +74,10 @@
 
     async def scenario() -> None:
         store = MemoryStore(configuration(route()))
-        peer = _daemon(store, vm="vm-2")
+        peer = daemon_at_rest(store, vm="vm-2")
         await peer.start()
         await eventually(lambda: peer.sync.has_listed)
-        first = _daemon(store)
+        first = daemon_at_rest(store)
         await first.start()
         await eventually(lambda: first.sync.has_listed and _has_link(first))
         store.is_down = is_store_down
@@ -100,7 +87,7 @@
         daemons = [first]
         for started_ms in (3, 4):
             daemons[-1].close()
-            daemon = _daemon(store, started_ms=started_ms)
+            daemon = daemon_at_rest(store, started_ms=started_ms)
             daemon.settings = first.settings
             daemons.append(daemon)
             if is_store_down:
@@ -125,7 +112,7 @@
 def test_a_departure_that_a_restart_would_forget_is_not_acknowledged() -> None:
     async def scenario() -> None:
         store = MemoryStore(configuration(route()))
-        daemon = _daemon(store)
+        daemon = daemon_at_rest(store)
         await daemon.start()
         await eventually(lambda: daemon.sync.has_listed)
         ask = await _control(daemon)
@@ -145,7 +132,7 @@
 def test_a_peer_that_knows_of_a_departure_is_enough_for_its_acknowledgement() -> None:
     async def scenario() -> None:
         store = MemoryStore(configuration(route()))
-        daemon, peer = _daemon(store), _daemon(store, vm="vm-2")
+        daemon, peer = daemon_at_rest(store), daemon_at_rest(store, vm="vm-2")
         await daemon.start()
         await peer.start()
         await eventually(lambda: _has_link(daemon) and _has_link(peer))
