Refuse unusable heartbeats, and take a departure whatever its sequence

With a `born` beyond 64 bits the daemon didn't end at SIGTERM.

Cause: missing fields had defaults or weren't read, numbers had no bounds, and a departure was ignored unless its sequence was the highest.

Ruled out: that checking alone is enough; a sound heartbeat with a higher sequence hides a departure as well.

The soak's targets send the fields that the protocol requires.

--- a/benchmarks/_soak_parts.py
+++ b/benchmarks/_soak_parts.py
@@ -120,8 +120,11 @@
             {
                 "service": self.service,
                 "address": str(self.address),
+                "zone": "any",
+                "version": "v1",
                 "slots": self.slots,
                 "state": self.state,
+                "coldRemainingMs": 0,
                 "sequence": self._sequence,
                 "born": self._born_ms,
             }
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -10,7 +10,11 @@
 
 from daisywharf._configuration import Configuration
 from daisywharf._ids import TargetId, VmId
-from daisywharf._mesh._announcements import Verdict, check_announcement
+from daisywharf._mesh._announcements import (
+    Verdict,
+    check_announcement,
+    is_born_in_the_future,
+)
 from daisywharf._mesh._counts import daemon_metrics, request_metrics
 from daisywharf._mesh._departures import (
     Departure,
@@ -277,10 +281,15 @@
         """
         known = self.gate.announcement
         verdict = check_announcement(known, announcement)
+        if is_born_in_the_future(announcement.born_ms, now_ms=self._wall_ms()):
+            verdict = Verdict.BORN_IN_THE_FUTURE
         if verdict is not Verdict.TAKEN:
             log_event(Event.ANNOUNCEMENT_LATE, target=announcement.target_id, verdict=verdict.value)
             return verdict
         announcement = with_departure(self._departures, announcement)
+        if known is not None and _is_same_incarnation(known, announcement):
+            sequence = max(known.sequence, announcement.sequence)
+            announcement = replace(announcement, sequence=sequence)
         if announcement.readiness is not Readiness.READY:
             self._record_departure(announcement)
         is_changed = known is None or (
@@ -299,8 +308,10 @@
             self._publish_target(announcement)
         return verdict
 
-    def handle_departure(self, message: TargetDeparture) -> None:
+    def handle_departure(self, message: TargetDeparture) -> Verdict:
         """Apply a target's message that it has left, also of a target that isn't known here."""
+        if is_born_in_the_future(message.born_ms, now_ms=self._wall_ms()):
+            return Verdict.BORN_IN_THE_FUTURE
         departure = departure_of(message, now_ms=self._wall_ms())
         record_departure(self._departures, message.target_id, departure)
         known = self.gate.announcement
@@ -318,6 +329,7 @@
                     sequence=max(known.sequence + 1, departure.sequence),
                 )
             )
+        return Verdict.TAKEN
 
     async def is_departure_kept(self) -> bool:
         """Wait until this daemon's record outlives its process; return whether it does.
@@ -492,6 +504,16 @@
         self.is_stopping = True
         schedule = schedule_stop(grace_s=self.settings.bounds.grace_s, now=self.now())
         log_event(Event.DAEMON_STOPPING, vm=self.settings.vm, in_flight=len(self.entry.pending))
+        try:
+            await self._finish_requests(schedule)
+            self.summaries.write(now=self.now())
+        finally:
+            cut_off = len(self.entry.pending)
+            self.close()
+        log_event(Event.DAEMON_STOPPED, vm=self.settings.vm, cut_off=cut_off)
+
+    async def _finish_requests(self, schedule: StopSchedule) -> None:
+        """Wait until all requests have ended, or the schedule ends."""
         self.entry.can_accept = partial(self._can_accept, schedule)
         self.clients.start_closing()
         while self.gate.is_open and self.now() < schedule.gate_closes_at:
@@ -502,10 +524,6 @@
             if self.now() >= schedule.accepts_until and self._is_idle():
                 break
             await asyncio.sleep(TICK_S)
-        cut_off = len(self.entry.pending)
-        self.summaries.write(now=self.now())
-        self.close()
-        log_event(Event.DAEMON_STOPPED, vm=self.settings.vm, cut_off=cut_off)
 
     def _can_accept(self, schedule: StopSchedule, deadline: float, now: float) -> bool:
         is_target_busy = bool(self.gate.slots.running)
@@ -523,3 +541,7 @@
             task.cancel()
         self.links.stop()
         self.membership.close()
+
+
+def _is_same_incarnation(one: TargetAnnouncement, other: TargetAnnouncement) -> bool:
+    return (one.target_id, one.born_ms) == (other.target_id, other.born_ms)
--- a/src/daisywharf/platform/_control.py
+++ b/src/daisywharf/platform/_control.py
@@ -6,6 +6,7 @@
 
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import ServiceName, TargetId
+from daisywharf._mesh._announcements import Verdict
 from daisywharf._mesh._http_server import Exchange, Handler
 from daisywharf._mesh._model import Readiness, TargetAnnouncement, TargetDeparture
 from daisywharf._signals._events import Event
@@ -51,8 +52,8 @@
 def control_handler(
     *,
     service: Callable[[], ServiceName],
-    handle_announcement: Callable[[TargetAnnouncement], object],
-    handle_departure: Callable[[TargetDeparture], None],
+    handle_announcement: Callable[[TargetAnnouncement], Verdict],
+    handle_departure: Callable[[TargetDeparture], Verdict],
     is_departure_kept: Callable[[], Awaitable[bool]],
 ) -> Handler:
     """Return a handler for heartbeats and deregistrations of this VM's target.
@@ -72,12 +73,15 @@
             exchange.respond(404)
             return
         if isinstance(message, TargetDeparture):
-            handle_departure(message)
+            verdict = handle_departure(message)
         else:
-            handle_announcement(message)
-            if message.readiness is Readiness.READY:
-                _acknowledge(exchange)
-                return
+            verdict = handle_announcement(message)
+        if verdict is Verdict.BORN_IN_THE_FUTURE:
+            _respond_with_error(exchange, _future_error(message.target_id))
+            return
+        if isinstance(message, TargetAnnouncement) and message.readiness is Readiness.READY:
+            _acknowledge(exchange)
+            return
         asyncio.ensure_future(_acknowledge_if_kept(exchange, message.target_id, is_departure_kept))
 
     return handle
@@ -97,6 +101,14 @@
         _respond_with_error(exchange, error)
 
 
+def _future_error(target_id: TargetId) -> RequestError:
+    return RequestError(
+        ErrorKind.BAD_REQUEST,
+        f"target {target_id} says that it began in the future; "
+        "use the Unix millisecond of its start",
+    )
+
+
 def _acknowledge(exchange: Exchange) -> None:
     exchange.respond(200, lines=JSON_LINES, body=acknowledgement())
 
--- a/src/daisywharf/platform/_heartbeats.py
+++ b/src/daisywharf/platform/_heartbeats.py
@@ -1,13 +1,13 @@
 """Decode the heartbeats and deregistrations by which a target announces its state."""
 
 import re
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
 from daisywharf._errors import ErrorKind, RequestError
 from daisywharf._ids import ServiceName, TargetId
-from daisywharf._limits import MAX_SLOTS
+from daisywharf._limits import MAX_COLD_S, MAX_EXACT_INT, MAX_NAME_CHARS, MAX_SLOTS
 from daisywharf._mesh._model import (
     Readiness,
     TargetAnnouncement,
@@ -23,6 +23,10 @@
 MS_PER_S: Final = 1000.0
 
 
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INT)]
+
+
 class HeartbeatBody(msgspec.Struct):
     """Hold the body of a heartbeat.
 
@@ -30,22 +34,29 @@
     as cold for `cold_remaining_ms`.
     """
 
-    service: str
+    service: Name
     address: str
-    slots: int
+    # Not used, but a body without them is no target's.
+    zone: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
-    sequence: int
-    cold_remaining_ms: float = msgspec.field(name="coldRemainingMs", default=0)
-    born: int = 0
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_S * MS_PER_S)] = (
+        msgspec.field(name="coldRemainingMs")
+    )
+    sequence: Count
+    born: Count = 0
 
 
 class DeregistrationBody(msgspec.Struct):
     """Hold the body of a deregistration, which may be empty."""
 
-    sequence: int | None = None
-    born: int | None = None
+    sequence: Count | None = None
+    born: Count | None = None
 
 
+# Raised for a body that isn't valid JSON, is nested too deeply, or has a field that can't be used.
+UNREADABLE: Final = (msgspec.DecodeError, UnicodeDecodeError, KeyError, ValueError, RecursionError)
 _heartbeat_decoder: Final = msgspec.json.Decoder(HeartbeatBody)
 _deregistration_decoder: Final = msgspec.json.Decoder(DeregistrationBody)
 
@@ -56,9 +67,7 @@
         heartbeat = _heartbeat_decoder.decode(body)
         readiness = READINESS_BY_STATE[heartbeat.state]
         address = parse_address(heartbeat.address)
-        if not 0 < heartbeat.slots <= MAX_SLOTS:
-            raise ValueError(f"slots is {heartbeat.slots}; use 1 to {MAX_SLOTS}")
-    except (msgspec.DecodeError, UnicodeDecodeError, KeyError, ValueError) as error:
+    except UNREADABLE as error:
         raise RequestError(
             ErrorKind.BAD_REQUEST, f"heartbeat of {target_id} can't be read: {error}"
         ) from error
@@ -78,7 +87,7 @@
     """Decode a deregistration; raise `RequestError` (bad request) if it is malformed."""
     try:
         message = _deregistration_decoder.decode(body or b"{}")
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except UNREADABLE as error:
         raise RequestError(
             ErrorKind.BAD_REQUEST, f"deregistration of {target_id} can't be read: {error}"
         ) from error
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -93,6 +93,24 @@
         {"service": None},
         {"coldRemainingMs": "soon"},
         {"born": "long ago"},
+        {"born": 1.5},
+        {"born": 10**30},
+        {"born": -1},
+        {"sequence": 10**30},
+        {"sequence": -1},
+        {"slots": 10**30},
+        {"coldRemainingMs": 10**30},
+        {"coldRemainingMs": -1},
+        {"zone": 3},
+        {"version": ["v1"]},
+        {"service": ""},
+        {"service": "s" * 1_000},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:65536"},
+        {"address": "10.0.0.1:" + "9" * 5_000},
+        {"address": "10.0.0.1:-1"},
+        {"address": "10.0.0.1:8_0"},
+        {"address": "h" * 100 + ":80"},
     ],
 )
 def test_a_heartbeat_with_an_invalid_field_is_refused(change: dict[str, Any]) -> None:
@@ -100,14 +118,28 @@
         read_heartbeat("i-1", json.dumps({**HEARTBEAT, **change}).encode())
 
 
-@pytest.mark.parametrize("missing", ["service", "address", "slots", "state", "sequence"])
+@pytest.mark.parametrize(
+    "missing",
+    ["service", "address", "zone", "version", "slots", "state", "coldRemainingMs", "sequence"],
+)
 def test_a_heartbeat_without_a_required_field_is_refused(missing: str) -> None:
     body = {name: value for name, value in HEARTBEAT.items() if name != missing}
     with pytest.raises(RequestError):
         read_heartbeat("i-1", json.dumps(body).encode())
 
 
-@pytest.mark.parametrize("body", [b"", b"{", b"[]", b"null", b"\xff\xfe", b'{"slots":1e999}'])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"null",
+        b"\xff\xfe",
+        b'{"slots":1e999}',
+        b'{"more":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    ],
+)
 def test_a_heartbeat_that_is_not_valid_json_is_refused(body: bytes) -> None:
     with pytest.raises(RequestError):
         read_heartbeat("i-1", body)
