--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -33,7 +33,7 @@
 from daisywharf._mesh._learned import restore_learned_calls, snapshot_learned_calls
 from daisywharf._mesh._links import LinkServer, OutLink
 from daisywharf._mesh._membership import Membership
-from daisywharf._mesh._memory_budget import MemoryBudget, max_buffered_bytes, record_unsent
+from daisywharf._mesh._memory_budget import MemoryBudget, max_buffered_bytes
 from daisywharf._mesh._model import (
     MemberRecord,
     Readiness,
@@ -124,6 +124,7 @@
             rng=rng,
             on_frame=self._receive_on_own_link,
             version=lambda: self.version,
+            memory=self.memory,
         )
         self.retry_permits = RetryPermits(
             FleetRetryBudget(
@@ -198,7 +199,9 @@
             apply_earlier_record=self._apply_earlier_record,
             now=now,
         )
-        self.links = LinkServer(on_frame=self.peers.receive, on_lost=self.peers.on_link_lost)
+        self.links = LinkServer(
+            on_frame=self.peers.receive, on_lost=self.peers.on_link_lost, memory=self.memory
+        )
         self.stopped = asyncio.Event()
         self._pause = PauseState(now=now())
         self._started_at = now()
@@ -464,13 +467,13 @@
             self._swept_at = now
             self.clients.sweep(now=now)
             self.gate.sweep(now=now)
-            self._record_unsent_bytes()
+            self._count_unsent()
 
-    def _record_unsent_bytes(self) -> None:
-        unsent = self.clients.unsent_bytes
-        unsent += sum(link.unsent_bytes for link in self.membership.link_by_vm.values())
-        unsent += sum(protocol.unsent_bytes for protocol in self.links.protocols)
-        record_unsent(self.memory, unsent)
+    def _count_unsent(self) -> None:
+        for link in self.membership.link_by_vm.values():
+            link.count_unsent()
+        for protocol in self.links.protocols:
+            protocol.count_unsent()
 
     def metrics(self) -> list[Metric]:
         """Return the metrics of request outcomes and of the daemon's state."""
--- a/src/daisywharf/_mesh/_frame_protocol.py
+++ b/src/daisywharf/_mesh/_frame_protocol.py
@@ -13,9 +13,12 @@
     encode_frame,
     is_unknown_kind,
 )
+from daisywharf._mesh._memory_budget import MemoryBudget, UnsentCount, set_unsent
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 
+# Frames from this size on count towards the memory budget at once, others at the next sweep.
+LARGE_FRAME_BYTES: Final = 16_384
 MAX_FRAME_BYTES: Final = 80_000_000  # the largest body that a configuration allows, and its header
 
 
@@ -26,12 +29,16 @@
         self,
         on_frame: Callable[["FrameProtocol", Frame], None],
         on_lost: Callable[["FrameProtocol"], None],
+        *,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self.memory = memory or MemoryBudget(max_bytes=float("inf"))
         self.transport: asyncio.Transport | None = None
         self.read_count = 0
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._received = bytearray()
+        self._unsent = UnsentCount(self.memory)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -41,6 +48,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner."""
         self.transport = None
+        set_unsent(self._unsent, 0)
         self._on_lost(self)
 
     def data_received(self, data: bytes) -> None:
@@ -79,7 +87,14 @@
     def send(self, frame: Frame, encoded: bytes = b"") -> None:
         """Write a frame at once: batching the frames of an iteration costs the loop another one."""
         if self.transport is not None:
-            self.transport.write(encoded or encode_frame(frame))
+            encoded = encoded or encode_frame(frame)
+            self.transport.write(encoded)
+            if len(encoded) >= LARGE_FRAME_BYTES:
+                self.count_unsent()
+
+    def count_unsent(self) -> None:
+        """Count the bytes that the peer hasn't read yet towards the memory budget."""
+        set_unsent(self._unsent, self.unsent_bytes)
 
     @property
     def unsent_bytes(self) -> int:
--- a/src/daisywharf/_mesh/_http_server.py
+++ b/src/daisywharf/_mesh/_http_server.py
@@ -11,7 +11,7 @@
 from daisywharf._configuration import ClientLimits
 from daisywharf._mesh._framing import MessageBytes, framing_bytes
 from daisywharf._mesh._headers import HeaderPair
-from daisywharf._mesh._memory_budget import MemoryBudget, add_buffered
+from daisywharf._mesh._memory_budget import MemoryBudget, UnsentCount, add_buffered, set_unsent
 from daisywharf._topology import Address
 
 # Clients pipeline a handful; reading pauses at this many unanswered requests.
@@ -155,6 +155,7 @@
         self._is_ending = False
         self._is_writing_paused = False
         self._is_reading_paused = False
+        self._unsent = UnsentCount(server.memory)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the parser and register with the server."""
@@ -168,6 +169,7 @@
         self.server.connections.discard(self)
         self.transport = None
         self._abandon_exchanges()
+        set_unsent(self._unsent, 0)
 
     def eof_received(self) -> bool:
         """Treat a client that closes its side as disconnected."""
@@ -210,6 +212,7 @@
     def resume_writing(self) -> None:
         """Resume reading requests."""
         self._is_writing_paused = False
+        set_unsent(self._unsent, self.unsent_bytes)
         self._update_reading()
 
     # Parser callbacks.
@@ -294,6 +297,7 @@
         if written:
             self._active_at = self.server.now()
             self.transport.write(b"".join(written))
+        set_unsent(self._unsent, self.unsent_bytes)
         if self._is_ending and not self.exchanges:
             self.transport.close()
         elif written:
@@ -319,6 +323,7 @@
 
     def sweep(self, *, now: float) -> None:
         """Close the connection if it was idle, or slow to send a request, for too long."""
+        set_unsent(self._unsent, self.unsent_bytes)
         limits = self.server.limits
         reading = self._reading
         if reading is not None and not self._has_head:
--- a/src/daisywharf/_mesh/_links.py
+++ b/src/daisywharf/_mesh/_links.py
@@ -23,6 +23,7 @@
 )
 from daisywharf._mesh._http_client import CONNECT_TIMEOUT_S
 from daisywharf._mesh._http_server import BACKLOG
+from daisywharf._mesh._memory_budget import MemoryBudget
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 from daisywharf._topology import Address
@@ -65,8 +66,10 @@
         on_down: Callable[["OutLink"], None],
         on_frame: Callable[["OutLink", Frame], None],
         on_silent: Callable[[], None] = lambda: None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.address = address
+        self.memory = memory
         self.now = now
         self.is_up = False
         self.pending_by_call_id: dict[int, PendingCall] = {}
@@ -115,10 +118,11 @@
                 self._awaiting_since = self.now()
             self._protocol.send(frame, encoded)
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Return the number of bytes that are buffered because the peer hasn't read them yet."""
-        return 0 if self._protocol is None else self._protocol.unsent_bytes
+    def count_unsent(self) -> None:
+        """Count the bytes that the peer hasn't read yet towards the memory budget."""
+        for protocol in [self._protocol, *self._calls_by_silent_protocol]:
+            if protocol is not None:
+                protocol.count_unsent()
 
     def tick(self, *, now: float) -> None:
         """Connect if the link is down, ping if it is quiet, and replace a silent connection."""
@@ -166,7 +170,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, protocol = await loop.create_connection(
-                    lambda: FrameProtocol(self._receive, self._handle_lost),
+                    lambda: FrameProtocol(self._receive, self._handle_lost, memory=self.memory),
                     self.address.host,
                     self.address.port,
                 )
@@ -254,7 +258,9 @@
         *,
         on_frame: Callable[[FrameProtocol, Frame], None],
         on_lost: Callable[[FrameProtocol], None],
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self.memory = memory
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._server: asyncio.Server | None = None
@@ -275,7 +281,7 @@
             protocol.close()
 
     def _accept(self) -> FrameProtocol:
-        protocol = FrameProtocol(self._on_frame, self._handle_lost)
+        protocol = FrameProtocol(self._on_frame, self._handle_lost, memory=self.memory)
         self.protocols.add(protocol)
         return protocol
 
--- a/src/daisywharf/_mesh/_membership.py
+++ b/src/daisywharf/_mesh/_membership.py
@@ -8,6 +8,7 @@
 from daisywharf._limits import MAX_NAME_CHARS
 from daisywharf._mesh._frames import Frame, Hello, Members, RewriteRecord
 from daisywharf._mesh._links import OutLink
+from daisywharf._mesh._memory_budget import MemoryBudget
 from daisywharf._mesh._model import MemberRecord, check_member, is_newer, parse_address
 from daisywharf._mesh._services import Services
 from daisywharf._signals._events import Event
@@ -41,8 +42,10 @@
         rng: Random,
         on_frame: Callable[[OutLink, Frame], None],
         version: Callable[[], int],
+        memory: MemoryBudget,
     ) -> None:
         self.own = own
+        self.memory = memory
         self.services = services
         self.now = now
         self.rng = rng
@@ -129,6 +132,7 @@
             on_down=lambda link: self._on_link_down(vm),
             on_frame=self._on_frame,
             on_silent=self._probe_all_links,
+            memory=self.memory,
         )
         self.link_by_vm[vm] = link
         self._unreachable_since[vm] = self.now()
@@ -148,6 +152,7 @@
             on_up=self.send_hello,
             on_down=lambda _link: None,
             on_frame=self._on_frame,
+            memory=self.memory,
         )
 
     def send_hello(self, link: OutLink) -> None:
--- a/src/daisywharf/_mesh/_memory_budget.py
+++ b/src/daisywharf/_mesh/_memory_budget.py
@@ -52,6 +52,15 @@
     memory.buffered_bytes += count
 
 
-def record_unsent(memory: MemoryBudget, count: int) -> None:
-    """Set the number of bytes that wait at this moment to be read by clients and peers."""
-    memory.unsent_bytes = count
+class UnsentCount:
+    """Count the bytes that one connection's peer hasn't read yet, as a part of a budget."""
+
+    def __init__(self, memory: MemoryBudget) -> None:
+        self.memory = memory
+        self.bytes = 0
+
+
+def set_unsent(count: UnsentCount, unsent_bytes: int) -> None:
+    """Set the bytes that wait on this connection at this moment."""
+    count.memory.unsent_bytes += unsent_bytes - count.bytes
+    count.bytes = unsent_bytes
