Count large frames as they arrive, and skip what doesn't fit into memory

Cause: bodies that arrive on links weren't counted until they were whole, and a body was copied up to four times while it was decoded and sent on.

Ruled out: the budget's fraction; a quarter of the memory holds one such body and two copies.

Change: a large frame counts from its first bytes; a call without room is skipped and refused as not run, an answer without room ends its call with an unknown outcome; frames are decoded in place, head and body are sent without joining them, and an entry starts no copy beyond twice the budget.

--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -13,7 +13,7 @@
 from daisywharf._mesh._dialect import Dialect, RequestHead
 from daisywharf._mesh._frames import Answered, Call, CallResult, GateLoad
 from daisywharf._mesh._http_server import Exchange
-from daisywharf._mesh._memory_budget import MemoryBudget
+from daisywharf._mesh._memory_budget import MemoryBudget, has_room_for_copy
 from daisywharf._mesh._pending import (
     MS_PER_S,
     GateChannel,
@@ -215,6 +215,13 @@
             if channel is not None:
                 break
             pending.excluded.add(candidate.record.target.target_id)
+        if candidate.vm != self.settings.vm and not has_room_for_copy(
+            self.memory, len(pending.exchange.body)
+        ):
+            # Copies of this body are still in transit to gates that have refused it.
+            pending.last_error_kind = ErrorKind.MEMORY_FULL
+            self._finish_unsent(pending, now=now)
+            return
         pending.candidate, pending.channel, pending.sent_at = candidate, channel, now
         record_sent(candidate, now=now)
         pending.call_id = None
--- a/src/daisywharf/_mesh/_frame_protocol.py
+++ b/src/daisywharf/_mesh/_frame_protocol.py
@@ -6,14 +6,26 @@
 
 import msgspec
 
+from daisywharf._errors import ErrorKind
 from daisywharf._mesh._frames import (
     LENGTH_BYTES,
+    PEEKED_BYTES,
+    Call,
     Frame,
+    Unanswered,
     decode_frame,
     encode_frame,
     is_unknown_kind,
+    peek_call_id,
+)
+from daisywharf._mesh._memory_budget import (
+    MemoryBudget,
+    UnsentCount,
+    add_buffered,
+    has_room_for_call,
+    has_room_for_copy,
+    set_unsent,
 )
-from daisywharf._mesh._memory_budget import MemoryBudget, UnsentCount, set_unsent
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 
@@ -38,6 +50,10 @@
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._received = bytearray()
+        # Bytes of the large frame that is arriving, which count towards the budget already.
+        self._reserved_bytes = 0
+        self._bytes_to_skip = 0
+        self._is_refused = False
         self._unsent = UnsentCount(self.memory)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -49,6 +65,8 @@
         """Notify the owner."""
         self.transport = None
         set_unsent(self._unsent, 0)
+        self._release_reserved()
+        self._received.clear()
         self._on_lost(self)
 
     def data_received(self, data: bytes) -> None:
@@ -57,34 +75,97 @@
         received = self._received
         received += data
         start = 0
-        while len(received) - start >= LENGTH_BYTES:
-            end = (
-                start + LENGTH_BYTES + int.from_bytes(received[start : start + LENGTH_BYTES], "big")
-            )
-            if end - start > MAX_FRAME_BYTES:
-                self._refuse(f"frame of {end - start} bytes is longer than allowed")
-                return
-            if len(received) < end:
-                break
-            body = bytes(received[start + LENGTH_BYTES : end])
-            start = end
-            try:
-                frame = decode_frame(body)
-            except (msgspec.DecodeError, RecursionError) as error:
-                if is_unknown_kind(body):
-                    self._log_bad_frame(f"ignored a frame of unknown kind: {error}")
-                    continue
-                self._refuse(str(error))
+        while (frame_bytes := self._next_frame_bytes(start)) is not None:
+            with memoryview(received) as view:
+                frame = self._decode(view[start + LENGTH_BYTES : start + frame_bytes])
+            start += frame_bytes
+            if frame is not None:
+                if frame_bytes >= LARGE_FRAME_BYTES:
+                    # Freed before its content is used, and perhaps copied.
+                    del received[:start]
+                    start = 0
+                self._handle(frame)
+            if self._is_refused:
+                received.clear()
                 return
-            try:
-                self._on_frame(self, frame)
-            except Exception as error:
-                # The frame is dropped: handled again, it would fail again with each read.
-                log_event(Event.UNEXPECTED_ERROR, part=type(frame).__name__, error=repr(error))
         if start:
             del received[:start]
 
-    def send(self, frame: Frame, encoded: bytes = b"") -> None:
+    def _next_frame_bytes(self, start: int) -> int | None:
+        """Return the size of the complete frame at `start`, or None until one has arrived.
+
+        Removes the bytes of frames that don't fit into memory.
+        """
+        received = self._received
+        while True:
+            if self._bytes_to_skip:
+                skipped = min(self._bytes_to_skip, len(received) - start)
+                del received[start : start + skipped]
+                self._bytes_to_skip -= skipped
+            available = len(received) - start
+            if available < LENGTH_BYTES:
+                return None
+            length = int.from_bytes(received[start : start + LENGTH_BYTES], "big")
+            frame_bytes = LENGTH_BYTES + length
+            if frame_bytes > MAX_FRAME_BYTES:
+                self._refuse(f"frame of {frame_bytes} bytes is longer than allowed")
+                return None
+            if frame_bytes < LARGE_FRAME_BYTES:
+                return frame_bytes if available >= frame_bytes else None
+            if not self._reserved_bytes:
+                if available < LENGTH_BYTES + PEEKED_BYTES:
+                    return None
+                peeked = received[start + LENGTH_BYTES : start + LENGTH_BYTES + PEEKED_BYTES]
+                if not self._reserve(frame_bytes, bytes(peeked)):
+                    self._bytes_to_skip = frame_bytes
+                    continue
+            if available < frame_bytes:
+                return None
+            self._release_reserved()
+            return frame_bytes
+
+    def _reserve(self, frame_bytes: int, peeked: bytes) -> bool:
+        """Count a large frame towards the budget; if it doesn't fit, end its call instead."""
+        call = peek_call_id(peeked)
+        if call is not None:
+            kind, call_id = call
+            has_room = has_room_for_call if kind is Call else has_room_for_copy
+            if not has_room(self.memory, frame_bytes):
+                self._log_bad_frame(f"skipped {kind.__name__} of {frame_bytes} bytes: memory full")
+                if kind is Call:
+                    self.send(Unanswered(call_id, ErrorKind.MEMORY_FULL, False, None))
+                else:
+                    self._handle(Unanswered(call_id, ErrorKind.TOO_LARGE, True, None))
+                return False
+        self._reserved_bytes = frame_bytes
+        add_buffered(self.memory, frame_bytes)
+        return True
+
+    def _release_reserved(self) -> None:
+        add_buffered(self.memory, -self._reserved_bytes)
+        self._reserved_bytes = 0
+
+    def _decode(self, body: memoryview) -> Frame | None:
+        """Return the frame, or None for one that can't be decoded."""
+        try:
+            return decode_frame(body)
+        except (msgspec.DecodeError, RecursionError) as error:
+            if is_unknown_kind(body):
+                self._log_bad_frame(f"ignored a frame of unknown kind: {error}")
+            else:
+                self._refuse(str(error))
+            return None
+        finally:
+            body.release()
+
+    def _handle(self, frame: Frame) -> None:
+        try:
+            self._on_frame(self, frame)
+        except Exception as error:
+            # The frame is dropped: handled again, it would fail again with each read.
+            log_event(Event.UNEXPECTED_ERROR, part=type(frame).__name__, error=repr(error))
+
+    def send(self, frame: Frame, encoded: bytes | bytearray = b"") -> None:
         """Write a frame at once: batching the frames of an iteration costs the loop another one."""
         if self.transport is not None:
             encoded = encoded or encode_frame(frame)
@@ -107,6 +188,7 @@
             self.transport.abort()
 
     def _refuse(self, reason: str) -> None:
+        self._is_refused = True
         self._log_bad_frame(reason)
         self.close()
 
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -224,17 +224,45 @@
 )
 
 KNOWN_TAGS: Final = frozenset(kind.__struct_config__.tag for kind in get_args(Frame))
+# A body of this size or more is copied only once as it is encoded, which takes longer for others.
+MIN_IN_PLACE_BYTES: Final = 16_384
+# Enough for an array's head, a kind's tag and a call id in MessagePack.
+PEEKED_BYTES: Final = 16
+_PEEKED_KINDS: Final[dict[int, type[Call | Answered]]] = {1: Call, 3: Answered}
+_ARRAY_16: Final = 0xDC
+# The sizes of unsigned integers by their first byte; smaller integers are their first byte.
+_INT_SIZES: Final = {0xCC: 1, 0xCD: 2, 0xCE: 4, 0xCF: 8}
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(Frame)
 
 
-def encode_frame(frame: Frame) -> bytes:
+def encode_frame(frame: Frame) -> bytes | bytearray:
     """Encode a frame, prefixed with its length."""
-    body = _encoder.encode(frame)
-    return len(body).to_bytes(LENGTH_BYTES, "big") + body
+    if not isinstance(frame, Call | Answered) or len(frame.body) < MIN_IN_PLACE_BYTES:
+        body = _encoder.encode(frame)
+        return len(body).to_bytes(LENGTH_BYTES, "big") + body
+    encoded = bytearray(LENGTH_BYTES)
+    _encoder.encode_into(frame, encoded, LENGTH_BYTES)
+    encoded[:LENGTH_BYTES] = (len(encoded) - LENGTH_BYTES).to_bytes(LENGTH_BYTES, "big")
+    return encoded
 
 
-def decode_frame(body: bytes | memoryview) -> Frame:
+def peek_call_id(start: bytes | bytearray | memoryview) -> tuple[type[Call | Answered], int] | None:
+    """Return the kind and the call id of a call or an answer from the first bytes of its frame.
+
+    Returns None for another kind. `start` holds `PEEKED_BYTES` of the frame without its length.
+    """
+    place = 3 if start[0] == _ARRAY_16 else 1
+    kind = _PEEKED_KINDS.get(start[place])
+    size = _INT_SIZES.get(start[place + 1], 0)
+    if kind is None:
+        return None
+    if not size:
+        return kind, start[place + 1]
+    return kind, int.from_bytes(start[place + 2 : place + 2 + size], "big")
+
+
+def decode_frame(body: bytes | bytearray | memoryview) -> Frame:
     """Decode a frame without its length prefix; raise `msgspec.DecodeError` if it is malformed.
 
     Raises RecursionError if it is nested too deeply.
@@ -242,7 +270,7 @@
     return _decoder.decode(body)
 
 
-def is_unknown_kind(body: bytes) -> bool:
+def is_unknown_kind(body: bytes | memoryview) -> bool:
     """Return whether a frame that can't be decoded is of a kind that only newer daemons know."""
     try:
         content = msgspec.msgpack.decode(body)
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -302,7 +302,7 @@
         length = b"Content-Length: %d\r\n" % len(call.body) if call.body else b""
         if not call.body and not call.head.startswith((b"GET ", b"HEAD ", b"DELETE ")):
             length = b"Content-Length: 0\r\n"
-        request = b"".join((call.head, lines, length, b"\r\n", call.body))
+        request_head = b"".join((call.head, lines, length, b"\r\n"))
 
         def check_ownership(headers: Sequence[HeaderPair]) -> Ownership:
             head = gate_call.answer_head = self.dialect.read_answer(headers)
@@ -312,8 +312,9 @@
             return Ownership(is_own, head.idle_s)
 
         gate_call.asked = pool.send(
-            request,
+            request_head,
             lambda result: self._finish(gate_call, result),
+            body=call.body,
             check_ownership=check_ownership,
             max_idle_s=(
                 MAX_IDLE_IDEMPOTENT_S if gate_call.call.is_idempotent else MAX_IDLE_NON_IDEMPOTENT_S
--- a/src/daisywharf/_mesh/_http_answers.py
+++ b/src/daisywharf/_mesh/_http_answers.py
@@ -60,9 +60,16 @@
     """Hold one request to a server until its result is known."""
 
     def __init__(
-        self, data: bytes, on_result: OnResult, *, check_ownership: OwnershipCheck
+        self,
+        data: bytes,
+        on_result: OnResult,
+        *,
+        check_ownership: OwnershipCheck,
+        body: bytes = b"",
     ) -> None:
         self.data = data
+        # Sent after `data`; apart from it, so that a large body isn't copied.
+        self.body = body
         self.check_ownership = check_ownership
         self.connection: Connection | None = None
         self._on_result: OnResult | None = on_result
--- a/src/daisywharf/_mesh/_http_client.py
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -30,6 +30,8 @@
 MAX_ANSWER_BYTES: Final = 67_108_864
 # Minimum fraction of all buffered bytes at which answers being read count as the overrun's cause.
 MIN_ANSWERS_FRACTION: Final = 0.5
+# A body up to this size is sent in one write with its head; a longer one isn't copied for that.
+MAX_JOINED_BYTES: Final = 16_384
 # For an answer's head and framing, including those of extra and provisional answers before it.
 MAX_HEAD_BYTES: Final = 65_536
 
@@ -60,9 +62,10 @@
         *,
         check_ownership: OwnershipCheck = accept_any_answer,
         max_idle_s: float = DEFAULT_IDLE_S,
+        body: bytes = b"",
     ) -> OutboundRequest:
         """Send a request, on a connection idle for at most `max_idle_s` seconds or a new one."""
-        request = OutboundRequest(data, on_result, check_ownership=check_ownership)
+        request = OutboundRequest(data, on_result, check_ownership=check_ownership, body=body)
         connection = self._take_idle(max_idle_s)
         if connection is not None:
             connection.send(request)
@@ -209,7 +212,11 @@
         self.request = request
         self._message_bytes = MessageBytes()
         request.connection = self
-        self.transport.write(request.data)
+        if len(request.body) <= MAX_JOINED_BYTES:
+            self.transport.write(request.data + request.body)
+        else:
+            self.transport.write(request.data)
+            self.transport.write(request.body)
 
     def abort(self) -> None:
         """Close at once, without a result for the request in progress."""
--- a/src/daisywharf/_mesh/_links.py
+++ b/src/daisywharf/_mesh/_links.py
@@ -108,7 +108,7 @@
                 protocol.send(Cancel(call_id))
                 self._close_if_done(protocol)
 
-    def send(self, frame: Frame, encoded: bytes = b"") -> None:
+    def send(self, frame: Frame, encoded: bytes | bytearray = b"") -> None:
         """Send a frame, or drop it if the link is down.
 
         `encoded` is the frame's encoding, for a caller that sends the frame on many links.
--- a/tests/test_stopping_in_time.py
+++ b/tests/test_stopping_in_time.py
@@ -88,7 +88,7 @@
             time_left_ms=20_000,
             max_wait_ms=1_000,
             importance=Importance.NORMAL,
-            sub_order=0.5,
+            sub_order=5,
             is_idempotent=False,
             head=b"GET /busy HTTP/1.1\r\nAttempt-Id: busy\r\n",
             body=b"",
