Choose each test's address once, also among processes that run at once

Cause: the port was chosen by the kernel and closed again, so another call, or an outgoing connection, could get it before it was bound.

Change: ports lie below those that the kernel chooses, and the last 256 are reserved by a socket on another loopback address, across processes too.

--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -7,9 +7,11 @@
 import subprocess
 import sys
 import time
+from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import SystemRandom
 
 import urllib3
 
@@ -17,6 +19,13 @@
 
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
+# Below the ports that the kernel chooses for outgoing connections.
+PORTS = range(10_000, 32_000)
+RESERVATION_HOST = "127.0.0.2"
+MAX_RESERVATIONS = 256
+# Each process chooses other ports, whatever seeds a test sets.
+_rng = SystemRandom()
+_reservations: deque[socket.socket] = deque()
 
 
 @dataclass
@@ -64,10 +73,22 @@
 
 
 def free_address() -> Address:
-    """Return an address on loopback whose port the kernel chose."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", probe.getsockname()[1])
+    """Return an address on loopback that no other call in any process returns for a while."""
+    while True:
+        port = _rng.choice(PORTS)
+        # While this socket is bound, other processes that call this leave the port out.
+        reservation = socket.socket()
+        try:
+            reservation.bind((RESERVATION_HOST, port))
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port))
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        if len(_reservations) > MAX_RESERVATIONS:
+            _reservations.popleft().close()
+        return Address("127.0.0.1", port)
 
 
 def address_in(ready: str, name: str) -> str:
