Cancel all calls of a lost link though one ends meanwhile

The calls after the one that failed went on at the target for a client that had left.

Cause: a cancelled call frees its slot, which may end another call of the same link, while the link's calls are iterated over.

Change: iterate over a copy.

Before: test_all_calls_of_a_lost_link_are_cancelled_though_one_ends_meanwhile failed with "dictionary changed size during iteration". After: it passes.

--- a/src/daisywharf/_mesh/_incoming.py
+++ b/src/daisywharf/_mesh/_incoming.py
@@ -45,5 +45,6 @@
 
     def cancel_all(self, link: FrameProtocol) -> None:
         """Cancel the calls of a link that closed."""
-        for call_id in self._calls_by_link.pop(link, {}).values():
+        # A copy: a cancelled call frees its slot, and another call of this link may end at that.
+        for call_id in list(self._calls_by_link.pop(link, {}).values()):
             self.gate.cancel(call_id)
--- a/tests/test_mesh_fleet.py
+++ b/tests/test_mesh_fleet.py
@@ -1,6 +1,7 @@
 """Several daemons: drains, the configuration in force, store outages, starts and shutdowns."""
 
 import asyncio
+from typing import Any
 
 import msgspec
 from msgspec.structs import replace
@@ -19,13 +20,16 @@
 )
 from daisywharf._configuration import SplitPart
 from daisywharf._errors import ErrorKind
-from daisywharf._ids import ServiceName, VmId
+from daisywharf._ids import RequestId, ServiceName, VmId
 from daisywharf._mesh._announcements import Verdict, check_announcement
-from daisywharf._mesh._frames import Call, CallResult, Frame, Unanswered
+from daisywharf._mesh._frame_protocol import FrameProtocol
+from daisywharf._mesh._frames import Call, CallResult, Frame, GateLoad, OnCallResult, Unanswered
 from daisywharf._mesh._http_answers import HttpAnswer
+from daisywharf._mesh._incoming import IncomingCalls
 from daisywharf._mesh._model import Readiness
 from daisywharf._mesh._watching import WATCHERS_PER_ZONE, WatchReport, watchers_before
 from daisywharf._outcomes._pause import PauseState, pause_tick
+from daisywharf._overload._actions import CallId
 from daisywharf._topology import Address
 
 ADDRESS = Address("127.0.0.1", 9)
@@ -330,3 +334,33 @@
         await world.close()
 
     in_loop(scenario)
+
+
+class EndingGate:
+    """A gate at which the cancellation of one call ends another, as a freed slot may do."""
+
+    def __init__(self) -> None:
+        self.on_result_by_id: dict[CallId, OnCallResult] = {}
+        self.cancelled: list[CallId] = []
+
+    def submit(self, call: Call, on_result: OnCallResult) -> CallId:
+        """Keep the call."""
+        call_id = CallId(RequestId(call.request_id), len(self.on_result_by_id) + 1)
+        self.on_result_by_id[call_id] = on_result
+        return call_id
+
+    def cancel(self, call_id: CallId) -> None:
+        """Cancel the call, and end the last one."""
+        self.cancelled.append(call_id)
+        last = max(self.on_result_by_id, key=lambda other: other.attempt)
+        self.on_result_by_id[last](Unanswered(3, ErrorKind.TOO_LATE, False, GateLoad(0, 0, 1, 0.0)))
+
+
+def test_all_calls_of_a_lost_link_are_cancelled_though_one_ends_meanwhile() -> None:
+    gate: Any = EndingGate()
+    incoming = IncomingCalls(gate, has_unnoticed_pause=lambda: False)
+    link = FrameProtocol(lambda _link, _frame: None, incoming.cancel_all)
+    for number in (1, 2, 3):
+        incoming.submit(link, replace(_call("t-1"), call_id=number))
+    link.connection_lost(None)
+    assert len(gate.cancelled) == 3
