--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from typing import Final, get_args
+from typing import Any, Final, get_args
 
 import msgspec
 
@@ -224,11 +224,14 @@
 )
 
 KNOWN_TAGS: Final = frozenset(kind.__struct_config__.tag for kind in get_args(Frame))
-# A body of this size or more is copied only once as it is encoded, which takes longer for others.
+# A body of this size or more is encoded in place, without another copy. For a short one, that takes
+# longer than copying it.
 MIN_IN_PLACE_BYTES: Final = 16_384
 # Enough for an array's head, a kind's tag and a call id in MessagePack.
 PEEKED_BYTES: Final = 16
-_PEEKED_KINDS: Final[dict[int, type[Call | Answered]]] = {1: Call, 3: Answered}
+_PEEKED_KINDS: Final[dict[Any, type[Call | Answered]]] = {
+    kind.__struct_config__.tag: kind for kind in (Call, Answered)
+}
 _ARRAY_16: Final = 0xDC
 # The sizes of unsigned integers by their first byte; smaller integers are their first byte.
 _INT_SIZES: Final = {0xCC: 1, 0xCD: 2, 0xCE: 4, 0xCF: 8}
