--- a/src/daisywharf/_mesh/_frame_protocol.py
+++ b/src/daisywharf/_mesh/_frame_protocol.py
@@ -131,7 +131,9 @@
             kind, call_id = call
             has_room = has_room_for_call if kind is Call else has_room_for_copy
             if not has_room(self.memory, frame_bytes):
-                self._log_bad_frame(f"skipped {kind.__name__} of {frame_bytes} bytes: memory full")
+                log_event(
+                    Event.FRAME_SKIPPED, kind=kind.__name__, size=frame_bytes, peer=self._peer()
+                )
                 if kind is Call:
                     self.send(Unanswered(call_id, ErrorKind.MEMORY_FULL, False, None))
                 else:
@@ -193,5 +195,7 @@
         self.close()
 
     def _log_bad_frame(self, reason: str) -> None:
-        peer = self.transport.get_extra_info("peername") if self.transport else None
-        log_event(Event.BAD_FRAME, peer=str(peer), error=reason)
+        log_event(Event.BAD_FRAME, peer=self._peer(), error=reason)
+
+    def _peer(self) -> str:
+        return str(self.transport.get_extra_info("peername") if self.transport else None)
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -155,6 +155,9 @@
     DAEMON_LOST = EventDefinition(507, EventLevel.WARNING, "daemon of {peer} is considered gone")
     ZONE_UNREACHABLE = EventDefinition(508, EventLevel.ERROR, "zone {other_zone} can't be reached")
     ZONE_BACK = EventDefinition(509, EventLevel.INFO, "zone {other_zone} can be reached again")
+    FRAME_SKIPPED = EventDefinition(
+        510, EventLevel.WARNING, "{kind} of {size} bytes from {peer} doesn't fit into memory"
+    )
 
     SHEDDING_STARTED = EventDefinition(
         601, EventLevel.WARNING, "target {target} refuses calls from level {level} on"
