--- a/src/daisywharf/_mesh/_incoming.py
+++ b/src/daisywharf/_mesh/_incoming.py
@@ -5,8 +5,9 @@
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import RequestId
 from daisywharf._mesh._frame_protocol import FrameProtocol
-from daisywharf._mesh._frames import Call, CallResult, Unanswered
+from daisywharf._mesh._frames import Answered, Call, CallResult, Unanswered
 from daisywharf._mesh._gate import Gate
+from daisywharf._mesh._memory_budget import has_room_for_copy
 from daisywharf._overload._actions import CallId
 
 
@@ -30,6 +31,11 @@
 
         def answer(result: CallResult) -> None:
             calls.pop(call.call_id, None)
+            if isinstance(result, Answered) and not has_room_for_copy(
+                link.memory, len(result.body)
+            ):
+                # Answers that peers haven't read yet take up the memory.
+                result = Unanswered(call.call_id, ErrorKind.TOO_LARGE, True, result.load)
             link.send(result)
 
         calls[call.call_id] = CallId(RequestId(call.request_id), 0)
--- a/tests/test_memory_of_links.py
+++ b/tests/test_memory_of_links.py
@@ -1,6 +1,7 @@
 """Large frames between daemons count towards the memory budget, and are skipped if it is full."""
 
 import asyncio
+import socket
 import tracemalloc
 from typing import Any
 
@@ -30,6 +31,7 @@
 )
 from daisywharf._mesh._http_answers import HttpAnswer
 from daisywharf._mesh._memory_budget import MemoryBudget, add_buffered
+from daisywharf._topology import Address
 
 BIG = 2_000_000
 LOAD = GateLoad(1, 0, 10, 0.0)
@@ -193,3 +195,56 @@
         await world.close()
 
     in_loop(scenario)
+
+
+# More than the kernel buffers for a reader as slow as these.
+ANSWER_BYTES = 10_000_000
+SLOW_CLIENTS = 24
+
+
+@pytest.mark.parametrize("is_remote", [False, True])
+def test_many_large_answers_to_clients_that_don_t_read_stay_within_memory(is_remote: bool) -> None:
+    """All requests are accepted before the first answer arrives, so none can be refused for it."""
+
+    async def scenario() -> None:
+        world = MeshWorld()
+        held: list[SeenRequest] = []
+        gate = await world.add(TargetStandIn(held.append), slots=2 * SLOW_CLIENTS)
+        entry = await world.add() if is_remote else gate
+        await world.settle()
+        for daemon in world.daemons:
+            daemon.memory.max_bytes = 2.0 * ANSWER_BYTES
+            daemon.memory.max_overrun_bytes = 3.0 * ANSWER_BYTES
+            daemon.memory.max_hard_bytes = 4.0 * ANSWER_BYTES
+        address = entry.settings.entry_address
+        writers = [await _ask_without_reading(address, number) for number in range(SLOW_CLIENTS)]
+        await eventually(lambda: len(held) == SLOW_CLIENTS)
+        most = 0
+        for seen in held:
+            seen.answer(body=b"a" * ANSWER_BYTES)
+            for _ in range(50):
+                await asyncio.sleep(0.001)
+                sums = (d.memory.buffered_bytes + d.memory.unsent_bytes for d in world.daemons)
+                most = max(most, *sums)
+        await eventually(lambda: not entry.entry.pending)
+        # Beyond the bound by what one read brings.
+        assert most <= 4.1 * ANSWER_BYTES
+        for writer in writers:
+            writer.close()
+        for daemon in world.daemons:
+            await eventually(lambda memory=daemon.memory: memory.buffered_bytes == 0)
+        await world.close()
+
+    in_loop(scenario)
+
+
+async def _ask_without_reading(address: Address, number: int) -> asyncio.StreamWriter:
+    """Send a request on a connection whose client reads hardly any of the answer."""
+    slow = socket.socket()
+    slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    slow.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(slow, (address.host, address.port))
+    _, writer = await asyncio.open_connection(sock=slow, limit=1_000)
+    head = f"Host: shop.example\r\nAttempt-Id: s-{number}\r\nDeadline-Ms: 20000\r\n"
+    writer.write(f"GET /r/x HTTP/1.1\r\n{head}\r\n".encode())
+    return writer
