Share the tests' store and slow client, and name what the readers do

Read as a newcomer: a nested conditional in the JSON reader, a check of "room for nothing" in place of an exhausted budget, and two tuples of the same name.

--- a/src/daisywharf/_mesh/_http_client.py
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -19,7 +19,7 @@
     OwnershipCheck,
     accept_any_answer,
 )
-from daisywharf._mesh._memory_budget import MemoryBudget, add_buffered, has_room_for_copy
+from daisywharf._mesh._memory_budget import MemoryBudget, add_buffered
 from daisywharf._topology import Address
 
 CONNECT_TIMEOUT_S: Final = 1.0  # clients allow as long for a new connection
@@ -140,12 +140,12 @@
     def abort_largest(self) -> None:
         """Abort the largest answer being read, if answers are the cause of the overrun.
 
-        Whatever the cause, an answer is aborted rather than that the process exceeds its memory.
+        If the budget is exhausted, an answer is aborted whatever the cause.
         """
         buffered_bytes = self.memory.buffered_bytes + self.memory.unsent_bytes
         answer_bytes = sum(connection.body_bytes for connection in self.open_connections)
         is_cause = answer_bytes >= buffered_bytes * MIN_ANSWERS_FRACTION
-        if not is_cause and has_room_for_copy(self.memory, 0):
+        if not is_cause and not self.memory.is_exhausted:
             return
         largest = max(self.open_connections, key=lambda connection: connection.body_bytes)
         largest.abort_oversized(
--- a/src/daisywharf/_mesh/_memory_budget.py
+++ b/src/daisywharf/_mesh/_memory_budget.py
@@ -47,6 +47,11 @@
         """Return whether answers that are being read must be aborted."""
         return self.buffered_bytes + self.unsent_bytes > self.max_overrun_bytes
 
+    @property
+    def is_exhausted(self) -> bool:
+        """Return whether nothing more may be buffered."""
+        return self.buffered_bytes + self.unsent_bytes > self.max_hard_bytes
+
 
 def has_room_for_call(memory: MemoryBudget, count: int) -> bool:
     """Return whether a call of this many bytes, which could be refused, may be buffered."""
--- a/src/daisywharf/platform/_heartbeats.py
+++ b/src/daisywharf/platform/_heartbeats.py
@@ -56,7 +56,13 @@
 
 
 # Raised for a body that isn't valid JSON, is nested too deeply, or has a field that can't be used.
-UNREADABLE: Final = (msgspec.DecodeError, UnicodeDecodeError, KeyError, ValueError, RecursionError)
+INVALID_BODY: Final = (
+    msgspec.DecodeError,
+    UnicodeDecodeError,
+    KeyError,
+    ValueError,
+    RecursionError,
+)
 _heartbeat_decoder: Final = msgspec.json.Decoder(HeartbeatBody)
 _deregistration_decoder: Final = msgspec.json.Decoder(DeregistrationBody)
 
@@ -67,7 +73,7 @@
         heartbeat = _heartbeat_decoder.decode(body)
         readiness = READINESS_BY_STATE[heartbeat.state]
         address = parse_address(heartbeat.address)
-    except UNREADABLE as error:
+    except INVALID_BODY as error:
         raise RequestError(
             ErrorKind.BAD_REQUEST, f"heartbeat of {target_id} can't be read: {error}"
         ) from error
@@ -87,7 +93,7 @@
     """Decode a deregistration; raise `RequestError` (bad request) if it is malformed."""
     try:
         message = _deregistration_decoder.decode(body or b"{}")
-    except UNREADABLE as error:
+    except INVALID_BODY as error:
         raise RequestError(
             ErrorKind.BAD_REQUEST, f"deregistration of {target_id} can't be read: {error}"
         ) from error
--- a/src/daisywharf/platform/_json.py
+++ b/src/daisywharf/platform/_json.py
@@ -10,6 +10,7 @@
 MAX_DEPTH: Final = 64
 UNREADABLE: Final = (msgspec.DecodeError, RecursionError, UnicodeDecodeError)
 
+_PUNCTUATION: Final = frozenset({b"[", b"]", b"{", b"}", b",", b":"})
 # A string, a bracket, a separator, or a number or name.
 _TOKEN: Final = re.compile(
     rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]|[,:]|[^\s"\[\]{},:]+', flags=re.DOTALL
@@ -37,16 +38,19 @@
             if depth == MAX_DEPTH + 1:
                 yield b"null"
         if depth <= MAX_DEPTH:
-            yield token if _is_readable(token) else b'""' if token[:1] == b'"' else b"null"
+            yield _readable(token)
         if token in (b"]", b"}"):
             depth -= 1
 
 
-def _is_readable(token: bytes) -> bool:
-    if token in b"[]{},:" or (token.isascii() and token[:1] == b'"' and b"\\" not in token):
-        return True
+def _readable(token: bytes) -> bytes:
+    """Return the token, or what stands in its place if it can't be decoded."""
+    is_string = token.startswith(b'"')
+    is_plain_string = is_string and token.isascii() and b"\\" not in token
+    if token in _PUNCTUATION or is_plain_string:
+        return token
     try:
         msgspec.json.decode(token)
     except UNREADABLE:
-        return False
-    return True
+        return b'""' if is_string else b"null"
+    return token
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from collections.abc import Callable
 from random import Random
@@ -353,3 +354,17 @@
 def json_of(answer: HttpAnswer) -> Any:
     """Decode an answer's JSON body."""
     return json.loads(answer.body)
+
+
+async def ask_without_reading(
+    address: Address, path: str, *, number: int = 1
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Send a request on a connection whose client reads hardly any of the answer by itself."""
+    slow = socket.socket()
+    slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    slow.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(slow, (address.host, address.port))
+    reader, writer = await asyncio.open_connection(sock=slow, limit=1_000)
+    head = f"Host: shop.example\r\nAttempt-Id: slow-{number}\r\nDeadline-Ms: 20000\r\n"
+    writer.write(f"GET {path} HTTP/1.1\r\n{head}\r\n".encode())
+    return reader, writer
--- a/tests/test_memory_of_links.py
+++ b/tests/test_memory_of_links.py
@@ -1,7 +1,6 @@
 """Large frames between daemons count towards the memory budget, and are skipped if it is full."""
 
 import asyncio
-import socket
 import tracemalloc
 from typing import Any
 
@@ -12,6 +11,7 @@
     MeshWorld,
     SeenRequest,
     TargetStandIn,
+    ask_without_reading,
     eventually,
     in_loop,
     route,
@@ -31,7 +31,6 @@
 )
 from daisywharf._mesh._http_answers import HttpAnswer
 from daisywharf._mesh._memory_budget import MemoryBudget, add_buffered
-from daisywharf._topology import Address
 
 BIG = 2_000_000
 LOAD = GateLoad(1, 0, 10, 0.0)
@@ -217,7 +216,10 @@
             daemon.memory.max_overrun_bytes = 3.0 * ANSWER_BYTES
             daemon.memory.max_hard_bytes = 4.0 * ANSWER_BYTES
         address = entry.settings.entry_address
-        writers = [await _ask_without_reading(address, number) for number in range(SLOW_CLIENTS)]
+        writers = [
+            (await ask_without_reading(address, "/r/x", number=number))[1]
+            for number in range(SLOW_CLIENTS)
+        ]
         await eventually(lambda: len(held) == SLOW_CLIENTS)
         most = 0
         for seen in held:
@@ -236,15 +238,3 @@
         await world.close()
 
     in_loop(scenario)
-
-
-async def _ask_without_reading(address: Address, number: int) -> asyncio.StreamWriter:
-    """Send a request on a connection whose client reads hardly any of the answer."""
-    slow = socket.socket()
-    slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-    slow.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(slow, (address.host, address.port))
-    _, writer = await asyncio.open_connection(sock=slow, limit=1_000)
-    head = f"Host: shop.example\r\nAttempt-Id: s-{number}\r\nDeadline-Ms: 20000\r\n"
-    writer.write(f"GET /r/x HTTP/1.1\r\n{head}\r\n".encode())
-    return writer
--- a/tests/test_mesh_requests.py
+++ b/tests/test_mesh_requests.py
@@ -1,7 +1,6 @@
 """Client requests: chunked bodies, trailers, size limits and closed connections."""
 
 import asyncio
-import socket
 
 import pytest
 
@@ -10,6 +9,7 @@
     MeshWorld,
     SeenRequest,
     TargetStandIn,
+    ask_without_reading,
     configuration,
     eventually,
     header_of,
@@ -21,7 +21,6 @@
 from daisywharf._mesh._http_answers import HttpAnswer
 from daisywharf._mesh._memory_budget import add_buffered
 from daisywharf._mesh._routes import RouteTable, find_route
-from daisywharf._topology import Address
 
 HEAD = "Host: shop.example\r\nAttempt-Id: c1\r\nDeadline-Ms: 5000\r\n"
 
@@ -202,19 +201,6 @@
 BIG_BODY = b"z" * 12_000_000
 
 
-async def _ask_without_reading(
-    address: Address, path: str
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Send a request on a connection whose client reads hardly any of the answer by itself."""
-    slow = socket.socket()
-    slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-    slow.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(slow, (address.host, address.port))
-    reader, writer = await asyncio.open_connection(sock=slow, limit=1_000)
-    writer.write(f"GET {path} HTTP/1.1\r\n{HEAD}\r\n".encode())
-    return reader, writer
-
-
 async def _ask_and_expect_refusal(daemon: MeshDaemon) -> None:
     refused = await Client(daemon).ask("/r/x")
     assert isinstance(refused, HttpAnswer)
@@ -228,7 +214,7 @@
         daemon = await world.add(TargetStandIn(held.append))
         await world.settle()
         daemon.memory.max_bytes = 1_000_000
-        reader, writer = await _ask_without_reading(daemon.settings.entry_address, "/r/x")
+        reader, writer = await ask_without_reading(daemon.settings.entry_address, "/r/x")
         await eventually(lambda: len(held) == 1)
         target_transport = held[0].exchange.connection.transport
         assert target_transport is not None
@@ -269,7 +255,7 @@
         daemon = await world.add(target)
         await world.settle()
         daemon.memory.max_bytes = 1_000_000
-        _, writer = await _ask_without_reading(daemon.settings.entry_address, "/r/big")
+        _, writer = await ask_without_reading(daemon.settings.entry_address, "/r/big")
         await eventually(lambda: daemon.clients.unsent_bytes > daemon.memory.max_bytes)
         second = await Client(daemon).ask("/r/small")
         writer.close()
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -1,8 +1,6 @@
 """An odd entry in the store, or an odd record from a peer, costs nothing but itself."""
 
 import asyncio
-import time
-from collections.abc import Callable
 from typing import Any, Final
 
 import msgspec
@@ -11,11 +9,11 @@
 
 from builders_mesh import (
     daemon_at_rest,
-    free_address,
     in_loop,
     member,
     settings,
 )
+from builders_store import with_store
 from builders_virtual_fleet import VirtualFleet
 from daisywharf._ids import TargetId, VmId
 from daisywharf._mesh import _membership
@@ -89,19 +87,6 @@
         return sum(logged is event for logged, _ in self.events)
 
 
-def _with_store(play: Callable[[StoreStandIn, ObjectStore], Any]) -> None:
-    async def scenario() -> None:
-        stand_in = StoreStandIn(free_address())
-        await stand_in.server.start(stand_in.address)
-        await play(stand_in, ObjectStore(stand_in.address, now=time.monotonic))
-        stand_in.server.stop()
-        for connection in list(stand_in.server.connections):
-            connection.close()
-        await asyncio.sleep(0)
-
-    in_loop(scenario)
-
-
 @pytest.mark.parametrize("name", ODD_ENTRIES)
 def test_an_odd_entry_among_the_daemons_costs_only_itself_and_is_logged_once(
     name: str, monkeypatch: pytest.MonkeyPatch
@@ -119,7 +104,7 @@
         assert found == ({"a-first", "z-last", ODD} if is_sound else {"a-first", "z-last"})
         assert logged.count(Event.ENTRY_UNREADABLE) == (0 if is_sound else 1)
 
-    _with_store(play)
+    with_store(play)
 
 
 @pytest.mark.parametrize("item", ODD_ITEMS)
@@ -148,7 +133,7 @@
         watched = await store.watch_configuration(after=1, wait_s=0.1, within_s=2.0)
         assert watched.configuration is not None
 
-    _with_store(play)
+    with_store(play)
 
 
 @pytest.mark.parametrize("calls", [b"-1", b"1e300", b"9" * 400, b"1e999", b'"many"', DEEP])
@@ -159,7 +144,7 @@
         stand_in.put("daisywharf-learned", "calls", msgspec.Raw(content))
         assert await store.read_learned_calls() == LearnedCalls()
 
-    _with_store(play)
+    with_store(play)
 
 
 @pytest.mark.parametrize("name", ["no-port", "nested-100000", "number", "long-port", "other-name"])
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,13 +1,12 @@
 """The client of the platform's store, against a stand-in for the store."""
 
-import asyncio
 import time
-from collections.abc import Awaitable, Callable
 
 import pytest
 from benchmarks._platform_store import StoreStandIn
 
-from builders_mesh import free_address, in_loop, member
+from builders_mesh import member
+from builders_store import with_store
 from daisywharf._configuration import RouteName
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._ids import VmId
@@ -18,19 +17,6 @@
 CONFIGURATION = {"version": 7, "resources": []}
 
 
-def _with_store(play: Callable[[StoreStandIn, ObjectStore], Awaitable[None]]) -> None:
-    async def scenario() -> None:
-        stand_in = StoreStandIn(free_address())
-        await stand_in.server.start(stand_in.address)
-        await play(stand_in, ObjectStore(stand_in.address, now=time.monotonic))
-        stand_in.server.stop()
-        for connection in list(stand_in.server.connections):
-            connection.close()
-        await asyncio.sleep(0)
-
-    in_loop(scenario)
-
-
 def test_the_configuration_is_watched_from_the_store_s_present_revision() -> None:
     async def play(stand_in: StoreStandIn, store: ObjectStore) -> None:
         empty = await store.read_configuration()
@@ -45,7 +31,7 @@
         watched = await store.watch_configuration(after=read.revision, wait_s=0.1, within_s=1.1)
         assert watched.configuration is None
 
-    _with_store(play)
+    with_store(play)
 
 
 def test_a_watch_from_a_revision_before_the_history_fails_as_gone() -> None:
@@ -55,7 +41,7 @@
             await store.watch_configuration(after=1, wait_s=0.1, within_s=1.1)
         assert caught.value.kind is ErrorKind.PLATFORM_GONE
 
-    _with_store(play)
+    with_store(play)
 
 
 def test_a_write_returns_the_record_of_an_earlier_process_and_the_next_one_replaces_it() -> None:
@@ -71,7 +57,7 @@
         assert await restarted.write_member(later) is None
         assert await store.list_members() == [later]
 
-    _with_store(play)
+    with_store(play)
 
 
 def test_a_record_that_the_store_lost_is_written_anew() -> None:
@@ -82,7 +68,7 @@
         assert await store.write_member(record) is None
         assert [found.vm for found in await store.list_members()] == [VmId("vm-1")]
 
-    _with_store(play)
+    with_store(play)
 
 
 def test_an_unreadable_record_is_skipped() -> None:
@@ -92,7 +78,7 @@
         stand_in.put("daisywharf-daemons", "vm-3", None)
         assert [found.vm for found in await store.list_members()] == [VmId("vm-1")]
 
-    _with_store(play)
+    with_store(play)
 
 
 @pytest.mark.parametrize("status", [429, 503])
@@ -103,7 +89,7 @@
             await store.write_member(member("vm-1", started_ms=5))
         assert caught.value.kind is ErrorKind.PLATFORM_UNAVAILABLE
 
-    _with_store(play)
+    with_store(play)
 
 
 def test_a_write_at_a_silent_store_times_out_with_an_unknown_outcome() -> None:
@@ -113,7 +99,7 @@
             await store.write_member(member("vm-1", started_ms=5))
         assert caught.value.kind is ErrorKind.PLATFORM_OUTCOME_UNKNOWN
 
-    _with_store(play)
+    with_store(play)
 
 
 def test_learned_calls_are_written_and_read_back() -> None:
@@ -126,7 +112,7 @@
         stand_in.put("daisywharf-learned", "calls", {"rows": "nonsense"})
         assert await store.read_learned_calls() == LearnedCalls()
 
-    _with_store(play)
+    with_store(play)
 
 
 def test_an_answer_without_a_required_field_is_unreadable() -> None:
@@ -138,4 +124,4 @@
         with pytest.raises(PlatformError, match="unreadable"):
             await store.watch_configuration(after=1, wait_s=0.1, within_s=1.1)
 
-    _with_store(play)
+    with_store(play)
