--- a/src/daisywharf/_mesh/_departures.py
+++ b/src/daisywharf/_mesh/_departures.py
@@ -18,7 +18,7 @@
 
 
 class Departure(msgspec.Struct, frozen=True):
-    """Hold that incarnations of a target leave: those that began at `born_ms` or before."""
+    """Hold the departure of a target's incarnations that began at `born_ms` or before."""
 
     readiness: Readiness
     born_ms: int
--- a/src/daisywharf/platform/_heartbeats.py
+++ b/src/daisywharf/platform/_heartbeats.py
@@ -36,7 +36,7 @@
 
     service: Name
     address: str
-    # Not used, but a body without them is no target's.
+    # Not used, but required: a heartbeat that lacks a field of the protocol is refused.
     zone: str
     version: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
