Identify teams by their keys at the entry

Requests of a deployment with teams carry a key, which was passed on to targets and not checked: every request of an unknown or removed key was served. The entry now looks a key up by its digest, denies requests without a valid one on routes that aren't public (401), and tells targets the team's name in place of the key. Daemons copy digests from one another, and a copy from a release that doesn't know teams isn't used where it could leave them out.

--- a/src/daisywharf/_errors.py
+++ b/src/daisywharf/_errors.py
@@ -12,6 +12,8 @@
     BAD_REQUEST = "bad-request"
     TOO_LARGE = "too-large"
     UNKNOWN_CUSTOMER = "unknown-customer"
+    MISSING_KEY = "missing-key"
+    UNKNOWN_KEY = "unknown-key"
     NOT_IN_CONTRACT = "not-in-contract"
     RATE_EXCEEDED = "rate-exceeded"
     SHED = "shed"
@@ -65,6 +67,8 @@
     ErrorKind.BAD_REQUEST: Answer(400, False, Ran.NO),
     ErrorKind.TOO_LARGE: Answer(413, False, Ran.NO),
     ErrorKind.UNKNOWN_CUSTOMER: Answer(403, False, Ran.NO),
+    ErrorKind.MISSING_KEY: Answer(401, False, Ran.NO),
+    ErrorKind.UNKNOWN_KEY: Answer(401, False, Ran.NO),
     ErrorKind.NOT_IN_CONTRACT: Answer(403, False, Ran.NO),
     ErrorKind.RATE_EXCEEDED: Answer(429, False, Ran.NO),
     ErrorKind.SHED: Answer(503, True, Ran.NO),
--- a/src/daisywharf/_ids.py
+++ b/src/daisywharf/_ids.py
@@ -11,6 +11,7 @@
 RequestId = NewType("RequestId", str)
 IdempotencyKey = NewType("IdempotencyKey", str)
 EditId = NewType("EditId", str)
+TeamName = NewType("TeamName", str)
 
 # Increases each time a process restarts under the same name.
 Incarnation = NewType("Incarnation", int)
--- a/src/daisywharf/_mesh/_dialect.py
+++ b/src/daisywharf/_mesh/_dialect.py
@@ -9,12 +9,16 @@
 
 
 class RequestHead(msgspec.Struct, frozen=True):
-    """Hold the parsed headers of a request; `passed_on` are the lines that go to the target."""
+    """Hold the parsed headers of a request; `passed_on` are the lines that go to the target.
+
+    `key` is the caller's key, None if the request has none, and empty if it has several.
+    """
 
     host: str
     request_id: str
     time_left_s: float | None
     passed_on: bytes
+    key: bytes | None = None
 
 
 class AnswerHead(msgspec.Struct, frozen=True):
@@ -42,8 +46,14 @@
 class Dialect(Protocol):
     """Read and write the headers of one platform."""
 
-    def read_request(self, headers: Sequence[HeaderPair]) -> RequestHead:
-        """Parse a client's headers."""
+    def read_request(self, headers: Sequence[HeaderPair], *, has_teams: bool) -> RequestHead:
+        """Parse a client's headers.
+
+        If teams are configured, neither the key nor a team named by the client is passed on.
+        """
+
+    def team_lines(self, team: str) -> bytes:
+        """Return the header lines that tell a target the caller's team."""
 
     def target_lines(self, *, target_id: str, caller_service: str, time_left_ms: int) -> bytes:
         """Return the header lines that the system adds to a request for a target."""
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Final
 
-from daisywharf._configuration import Configuration, Route, RouteName
+from daisywharf._configuration import Configuration, Route, RouteName, Team
 from daisywharf._contract import Importance
 from daisywharf._errors import ANSWERS_BY_KIND, ErrorKind
 from daisywharf._ids import ServiceName, TargetId, VmId
@@ -30,6 +30,7 @@
 from daisywharf._mesh._routes import RouteTable, find_route
 from daisywharf._mesh._services import Services
 from daisywharf._mesh._settings import MeshSettings
+from daisywharf._mesh._team_keys import find_team
 from daisywharf._outcomes._next_step import (
     AttemptEnd,
     NextStep,
@@ -127,16 +128,21 @@
     def put_in_force(self, configuration: Configuration) -> None:
         """Route new requests by this configuration."""
         self.table = RouteTable(configuration)
+        keys = self.table.team_keys
+        for teams in [] if keys is None else keys.shared_by:
+            log_event(Event.KEY_SHARED, teams=", ".join(teams), version=configuration.version)
 
     def handle(self, exchange: Exchange) -> None:
         """Route a complete request and send it to a gate, or refuse it."""
-        if self.table is None:
+        table = self.table
+        if table is None:
             lines = self.dialect.refusal_lines(retry_after_s=NO_CONFIGURATION_RETRY_AFTER_S)
             exchange.respond(503, lines=lines)
             return
-        head = self.dialect.read_request(exchange.headers)
+        keys = table.team_keys
+        head = self.dialect.read_request(exchange.headers, has_teams=keys is not None)
         path = exchange.request_target.decode("latin-1").partition("?")[0]
-        route = find_route(self.table, host=head.host, path=path)
+        route = find_route(table, host=head.host, path=path)
         if route is None:
             log_event(
                 Event.REQUEST_WITHOUT_ROUTE,
@@ -147,9 +153,31 @@
             )
             exchange.respond(404)
             return
-        self._begin(exchange, head, route)
+        if keys is None or route.is_public:
+            self._begin(exchange, head, route, team=None)
+            return
+        team = find_team(keys, head.key)
+        if team is None:
+            self._deny(exchange, head, route)
+        else:
+            self._begin(exchange, head, route, team=team)
+
+    def _deny(self, exchange: Exchange, head: RequestHead, route: Route) -> None:
+        """Refuse a request that needs a team's key and has none, or an unknown one."""
+        kind = ErrorKind.MISSING_KEY if head.key is None else ErrorKind.UNKNOWN_KEY
+        log_event(
+            Event.REQUEST_DENIED,
+            request=head.request_id,
+            route=route.name,
+            kind=kind.value,
+            version=self.version,
+        )
+        self.request_stats.record_end(route.name, route.parts[0].service, kind.value)
+        exchange.respond(ANSWERS_BY_KIND[kind].status)
 
-    def _begin(self, exchange: Exchange, head: RequestHead, route: Route) -> None:
+    def _begin(
+        self, exchange: Exchange, head: RequestHead, route: Route, *, team: Team | None
+    ) -> None:
         now = exchange.arrived_at
         time_left_s = DEFAULT_TIME_LEFT_S if head.time_left_s is None else head.time_left_s
         pending = PendingRequest(
@@ -159,12 +187,14 @@
             next_part(self.split, route, rng=self.rng),
             version=self.version,
             deadline=now + min(time_left_s, route.timeout_s),
-            is_from_target=is_call(self.origins, route.name),
+            # A target's calls carry no key, so a request that has a team is a client's.
+            is_from_target=team is None and is_call(self.origins, route.name),
+            team=team,
         )
         self.entered_by_route[route.name] = self.entered_by_route.get(route.name, 0) + 1
         if pending.is_from_target:
             record_call(self.call_counts, Callee(f"{route.name} {pending.service}"))
-        elif is_request(self.origins, route.name):
+        elif team is not None or is_request(self.origins, route.name):
             record_first_attempt(self.retry_permits.budget, pending.service, now=now)
         refusal_kind = self._refusal_kind(pending, now=now)
         if refusal_kind is not None:
@@ -191,7 +221,7 @@
         """Refuse the request if a service of its call chain sheds it; return whether it did."""
         visits = visits_of(self.chain, Step(pending.route.name, pending.service), now=now)
         strictest = chain_level(visits, self.services.level_by_service(now=now))
-        if not is_shed(pending.route.importance, pending.sub_order, level=strictest.level):
+        if not is_shed(pending.importance, pending.sub_order, level=strictest.level):
             return False
         age_s = self.services.levels_age_s(now=now)
         log_shed(pending, strictest, age_s=age_s)
@@ -247,11 +277,16 @@
             route=f"{route.name} {pending.service}",
             time_left_ms=max(0, int(time_left_s * MS_PER_S)),
             max_wait_ms=max(1, int(max_wait_s * MS_PER_S)),
-            importance=INNER_CALL_IMPORTANCE if pending.is_from_target else route.importance,
+            importance=INNER_CALL_IMPORTANCE if pending.is_from_target else pending.importance,
             sub_order=pending.sub_order,
             is_idempotent=route.is_idempotent,
-            head=b"%b %b HTTP/1.1\r\n%b"
-            % (exchange.method, exchange.request_target, head.passed_on),
+            head=b"%b %b HTTP/1.1\r\n%b%b"
+            % (
+                exchange.method,
+                exchange.request_target,
+                head.passed_on,
+                b"" if pending.team is None else self.dialect.team_lines(pending.team.name),
+            ),
             body=exchange.body,
             limit_per_s=candidate.share.limit_per_s,
         )
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -157,10 +157,15 @@
 
 
 class ConfigurationCopy(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """Send a version of the configuration, encoded by `encode_configuration`."""
+    """Send a version of the configuration, encoded by `encode_configuration`.
+
+    `lists_teams` is false if the sender is of a release that doesn't know teams, and may have left
+    them out.
+    """
 
     version: int
     body: bytes
+    lists_teams: bool = False
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True, array_like=True, tag=13):
--- a/src/daisywharf/_mesh/_in_force.py
+++ b/src/daisywharf/_mesh/_in_force.py
@@ -51,8 +51,7 @@
             return
         self.entry.put_in_force(configuration)
         self.clients.limits = configuration.limits
-        importances = [route.importance for route in configuration.routes]
-        ceiling = float(max(importances, default=Importance.LOW) + 1)
+        ceiling = float(_least_importance(configuration) + 1)
         self.entry.services.ceiling = self.gate.ceiling = ceiling
         log_event(
             Event.CONFIGURATION_IN_FORCE,
@@ -86,9 +85,25 @@
     def send_to(self, send: Send) -> None:
         """Send a copy to a daemon that asks, unless too much was sent just now."""
         if self._encoded and may_send(self.distribution, len(self._encoded), now=self.now()):
-            send(ConfigurationCopy(self.version, self._encoded))
+            send(ConfigurationCopy(self.version, self._encoded, lists_teams=True))
 
     def receive(self, frame: ConfigurationCopy, *, source: str) -> None:
-        """Put a copy from another daemon in force; raise `msgspec.DecodeError` if malformed."""
-        if frame.version > self.version:
+        """Put a copy from another daemon in force; raise `msgspec.DecodeError` if malformed.
+
+        A copy that may lack its teams would let requests pass without a key, so it is used only
+        where the version in force has none. The next source, or the store, has the whole version.
+        """
+        if frame.version > self.version and (frame.lists_teams or self._has_no_teams()):
             self.put_in_force(decode_configuration(frame.body), source=source)
+
+    def _has_no_teams(self) -> bool:
+        table = self.entry.table
+        return table is not None and table.team_keys is None
+
+
+def _least_importance(configuration: Configuration) -> Importance:
+    """Return the least importance that a request may have in a configuration."""
+    importances = [route.importance for route in configuration.routes]
+    teams = configuration.teams or ()
+    importances += [team.importance for team in teams if team.importance is not None]
+    return max(importances, default=Importance.LOW)
--- a/src/daisywharf/_mesh/_pending.py
+++ b/src/daisywharf/_mesh/_pending.py
@@ -3,8 +3,9 @@
 import asyncio
 from typing import Final, Protocol
 
-from daisywharf._configuration import Route
+from daisywharf._configuration import Route, Team
 from daisywharf._context import sub_order_of
+from daisywharf._contract import Importance
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import RequestId, ServiceName, TargetId
 from daisywharf._mesh._dialect import RequestHead
@@ -17,6 +18,7 @@
 from daisywharf._signals._log import log_event
 
 MS_PER_S: Final = 1000.0
+NO_TEAM: Final = "none"
 
 
 class GateChannel(Protocol):
@@ -42,6 +44,7 @@
         version: int,
         deadline: float,
         is_from_target: bool,
+        team: Team | None = None,
     ) -> None:
         self.exchange = exchange
         self.head = head
@@ -50,6 +53,7 @@
         self.version = version
         self.deadline = deadline
         self.is_from_target = is_from_target
+        self.team = team
         self.sub_order = sub_order_of(RequestId(head.request_id))
         self.excluded: set[TargetId] = set()
         self.progress = Progress()
@@ -62,6 +66,17 @@
         # Failed answer of an earlier attempt; returned to the client if no retry does better.
         self.failed_answer: Answered | None = None
 
+    @property
+    def importance(self) -> Importance:
+        """Return the team's importance if it has one, else the route's."""
+        importance = None if self.team is None else self.team.importance
+        return self.route.importance if importance is None else importance
+
+    @property
+    def team_name(self) -> str:
+        """Return the name of the team for log lines, or "none"."""
+        return NO_TEAM if self.team is None else self.team.name
+
     @property
     def target(self) -> str:
         """Return the id of the target of the last attempt, or "none"."""
@@ -79,7 +94,8 @@
         request=pending.head.request_id,
         route=pending.route.name,
         service=pending.service,
-        importance=pending.route.importance,
+        team=pending.team_name,
+        importance=pending.importance,
         level=round(strictest.level, 3),
         loaded=strictest.service,
         age_s=round(age_s, 3),
@@ -93,6 +109,7 @@
         Event.REQUEST_REFUSED,
         request=pending.head.request_id,
         route=pending.route.name,
+        team=pending.team_name,
         service=pending.service,
         kind=kind.value,
         gates_tried=pending.progress.gates_tried,
@@ -107,6 +124,7 @@
         Event.REQUEST_FAILED,
         request=pending.head.request_id,
         route=pending.route.name,
+        team=pending.team_name,
         service=pending.service,
         kind=kind.value,
         cause=cause,
@@ -145,6 +163,7 @@
         Event.REQUEST_ANSWERED,
         request=pending.head.request_id,
         route=pending.route.name,
+        team=pending.team_name,
         target=pending.target,
         status=status,
         held_ms=pending.elapsed_ms(now),
--- a/src/daisywharf/_mesh/_routes.py
+++ b/src/daisywharf/_mesh/_routes.py
@@ -1,16 +1,18 @@
 """Find the route of a request in the configuration in force."""
 
 from daisywharf._configuration import Configuration, Route
+from daisywharf._mesh._team_keys import team_keys_of
 
 
 class RouteTable:
-    """Index the routes of a configuration by host and path prefix."""
+    """Index a configuration: routes by host and path prefix, and teams by key."""
 
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
         self.route_by_prefix: dict[tuple[str, str], Route] = {
             (route.host.lower(), route.path_prefix): route for route in configuration.routes
         }
+        self.team_keys = team_keys_of(configuration)
 
 
 def find_route(table: RouteTable, *, host: str, path: str) -> Route | None:
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -116,6 +116,12 @@
         308, EventLevel.ERROR, "settings can't be read; the previous ones stay: {error}"
     )
 
+    KEY_SHARED = EventDefinition(
+        309,
+        EventLevel.ERROR,
+        "teams {teams} hold the same key in version {version}; requests with it are denied",
+    )
+
     PLATFORM_UNAVAILABLE = EventDefinition(
         401, EventLevel.WARNING, "platform is unreachable; serving continues: {error}"
     )
@@ -172,21 +178,22 @@
     REQUEST_SHED = EventDefinition(
         701,
         EventLevel.INFO,
-        "request {request} of {route} refused at its entry: importance {importance},"
+        "request {request} of {route}, team {team}, refused at its entry: importance {importance},"
         " level {level} of {loaded}, {age_s} s old, version {version}",
         REQUEST_LINES_PER_S,
     )
     REQUEST_REFUSED = EventDefinition(
         702,
         EventLevel.WARNING,
-        "request {request} of {route} was not run at {service}: {kind} after {gates_tried} gates,"
+        "request {request} of {route}, team {team}, was not run at {service}: {kind}"
+        " after {gates_tried} gates,"
         " in {held_ms} ms, version {version}",
         REQUEST_LINES_PER_S,
     )
     REQUEST_FAILED = EventDefinition(
         703,
         EventLevel.WARNING,
-        "request {request} of {route} failed at {service}: {kind}, {cause},"
+        "request {request} of {route}, team {team}, failed at {service}: {kind}, {cause},"
         " last at {target}, after {attempts} attempts in {held_ms} ms, version {version}",
         REQUEST_LINES_PER_S,
     )
@@ -222,7 +229,8 @@
     REQUEST_ANSWERED = EventDefinition(
         709,
         EventLevel.INFO,
-        "request {request} of {route} was answered {status} by {target} in {held_ms} ms,"
+        "request {request} of {route}, team {team}, was answered {status} by {target}"
+        " in {held_ms} ms,"
         " version {version}",
         SERVED_LINES_PER_S,
     )
@@ -239,6 +247,12 @@
         "gate of {target}, {service}: {running} running and {waiting} waiting of {limit},"
         " level {level}; {started} started, limit {per_s} per second",
     )
+    REQUEST_DENIED = EventDefinition(
+        712,
+        EventLevel.WARNING,
+        "request {request} of {route} was denied: {kind}, version {version}",
+        REQUEST_LINES_PER_S,
+    )
 
     @property
     def label(self) -> str:
--- a/src/daisywharf/platform/_configuration.py
+++ b/src/daisywharf/platform/_configuration.py
@@ -1,17 +1,22 @@
 """Decode the operator's configuration from the platform's store."""
 
+import math
 from typing import Any, Final
 
 from daisywharf._configuration import (
     ClientLimits,
     Configuration,
+    KeyDigest,
     Route,
     RouteName,
     SplitPart,
+    Team,
 )
 from daisywharf._contract import Importance
 from daisywharf._errors import ConfigurationError, ErrorKind
-from daisywharf._ids import ServiceName, Version
+from daisywharf._ids import ServiceName, TeamName, Version
+from daisywharf._limits import MAX_NAME_CHARS
+from daisywharf._mesh._team_keys import digest_key
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 
@@ -27,7 +32,8 @@
 def read_configuration(document: Any) -> Configuration:
     """Decode a configuration; raise `ConfigurationError` if it has no version or no resources.
 
-    A resource that can't be read is skipped and logged.
+    A resource that can't be read is skipped and logged. If it is the only team, requests still need
+    a key: an unreadable entry must not open a route to everybody.
     """
     version = document.get("version") if isinstance(document, dict) else None
     entries = document.get("resources") if isinstance(document, dict) else None
@@ -39,23 +45,44 @@
     routes: list[Route] = []
     limits = ClientLimits()
     connections_by_service: dict[ServiceName, int] = {}
+    teams: list[Team] = []
+    has_teams = False
     for entry in entries:
+        kind = entry.get("resourceKind") if isinstance(entry, dict) else None
+        has_teams = has_teams or kind == "tenants"
         try:
-            kind, name, content = _split_entry(entry)
+            name, content = _split_entry(entry)
             if kind == "routes":
                 routes.append(_parse_route(name, content))
             elif kind == "services":
                 connections_by_service[ServiceName(name)] = int(content["maxConnections"])
+            elif kind == "tenants":
+                teams.append(_parse_team(name, content))
             elif kind == "limits":
                 limits = _parse_limits(content)
         except UNREADABLE as error:
-            log_event(Event.ENTRY_UNREADABLE, entry=repr(entry), error=repr(error))
-    return Configuration(Version(version), tuple(routes), limits, connections_by_service)
+            log_event(Event.ENTRY_UNREADABLE, entry=_describe(entry), error=repr(error))
+    return Configuration(
+        Version(version),
+        tuple(routes),
+        limits,
+        connections_by_service,
+        tuple(teams) if has_teams else None,
+    )
 
 
-def _split_entry(entry: Any) -> tuple[str, str, dict[str, Any]]:
+def _split_entry(entry: Any) -> tuple[str, dict[str, Any]]:
     metadata = entry.get("metadata") or {}
-    return entry["resourceKind"], str(metadata.get("name", "")), entry["specification"]
+    return str(metadata.get("name", "")), entry["specification"]
+
+
+def _describe(entry: Any) -> str:
+    """Return an entry's kind and name; the rest may contain keys and isn't logged."""
+    if not isinstance(entry, dict):
+        return f"of type {type(entry).__name__}"
+    metadata = entry.get("metadata")
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    return f"{entry.get('resourceKind')!r} {name!r}"
 
 
 def _parse_route(name: str, content: dict[str, Any]) -> Route:
@@ -73,10 +100,48 @@
         timeout_s=float(content.get("timeoutMs", DEFAULT_TIMEOUT_MS)) / MS_PER_S,
         # In `targetLatencyMs`, "target" is a latency objective, not a target that runs calls.
         aim_s=float(content.get("targetLatencyMs", DEFAULT_TIMEOUT_MS)) / MS_PER_S,
-        importance=Importance(min(max(priority, 0), Importance.LOW)),
+        importance=_importance_of(priority),
+        is_public=content.get("public") is True,
+    )
+
+
+def _importance_of(priority: int) -> Importance:
+    return Importance(min(max(priority, 0), Importance.LOW))
+
+
+def _parse_team(name: str, content: dict[str, Any]) -> Team:
+    if not 0 < len(name) <= MAX_NAME_CHARS or not (name.isascii() and name.isprintable()):
+        raise ValueError(f"its name isn't 1 to {MAX_NAME_CHARS} printable ASCII characters")
+    priority = content.get("priority")
+    return Team(
+        name=TeamName(name),
+        key_digests=_parse_keys(name, content.get("apiKeys")),
+        importance=None if priority is None else _importance_of(int(priority)),
+        rate_per_s=_parse_quota(content, "ratePerS"),
+        burst=_parse_quota(content, "burst"),
     )
 
 
+def _parse_keys(team: str, keys: Any) -> tuple[KeyDigest, ...]:
+    """Return the digests of a team's keys; a key that isn't a text is skipped and logged."""
+    if keys is None:
+        return ()
+    if not isinstance(keys, list):
+        raise TypeError(f"apiKeys is a {type(keys).__name__}; write a list of keys")
+    usable = [key.encode() for key in keys if isinstance(key, str) and key]
+    if len(usable) < len(keys):
+        error = f"{len(keys) - len(usable)} of its {len(keys)} keys aren't a non-empty text"
+        log_event(Event.ENTRY_UNREADABLE, entry=f"'tenants' {team!r}", error=error)
+    return tuple(dict.fromkeys(digest_key(key) for key in usable))
+
+
+def _parse_quota(content: dict[str, Any], field: str) -> float:
+    value = float(content.get(field) or 0.0)
+    if not math.isfinite(value) or value < 0.0:
+        raise ValueError(f"{field} is {value}; write a number of requests, 0 or more")
+    return value
+
+
 def _parse_parts(content: dict[str, Any]) -> tuple[SplitPart, ...]:
     split = content.get("trafficSplit")
     if split:
--- a/src/daisywharf/platform/_headers.py
+++ b/src/daisywharf/platform/_headers.py
@@ -16,8 +16,11 @@
 LIMIT: Final = b"server-limit"  # requests a second from all VMs together
 LEAVING: Final = b"server-leaving"
 LEAVING_VALUE: Final = b"1"
+KEY: Final = b"credential"
+TEAM: Final = b"tenant"
 
 SET_BY_SYSTEM: Final = frozenset({TIME_LEFT, CALLER, EXPECTED})
+SET_BY_SYSTEM_WITH_TEAMS: Final = SET_BY_SYSTEM | {KEY, TEAM}
 MAX_TIME_LEFT_S: Final = 3_600.0
 # Six digits before the point are more than any target accepts. No sign, exponent, inf or nan.
 _RATE: Final = re.compile(rb"[0-9]{1,6}(\.[0-9]{0,9})?")
@@ -43,13 +46,21 @@
     return None
 
 
+def _only_key(keys: list[bytes]) -> bytes | None:
+    """Return a request's key; several are as good as a wrong one."""
+    if not keys:
+        return None
+    return keys[0] if len(keys) == 1 else b""
+
+
 class PlatformDialect:
     """Parse and write the platform's headers."""
 
-    def read_request(self, headers: Sequence[HeaderPair]) -> RequestHead:
-        """Parse a client's headers."""
+    def read_request(self, headers: Sequence[HeaderPair], *, has_teams: bool) -> RequestHead:
+        """Parse a client's headers; without teams, the headers of teams are like any others."""
         host = request_id = b""
         time_left_s = None
+        keys: list[bytes] = []
         for name, value in headers:
             lowered = name.lower()
             if lowered == b"host":
@@ -58,11 +69,20 @@
                 request_id = value
             elif lowered == TIME_LEFT:
                 time_left_s = _parse_milliseconds(value)
-        passed_on = head_block(headers, dropped=SET_BY_SYSTEM)
+            elif lowered == KEY and has_teams:
+                keys.append(value.strip())
         return RequestHead(
-            host.decode("latin-1"), request_id.decode("latin-1"), time_left_s, passed_on
+            host.decode("latin-1"),
+            request_id.decode("latin-1"),
+            time_left_s,
+            head_block(headers, dropped=SET_BY_SYSTEM_WITH_TEAMS if has_teams else SET_BY_SYSTEM),
+            _only_key(keys),
         )
 
+    def team_lines(self, team: str) -> bytes:
+        """Return the header line that tells a target the caller's team."""
+        return f"Tenant: {team}\r\n".encode()
+
     def target_lines(self, *, target_id: str, caller_service: str, time_left_ms: int) -> bytes:
         """Return the header lines that the system adds to a request for a target."""
         return (
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -232,7 +232,8 @@
             (b"Connection", b"close, X-Hop"),
             (b"X-Hop", b"1"),
             (b"X-Kept", b"2"),
-        ]
+        ],
+        has_teams=False,
     )
     assert (head.host, head.request_id, head.time_left_s) == ("hulo84.example", "9c41", 0.6)
     assert head.passed_on == b"Host: hulo84.example\r\nAttempt-Id: 9c41\r\nX-Kept: 2\r\n"
@@ -240,7 +241,10 @@
 
 @pytest.mark.parametrize("value", [b"soon", b"", b"1.5"])
 def test_a_time_left_that_can_t_be_read_counts_as_none(value: bytes) -> None:
-    assert PlatformDialect().read_request([(b"Deadline-Ms", value)]).time_left_s is None
+    assert (
+        PlatformDialect().read_request([(b"Deadline-Ms", value)], has_teams=False).time_left_s
+        is None
+    )
 
 
 def test_an_answer_s_headers_are_read() -> None:
