Treat a response with an invalid status line as a cut one

A failing target's response with the status 000 was taken for a provisional one, so its request waited for another response and ended with a 504 at its deadline; statuses from 600 on, versions such as HTTP/2.0 and reason phrases with control bytes were passed on to clients. The parser accepts all of these. The status line is now checked once a response's head is complete; an invalid one ends the attempt like a cut answer, and closes the connection.

Two lengths, a list of lengths, and lengths beside chunks were rejected before by the parser.

--- a/src/daisywharf/_mesh/_http_client.py
+++ b/src/daisywharf/_mesh/_http_client.py
@@ -20,6 +20,7 @@
     accept_any_answer,
 )
 from daisywharf._mesh._memory_budget import MemoryBudget, add_buffered
+from daisywharf._mesh._status_line import check_status_line
 from daisywharf._topology import Address
 
 CONNECT_TIMEOUT_S: Final = 1.0  # clients allow as long for a new connection
@@ -239,7 +240,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._must_close = True
-            self.fail(ErrorKind.CUT_ANSWER, f"unreadable answer: {error!r}")
+            self.fail(ErrorKind.CUT_ANSWER, f"invalid response: {error.__context__ or error!r}")
         self._message_bytes.received += len(data)
         if self.request is not None and framing_bytes(self._message_bytes) > MAX_HEAD_BYTES:
             self.abort_oversized(f"over {MAX_HEAD_BYTES} bytes of head and framing")
@@ -286,9 +287,13 @@
             self._headers.append((name, value or b""))
 
     def on_headers_complete(self) -> None:
-        """Determine how the answer's end is recognized and which request it belongs to."""
+        """Determine how the answer's end is recognized and which request it belongs to.
+
+        Raises ValueError for an invalid status line, which the parser reports as its own error.
+        """
         self._has_head = True
         status = self._parser.get_status_code()
+        check_status_line(status, self._parser.get_http_version(), self._reason)
         names = {name.lower() for name, _ in self._headers}
         has_length = b"content-length" in names or b"transfer-encoding" in names
         has_body = status >= 200 and status not in (204, 304)
--- a/tests/test_mesh_answers.py
+++ b/tests/test_mesh_answers.py
@@ -66,15 +66,21 @@
             self._server.close()
 
 
-async def _ask(
-    behave: Behave, *, times: int = 1, is_idempotent: bool = False
+async def ask_raw_target(
+    behave: Behave, *, times: int = 1, is_idempotent: bool = False, sound_target: bool = False
 ) -> tuple[list[HttpAnswer], RawTarget]:
+    """Send requests to a daemon beside a raw target, and a sound one on another VM if wanted."""
     world = MeshWorld(route(is_idempotent=is_idempotent, timeout_s=1.0))
     target = RawTarget(behave)
     await target.start()
     daemon = await world.add()
     daemon.handle_announcement(announcement(target.address))
+    if sound_target:
+        await world.add(TargetStandIn(lambda seen: seen.answer(200, WHOLE)))
     await world.settle_without_targets()
+    if sound_target:
+        placement = daemon.services.placement_of(route().parts[0].service)
+        await eventually(lambda: len(placement.candidates) == 2)
     client = Client(daemon)
     answers = []
     for _ in range(times):
@@ -130,7 +136,7 @@
 )
 def test_an_answer_that_is_cut_unsigned_or_for_another_request_is_a_failure(behave: Behave) -> None:
     async def scenario() -> None:
-        (got,), _ = await _ask(behave)
+        (got,), _ = await ask_raw_target(behave)
         assert got.status == 502
         assert got.body == b""
 
@@ -144,7 +150,7 @@
         writer.close()
 
     async def scenario() -> None:
-        (got,), _ = await _ask(behave)
+        (got,), _ = await ask_raw_target(behave)
         assert (got.status, got.body) == (200, WHOLE)
 
     in_loop(scenario)
@@ -157,7 +163,7 @@
         writer.write(answer(request_id, WHOLE))
 
     async def scenario() -> None:
-        answers, target = await _ask(behave, times=3)
+        answers, target = await ask_raw_target(behave, times=3)
         assert [a.body for a in answers] == [WHOLE] * 3
         # The connection with the extra answer is not reused.
         assert target.connections == 2
@@ -170,7 +176,7 @@
         writer.write(answer(request_id) + answer(request_id, b"once more"))
 
     async def scenario() -> None:
-        answers, target = await _ask(behave, times=3)
+        answers, target = await ask_raw_target(behave, times=3)
         assert [a.body for a in answers] == [WHOLE] * 3
         assert target.connections == 3
 
