Order the requests of teams by max-min fair shares

The shedding level refused the same part of each team's requests, because their order was a hash of the request's id: a team that asked for several times its usual amount took that much capacity from all others. A request's sub-order is now the part of the demand that precedes it where each team is admitted up to the same rate. A full queue at a gate refuses, where it would refuse a team's call, the team's call that is last in that order; calls made by targets are refused as before. Without teams nothing changes.

Event 715 and daisywharf_team_shed_total tell which team's share a refused request drew on.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -25,6 +25,7 @@
 )
 from daisywharf._mesh._dialect import Dialect
 from daisywharf._mesh._entry import Entry
+from daisywharf._mesh._fair_shares import FairShares, team_metrics
 from daisywharf._mesh._frames import Call, CallResult, Frame
 from daisywharf._mesh._gate import Gate
 from daisywharf._mesh._http_server import Exchange, HttpServer
@@ -144,6 +145,8 @@
             memory=self.memory,
             channel_to=self._channel_to,
             retry_permits=self.retry_permits,
+            # Without the fleet's demand, requests are ordered by the own demand.
+            fair_shares=FairShares(fleet_demand=dict, now=now()),
             now=now,
             rng=rng,
         )
@@ -492,7 +495,9 @@
             store_contact_age_s=self.now() - max(self.sync.contacted_at, self._started_at),
             confirmed_age_s=self._confirmed_age_s(),
         )
-        return [*request_metrics(self.entry.request_stats, zone=self.settings.zone), *state]
+        zone = self.settings.zone
+        teams = team_metrics(self.entry.fair_shares, zone=zone)
+        return [*request_metrics(self.entry.request_stats, zone=zone), *teams, *state]
 
     def _confirmed_age_s(self) -> float:
         """Return the time since the version in force was known to be the newest, in seconds."""
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -11,6 +11,7 @@
 from daisywharf._ids import ServiceName, TargetId, VmId
 from daisywharf._mesh._counts import RequestStats
 from daisywharf._mesh._dialect import Dialect, RequestHead
+from daisywharf._mesh._fair_shares import FairShares, order_request, record_shed, share_of
 from daisywharf._mesh._frames import Answered, Call, CallResult, GateLoad
 from daisywharf._mesh._http_server import Exchange
 from daisywharf._mesh._memory_budget import MemoryBudget, has_room_for_copy
@@ -21,6 +22,7 @@
     log_abandoned,
     log_answered,
     log_failed,
+    log_over_share,
     log_refused,
     log_retry,
     log_shed,
@@ -96,6 +98,7 @@
         memory: MemoryBudget,
         channel_to: Callable[[VmId], GateChannel | None],
         retry_permits: RetryPermits,
+        fair_shares: FairShares,
         now: Callable[[], float],
         rng: Random,
     ) -> None:
@@ -106,6 +109,7 @@
         self.memory = memory
         self.channel_to = channel_to
         self.retry_permits = retry_permits
+        self.fair_shares = fair_shares
         self.now = now
         self.rng = rng
         self.table: RouteTable | None = None
@@ -128,6 +132,7 @@
     def put_in_force(self, configuration: Configuration) -> None:
         """Route new requests by this configuration."""
         self.table = RouteTable(configuration)
+        self.fair_shares.put_in_force(configuration.teams)
         keys = self.table.team_keys
         for teams in [] if keys is None else keys.shared_by:
             log_event(Event.KEY_SHARED, teams=", ".join(teams), version=configuration.version)
@@ -219,12 +224,22 @@
 
     def _shed_if_overloaded(self, pending: PendingRequest, *, now: float) -> bool:
         """Refuse the request if a service of its call chain sheds it; return whether it did."""
+        team, route_importance = pending.team, pending.route.importance
+        if team is not None:
+            # Counted here, after the checks that refuse a request whatever the load.
+            pending.sub_order = order_request(
+                self.fair_shares, team, route_importance, pending.sub_order, now=now
+            )
         visits = visits_of(self.chain, Step(pending.route.name, pending.service), now=now)
         strictest = chain_level(visits, self.services.level_by_service(now=now))
         if not is_shed(pending.importance, pending.sub_order, level=strictest.level):
             return False
         age_s = self.services.levels_age_s(now=now)
         log_shed(pending, strictest, age_s=age_s)
+        if team is not None:
+            record_shed(self.fair_shares, team)
+            demand, rate = share_of(self.fair_shares, team, route_importance, level=strictest.level)
+            log_over_share(pending, team_per_s=demand, fair_per_s=rate)
         self._refuse(pending, ErrorKind.SHED, now=now)
         return True
 
@@ -289,6 +304,7 @@
             ),
             body=exchange.body,
             limit_per_s=candidate.share.limit_per_s,
+            has_team=pending.team is not None,
         )
 
     def _handle_result(self, pending: PendingRequest, result: CallResult) -> None:
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -38,7 +38,8 @@
     """Ask a gate to run a call; `head` holds the request line and the forwarded headers.
 
     The gate may let the call wait for `max_wait_ms`. `limit_per_s` is the target's limit as the
-    entry knows it, for a gate that has just started.
+    entry knows it, for a gate that has just started. `has_team` tells that `sub_order` is the place
+    of a team's request in the fair order.
     """
 
     call_id: int
@@ -54,6 +55,7 @@
     head: bytes
     body: bytes
     limit_per_s: float | None = None
+    has_team: bool = False
 
 
 class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -175,6 +175,7 @@
             0,
             min(now + call.max_wait_ms / MS_PER_S, deadline - MIN_CALL_TIME_S),
             now,
+            has_team=call.has_team,
         )
         record_arrival(self.level_controller)
         self._apply(arrive(self.slots, waiting, now=now))
--- a/src/daisywharf/_mesh/_pending.py
+++ b/src/daisywharf/_mesh/_pending.py
@@ -103,6 +103,20 @@
     )
 
 
+def log_over_share(pending: PendingRequest, *, team_per_s: float, fair_per_s: float) -> None:
+    """Log which rates decided that a team's request was shed, beside the line of `log_shed`."""
+    log_event(
+        Event.REQUEST_OVER_SHARE,
+        request=pending.head.request_id,
+        route=pending.route.name,
+        team=pending.team_name,
+        importance=pending.importance,
+        team_per_s=round(team_per_s, 2),
+        fair_per_s=round(fair_per_s, 2),
+        version=pending.version,
+    )
+
+
 def log_refused(pending: PendingRequest, kind: ErrorKind, *, now: float) -> None:
     """Log a request that no gate accepted."""
     log_event(
--- a/src/daisywharf/_overload/_queue.py
+++ b/src/daisywharf/_overload/_queue.py
@@ -11,7 +11,10 @@
 
 
 class WaitingCall(msgspec.Struct):
-    """Hold a waiting call; times are in seconds of the gate's clock."""
+    """Hold a waiting call; times are in seconds of the gate's clock.
+
+    `has_team` tells that `sub_order` is the place of a team's request in the fair order.
+    """
 
     call_id: CallId
     call_class: CallClassName
@@ -22,6 +25,7 @@
     arrived_at: float
     window_service: ServiceName | None = None
     queue: "WaitingQueue | None" = None
+    has_team: bool = False
 
 
 class WaitingQueue:
@@ -54,12 +58,21 @@
 
 
 def pop_worst(queue: WaitingQueue) -> WaitingCall | None:
-    """Remove and return the least important call; among equals, the one that waited longest."""
+    """Remove and return the least important call; among equals, the one that waited longest.
+
+    If that is a team's call, the team's call with the largest sub-order of the same importance
+    takes its place. Calls without a team aren't compared by sub-order: those of running requests
+    would lose against requests that were admitted because their sub-orders are small.
+    """
     for calls in reversed(queue.calls_by_importance):
-        while calls:
-            call = calls.popleft()
-            if call.queue is queue:
-                return _detach(queue, call)
+        while calls and calls[0].queue is not queue:
+            calls.popleft()
+        if not calls:
+            continue
+        if not calls[0].has_team:
+            return _detach(queue, calls.popleft())
+        waiting = (call for call in calls if call.has_team and call.queue is queue)
+        return _detach(queue, max(waiting, key=lambda call: call.sub_order))
     return None
 
 
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -253,6 +253,13 @@
         "request {request} of {route} was denied: {kind}, version {version}",
         REQUEST_LINES_PER_S,
     )
+    REQUEST_OVER_SHARE = EventDefinition(
+        715,
+        EventLevel.INFO,
+        "request {request} of {route} was refused for load by its team's share: team {team} makes"
+        " {team_per_s} such requests per second, and {fair_per_s} of a team are admitted",
+        REQUEST_LINES_PER_S,
+    )
 
     @property
     def label(self) -> str:
