--- a/src/daisywharf/_mesh/_fair_shares.py
+++ b/src/daisywharf/_mesh/_fair_shares.py
@@ -27,7 +27,8 @@
     """Hold a daemon's demand table and the order that follows from it.
 
     `fleet_demand` returns the fleet's demand by team in requests per second, or an empty dict if it
-    isn't known. Counts are decayed numbers of requests that passed all checks before shedding.
+    isn't known. Counts are decayed numbers of requests that passed all checks before shedding, and
+    `counted_s` is the time in which they were counted, decayed alike.
     """
 
     def __init__(self, *, fleet_demand: Callable[[], dict[TeamName, float]], now: float) -> None:
@@ -35,7 +36,7 @@
         self.team_by_name: dict[TeamName, Team] = {}
         self.count_by_team: dict[TeamName, float] = {}
         self.route_counts: dict[Importance | None, dict[Importance, float]] = {}
-        self.started_at = now
+        self.counted_s = 0.0
         self.decayed_at = now
         self.refreshed_at = float("-inf")
         self.order = FairOrder({}, importance_by_team={}, route_demand={})
@@ -82,9 +83,8 @@
 
 
 def own_demand(shares: FairShares, *, now: float) -> dict[TeamName, float]:
-    """Return the demand by team at this daemon, in requests per second, as last decayed."""
-    # Soon after the start the counts cover less than the time constant.
-    counted_s = DEMAND_DECAY_S * -math.expm1((shares.started_at - now) / DEMAND_DECAY_S)
+    """Return the demand by team at this daemon, in requests per second."""
+    counted_s = shares.counted_s + now - shares.decayed_at
     if counted_s <= 0.0:
         return dict(shares.count_by_team)
     return {name: count / counted_s for name, count in shares.count_by_team.items()}
@@ -143,7 +143,9 @@
 
 
 def _decay(shares: FairShares, *, now: float) -> None:
-    factor = math.exp((shares.decayed_at - now) / DEMAND_DECAY_S)
+    elapsed_s = now - shares.decayed_at
+    factor = math.exp(-elapsed_s / DEMAND_DECAY_S)
+    shares.counted_s = (shares.counted_s + elapsed_s) * factor
     shares.decayed_at = now
     shares.count_by_team = {
         name: count * factor
--- a/src/daisywharf/_overload/_fair_order.py
+++ b/src/daisywharf/_overload/_fair_order.py
@@ -86,15 +86,26 @@
                 importance,
                 own=sorted(demands_by_importance.get(importance, {}).values()),
                 without_importance=sorted(demands_by_importance.get(None, {}).values()),
+                route_demand=route_demand,
             )
 
     def _bands(
-        self, importance: Importance, *, own: list[float], without_importance: list[float]
+        self,
+        importance: Importance,
+        *,
+        own: list[float],
+        without_importance: list[float],
+        route_demand: RouteDemand,
     ) -> dict[Importance, Band]:
+        has_requests = sum(route_demand.get(importance, {}).values()) > 0.0
+        has_requests_without_importance = route_demand.get(None, {}).get(importance, 0.0) > 0.0
         shares = self.shares_by_importance[importance]
         share_without = self.shares_by_importance[None][importance]
         if not own and not (without_importance and share_without):
-            own = [PLACEHOLDER_DEMAND]
+            if has_requests_without_importance:
+                without_importance = [PLACEHOLDER_DEMAND]
+            if has_requests or not has_requests_without_importance:
+                own = [PLACEHOLDER_DEMAND]
         bands: dict[Importance, Band] = {}
         start = 0.0
         for route_importance in Importance:
