--- a/src/daisywharf/_mesh/_fair_shares.py
+++ b/src/daisywharf/_mesh/_fair_shares.py
@@ -121,9 +121,7 @@
 
 
 def team_metrics(shares: FairShares, *, zone: ZoneName) -> list[Metric]:
-    """Return the number of shed requests by team; none if no team is configured."""
-    if not shares.team_by_name:
-        return []
+    """Return the number of shed requests by team; it has no samples if no team is configured."""
     samples = [
         Sample(count, {"team": team, "zone": zone})
         for team, count in sorted(shares.shed_by_team.items())
