--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -292,6 +292,17 @@
     assert not shares.count_by_team
 
 
+def test_the_own_demand_takes_over_when_reports_stop() -> None:
+    """A daemon that loses its links must not keep ordering by the last report."""
+    one, other = build_teams(2)
+    fleet = {one.name: 300.0, other.name: 10.0}
+    shares = _shares([one, other], fleet)
+    _send(shares, other, per_s=50.0, start=0.0, end=2.0)
+    fleet.clear()
+    order_request(shares, other, NORMAL, 1, now=2.0 + REFRESH_PERIOD_S)
+    assert shares.order.demand_by_team.keys() == {other.name}
+
+
 def test_the_own_demand_is_right_soon_after_the_start() -> None:
     (one,) = build_teams(1)
     shares = _shares([one])
