Add a check of a configuration before it is sent

An operator saw only after the write that an entry was ignored, a route never matched or a team had lost its last key. daisywharf configuration check reads a file with the reader that daemons use and lists errors, entries without effect, contradicting limits, and what differs from the version in force. It prints no key.

--- a/src/daisywharf/_cli/operators.py
+++ b/src/daisywharf/_cli/operators.py
@@ -4,7 +4,14 @@
 
 import typer
 
-from daisywharf._cli import contract_edits, contract_reads, settings, status, target
+from daisywharf._cli import (
+    configuration,
+    contract_edits,
+    contract_reads,
+    settings,
+    status,
+    target,
+)
 from daisywharf._cli.app import MODULE_BY_ARGPARSE_COMMAND
 from daisywharf._cli.exit_codes import code_for
 from daisywharf._errors import DaisywharfError
@@ -30,6 +37,7 @@
 contracts.registered_commands += contract_reads.app.registered_commands
 contracts.registered_commands += contract_edits.app.registered_commands
 app.add_typer(contracts, name="contract")
+app.add_typer(configuration.app, name="configuration")
 app.add_typer(target.app, name="target", help="List and drain targets.")
 app.add_typer(settings.app, name="settings")
 app.command(epilog="Example: daisywharf status --customer builders")(status.status)
--- a/src/daisywharf/platform/_configuration.py
+++ b/src/daisywharf/platform/_configuration.py
@@ -1,6 +1,7 @@
 """Decode the operator's configuration from the platform's store."""
 
 import math
+from collections.abc import Callable
 from typing import Any, Final
 
 from daisywharf._configuration import (
@@ -29,11 +30,22 @@
 UNREADABLE: Final = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
-def read_configuration(document: Any) -> Configuration:
+# Gets an entry's kind and name, and why the entry or a part of it can't be read.
+OnUnreadable = Callable[[str, str], None]
+
+
+def log_unreadable(entry: str, error: str) -> None:
+    """Log an entry that can't be read."""
+    log_event(Event.ENTRY_UNREADABLE, entry=entry, error=error)
+
+
+def read_configuration(
+    document: Any, *, on_unreadable: OnUnreadable = log_unreadable
+) -> Configuration:
     """Decode a configuration; raise `ConfigurationError` if it has no version or no resources.
 
-    A resource that can't be read is skipped and logged. If it is the only team, requests still need
-    a key: an unreadable entry must not open a route to everybody.
+    A resource that can't be read is skipped and passed to `on_unreadable`. If it is the only team,
+    requests still need a key: an unreadable entry must not open a route to everybody.
     """
     version = document.get("version") if isinstance(document, dict) else None
     entries = document.get("resources") if isinstance(document, dict) else None
@@ -57,11 +69,11 @@
             elif kind == "services":
                 connections_by_service[ServiceName(name)] = int(content["maxConnections"])
             elif kind == "tenants":
-                teams.append(_parse_team(name, content))
+                teams.append(_parse_team(name, content, on_unreadable=on_unreadable))
             elif kind == "limits":
                 limits = _parse_limits(content)
         except UNREADABLE as error:
-            log_event(Event.ENTRY_UNREADABLE, entry=_describe(entry), error=repr(error))
+            on_unreadable(_describe(entry), repr(error))
     return Configuration(
         Version(version),
         tuple(routes),
@@ -109,21 +121,21 @@
     return Importance(min(max(priority, 0), Importance.LOW))
 
 
-def _parse_team(name: str, content: dict[str, Any]) -> Team:
+def _parse_team(name: str, content: dict[str, Any], *, on_unreadable: OnUnreadable) -> Team:
     if not 0 < len(name) <= MAX_NAME_CHARS or not (name.isascii() and name.isprintable()):
         raise ValueError(f"its name isn't 1 to {MAX_NAME_CHARS} printable ASCII characters")
     priority = content.get("priority")
     return Team(
         name=TeamName(name),
-        key_digests=_parse_keys(name, content.get("apiKeys")),
+        key_digests=_parse_keys(name, content.get("apiKeys"), on_unreadable=on_unreadable),
         importance=None if priority is None else _importance_of(int(priority)),
         rate_per_s=_parse_quota(content, "ratePerS"),
         burst=_parse_quota(content, "burst"),
     )
 
 
-def _parse_keys(team: str, keys: Any) -> tuple[KeyDigest, ...]:
-    """Return the digests of a team's keys; a key that isn't a text is skipped and logged."""
+def _parse_keys(team: str, keys: Any, *, on_unreadable: OnUnreadable) -> tuple[KeyDigest, ...]:
+    """Return the digests of a team's keys, without those that aren't a text."""
     if keys is None:
         return ()
     if not isinstance(keys, list):
@@ -131,7 +143,7 @@
     usable = [key.encode() for key in keys if isinstance(key, str) and key]
     if len(usable) < len(keys):
         error = f"{len(keys) - len(usable)} of its {len(keys)} keys aren't a non-empty text"
-        log_event(Event.ENTRY_UNREADABLE, entry=f"'tenants' {team!r}", error=error)
+        on_unreadable(f"'tenants' {team!r}", error)
     return tuple(dict.fromkeys(digest_key(key) for key in usable))
 
 
