Read the store's era and write again what a rollback lost

After a rollback, the store gives revisions out again: a watch could skip changes, a conditional write could succeed or fail because of a revision of before, and records and departures that were acknowledged were lost.

The client of the store now drops responses of an older era, restarts lists and watches in a new one, and reads the revision of its record again before it replaces it. Daemons pass the era on in their status. A departure is acknowledged once a peer has read it, if any can be reached, and peers return it to the daemon's next process.

test_mesh_versions: the position after the confirmation's age is now a field, so the test of added fields uses the one after it. Passed: the tests of the store's client, of configurations in time, of departures, of other writers, of frames, of events and of the soak's checks.

--- a/benchmarks/_soak_daemon.py
+++ b/benchmarks/_soak_daemon.py
@@ -15,6 +15,7 @@
 from daisywharf._mesh._clock import wall_ms
 from daisywharf._mesh._links import LinkServer
 from daisywharf._mesh._model import Readiness, parse_address
+from daisywharf._mesh._store import ConfigurationRead
 from daisywharf._mesh._store_sync import StoreSync
 from daisywharf._outcomes._next_step import NextStep, next_step
 from daisywharf.platform import _program
@@ -95,9 +96,11 @@
 def _break_config() -> None:
     """Keep the configuration read at the start and ignore later versions."""
 
-    async def report_no_change(self: Any, revision: int, *, wait_s: float) -> int | None:
+    async def report_no_change(
+        self: Any, earlier: ConfigurationRead, *, wait_s: float
+    ) -> ConfigurationRead | None:
         await asyncio.sleep(3_600.0)
-        return revision
+        return earlier
 
     StoreSync._watch = report_no_change  # type: ignore[method-assign]
 
--- a/src/daisywharf/_mesh/_confirmation.py
+++ b/src/daisywharf/_mesh/_confirmation.py
@@ -41,6 +41,14 @@
     state.confirmed_at = max(state.confirmed_at, at)
 
 
+def expire_confirmation(state: Confirmation, *, now: float) -> None:
+    """Make a probe due, because the last confirmation is of a store that has been rolled back.
+
+    The daemons of a zone still probe one by one.
+    """
+    state.confirmed_at = min(state.confirmed_at, now - MAX_UNCONFIRMED_S)
+
+
 def probe_rank(own: VmId, up: Iterable[VmId]) -> int:
     """Return how many of a zone's reachable daemons probe before this one, besides its watchers."""
     return max(0, sum(vm < own for vm in up) - WATCHERS_PER_ZONE)
--- a/src/daisywharf/_mesh/_counts.py
+++ b/src/daisywharf/_mesh/_counts.py
@@ -105,6 +105,7 @@
     held_bytes: int,
     store_contact_age_s: float,
     confirmed_age_s: float,
+    store_era: int,
 ) -> list[Metric]:
     """Return the metrics of a daemon's state.
 
@@ -131,6 +132,7 @@
             "Time since the store answered.",
             store_contact_age_s,
         ),
+        ("daisywharf_store_era", "Highest era of the store known, 0 if none.", store_era),
     )
     calls = counter(
         "daisywharf_gate_started_total", "Calls that were sent to the target.", Sample(started)
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -73,6 +73,7 @@
 MEMORY_FULL_RETRY_AFTER_S: Final = 1.0
 # A target's departure is acknowledged within this time, or not at all: targets wait for a second.
 KEEP_WITHIN_S: Final = 0.7
+KEEP_CHECK_S: Final = 0.005
 MS_PER_S: Final = 1000.0
 
 
@@ -159,6 +160,7 @@
                 learned, self.entry.chain, self.entry.origins
             ),
             notify_zone=self._notify_zone,
+            version=lambda: self.version,
             now=now,
             rng=rng,
         )
@@ -337,13 +339,32 @@
     async def is_departure_kept(self) -> bool:
         """Wait until this daemon's record outlives its process; return whether it does.
 
-        A record outlives the process once the store has it, or peers.
+        A record outlives the process once the store has it, or peers. A store that names its era
+        may be rolled back, so a peer has to have read the record then, if any can be reached.
         """
+        if self.sync.store.era_state.era is not None:
+            return await self._is_departure_kept_after_rollback()
         has_peers = any(link.is_up for link in self.membership.link_by_vm.values())
         if has_peers and self.sync.is_store_unavailable:
             return True
         return await self.sync.is_written(within_s=KEEP_WITHIN_S) or has_peers
 
+    async def _is_departure_kept_after_rollback(self) -> bool:
+        links = [link for link in self.membership.link_by_vm.values() if link.is_up]
+        is_read_by_peer = [link.confirm_read() for link in links]
+        ends_at = self.now() + KEEP_WITHIN_S
+        while True:
+            is_at_peer = any(is_read() for is_read in is_read_by_peer)
+            is_in_store = self.sync.is_own_record_written
+            if is_at_peer and (is_in_store or self.sync.is_store_unavailable):
+                return True
+            if not links and is_in_store:
+                # Without peers, this daemon writes the record again while it runs.
+                return True
+            if self.now() >= ends_at:
+                return is_at_peer
+            await asyncio.sleep(KEEP_CHECK_S)
+
     def _publish_departure(self, target_id: TargetId, departure: Departure) -> None:
         """Publish that a target leaves of which nothing else is known."""
         target = TargetRecord(
@@ -415,7 +436,8 @@
         self._record_departure(earlier.target)
         announcement = self.gate.announcement
         if announcement is None:
-            if self.membership.own.target is None:
+            # The store, after a rollback, may give an earlier departure than a peer does.
+            if _is_later(earlier.target, self.membership.own.target):
                 # For the next process, should this one end before it hears of its target.
                 self._update_own_record(target=earlier.target)
         elif announcement.readiness is Readiness.READY:
@@ -491,6 +513,7 @@
             held_bytes=self.memory.buffered_bytes + self.memory.unsent_bytes,
             store_contact_age_s=self.now() - max(self.sync.contacted_at, self._started_at),
             confirmed_age_s=self._confirmed_age_s(),
+            store_era=self.sync.store.era_state.era or 0,
         )
         return [*request_metrics(self.entry.request_stats, zone=self.settings.zone), *state]
 
@@ -546,5 +569,10 @@
         self.membership.close()
 
 
+def _is_later(target: TargetRecord, known: TargetRecord | None) -> bool:
+    """Return whether a departure is of a later incarnation than the known one, or says more."""
+    return known is None or (target.born_ms, target.sequence) > (known.born_ms, known.sequence)
+
+
 def _is_same_incarnation(one: TargetAnnouncement, other: TargetAnnouncement) -> bool:
     return (one.target_id, one.born_ms) == (other.target_id, other.born_ms)
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -113,13 +113,15 @@
     """Report what changes from second to second: version in force, store contact, and load.
 
     `confirmed_age_ms` is the time since the store was known to have nothing newer than the version
-    in force, in milliseconds; negative if unknown.
+    in force, in milliseconds; negative if unknown. `store_era` is the highest era of the store that
+    the sender knows, 0 if none.
     """
 
     version: int
     is_watching: bool
     load: GateLoad | None
     confirmed_age_ms: int = UNKNOWN_MS
+    store_era: int = 0
 
 
 class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/src/daisywharf/_mesh/_links.py
+++ b/src/daisywharf/_mesh/_links.py
@@ -41,6 +41,8 @@
 # Frames that daemons of every version answer, at least with a pong. Older daemons ignore frame
 # kinds that were added later.
 ANSWERED_FRAMES: Final = (Call, Hello, StatusUpdate, Ping, Report)
+# Those of them that are answered with exactly one pong, in the order in which they were sent.
+PONGED_FRAMES: Final = (Hello, StatusUpdate, Ping, Report)
 
 
 class PendingCall(msgspec.Struct, frozen=True):
@@ -83,6 +85,9 @@
         self._last_received_at = 0.0
         self._awaiting_since: float | None = None
         self._last_read_count = 0
+        # Frames sent on the present connection that the peer answers with a pong, and its pongs.
+        self._pongs_due = 0
+        self._pongs_received = 0
         self._backoff_s = INITIAL_BACKOFF_S
         self._retry_at = 0.0
         self._is_connecting = False
@@ -114,6 +119,8 @@
         `encoded` is the frame's encoding, for a caller that sends the frame on many links.
         """
         if self._protocol is not None:
+            if isinstance(frame, PONGED_FRAMES):
+                self._pongs_due += 1
             if self._awaiting_since is None and isinstance(frame, ANSWERED_FRAMES):
                 self._awaiting_since = self.now()
             self._protocol.send(frame, encoded)
@@ -152,6 +159,14 @@
         if self._awaiting_since is None:
             self.send(Ping())
 
+    def confirm_read(self) -> Callable[[], bool]:
+        """Return a function that tells whether the peer has read all that was sent until now."""
+        self.send(Ping())
+        protocol, due = self._protocol, self._pongs_due
+        return lambda: (
+            protocol is not None and protocol is self._protocol and self._pongs_received >= due
+        )
+
     def restart_silence_timer(self, *, now: float) -> None:
         """Restart the silence timer, so that a pause of this process doesn't count as silence."""
         self._last_received_at = now
@@ -186,6 +201,7 @@
         self._protocol = protocol
         self._last_received_at = self.now()
         self._awaiting_since = None
+        self._pongs_due = self._pongs_received = 0
         self._backoff_s = INITIAL_BACKOFF_S
         self.is_up = True
         self._on_up(self)
@@ -203,7 +219,9 @@
             awaited = self.pending_by_call_id.pop(frame.call_id, None)
             if awaited is not None:
                 awaited.on_result(frame)
-        elif not isinstance(frame, Pong):
+        elif isinstance(frame, Pong):
+            self._pongs_received += 1
+        else:
             self._on_frame(self, frame)
         self._awaiting_since = self._last_received_at if self.pending_by_call_id else None
 
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -29,7 +29,7 @@
 from daisywharf._mesh._links import OutLink
 from daisywharf._mesh._load_relay import enqueue_load
 from daisywharf._mesh._membership import Membership
-from daisywharf._mesh._model import MemberRecord
+from daisywharf._mesh._model import MemberRecord, Readiness
 from daisywharf._mesh._reporting import Reporter
 from daisywharf._mesh._retry_permits import RetryPermits
 from daisywharf._mesh._store_sync import StoreSync
@@ -69,10 +69,12 @@
     def receive_on_own_link(self, link: OutLink, frame: Frame) -> None:
         """Handle a frame on a link that this daemon opened."""
         if isinstance(frame, StatusUpdate):
-            self._record_status(frame, link.send)
+            self._record_status(frame, link.send, source=self._name_of(link))
         else:
-            vm = self.membership.vm_of_address(link.address)
-            self._receive_on_any_link(frame, link.send, source=vm or str(link.address))
+            self._receive_on_any_link(frame, link.send, source=self._name_of(link))
+
+    def _name_of(self, link: OutLink) -> str:
+        return self.membership.vm_of_address(link.address) or str(link.address)
 
     def receive(self, link: FrameProtocol, frame: Frame) -> None:
         """Handle a frame on a link that another daemon opened."""
@@ -144,11 +146,27 @@
         known = self.membership.record_by_vm
         if hello.known_members < len(known):
             link.send(Members(tuple(known.values())))
+        else:
+            self._return_departure(link, hello.member)
         self.merge((hello.member,))
         if hello.version < self.in_force.version:
             link.send(self.in_force.status())
         self.in_force.record_offered_version(hello.version, link.send)
 
+    def _return_departure(self, link: FrameProtocol, member: MemberRecord) -> None:
+        """Send a restarted daemon the record in which its earlier process published a departure.
+
+        The store, after a rollback, may no longer have it.
+        """
+        earlier = self.membership.record_by_vm.get(member.vm)
+        if (
+            earlier is not None
+            and earlier.started_ms < member.started_ms
+            and earlier.target is not None
+            and earlier.target.readiness is not Readiness.READY
+        ):
+            link.send(Members((earlier,)))
+
     def _receive_report(self, link: FrameProtocol, report: Report) -> None:
         vm = self._vm_by_link.get(link)
         if vm is not None:
@@ -164,7 +182,7 @@
         target = self.entry.services.target_of(vm)
         if target is not None and status.load is not None:
             self.entry.record_load(target.service, target.target_id, status.load)
-        self._record_status(status, link.send)
+        self._record_status(status, link.send, source=vm)
 
     def _queue_load_to_relay(self, link: FrameProtocol, status: StatusUpdate) -> None:
         vm = self._vm_by_link.get(link)
@@ -172,6 +190,7 @@
         if target is not None and status.load is not None:
             enqueue_load(self.reporter.relay_queue, target.target_id, status.load, now=self.now())
 
-    def _record_status(self, status: StatusUpdate, send: Send) -> None:
+    def _record_status(self, status: StatusUpdate, send: Send, *, source: str) -> None:
+        self.sync.record_peer_era(status.store_era, source=source)
         self.sync.record_peer_confirmation(status, version=self.in_force.version)
         self.in_force.record_offered_version(status.version, send)
--- a/src/daisywharf/_mesh/_reporting.py
+++ b/src/daisywharf/_mesh/_reporting.py
@@ -83,7 +83,11 @@
         """Return this daemon's present status: what changes from second to second."""
         load = self.gate.load() if self.gate.is_open else None
         return StatusUpdate(
-            self.entry.version, self.sync.is_reliable_watcher(), load, self.sync.confirmed_age_ms()
+            self.entry.version,
+            self.sync.is_reliable_watcher(),
+            load,
+            self.sync.confirmed_age_ms(),
+            self.sync.store.era_state.era or 0,
         )
 
     def _send(self, status: StatusUpdate, report: Report, *, now: float) -> None:
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -149,6 +149,17 @@
         EventLevel.INFO,
         "no daemon of the zone has confirmed the configuration for {age_s} s; asking the store",
     )
+    STORE_ERA_CHANGED = EventDefinition(
+        407,
+        EventLevel.WARNING,
+        "store era changed from {earlier} to {era}, by {source}: the store lost its last writes;"
+        " they are written again",
+    )
+    STORE_RESPONSE_DROPPED = EventDefinition(
+        408,
+        EventLevel.WARNING,
+        "response of store era {era} was dropped; the present era is {present}",
+    )
 
     LINK_OPENED = EventDefinition(501, EventLevel.DEBUG, "link to {peer} is open")
     LINK_CLOSED = EventDefinition(502, EventLevel.DEBUG, "link to {peer} is closed: {error}")
--- a/src/daisywharf/platform/_store.py
+++ b/src/daisywharf/platform/_store.py
@@ -1,6 +1,6 @@
 """The asyncio client of the platform's metadata store."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from typing import Any, Final
 from urllib.parse import quote, urlencode
@@ -9,11 +9,13 @@
 
 from daisywharf._configuration import Configuration
 from daisywharf._errors import ErrorKind, PlatformError
+from daisywharf._mesh._headers import HeaderPair
 from daisywharf._mesh._http_answers import HttpAnswer, HttpFailure
 from daisywharf._mesh._http_client import HttpPool
 from daisywharf._mesh._learned import LearnedCalls, check_learned_calls
-from daisywharf._mesh._model import MemberRecord, check_member
+from daisywharf._mesh._model import MemberRecord, check_member, is_newer
 from daisywharf._mesh._store import ConfigurationRead
+from daisywharf._mesh._store_era import EraChange, EraState, observe_era, parse_era
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
 from daisywharf._topology import Address
@@ -25,6 +27,7 @@
 MEMBER_KIND: Final = "daisywharf-daemons"
 LEARNED_KIND: Final = "daisywharf-learned"
 LEARNED_NAME: Final = "calls"
+ERA_HEADER: Final = b"store-era"
 # Many times the store's usual answer time (4 ms); beyond it, another attempt does better.
 TIMEOUT_S: Final = 1.5
 MS_PER_S: Final = 1000.0
@@ -44,13 +47,22 @@
 }
 
 
+class _StoredRevision(msgspec.Struct, frozen=True):
+    """Hold the revision of this daemon's stored record, and the store's era that assigned it."""
+
+    revision: int
+    era: int | None
+
+
 class ObjectStore:
     """Call the store, with one call at a time on each connection; `calls` counts them."""
 
     def __init__(self, address: Address, *, now: Callable[[], float]) -> None:
         self._host = str(address)
         self._pool = HttpPool(address, now=now, max_idle=4)
-        self._own_revision: int | None = None
+        self.era_state = EraState()
+        self.on_new_era: Callable[[int | None], None] = lambda _earlier: None
+        self._own_revision: _StoredRevision | None = None
         # Names of entries that were logged as unusable.
         self._unusable_names: set[str] = set()
         self.calls = 0
@@ -64,29 +76,49 @@
         listing = await self._call("GET", f"/{CONFIGURATION_KIND}")
         with _unreadable_as_error():
             latest = _latest_configuration(listing["items"])
-            return ConfigurationRead(latest, int(listing["at"]))
+            return ConfigurationRead(latest, int(listing["at"]), self.era_state.era)
 
     async def watch_configuration(
-        self, *, after: int, wait_s: float, within_s: float
+        self, *, after: int, era: int | None, wait_s: float, within_s: float
     ) -> ConfigurationRead:
-        """Wait `wait_s` for a configuration newer than a revision; return none if the wait ends."""
+        """Wait `wait_s` for a configuration newer than a revision; return none if the wait ends.
+
+        After a rollback the store may have assigned the revision again. A watch from it would then
+        leave out what was written before.
+        """
+        if era != self.era_state.era:
+            raise self._outdated_watch(after, era)
         query = urlencode({"watch": after, "waitMs": int(wait_s * MS_PER_S)})
         found = await self._call("GET", f"/{CONFIGURATION_KIND}?{query}", timeout_s=within_s)
+        if era != self.era_state.era:
+            raise self._outdated_watch(after, era)
         with _unreadable_as_error():
             written = [
                 event.get("object")
                 for event in found["events"]
                 if isinstance(event, dict) and not event.get("deleted")
             ]
-            return ConfigurationRead(_latest_configuration(written), int(found["at"]))
+            return ConfigurationRead(_latest_configuration(written), int(found["at"]), era)
+
+    def _outdated_watch(self, after: int, era: int | None) -> PlatformError:
+        return PlatformError(
+            ErrorKind.PLATFORM_GONE,
+            f"revision {after} is of store era {era}, the present one is {self.era_state.era}; "
+            "list the configuration again",
+        )
 
     async def write_member(self, record: MemberRecord) -> MemberRecord | None:
         """Write a daemon's own record, if the stored one is as this daemon last wrote it.
 
         A write whose answer was lost may take effect much later; the condition then prevents it.
         If another record is stored, returns that and writes nothing; the next call replaces it. It
-        is an earlier process's, or this daemon's from a write whose answer was lost.
+        is an earlier process's, or this daemon's from a write whose answer was lost. After a
+        rollback of the store, an older record from its copy is replaced at once.
         """
+        if self._own_revision is not None and self._own_revision.era != self.era_state.era:
+            newer = await self._read_after_rollback(record)
+            if newer is not None:
+                return newer
         try:
             written = await self._put_member(record)
         except PlatformError as error:
@@ -99,18 +131,41 @@
             else:
                 raise
             written = await self._put_member(record)
-        with _unreadable_as_error():
-            self._own_revision = int(written["metadata"]["revision"])
+        self._record_own_revision(written)
         return None
 
+    async def is_member_stored(self, record: MemberRecord) -> bool:
+        """Read a daemon's own record; return whether it is stored as given."""
+        try:
+            return await self._read_own_record(record) == record
+        except PlatformError as error:
+            if error.kind is not ErrorKind.PLATFORM_GONE:
+                raise
+        return False
+
+    async def _read_after_rollback(self, record: MemberRecord) -> MemberRecord | None:
+        """Read the revision to replace in the present era; return the stored record if newer."""
+        try:
+            stored = await self._read_own_record(record)
+        except PlatformError as error:
+            if error.kind is not ErrorKind.PLATFORM_GONE:
+                raise
+            self._own_revision = None
+            return None
+        return stored if stored is not None and is_newer(stored, record) else None
+
+    def _record_own_revision(self, entry: Any) -> None:
+        with _unreadable_as_error():
+            revision = int(entry["metadata"]["revision"])
+            self._own_revision = _StoredRevision(revision, self.era_state.era)
+
     async def _read_own_record(self, record: MemberRecord) -> MemberRecord | None:
         """Return the record stored under this VM's name, and store its revision for the next write.
 
         Returns None if it can't be read.
         """
         found = await self._call("GET", _member_path(record))
-        with _unreadable_as_error():
-            self._own_revision = int(found["metadata"]["revision"])
+        self._record_own_revision(found)
         return self._decode_member(found)
 
     async def _put_member(self, record: MemberRecord) -> Any:
@@ -120,7 +175,7 @@
         if self._own_revision is None:
             body = {"metadata": metadata, "specification": content}
             return await self._call("POST", f"/{MEMBER_KIND}", body)
-        metadata["revision"] = self._own_revision
+        metadata["revision"] = self._own_revision.revision
         body = {"metadata": metadata, "specification": content}
         return await self._call("PUT", _member_path(record), body)
 
@@ -152,12 +207,20 @@
             await self._call("POST", f"/{LEARNED_KIND}", body)
 
     async def list_members(self) -> list[MemberRecord]:
-        """Read the records of all daemons; one that can't be read is skipped and logged."""
+        """Read the records of all daemons; one that can't be read is skipped and logged.
+
+        Pages of two eras of the store don't belong together: the list restarts.
+        """
         records: list[MemberRecord] = []
-        after = ""
+        after, era = "", self.era_state.era
         for _ in range(MAX_PAGES):
             query = "?" + urlencode({"after": after}) if after else ""
             page = await self._call("GET", f"/{MEMBER_KIND}{query}")
+            if self.era_state.era != era:
+                era = self.era_state.era
+                if after:
+                    records, after = [], ""
+                    continue
             with _unreadable_as_error():
                 entries = page["items"]
                 found = [self._decode_member(entry) for entry in entries]
@@ -198,13 +261,37 @@
         if body or method != "GET":
             head += f"Content-Length: {len(body)}\r\n"
         self.calls += 1
+        sent_in_era, had_responses = self.era_state.era, self.era_state.has_responses
         result = await self._pool.fetch(head.encode() + b"\r\n" + body, within_s=timeout_s)
         if result is None:
             raise _call_error(method, f"no answer in {timeout_s} s")
         if isinstance(result, HttpFailure):
             raise _call_error(method, result.detail)
+        self._observe_era(method, result.headers)
+        if method != "GET" and had_responses and self.era_state.era != sent_in_era:
+            # It may have been executed before the rollback, or because of a revision that was
+            # assigned again.
+            raise _call_error(method, "the store was rolled back during the call")
         return _decode_content(method, path, result)
 
+    def _observe_era(self, method: str, headers: Iterable[HeaderPair]) -> None:
+        """Record a response's era; raise `PlatformError` for a response of an older one."""
+        present, era = self.era_state.era, _era_of(headers)
+        change = observe_era(self.era_state, era)
+        if change is EraChange.OLDER:
+            log_event(Event.STORE_RESPONSE_DROPPED, era=era or 0, present=present or 0)
+            raise _call_error(method, f"response of store era {era}, the present one is {present}")
+        if change is EraChange.NEW:
+            self.on_new_era(present)
+
+
+def _era_of(headers: Iterable[HeaderPair]) -> int | None:
+    """Return the store's era that a response names, or None."""
+    for name, value in headers:
+        if name.lower() == ERA_HEADER:
+            return parse_era(value)
+    return None
+
 
 @contextmanager
 def _unreadable_as_error() -> Iterator[None]:
--- a/tests/builders_mesh.py
+++ b/tests/builders_mesh.py
@@ -28,6 +28,7 @@
 from daisywharf._mesh._model import MemberRecord, Readiness, TargetAnnouncement
 from daisywharf._mesh._settings import MeshBounds, MeshSettings
 from daisywharf._mesh._store import ConfigurationRead
+from daisywharf._mesh._store_era import EraState
 from daisywharf._topology import Address
 from daisywharf.platform._headers import PlatformDialect
 
@@ -104,6 +105,8 @@
         self.learned = LearnedCalls()
         self.is_down = False
         self.calls = 0
+        self.era_state = EraState()
+        self.on_new_era: Callable[[int | None], None] = lambda _earlier: None
         self._changed = asyncio.Event()
         # Processes that have written their record, or were shown an earlier one.
         self._writers: set[tuple[VmId, int]] = set()
@@ -125,7 +128,7 @@
         return ConfigurationRead(self.configuration, self.revision)
 
     async def watch_configuration(
-        self, *, after: int, wait_s: float, within_s: float
+        self, *, after: int, era: int | None, wait_s: float, within_s: float
     ) -> ConfigurationRead:
         self._count_call()
         if self.revision <= after:
@@ -149,6 +152,10 @@
         self.record_by_vm[record.vm] = record
         return None
 
+    async def is_member_stored(self, record: MemberRecord) -> bool:
+        self._count_call()
+        return self.record_by_vm.get(record.vm) == record
+
     async def read_learned_calls(self) -> LearnedCalls:
         self._count_call()
         return self.learned
--- a/tests/test_mesh_versions.py
+++ b/tests/test_mesh_versions.py
@@ -61,9 +61,10 @@
 
 
 def test_fields_that_a_newer_version_adds_at_the_end_are_ignored() -> None:
-    newer = _framed([12, 7, True, [1, 2, 3, 2.5, 7.5, "added"], 40, "added as well"])
+    newer = _framed([12, 7, True, [1, 2, 3, 2.5, 7.5, "added"], 40, 6, "added as well"])
     received, is_closed = _receive(newer)
-    assert received == [StatusUpdate(7, True, GateLoad(1, 2, 3, 2.5, 7.5), confirmed_age_ms=40)]
+    load = GateLoad(1, 2, 3, 2.5, 7.5)
+    assert received == [StatusUpdate(7, True, load, confirmed_age_ms=40, store_era=6)]
     assert not is_closed
 
 
@@ -79,6 +80,12 @@
     assert not is_closed
 
 
+def test_a_status_of_a_version_without_a_store_era_field_is_decoded() -> None:
+    received, is_closed = _receive(_framed([12, 7, True, None, 40]))
+    assert received == [StatusUpdate(7, True, None, confirmed_age_ms=40, store_era=0)]
+    assert not is_closed
+
+
 @pytest.mark.parametrize("content", [[12, "seven"], {"kind": 12}, [], ["News", 7], 5])
 def test_a_malformed_frame_closes_its_link(content: object) -> None:
     received, is_closed = _receive(_framed(content) + encode_frame(Ping()))
--- a/tests/test_other_writers.py
+++ b/tests/test_other_writers.py
@@ -130,7 +130,7 @@
                 assert read.configuration.version == 7
         events = [msgspec.Raw(item), {"object": known, "deleted": False}, msgspec.Raw(item)]
         stand_in.malformed_answer = {"events": events, "at": 12}
-        watched = await store.watch_configuration(after=1, wait_s=0.1, within_s=2.0)
+        watched = await store.watch_configuration(after=1, era=None, wait_s=0.1, within_s=2.0)
         assert watched.configuration is not None
 
     with_store(play)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -28,7 +28,9 @@
         read = await store.read_configuration()
         assert read.configuration is not None
         assert read.configuration.version == 7
-        watched = await store.watch_configuration(after=read.revision, wait_s=0.1, within_s=1.1)
+        watched = await store.watch_configuration(
+            after=read.revision, era=None, wait_s=0.1, within_s=1.1
+        )
         assert watched.configuration is None
 
     with_store(play)
@@ -38,7 +40,7 @@
     async def play(stand_in: StoreStandIn, store: ObjectStore) -> None:
         stand_in.oldest_revision = 5
         with pytest.raises(PlatformError) as caught:
-            await store.watch_configuration(after=1, wait_s=0.1, within_s=1.1)
+            await store.watch_configuration(after=1, era=None, wait_s=0.1, within_s=1.1)
         assert caught.value.kind is ErrorKind.PLATFORM_GONE
 
     with_store(play)
@@ -122,6 +124,6 @@
             with pytest.raises(PlatformError, match="unreadable"):
                 await ask()
         with pytest.raises(PlatformError, match="unreadable"):
-            await store.watch_configuration(after=1, wait_s=0.1, within_s=1.1)
+            await store.watch_configuration(after=1, era=None, wait_s=0.1, within_s=1.1)
 
     with_store(play)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -14,7 +14,7 @@
     async def use(net: VirtualNet, stand_in: StoreStandIn) -> float:
         store = ObjectStore(stand_in.address, now=net.loop.time)
         watch = asyncio.ensure_future(
-            store.watch_configuration(after=stand_in.revision, wait_s=1.0, within_s=1.35)
+            store.watch_configuration(after=stand_in.revision, era=None, wait_s=1.0, within_s=1.35)
         )
         # Opens a second connection, which is idle when both go silent.
         await store.list_members()
