--- a/tests/builders_virtual_fleet.py
+++ b/tests/builders_virtual_fleet.py
@@ -77,10 +77,14 @@
     def change(self) -> int:
         """Write the next version of the configuration, which moves a route; return its number."""
         self.version += 1
+        self.write_again()
+        return self.version
+
+    def write_again(self) -> None:
+        """Write the newest version, as the operator does after a rollback of the store."""
         service = f"stock-{self.version % 2}"
         content = {"version": self.version, "resources": [_route(service)]}
         self.store.put("config", "main", content)
-        return self.version
 
     def start_daemon(self, vm: VirtualVm) -> None:
         """Start a VM's daemon in a new process."""
