Return an earlier record to a daemon whose clock was ahead, and pace lists

Two gaps beside rollbacks. A daemon that restarts with a clock behind its earlier process's learned that from the store's record alone. If the copy lacks it, other daemons ignored the new process's record, and a departure was lost: they now send the earlier record back. And a watch that expires right after each list, as at a part of the store that lags behind, was repeated without a pause: a zone's daemons now do so one in 0.1 s.

--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -29,7 +29,7 @@
 from daisywharf._mesh._links import OutLink
 from daisywharf._mesh._load_relay import enqueue_load
 from daisywharf._mesh._membership import Membership
-from daisywharf._mesh._model import MemberRecord, Readiness
+from daisywharf._mesh._model import MemberRecord, Readiness, is_newer
 from daisywharf._mesh._reporting import Reporter
 from daisywharf._mesh._retry_permits import RetryPermits
 from daisywharf._mesh._store_sync import StoreSync
@@ -105,9 +105,10 @@
         own = self.membership.own.vm
         records = tuple(self.membership.usable(records))
         for record in records:
-            if record.vm == own and record.started_ms < self.membership.own.started_ms:
+            if record.vm == own and record.started_ms != self.membership.own.started_ms:
                 # A departure that this VM's earlier process acknowledged also applies before the
-                # store has been read, and while the store is unavailable.
+                # store has been read, and while the store is unavailable. That process's clock may
+                # have been ahead of this one.
                 self.apply_earlier_record(record)
         if self.membership.merge(records):
             # An earlier process on this VM wrote the record while its clock was ahead of this one.
@@ -147,24 +148,24 @@
         if hello.known_members < len(known):
             link.send(Members(tuple(known.values())))
         else:
-            self._return_departure(link, hello.member)
+            self._return_earlier_record(link, hello.member)
         self.merge((hello.member,))
         if hello.version < self.in_force.version:
             link.send(self.in_force.status())
         self.in_force.record_offered_version(hello.version, link.send)
 
-    def _return_departure(self, link: FrameProtocol, member: MemberRecord) -> None:
-        """Send a restarted daemon the record in which its earlier process published a departure.
+    def _return_earlier_record(self, link: FrameProtocol, member: MemberRecord) -> None:
+        """Send a restarted daemon its earlier process's record, if it has to know that.
 
-        The store, after a rollback, may no longer have it.
+        The record holds a departure, or it would count as newer than the daemon's own. The store,
+        after a rollback, may no longer have it.
         """
         earlier = self.membership.record_by_vm.get(member.vm)
-        if (
-            earlier is not None
-            and earlier.started_ms < member.started_ms
-            and earlier.target is not None
-            and earlier.target.readiness is not Readiness.READY
-        ):
+        if earlier is None or earlier.started_ms == member.started_ms:
+            return
+        target = earlier.target
+        has_departure = target is not None and target.readiness is not Readiness.READY
+        if has_departure or is_newer(earlier, member):
             link.send(Members((earlier,)))
 
     def _receive_report(self, link: FrameProtocol, report: Report) -> None:
--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -35,6 +35,9 @@
 # of the other daemons have arrived and show whether another watcher is needed.
 WATCH_DELAY_S: Final = 1.2
 INITIAL_BACKOFF_S: Final = 0.2
+# A watch that expires sooner than this after a list is followed by a pause: a part of the store
+# that lags behind another one may lack the list's revision for a while.
+MIN_LIST_LIFETIME_S: Final = 0.2
 # With up to half as much of jitter and the longest call, a lone daemon asks again within the 3 s
 # after which the users count it as stable (`stabilityWindowMs`).
 MAX_BACKOFF_S: Final = 0.8
@@ -103,6 +106,7 @@
         self._may_watch_at = float("inf")  # until the configuration is first read
         self._unwritten: MemberRecord | None = None
         self._has_to_restore = False
+        self._listed_at = float("-inf")
         self._has_to_compare = False
         self._has_to_check = False
         self._has_been_written = False
@@ -216,6 +220,7 @@
     async def _read(self) -> ConfigurationRead:
         began_at = self.now()
         read = await self._retry_until_answered(self.store.read_configuration)
+        self._listed_at = self.now()
         self._apply(read.configuration)
         self._confirm(at=began_at)
         if self._may_watch_at == float("inf"):
@@ -285,6 +290,8 @@
             if error.kind is ErrorKind.PLATFORM_GONE:
                 # The store is available, but its history no longer reaches back to this revision.
                 log_event(Event.WATCH_GONE, version=earlier.revision)
+                if self.now() - self._listed_at < MIN_LIST_LIFETIME_S:
+                    await asyncio.sleep(self._shared_delay_s(MIN_LIST_LIFETIME_S))
                 return None
             self._record_failure(error)
             self._watch_margin_s = min(MAX_WATCH_MARGIN_S, self._watch_margin_s * 2.0)
@@ -403,10 +410,13 @@
 
     async def _back_off(self) -> None:
         jittered_s = self._backoff_s * (0.5 + self.rng.random())
-        daemons = len(self.membership.open_links_in_zone()) + 1
-        await asyncio.sleep(retry_delay_s(jittered_s, daemons=daemons))
+        await asyncio.sleep(self._shared_delay_s(jittered_s))
         self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 1.6)
 
+    def _shared_delay_s(self, delay_s: float) -> float:
+        daemons = len(self.membership.open_links_in_zone()) + 1
+        return retry_delay_s(delay_s, daemons=daemons)
+
     def _apply(self, configuration: Configuration | None) -> None:
         if configuration is not None:
             self._shown_version = max(self._shown_version, configuration.version)
--- a/tests/builders_virtual_fleet.py
+++ b/tests/builders_virtual_fleet.py
@@ -23,7 +23,10 @@
 
 
 class VirtualVm:
-    """A VM and the daemon that runs there, if any; `starts` counts the daemon's starts."""
+    """A VM and the daemon that runs there, if any; `starts` counts the daemon's starts.
+
+    The clock of the next daemon that starts there is `clock_offset_ms` ahead.
+    """
 
     def __init__(self, name: str, zone: str, host: str) -> None:
         self.name = name
@@ -32,6 +35,7 @@
         self.process = Process(host)
         self.daemon: MeshDaemon | None = None
         self.starts = 0
+        self.clock_offset_ms = 0
 
     @property
     def version(self) -> int:
@@ -102,7 +106,7 @@
             dialect=PlatformDialect(),
             store=ObjectStore(self.store.address, now=now),
             now=now,
-            started_ms=int(self.now * 1_000),
+            started_ms=int(self.now * 1_000) + vm.clock_offset_ms,
             rng=Random(self.rng.random()),
         )
 
--- a/tests/test_store_rollback.py
+++ b/tests/test_store_rollback.py
@@ -412,6 +412,21 @@
     play_rollback(scenario)
 
 
+@pytest.mark.parametrize("era", [None, 1])
+def test_watches_that_expire_right_after_a_list_are_paced(era: int | None) -> None:
+    """A part of the store that lags behind lacks the revision of each list for a while."""
+
+    async def scenario(fleet: RollbackFleet) -> None:
+        fleet.store.oldest_revision = 1_000
+        await asyncio.sleep(2.0)
+        calls = fleet.count_calls("GET /-/objects/config")
+        await asyncio.sleep(5.0)
+        # In each of two zones, one daemon lists and watches in 0.1 s.
+        assert fleet.count_calls("GET /-/objects/config") - calls <= 5.0 * 2 * 2 / 0.1
+
+    play_rollback(scenario, era=era)
+
+
 def test_a_rollback_costs_a_bounded_number_of_calls() -> None:
     async def scenario(fleet: RollbackFleet) -> None:
         await asyncio.sleep(2.0)
@@ -505,6 +520,33 @@
     play_rollback(scenario)
 
 
+@pytest.mark.parametrize("offset_ms", [-60_000, 60_000])
+def test_a_departure_outlives_a_rollback_and_a_restart_with_another_clock(offset_ms: int) -> None:
+    """The copy has no record of the process that acknowledged it, whose clock was ahead or not."""
+
+    async def scenario(fleet: RollbackFleet) -> None:
+        vm = fleet.vm_by_name[FIRST]
+        fleet.kill(FIRST)
+        vm.clock_offset_ms = -offset_ms
+        fleet.start_daemon(vm)
+        await asyncio.sleep(2.5)
+        fleet.announce(FIRST)
+        await _leave(fleet)
+        fleet.kill(FIRST)
+        fleet.store.roll_back(8.0)
+        vm.clock_offset_ms = 0
+        fleet.start_daemon(vm)
+        await asyncio.sleep(2.5)
+        fleet.announce(FIRST, sequence=4)
+        assert not fleet.daemon(FIRST).gate.is_open
+        await _recover(fleet)
+        own = fleet.daemon(FIRST).membership.own
+        for daemon in fleet.daemons:
+            assert daemon.membership.record_by_vm[own.vm] == own
+
+    play_rollback(scenario)
+
+
 def test_a_late_announcement_before_the_departure_is_heard_of_again_does_not_hold() -> None:
     async def scenario(fleet: RollbackFleet) -> None:
         fleet.announce(FIRST)
