Test restarts of a daemon that doesn't ask other daemons for their lists

Daemons that restart alone mostly get the list, so the tests of departures passed without the record that a peer returns.

--- a/tests/test_store_rollback.py
+++ b/tests/test_store_rollback.py
@@ -494,10 +494,14 @@
 @pytest.mark.parametrize("seconds", LENGTHS_S)
 @pytest.mark.parametrize("down_s", [0.05, 4.0])
 @pytest.mark.parametrize("restarts", [1, 2])
+@pytest.mark.parametrize("asks_for_lists", [False, True])
 def test_an_acknowledged_departure_outlives_a_rollback_and_a_restart(
-    seconds: float, down_s: float, restarts: int
+    seconds: float, down_s: float, restarts: int, asks_for_lists: bool
 ) -> None:
-    """The copy still says that the target is ready; only other daemons know that it left."""
+    """The copy still says that the target is ready; only other daemons know that it left.
+
+    A daemon that has asked several others for lists already doesn't ask for one.
+    """
 
     async def scenario(fleet: RollbackFleet) -> None:
         fleet.announce(FIRST)
@@ -507,7 +511,7 @@
             fleet.kill(FIRST)
             fleet.store.roll_back(seconds)
             await asyncio.sleep(down_s)
-            fleet.start_daemon(fleet.vm_by_name[FIRST])
+            _restart(fleet, asks_for_lists=asks_for_lists)
             await asyncio.sleep(2.5)
         fleet.announce(FIRST, sequence=4)  # late
         assert not fleet.daemon(FIRST).gate.is_open
@@ -520,8 +524,18 @@
     play_rollback(scenario)
 
 
+def _restart(fleet: RollbackFleet, *, asks_for_lists: bool) -> None:
+    """Start the first VM's daemon, which asks other daemons for all their records or doesn't."""
+    fleet.start_daemon(fleet.vm_by_name[FIRST])
+    if not asks_for_lists:
+        fleet.daemon(FIRST).membership._may_request_list = lambda: False  # type: ignore[method-assign]
+
+
 @pytest.mark.parametrize("offset_ms", [-60_000, 60_000])
-def test_a_departure_outlives_a_rollback_and_a_restart_with_another_clock(offset_ms: int) -> None:
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_departure_outlives_a_rollback_and_a_restart_with_another_clock(
+    offset_ms: int, leaves: bool
+) -> None:
     """The copy has no record of the process that acknowledged it, whose clock was ahead or not."""
 
     async def scenario(fleet: RollbackFleet) -> None:
@@ -531,14 +545,15 @@
         fleet.start_daemon(vm)
         await asyncio.sleep(2.5)
         fleet.announce(FIRST)
-        await _leave(fleet)
+        if leaves:
+            await _leave(fleet)
         fleet.kill(FIRST)
         fleet.store.roll_back(8.0)
         vm.clock_offset_ms = 0
-        fleet.start_daemon(vm)
+        _restart(fleet, asks_for_lists=False)
         await asyncio.sleep(2.5)
         fleet.announce(FIRST, sequence=4)
-        assert not fleet.daemon(FIRST).gate.is_open
+        assert fleet.daemon(FIRST).gate.is_open is not leaves
         await _recover(fleet)
         own = fleet.daemon(FIRST).membership.own
         for daemon in fleet.daemons:
