--- a/tests/test_store_rollback.py
+++ b/tests/test_store_rollback.py
@@ -8,7 +8,7 @@
 from benchmarks._platform_store import StoreStandIn
 
 from builders_mesh import daemon_at_rest, in_loop, member, settings
-from builders_rollback import FIRST, KIND, RollbackFleet, play_rollback, play_store
+from builders_rollback import FIRST, KIND, RollbackFleet, play_rollback, play_store, target_of
 from daisywharf._configuration import RouteName
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._ids import TargetId, VmId
@@ -305,6 +305,11 @@
         for key in [key for key in fleet.store.object_by_key if key[0] == KIND]:
             del fleet.store.object_by_key[key]
         fleet.start_daemon(fleet.vm_by_name[FIRST])
+        await asyncio.sleep(0.02)
+        fleet.announce(FIRST)  # it writes its record and lists those of all daemons now
+        await asyncio.sleep(0.1)
+        assert fleet.daemon(FIRST).sync.has_listed
+        assert list(fleet.daemon(FIRST).membership.record_by_vm) == [FIRST]
         await _recover(fleet)
 
     play_rollback(scenario)
@@ -595,6 +600,22 @@
     in_loop(scenario)
 
 
+def test_a_departure_from_one_peer_counts_if_the_earlier_process_had_a_clock_ahead() -> None:
+    async def scenario() -> None:
+        daemon = daemon_at_rest(started_ms=100)
+        target = TargetRecord(TargetId("t-1"), settings().service, 5, Readiness.LEFT, 10, 5)
+        earlier = msgspec.structs.replace(
+            daemon.membership.own, started_ms=200, revision=7, target=target
+        )
+        daemon.peers.merge((earlier,))
+        assert daemon.membership.own.started_ms == 201
+        daemon.handle_announcement(target_of(FIRST, target_id="t-1", born_ms=10, sequence=4))
+        assert not daemon.gate.is_open
+        daemon.close()
+
+    in_loop(scenario)
+
+
 def test_a_departure_that_only_the_store_has_is_not_acknowledged_while_links_are_up() -> None:
     """The store may lose it, and this daemon may end before it writes it again."""
 
