--- a/tests/test_store_rollback.py
+++ b/tests/test_store_rollback.py
@@ -13,6 +13,7 @@
 from daisywharf._errors import ErrorKind, PlatformError
 from daisywharf._ids import TargetId, VmId
 from daisywharf._mesh import _store_sync
+from daisywharf._mesh._confirmation import is_probe_due, record_confirmed
 from daisywharf._mesh._frames import StatusUpdate
 from daisywharf._mesh._learned import LearnedCalls
 from daisywharf._mesh._model import MemberRecord, Readiness, TargetRecord
@@ -723,6 +724,25 @@
     in_loop(scenario)
 
 
+def test_a_confirmation_of_before_a_new_era_makes_a_probe_due() -> None:
+    """The store may have answered this daemon as before the rollback, until a moment ago."""
+
+    async def scenario() -> None:
+        daemon = daemon_at_rest()
+        state = daemon.sync.confirmation
+        daemon.sync.record_peer_era(1, source="vm-2")
+        record_confirmed(state, at=daemon.now())
+        daemon.sync.store.era_state.has_responses = True
+        assert not is_probe_due(state, rank=0, now=daemon.now())
+        daemon.sync.record_peer_era(2, source="vm-2")
+        assert is_probe_due(state, rank=0, now=daemon.now() + 0.01)
+        # The others of a zone still ask one by one.
+        assert not is_probe_due(state, rank=5, now=daemon.now() + 0.01)
+        daemon.close()
+
+    in_loop(scenario)
+
+
 def test_a_new_era_is_logged_once_with_its_source(monkeypatch: pytest.MonkeyPatch) -> None:
     logged = LoggedEvents(monkeypatch, _store_sync)
 
