--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -202,6 +202,7 @@
         "processes": options.processes,
         "faults": sum(fault.name != "soak late" for fault in fleet.ledger.faults),
         "soak_late": sum(fault.name == "soak late" for fault in fleet.ledger.faults),
+        "rollbacks": sum(fault.name == "store rollback" for fault in fleet.ledger.faults),
         "versions": fleet.version,
         "requests": len(sent),
         "served_part": round(served / max(1, len(sent)), 4),
