--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -29,7 +29,7 @@
 from daisywharf._mesh._links import OutLink
 from daisywharf._mesh._load_relay import enqueue_load
 from daisywharf._mesh._membership import Membership
-from daisywharf._mesh._model import MemberRecord
+from daisywharf._mesh._model import MemberRecord, Readiness, is_newer
 from daisywharf._mesh._reporting import Reporter
 from daisywharf._mesh._retry_permits import RetryPermits
 from daisywharf._mesh._store_sync import StoreSync
@@ -69,10 +69,12 @@
     def receive_on_own_link(self, link: OutLink, frame: Frame) -> None:
         """Handle a frame on a link that this daemon opened."""
         if isinstance(frame, StatusUpdate):
-            self._record_status(frame, link.send)
+            self._record_status(frame, link.send, source=self._name_of(link))
         else:
-            vm = self.membership.vm_of_address(link.address)
-            self._receive_on_any_link(frame, link.send, source=vm or str(link.address))
+            self._receive_on_any_link(frame, link.send, source=self._name_of(link))
+
+    def _name_of(self, link: OutLink) -> str:
+        return self.membership.vm_of_address(link.address) or str(link.address)
 
     def receive(self, link: FrameProtocol, frame: Frame) -> None:
         """Handle a frame on a link that another daemon opened."""
@@ -103,9 +105,10 @@
         own = self.membership.own.vm
         records = tuple(self.membership.usable(records))
         for record in records:
-            if record.vm == own and record.started_ms < self.membership.own.started_ms:
+            if record.vm == own and record.started_ms != self.membership.own.started_ms:
                 # A departure that this VM's earlier process acknowledged also applies before the
-                # store has been read, and while the store is unavailable.
+                # store has been read, and while the store is unavailable. That process's clock may
+                # have been ahead of this one.
                 self.apply_earlier_record(record)
         if self.membership.merge(records):
             # An earlier process on this VM wrote the record while its clock was ahead of this one.
@@ -144,11 +147,27 @@
         known = self.membership.record_by_vm
         if hello.known_members < len(known):
             link.send(Members(tuple(known.values())))
+        else:
+            self._return_earlier_record(link, hello.member)
         self.merge((hello.member,))
         if hello.version < self.in_force.version:
             link.send(self.in_force.status())
         self.in_force.record_offered_version(hello.version, link.send)
 
+    def _return_earlier_record(self, link: FrameProtocol, member: MemberRecord) -> None:
+        """Send a restarted daemon its earlier process's record, if it has to know that.
+
+        The record holds a departure, or it would count as newer than the daemon's own. The store,
+        after a rollback, may no longer have it.
+        """
+        earlier = self.membership.record_by_vm.get(member.vm)
+        if earlier is None or earlier.started_ms == member.started_ms:
+            return
+        target = earlier.target
+        has_departure = target is not None and target.readiness is not Readiness.READY
+        if has_departure or is_newer(earlier, member):
+            link.send(Members((earlier,)))
+
     def _receive_report(self, link: FrameProtocol, report: Report) -> None:
         vm = self._vm_by_link.get(link)
         if vm is not None:
@@ -164,7 +183,7 @@
         target = self.entry.services.target_of(vm)
         if target is not None and status.load is not None:
             self.entry.record_load(target.service, target.target_id, status.load)
-        self._record_status(status, link.send)
+        self._record_status(status, link.send, source=vm)
 
     def _queue_load_to_relay(self, link: FrameProtocol, status: StatusUpdate) -> None:
         vm = self._vm_by_link.get(link)
@@ -172,6 +191,7 @@
         if target is not None and status.load is not None:
             enqueue_load(self.reporter.relay_queue, target.target_id, status.load, now=self.now())
 
-    def _record_status(self, status: StatusUpdate, send: Send) -> None:
+    def _record_status(self, status: StatusUpdate, send: Send, *, source: str) -> None:
+        self.sync.record_peer_era(status.store_era, source=source)
         self.sync.record_peer_confirmation(status, version=self.in_force.version)
         self.in_force.record_offered_version(status.version, send)
