Decode a JSON document with an endless string in linear time

Cause: a document that can't be decoded at once is split into tokens. A string without end didn't match as a token, and the search resumed at each quote that was escaped within it: 40 KB took 3.0 s, 80 KB 12 s, 1 MB was stopped after more than a minute, each blocking the event loop. A truncated answer of the store may end within such a string.

Ruled out: the other slow forms. At 1 MB, nested lists take 0.14 to 0.17 s and escaped strings 0.21 to 0.24 s, in proportion to the size.

Change: a string without end is a token of its own, and ends the decoding with DecodeError.

--- a/src/daisywharf/platform/_json.py
+++ b/src/daisywharf/platform/_json.py
@@ -11,9 +11,11 @@
 UNREADABLE: Final = (msgspec.DecodeError, RecursionError, UnicodeDecodeError)
 
 _PUNCTUATION: Final = frozenset({b"[", b"]", b"{", b"}", b",", b":"})
-# A string, a bracket, a separator, or a number or name.
+# A string, a string without end, a bracket, a separator, or a number or name. A string without end
+# takes the rest of the document: a search that resumed within it would take quadratic time.
 _TOKEN: Final = re.compile(
-    rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]|[,:]|[^\s"\[\]{},:]+', flags=re.DOTALL
+    rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|(?P<endless>".*)|[\[\]{}]|[,:]|[^\s"\[\]{},:]+',
+    flags=re.DOTALL,
 )
 
 
@@ -32,6 +34,8 @@
 def _readable_tokens(body: bytes) -> Iterator[bytes]:
     depth = 0
     for match in _TOKEN.finditer(body):
+        if match.lastgroup == "endless":
+            raise msgspec.DecodeError(f"a string without end begins at byte {match.start()}")
         token = match.group()
         if token in (b"[", b"{"):
             depth += 1
