Skip stored records after whose start no later one is accepted

Cause: a daemon that finds a record under its own VM's name continues with the start after that record's. With the largest start that records may have, 2**53 - 1, its own became one that all other daemons refuse: its target got no work from them, in every run on the virtual network (entry before the start, in a restart of another daemon, and in a restart of all).

Ruled out: a conflict with an entry that can't be read; the daemon overwrites it.

Change: a start within 1,000,000 ms of the bound makes a stored entry unusable. Records from other daemons keep the bound, so that a daemon that continued from the last usable start is still accepted.

--- a/src/daisywharf/platform/_store.py
+++ b/src/daisywharf/platform/_store.py
@@ -9,6 +9,7 @@
 
 from daisywharf._configuration import Configuration
 from daisywharf._errors import ErrorKind, PlatformError
+from daisywharf._limits import MAX_EXACT_INT
 from daisywharf._mesh._http_answers import HttpAnswer, HttpFailure
 from daisywharf._mesh._http_client import HttpPool
 from daisywharf._mesh._learned import LearnedCalls, check_learned_calls
@@ -31,6 +32,9 @@
 MAX_PAGES: Final = 100
 MAX_UNUSABLE_NAMES: Final = 256
 MAX_LOGGED_CHARS: Final = 200
+# A daemon continues with a start after that of an earlier record on its VM. Starts up to this bound
+# leave room for that below the bound of records from other daemons.
+MAX_STORED_START_MS: Final = MAX_EXACT_INT - 1_000_000
 # Raised for an entry with a missing field, a value of another type, or one that is out of range.
 UNUSABLE: Final = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
@@ -174,6 +178,8 @@
         try:
             record = msgspec.convert(entry["specification"]["record"], MemberRecord)
             check_member(record)
+            if record.started_ms > MAX_STORED_START_MS:
+                raise ValueError(f"started_ms is out of range; use 0 to {MAX_STORED_START_MS}")
             if record.vm != name:
                 raise ValueError(f"it names the VM {record.vm!r}")
         except UNUSABLE as error:
