Believe a daemon's hello over a stored entry with its address

Cause: an address belonged to the record with the latest start, whoever wrote it. A valid entry under another name with a running daemon's address took the address, and the daemon's own records were then refused. The daemon itself removed its own record and target as well. With the same start, the record that was merged first won. On the virtual network each of these left a daemon's target without work, as seen 5 s after its announcement.

Ruled out: entries that are nested too deep, have no port or one that is too high, or are a list.

Change: nothing replaces this daemon's own record at its own address. A daemon that sent a hello on a link that is still open holds its address against one that didn't. Otherwise the latest start decides as before, so that a daemon that replaces another at its address is still taken over.

--- a/src/daisywharf/_mesh/_membership.py
+++ b/src/daisywharf/_mesh/_membership.py
@@ -6,6 +6,7 @@
 
 from daisywharf._ids import VmId
 from daisywharf._limits import MAX_NAME_CHARS
+from daisywharf._mesh._frame_protocol import FrameProtocol
 from daisywharf._mesh._frames import Frame, Hello, Members, RewriteRecord
 from daisywharf._mesh._links import OutLink
 from daisywharf._mesh._memory_budget import MemoryBudget
@@ -52,6 +53,8 @@
         self.record_by_vm: dict[VmId, MemberRecord] = {own.vm: own}
         self.link_by_vm: dict[VmId, OutLink] = {}
         self.seed_links: dict[Address, OutLink] = {}
+        # The VMs that sent a hello, by the open link that they sent it on.
+        self.vm_by_incoming_link: dict[FrameProtocol, VmId] = {}
         self._vm_by_address: dict[str, VmId] = {own.address: own.vm}
         self._unreachable_since: dict[VmId, float] = {}
         self._on_frame = on_frame
@@ -106,9 +109,23 @@
     def _is_update(self, record: MemberRecord) -> bool:
         if not is_newer(record, self.record_by_vm.get(record.vm)):
             return False
-        # When an address is reused, it belongs to the daemon that started there last.
         holder = self.record_by_vm.get(self._vm_by_address.get(record.address, record.vm))
-        return holder is None or holder.vm == record.vm or holder.started_ms < record.started_ms
+        return holder is None or holder.vm == record.vm or self._takes_address(record, holder)
+
+    def _takes_address(self, record: MemberRecord, holder: MemberRecord) -> bool:
+        """Return whether a record replaces another daemon's with the same address.
+
+        An entry of the store may have the address of a running daemon by mistake. A daemon that
+        sent a hello knows its own address; among those that did, and among those that didn't, the
+        address belongs to the daemon that started last.
+        """
+        if holder.vm == self.own.vm:
+            return False
+        heard = self.vm_by_incoming_link.values()
+        has_record_greeted, has_holder_greeted = record.vm in heard, holder.vm in heard
+        if has_record_greeted != has_holder_greeted:
+            return has_record_greeted
+        return holder.started_ms < record.started_ms
 
     def _apply(self, record: MemberRecord) -> None:
         known = self.record_by_vm.get(record.vm)
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-from daisywharf._ids import VmId
 from daisywharf._mesh._distribution import Send
 from daisywharf._mesh._frame_protocol import FrameProtocol
 from daisywharf._mesh._frames import (
@@ -64,7 +63,7 @@
         self.supersede_record = supersede_record
         self.apply_earlier_record = apply_earlier_record
         self.now = now
-        self._vm_by_link: dict[FrameProtocol, VmId] = {}
+        self._vm_by_link = membership.vm_by_incoming_link
 
     def receive_on_own_link(self, link: OutLink, frame: Frame) -> None:
         """Handle a frame on a link that this daemon opened."""
--- a/tests/builders_irregular_entries.py
+++ b/tests/builders_irregular_entries.py
@@ -82,3 +82,9 @@
             if record is None or record.target is None or not is_linked:
                 missing.add((vm.name, peer))
     return missing
+
+
+def put_claim(fleet: VirtualFleet, name: str, *, started_ms: int) -> None:
+    """Write an entry that is valid, but has the address of the daemon on `gent-1`."""
+    record = b'{"record":["NAME","gent","10.2.0.1:8301",%d,0,false,null]}' % started_ms
+    put_entry(fleet, name, record)
--- a/tests/test_irregular_entries_at_once.py
+++ b/tests/test_irregular_entries_at_once.py
@@ -14,16 +14,21 @@
     IRREGULAR_ENTRIES,
     PREFIXES,
     announce_targets,
+    put_claim,
     put_entries,
     put_entry,
     restart_all,
     unknown_targets,
 )
 from builders_virtual_fleet import VirtualFleet
+from daisywharf._limits import MAX_EXACT_INT
 from daisywharf.platform._json import decode_json
-from virtual_net import VirtualNet, in_virtual_time
+from virtual_net import START_S, VirtualNet, in_virtual_time
 
 Put = Callable[[VirtualFleet], None]
+PLACES: Final = tuple(f"{zone}-{number}" for zone in ("antwerpen", "gent") for number in (1, 2, 3))
+# The start of the daemons that `_start` starts.
+START_MS: Final = int(START_S * 1_000)
 # A few milliseconds after the daemons' start, they write their records and read the list.
 DURING_START_S: Final = 0.006
 # The decoder took 12 s for such a document when it searched it quadratically; it takes under 1 ms.
@@ -122,3 +127,77 @@
     with pytest.raises(msgspec.DecodeError):
         decode_json(document)
     assert time.process_time() - began_at < MAX_DECODE_S
+
+
+@pytest.mark.parametrize("when", ["start", "restart-of-one", "restart-of-all"])
+def test_an_entry_with_the_latest_start_of_an_own_vm_hides_no_target(when: str) -> None:
+    """The daemon continues with the next start, which must still be one that others accept."""
+
+    async def scenario(net: VirtualNet) -> None:
+        fleet = _fleet(net)
+        if when == "start":
+            put_claim(fleet, "gent-1", started_ms=MAX_EXACT_INT)
+        await _start(fleet)
+        if when != "start":
+            put_claim(fleet, "gent-1", started_ms=MAX_EXACT_INT)
+            await _restart(fleet, ["antwerpen-1"] if when == "restart-of-one" else [*PLACES])
+        assert unknown_targets(fleet) == set()
+
+    in_virtual_time(scenario)
+
+
+@pytest.mark.parametrize("started_ms", [START_MS, START_MS + 500, 10**13])
+@pytest.mark.parametrize("name", ["a-other", "z-other"])
+def test_an_entry_with_the_address_of_a_running_daemon_hides_no_target(
+    name: str, started_ms: int
+) -> None:
+    """The daemon that listens there says so itself, which counts more than the entry."""
+
+    async def scenario(net: VirtualNet) -> None:
+        fleet = _fleet(net)
+        put_claim(fleet, name, started_ms=started_ms)
+        await _start(fleet)
+        assert unknown_targets(fleet) == set()
+
+    in_virtual_time(scenario)
+
+
+@pytest.mark.parametrize(
+    "restarted", [("antwerpen-1",), ("gent-1",), PLACES], ids=["other", "holder", "all"]
+)
+def test_a_restart_beside_an_entry_with_a_daemon_s_address_hides_no_target(
+    restarted: tuple[str, ...],
+) -> None:
+    async def scenario(net: VirtualNet) -> None:
+        fleet = _fleet(net)
+        await _start(fleet)
+        put_claim(fleet, "a-other", started_ms=10**13)
+        await _restart(fleet, restarted)
+        assert unknown_targets(fleet) == set()
+
+    in_virtual_time(scenario)
+
+
+@pytest.mark.parametrize("end", [VirtualFleet.kill, VirtualFleet.power_off])
+def test_a_daemon_that_replaces_another_at_its_address_is_known_to_all(
+    end: Callable[[VirtualFleet, str], None],
+) -> None:
+    """A VM gets a new name and keeps its address; the other daemons may not have lost it yet."""
+
+    async def scenario(net: VirtualNet) -> None:
+        fleet = _fleet(net)
+        await _start(fleet)
+        end(fleet, "gent-1")
+        vm = fleet.vm_by_name.pop("gent-1")
+        vm.name = "gent-new"
+        fleet.vm_by_name["gent-new"] = vm
+        fleet.start_daemon(vm)
+        await asyncio.sleep(1.5)
+        announce_targets(fleet)
+        await asyncio.sleep(5.0)
+        assert unknown_targets(fleet) == set()
+        for other in fleet.vm_by_name.values():
+            assert other.daemon is not None
+            assert "gent-1" not in other.daemon.membership.record_by_vm
+
+    in_virtual_time(scenario)
