Refuse requests whose call chain would most probably fail

For seconds, all targets of a deep service rejected 0.55 of their calls as not run. Requests that call it four times complete once in 24 times then, and were admitted, processed above and thrown away. A gate now measures the share that its target rejects (over some 40 calls: over 20, chance alone led to refusals of requests with one call) and reports it with its load (last field), at once if it has changed much. The entry refuses a client's request whose probability of success over its chain is below 0.25, apart from one in twenty as probes (event 716, outcome low-chance). Placement prefers targets that reject less.

Two checks of frames change: the field in 6th place of a load is now known, so the stand-in for a newer field moves to the 7th; a load takes one byte more.

--- a/src/daisywharf/_errors.py
+++ b/src/daisywharf/_errors.py
@@ -17,6 +17,7 @@
     NOT_IN_CONTRACT = "not-in-contract"
     RATE_EXCEEDED = "rate-exceeded"
     SHED = "shed"
+    LOW_CHANCE = "low-chance"
     TOO_LATE = "too-late"
     TIMED_OUT = "timed-out"
     CANCELLED = "cancelled"
@@ -72,6 +73,7 @@
     ErrorKind.NOT_IN_CONTRACT: Answer(403, False, Ran.NO),
     ErrorKind.RATE_EXCEEDED: Answer(429, False, Ran.NO),
     ErrorKind.SHED: Answer(503, True, Ran.NO),
+    ErrorKind.LOW_CHANCE: Answer(503, True, Ran.NO),
     ErrorKind.TOO_LATE: Answer(504, False, Ran.NO),
     ErrorKind.TIMED_OUT: Answer(504, False, Ran.UNKNOWN),
     ErrorKind.CANCELLED: Answer(499, False, Ran.NO),
--- a/src/daisywharf/_experiments/_surge.py
+++ b/src/daisywharf/_experiments/_surge.py
@@ -6,8 +6,17 @@
 
 from daisywharf._contract import Importance
 from daisywharf._experiments._model import ExperimentResult, Sample
-from daisywharf._ids import CallClassName, RequestId
+from daisywharf._ids import CallClassName, RequestId, ServiceName
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
+from daisywharf._overload._chain_chance import (
+    MIN_URGENT_PERIOD_S,
+    Rejections,
+    chance_of,
+    is_urgent,
+    is_worth_starting,
+    record_start,
+    rejected_share,
+)
 from daisywharf._overload._level_controller import (
     OPEN,
     LevelController,
@@ -34,6 +43,10 @@
 LEVEL_DELAY_S = 0.05  # delay until the entries learn a new level
 SAMPLE_PERIOD_S = 0.5
 WORK_ABOVE_S = 0.1  # work of a request before its first call to the deep service
+REJECTION_S = 0.001  # until a target has rejected a call
+REPORT_PERIOD_S = 0.5  # of a gate whose rejected share hasn't changed much
+REPORT_DELAY_S = 0.15  # until the entries of all zones have a reported share
+DEEP = ServiceName("deep")
 
 
 class Stream(msgspec.Struct, frozen=True):
@@ -52,19 +65,31 @@
     """Count the outcomes of the requests of one class.
 
     `whole` requests got a complete answer; `thrown_away` ones were admitted by an entry and
-    failed below it.
+    failed below it, after `wasted_s` seconds of work. `unlikely` ones, which `refused_at_entry`
+    counts too, were refused because their calls would fail.
     """
 
     offered: int = 0
     refused_at_entry: int = 0
     whole: int = 0
     thrown_away: int = 0
+    unlikely: int = 0
+    wasted_s: float = 0.0
+
+
+class Rejecting(msgspec.Struct, frozen=True):
+    """Describe when the targets of the deep service reject a share of their calls as not run."""
+
+    share: float
+    starts_s: float
+    ends_s: float
 
 
 class Surge:
     """Simulate the gate of one deep service and the requests that reach it.
 
-    `work_s` is the mean run time of a call. Without `follows_level` the entries ignore the level.
+    `work_s` is the mean run time of a call. Without `follows_level` the entries ignore the level,
+    without `follows_chance` they admit requests whose calls would fail.
     """
 
     def __init__(
@@ -74,8 +99,17 @@
         work_s: float,
         follows_level: bool,
         limit_per_s: float | None = None,
+        rejecting: Rejecting | None = None,
+        follows_chance: bool = True,
         seed: int = 1,
     ) -> None:
+        self.rejecting = rejecting
+        self.follows_chance = follows_chance
+        self.rejections = Rejections(now=0.0)
+        self.known_share = 0.0
+        self.reported_share = 0.0
+        self.reported_at = 0.0
+        self.refused_as_unlikely_at: list[float] = []
         self.loop = VirtualLoop()
         self.gate = SlotGate(slots=slots)
         self.level_controller = LevelController(now=0.0)
@@ -86,6 +120,8 @@
         self.work_s = work_s
         self.follows_level = follows_level
         self.rng = Random(seed)
+        # Separate, so that requests arrive at the same times with and without chances.
+        self.probe_rng = Random(seed)
         self.known_level = OPEN
         self.level_history: list[float] = []
         self.outcome_by_importance = {i: Outcome() for i in Importance}
@@ -134,8 +170,18 @@
         self.level_history.append(level)
         if self.follows_level:
             call_later(self.loop, LEVEL_DELAY_S, lambda: setattr(self, "known_level", level))
+        self._report_share(now=now)
         call_later(self.loop, TICK_PERIOD_S, self._tick)
 
+    def _report_share(self, *, now: float) -> None:
+        """Report the rejected share to the entries, at once if it has changed much."""
+        share = rejected_share(self.rejections, now=now)
+        age_s = now - self.reported_at
+        is_due = age_s >= MIN_URGENT_PERIOD_S and is_urgent(share, reported=self.reported_share)
+        if is_due or age_s >= REPORT_PERIOD_S:
+            self.reported_share, self.reported_at = share, now
+            call_later(self.loop, REPORT_DELAY_S, lambda: setattr(self, "known_share", share))
+
     def _schedule_arrival(self, stream: Stream) -> None:
         call_later(self.loop, self.rng.expovariate(stream.per_s), lambda: self._arrive(stream))
 
@@ -147,6 +193,14 @@
         if is_shed(stream.importance, sub_order, level=self.known_level):
             outcome.refused_at_entry += 1
             return
+        chance = chance_of({DEEP: float(stream.calls)}, {DEEP: self.known_share})
+        if self.follows_chance and not is_worth_starting(
+            chance.chance, draw=self.probe_rng.random()
+        ):
+            outcome.refused_at_entry += 1
+            outcome.unlikely += 1
+            self.refused_as_unlikely_at.append(self.loop.now)
+            return
         call_later(self.loop, WORK_ABOVE_S, lambda: self._call(stream, stream.calls))
 
     def _call(self, stream: Stream, calls_left: int) -> None:
@@ -165,18 +219,40 @@
             if isinstance(action, Admit):
                 self._run(action.call_id)
             elif isinstance(action, Refuse):
-                stream, _ = self._remaining_by_id.pop(action.call_id)
-                self.outcome_by_importance[stream.importance].thrown_away += 1
+                self._throw_away(action.call_id)
         start_delay_s = next_start_delay_s(self.gate, now=self.loop.now)
         if start_delay_s and not self._is_start_scheduled:
             self._is_start_scheduled = True
             call_later(self.loop, start_delay_s, self._start_waiting)
 
+    def _throw_away(self, call_id: CallId) -> None:
+        stream, calls_left = self._remaining_by_id.pop(call_id)
+        outcome = self.outcome_by_importance[stream.importance]
+        outcome.thrown_away += 1
+        outcome.wasted_s += WORK_ABOVE_S + self.work_s * (stream.calls - calls_left - 1)
+
     def _start_waiting(self) -> None:
         self._is_start_scheduled = False
         self._apply(start_waiting(self.gate, now=self.loop.now))
 
+    def _is_rejected(self) -> bool:
+        rejecting = self.rejecting
+        return (
+            rejecting is not None
+            and rejecting.starts_s <= self.loop.now < rejecting.ends_s
+            and self.rng.random() < rejecting.share
+        )
+
+    def _reject(self, call_id: CallId) -> None:
+        now = self.loop.now
+        record_start(self.rejections, is_rejected=True, now=now)
+        self._throw_away(call_id)
+        self._apply(release(self.gate, call_id, now=now))
+
     def _run(self, call_id: CallId) -> None:
+        if self._is_rejected():
+            call_later(self.loop, REJECTION_S, lambda: self._reject(call_id))
+            return
         work_s = self.rng.expovariate(1.0 / self.work_s)
         self.started += 1
         record_run_time(self.gate, work_s)
@@ -184,6 +260,7 @@
 
     def _end(self, call_id: CallId) -> None:
         stream, calls_left = self._remaining_by_id.pop(call_id)
+        record_start(self.rejections, is_rejected=False, now=self.loop.now)
         self._apply(release(self.gate, call_id, now=self.loop.now))
         if calls_left:
             self._call(stream, calls_left)
--- a/src/daisywharf/_mesh/_counts.py
+++ b/src/daisywharf/_mesh/_counts.py
@@ -99,6 +99,7 @@
     level: float,
     started: int,
     limit_per_s: float,
+    rejected_share: float,
     version: int,
     members: int,
     links_up: int,
@@ -109,7 +110,8 @@
     """Return the metrics of a daemon's state.
 
     `limit` is the number of calls that run at once at a full gate, `limit_per_s` the target's rate
-    limit in calls per second, `level` the importance from which requests are refused.
+    limit in calls per second, `level` the importance from which requests are refused,
+    `rejected_share` the share of the started calls that the target rejects as not run.
     """
     gauges = (
         ("daisywharf_gate_running", "Calls that run at the target.", running),
@@ -117,6 +119,11 @@
         ("daisywharf_gate_limit", "Calls that run at once at a full gate.", limit),
         ("daisywharf_gate_level", "Importance from which requests are refused.", level),
         ("daisywharf_gate_limit_per_second", "Calls a second that the target takes.", limit_per_s),
+        (
+            "daisywharf_gate_rejected_share",
+            "Share of the calls sent to the target that it rejects.",
+            rejected_share,
+        ),
         ("daisywharf_configuration_version", "Version in force.", version),
         ("daisywharf_members", "Daemons known, this one included.", members),
         ("daisywharf_links_up", "Links to other daemons that are up.", links_up),
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -485,6 +485,7 @@
             level=load.level,
             started=self.gate.started_count,
             limit_per_s=limit_or_infinity(self.gate.slots.rate),
+            rejected_share=load.rejected_share,
             version=self.version,
             members=len(self.membership.record_by_vm),
             links_up=sum(link.is_up for link in self.membership.link_by_vm.values()),
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -24,6 +24,7 @@
     log_refused,
     log_retry,
     log_shed,
+    log_unlikely,
 )
 from daisywharf._mesh._results import attempt_end_of, error_kind_of
 from daisywharf._mesh._retry_permits import RetryPermits
@@ -40,6 +41,7 @@
 )
 from daisywharf._overload._calls_below import CallCounts, Callee, record_call
 from daisywharf._overload._chain import ChainState, Step, chain_level, visits_of
+from daisywharf._overload._chain_chance import chance_of, is_worth_starting
 from daisywharf._overload._level_controller import is_shed
 from daisywharf._overload._origins import (
     Origins,
@@ -77,6 +79,8 @@
 DEFAULT_TIME_LEFT_S: Final = 30.0
 # Error kinds that mean the target accepts no more calls, even while its record shows it as ready.
 LEAVING_KINDS: Final = frozenset({ErrorKind.DRAINING, ErrorKind.WRONG_INCARNATION})
+# Kinds that have log events of their own where the entry refuses a request before any attempt.
+LOGGED_AT_ENTRY: Final = frozenset({ErrorKind.SHED, ErrorKind.LOW_CHANCE})
 # A target that had a request for longer than this when its deadline passed counts as failing.
 MIN_SLOW_ATTEMPT_S: Final = 0.3
 # At most one served request is logged per period.
@@ -200,7 +204,9 @@
         if refusal_kind is not None:
             self._refuse(pending, refusal_kind, now=now)
             return
-        if not pending.is_from_target and self._shed_if_overloaded(pending, now=now):
+        if not pending.is_from_target and (
+            self._shed_if_overloaded(pending, now=now) or self._refuse_if_unlikely(pending, now=now)
+        ):
             return
         self.pending.add(pending)
         exchange.on_client_gone = lambda: self._abandon(pending)
@@ -228,6 +234,21 @@
         self._refuse(pending, ErrorKind.SHED, now=now)
         return True
 
+    def _refuse_if_unlikely(self, pending: PendingRequest, *, now: float) -> bool:
+        """Refuse a client's request that would most probably fail; return whether it did."""
+        share_by_service = self.services.rejected_share_by_service(now=now)
+        # A route that isn't classified yet may carry targets' own calls.
+        is_from_client = pending.team is not None or is_request(self.origins, pending.route.name)
+        if not share_by_service or not is_from_client:
+            return False
+        visits = visits_of(self.chain, Step(pending.route.name, pending.service), now=now)
+        chance = chance_of(visits, share_by_service)
+        if is_worth_starting(chance.chance, draw=self.rng.random()):
+            return False
+        log_unlikely(pending, chance)
+        self._refuse(pending, ErrorKind.LOW_CHANCE, now=now)
+        return True
+
     # Attempts.
 
     def _send(self, pending: PendingRequest) -> None:
@@ -382,7 +403,7 @@
         retry_after_s = random_retry_after_s(
             latency_objective_s=pending.route.aim_s, time_left_s=time_left_s, rng=self.rng
         )
-        if kind is not ErrorKind.SHED or pending.progress.gates_tried:
+        if kind not in LOGGED_AT_ENTRY or pending.progress.gates_tried:
             log_refused(pending, kind, now=now)
         self._end(pending, outcome=kind.value)
         lines = self.dialect.refusal_lines(retry_after_s=retry_after_s)
@@ -464,4 +485,5 @@
             level=load.level,
             heard_at=self.now() - age_s,
             limit_per_s=load.limit_per_s,
+            rejected_share=load.rejected_share,
         )
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -24,7 +24,8 @@
 
     An entry refuses a request whose importance and sub-order are at or above `level`.
     `limit_per_s` is the number of calls a second that the target accepts: negative if the target
-    names no limit, None before the target's first answer, when this isn't known.
+    names no limit, None before the target's first answer, when this isn't known. `rejected_share`
+    is the share of the calls started at the target that it rejected as not run.
     """
 
     running: int
@@ -32,6 +33,7 @@
     limit: int
     level: float
     limit_per_s: float | None = None
+    rejected_share: float = 0
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -19,6 +19,7 @@
 from daisywharf._mesh._results import MISDIRECTED_STATUS
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
 from daisywharf._overload._calls_below import CallCounts, Kind, record_half_run
+from daisywharf._overload._chain_chance import Rejections, record_start, rejected_share
 from daisywharf._overload._level_controller import LevelController, move_level, record_arrival
 from daisywharf._overload._queue import WaitingCall
 from daisywharf._overload._slots import (
@@ -77,6 +78,7 @@
         self.announcement: TargetAnnouncement | None = None
         self.slots = SlotGate(slots=1)
         self.level_controller = LevelController(now=now())
+        self.rejections = Rejections(now=now())
         self.started_count = 0  # calls sent to the target
         self.call_counts = CallCounts(now=now())
         self.ceiling = float(len(Importance))  # the shedding level at which nothing is refused
@@ -114,8 +116,14 @@
             round(capacity(slots)),
             round(self.level_controller.level, 3),
             slots.rate.limit_per_s,
+            # An integer 0, as is usual, takes one byte in a frame; a float takes nine.
+            round(self.rejected_share(), 2) or 0,
         )
 
+    def rejected_share(self) -> float:
+        """Return the share of the calls started lately that the target rejected as not run."""
+        return rejected_share(self.rejections, now=self.now())
+
     def handle_announcement(self, announcement: TargetAnnouncement) -> None:
         """Apply an announcement of the target; the caller drops those out of order."""
         known = self.announcement
@@ -144,6 +152,7 @@
         self.slots = SlotGate(slots=announcement.slots)
         self.slots.is_closed = self.is_stopping
         self.level_controller = LevelController(now=self.now())
+        self.rejections = Rejections(now=self.now())
         self._pool = HttpPool(announcement.address, now=self.now, memory=self.memory)
 
     def submit(self, call: Call, on_result: OnCallResult) -> CallId:
@@ -372,7 +381,11 @@
         is_whole = head.is_signed and is_own and not head.is_encoded
         if is_whole and result.status < MIN_FAILURE_STATUS:
             self._handle_whole_answer(gate_call, head)
-        is_not_run = head.is_not_run or result.status == MISDIRECTED_STATUS
+        is_other_target = result.status == MISDIRECTED_STATUS
+        is_not_run = head.is_not_run or is_other_target
+        # A target that leaves or was replaced gets no more calls: that isn't a sign of overload.
+        is_rejected = is_not_run and is_own and not (is_other_target or head.is_leaving)
+        record_start(self.rejections, is_rejected=is_rejected, now=self.now())
         # Without a matching request id, a refusal may be a late answer to another request.
         if (result.status < 300 and not is_whole) or (is_not_run and not is_own):
             return Unanswered(call.call_id, ErrorKind.CUT_ANSWER, has_begun=True, load=self.load())
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -27,7 +27,6 @@
 from daisywharf._mesh._in_force import InForce
 from daisywharf._mesh._incoming import IncomingCalls
 from daisywharf._mesh._links import OutLink
-from daisywharf._mesh._load_relay import enqueue_load
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord
 from daisywharf._mesh._reporting import Reporter
@@ -170,7 +169,7 @@
         vm = self._vm_by_link.get(link)
         target = None if vm is None else self.entry.services.target_of(vm)
         if target is not None and status.load is not None:
-            enqueue_load(self.reporter.relay_queue, target.target_id, status.load, now=self.now())
+            self.reporter.queue_load(target.target_id, status.load, now=self.now())
 
     def _record_status(self, status: StatusUpdate, send: Send) -> None:
         self.sync.record_peer_confirmation(status, version=self.in_force.version)
--- a/src/daisywharf/_mesh/_pending.py
+++ b/src/daisywharf/_mesh/_pending.py
@@ -13,6 +13,7 @@
 from daisywharf._mesh._http_server import Exchange
 from daisywharf._outcomes._next_step import Progress
 from daisywharf._overload._chain import ChainLevel
+from daisywharf._overload._chain_chance import Chance
 from daisywharf._routing._placement import Candidate
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
@@ -103,6 +104,19 @@
     )
 
 
+def log_unlikely(pending: PendingRequest, chance: Chance) -> None:
+    """Log a request that was refused because its call chain would most probably fail."""
+    log_event(
+        Event.REQUEST_UNLIKELY,
+        request=pending.head.request_id,
+        route=pending.route.name,
+        team=pending.team_name,
+        rejecting=chance.service,
+        chance=round(chance.chance, 3),
+        version=pending.version,
+    )
+
+
 def log_refused(pending: PendingRequest, kind: ErrorKind, *, now: float) -> None:
     """Log a request that no gate accepted."""
     log_event(
--- a/src/daisywharf/_mesh/_reporting.py
+++ b/src/daisywharf/_mesh/_reporting.py
@@ -4,16 +4,30 @@
 
 from daisywharf._ids import TargetId, VmId, ZoneName
 from daisywharf._mesh._entry import Entry
-from daisywharf._mesh._frames import RelayLoad, Report, StatusUpdate, ZoneLoads, encode_frame
+from daisywharf._mesh._frames import (
+    GateLoad,
+    RelayLoad,
+    Report,
+    StatusUpdate,
+    ZoneLoads,
+    encode_frame,
+)
 from daisywharf._mesh._gate import Gate
 from daisywharf._mesh._learned import RESTORED_LIFETIME_S, drop_restored
 from daisywharf._mesh._links import OutLink
-from daisywharf._mesh._load_relay import RelayQueue, pop_due, relay_partner, rotating_subset
+from daisywharf._mesh._load_relay import (
+    RelayQueue,
+    enqueue_load,
+    pop_due,
+    relay_partner,
+    rotating_subset,
+)
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._pending import MS_PER_S
 from daisywharf._mesh._store_sync import StoreSync
 from daisywharf._overload._calls_below import CallCounts, CallsBelow, calls_below, end_period
 from daisywharf._overload._chain import record_rows
+from daisywharf._overload._chain_chance import MIN_URGENT_PERIOD_S, is_urgent
 from daisywharf._overload._origins import record_counts
 from daisywharf._overload._slots import load_ratio
 
@@ -44,6 +58,11 @@
         self.membership = membership
         self.sync = sync
         self.relay_queue = RelayQueue()
+        self.relayed_share_by_target: dict[TargetId, float] = {}
+        # Whether a queued load is to be relayed without waiting for the next report.
+        self.is_relay_urgent = False
+        self._reported_share = 0.0
+        self._sent_at = now
         self._started_at = now
         self._reported_at = now
         self._round_number = 0
@@ -53,6 +72,38 @@
         if now - self._reported_at >= self._period_s(now=now):
             self._reported_at = now
             self._report(now=now)
+        elif now - self._sent_at >= MIN_URGENT_PERIOD_S and self._is_urgent():
+            self._send_status(now=now)
+
+    def _is_urgent(self) -> bool:
+        """Return whether the rejected share of this gate, or of one to relay, has changed much."""
+        share = self.gate.rejected_share()
+        return self.is_relay_urgent or is_urgent(share, reported=self._reported_share)
+
+    def _send_status(self, *, now: float) -> None:
+        """Send this daemon's status and the queued loads ahead of the next report."""
+        status = self.status()
+        self._record_own_load(status)
+        links_by_zone = self._links_by_zone()
+        zone = links_by_zone.pop(self.membership.own.zone, {})
+        elsewhere = [link for links in links_by_zone.values() for link in links.values()]
+        if len(zone) + len(elsewhere) > MAX_FULL_REPORTS:
+            self._send_loads(status, zone, links_by_zone, now=now)
+        else:
+            encoded = encode_frame(status)
+            for link in [*zone.values(), *elsewhere]:
+                link.send(status, encoded)
+        self._record_sent(status, now=now)
+
+    def _record_own_load(self, status: StatusUpdate) -> None:
+        announcement = self.gate.announcement
+        if status.load is not None and announcement is not None:
+            self.entry.record_load(announcement.service, announcement.target_id, status.load)
+
+    def _record_sent(self, status: StatusUpdate, *, now: float) -> None:
+        self._sent_at = now
+        self._reported_share = 0.0 if status.load is None else status.load.rejected_share
+        self.is_relay_urgent = False
 
     def _period_s(self, *, now: float) -> float:
         is_learning = now - self._started_at < LEARNING_S
@@ -68,8 +119,7 @@
         rows = _rows(gate.call_counts)
         record_rows(entry.chain, vm, rows)
         status = self.status()
-        if status.load is not None and gate.announcement is not None:
-            entry.record_load(gate.announcement.service, gate.announcement.target_id, status.load)
+        self._record_own_load(status)
         entered, service = entry.take_entry_counts(), entry.settings.service
         record_counts(entry.origins, service, entered)
         entry.classify_routes(now=now)
@@ -78,6 +128,7 @@
         records = self.membership.record_by_vm.values()
         entry.services.set_entries(sum(record.zone == zone for record in records))
         self._send(status, Report(status, rows, service, entered), now=now)
+        self._record_sent(status, now=now)
 
     def status(self) -> StatusUpdate:
         """Return this daemon's present status: what changes from second to second."""
@@ -143,6 +194,17 @@
             )
             links[partner].send(relay_load, encoded)
 
+    def queue_load(self, target_id: TargetId, load: GateLoad, *, now: float) -> None:
+        """Queue the load of another zone's gate to relay it, urgently if its share has changed."""
+        known = self.relayed_share_by_target.get(target_id, 0.0)
+        if is_urgent(load.rejected_share, reported=known):
+            self.is_relay_urgent = True
+        if load.rejected_share > 0.0:
+            self.relayed_share_by_target[target_id] = load.rejected_share
+        else:
+            self.relayed_share_by_target.pop(target_id, None)
+        enqueue_load(self.relay_queue, target_id, load, now=now)
+
     def record_relayed_loads(self, loads: ZoneLoads) -> None:
         """Record the loads of other zones' gates that a daemon of this zone relays."""
         for target_load in loads.loads:
--- a/src/daisywharf/_mesh/_services.py
+++ b/src/daisywharf/_mesh/_services.py
@@ -6,7 +6,13 @@
 from daisywharf._ids import Incarnation, ServiceName, TargetId, VmId, ZoneName
 from daisywharf._mesh._model import MemberRecord, Readiness, parse_address
 from daisywharf._mesh._target_restrictions import RestrictionsByIncarnation, restrictions_of
-from daisywharf._routing._placement import Placement, remove_target, service_level, set_target
+from daisywharf._routing._placement import (
+    Placement,
+    remove_target,
+    service_level,
+    service_rejected_share,
+    set_target,
+)
 from daisywharf._topology import Target
 
 LEVEL_CACHE_S: Final = 0.02
@@ -25,6 +31,8 @@
         self._service_by_target: dict[TargetId, ServiceName] = {}
         self._levels: dict[ServiceName, float] = {}
         self._levels_at = float("-inf")
+        self._rejected_shares: dict[ServiceName, float] = {}
+        self._rejected_shares_at = float("-inf")
 
     def placement_of(self, service: ServiceName) -> Placement:
         """Return the placement of a service; create it on first use."""
@@ -50,6 +58,19 @@
             }
         return self._levels
 
+    def rejected_share_by_service(self, *, now: float) -> dict[ServiceName, float]:
+        """Return the rejected share of each service that rejects calls, cached as the levels."""
+        if now - self._rejected_shares_at > LEVEL_CACHE_S:
+            self._rejected_shares_at = now
+            share_by_service = {
+                service: service_rejected_share(placement, now=now)
+                for service, placement in self.placement_by_service.items()
+            }
+            self._rejected_shares = {
+                service: share for service, share in share_by_service.items() if share > 0.0
+            }
+        return self._rejected_shares
+
     def levels_age_s(self, *, now: float) -> float:
         """Return the seconds since the levels were computed."""
         return now - self._levels_at
--- a/src/daisywharf/_routing/_placement.py
+++ b/src/daisywharf/_routing/_placement.py
@@ -69,6 +69,7 @@
 
     `occupied` (running and waiting) and `limit` are in calls; `level` is the gate's shedding level,
     as a rank. `heard_at` is when the announced load was current, in seconds of the entry's clock.
+    `rejected_share` is the share of its calls that the target rejects as not run.
     """
 
     occupied: int
@@ -76,6 +77,7 @@
     level: float
     heard_at: float
     sent_since: int = 0
+    rejected_share: float = 0.0
 
 
 class Candidate:
@@ -108,6 +110,7 @@
         self.entries = 1  # in this zone; they share the rate limit of a target
         self.candidate_by_id: dict[TargetId, Candidate] = {}
         self.candidates: list[Candidate] = []
+        self.rejecting_at = float("-inf")  # when a gate last announced that its target rejects
 
 
 def set_target(
@@ -152,6 +155,7 @@
     level: float,
     heard_at: float,
     limit_per_s: float | None = None,
+    rejected_share: float = 0.0,
 ) -> None:
     """Record the load that a gate announced, unless a newer one is known.
 
@@ -161,7 +165,9 @@
     candidate = placement.candidate_by_id.get(target_id)
     if candidate is None or (candidate.load is not None and candidate.load.heard_at > heard_at):
         return
-    candidate.load = AnnouncedLoad(occupied, limit, level, heard_at)
+    candidate.load = AnnouncedLoad(occupied, limit, level, heard_at, rejected_share=rejected_share)
+    if rejected_share > 0.0:
+        placement.rejecting_at = max(placement.rejecting_at, heard_at)
     if limit_per_s is not None:
         set_share(candidate.share, limit_per_s if limit_per_s > UNLIMITED_PER_S else None)
 
@@ -198,9 +204,11 @@
     if len(healthy) > MAX_COMPARED:
         return _draw(healthy, kind, now=now, rng=rng)
     typical_s = _typical_latency_s(healthy, kind)
+    lowest_share = _lowest_share(healthy, now)
 
     def cost(candidate: Candidate) -> float:
         seconds = _expected_s(candidate, kind, typical_s, now)
+        seconds *= _rejection_factor(candidate, lowest_share, now)
         # Up to 5 % at random, so that entries don't all choose the same one of equal targets.
         return seconds * (1.0 + _overdue_calls(candidate, now)) * (1.0 + 0.05 * rng.random())
 
@@ -224,10 +232,12 @@
     if len(pool) > MAX_DRAWN:
         pool = rng.sample(pool, MAX_DRAWN)
     typical_s = _typical_latency_s(pool, kind)
+    lowest_share = _lowest_share(pool, now)
 
     def weight(candidate: Candidate) -> float:
         headroom = 1.0 + MIN_HEADROOM_FRACTION - min(1.0, _occupied_fraction(candidate, now))
         seconds = _unloaded_s(candidate, kind, typical_s, now)
+        seconds *= _rejection_factor(candidate, lowest_share, now)
         return headroom / (seconds * (1.0 + _overdue_calls(candidate, now)))
 
     return rng.choices(pool, [weight(candidate) for candidate in pool])[0]
@@ -314,6 +324,56 @@
     return level / weight if weight else ceiling
 
 
+def service_rejected_share(placement: Placement, *, now: float) -> float:
+    """Return the share of its calls that a service rejects as a whole, as far as is known.
+
+    It is the mean of its targets' shares, weighted by limit, or their weighted median if that is
+    less: while targets with half of the capacity take their calls, placement avoids the others.
+    """
+    if now - placement.rejecting_at >= LOAD_LIFETIME_S:
+        return 0.0
+    loads = sorted(
+        (candidate.load.rejected_share, candidate.load.limit)
+        for candidate in placement.candidates
+        if candidate.load is not None and now - candidate.load.heard_at < LOAD_LIFETIME_S
+    )
+    limits = sum(limit for _, limit in loads)
+    if not limits:
+        return 0.0
+    mean = sum(share * limit for share, limit in loads) / limits
+    below = 0
+    for share, limit in loads:
+        below += limit
+        if below * 2 >= limits:
+            return min(mean, share)
+    return mean
+
+
+def _rejected_share(candidate: Candidate, now: float) -> float:
+    load = candidate.load
+    if load is None or now - load.heard_at >= LOAD_LIFETIME_S:
+        return 0.0
+    return load.rejected_share
+
+
+def _lowest_share(candidates: list[Candidate], now: float) -> float:
+    """Return the lowest share that one of the targets rejects."""
+    return min((_rejected_share(candidate, now) for candidate in candidates), default=0.0)
+
+
+def _rejection_factor(candidate: Candidate, lowest_share: float, now: float) -> float:
+    """Return the factor of the cost of a target that rejects more than others do.
+
+    This entry's own record of its failures, which the cost includes already, counts towards it.
+    """
+    beyond = _rejected_share(candidate, now) - lowest_share
+    if beyond <= 0.0:
+        return 1.0
+    record = candidate.record
+    recorded = record.failed_fraction * freshness(record, now)
+    return max(1.0, (1.0 + FAILURE_COST_FACTOR * beyond) / (1.0 + FAILURE_COST_FACTOR * recorded))
+
+
 def _decayed_sent(candidate: Candidate, now: float) -> float:
     return candidate.recently_sent * exp(-(now - candidate.sent_at) / SENT_DECAY_S)
 
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -253,6 +253,13 @@
         "request {request} of {route} was denied: {kind}, version {version}",
         REQUEST_LINES_PER_S,
     )
+    REQUEST_UNLIKELY = EventDefinition(
+        716,
+        EventLevel.INFO,
+        "request {request} of {route}, team {team}, refused at its entry: {rejecting} rejects"
+        " calls, chance {chance} for its call chain, version {version}",
+        REQUEST_LINES_PER_S,
+    )
 
     @property
     def label(self) -> str:
--- /dev/null
+++ b/tests/builders_severe_overload.py
@@ -0,0 +1,130 @@
+"""Build replays of severe overload: rejecting targets, waves of demand, clients that come back."""
+
+import asyncio
+import functools
+
+from builders_mesh import NOWHERE, configuration, daemon_at_rest, route
+from daisywharf._configuration import RouteName, SplitPart
+from daisywharf._contract import Importance
+from daisywharf._experiments._surge import Outcome, Rejecting, Stream, Surge
+from daisywharf._ids import Incarnation, ServiceName, TargetId, VmId, ZoneName
+from daisywharf._mesh._daemon import MeshDaemon
+from daisywharf._mesh._frames import GateLoad
+from daisywharf._mesh._http_server import Exchange
+from daisywharf._overload._calls_below import CallsBelow
+from daisywharf._overload._chain import record_rows
+from daisywharf._routing._placement import set_target
+from daisywharf._topology import Target
+
+# A deep service of 81 slots, which serve 3,450 calls of 22 ms per second, at 0.77 of its capacity.
+BROWSE = Stream(Importance.NORMAL, per_s=430.0, calls=4)
+ORDERS = Stream(Importance.CRITICAL, per_s=150.0, calls=4)
+CHECKS = Stream(Importance.HIGH, per_s=320.0, calls=1)
+SLOTS = 81
+WORK_S = 0.022
+LASTS_S = 14.0
+REJECTING = Rejecting(share=0.55, starts_s=2.0, ends_s=10.0)
+
+
+@functools.cache
+def rejecting_surge(*, follows_chance: bool, seed: int = 1) -> Surge:
+    """Play a service whose targets reject 0.55 of their calls for 8 s, with or without chances."""
+    surge = Surge(
+        slots=SLOTS,
+        work_s=WORK_S,
+        follows_level=True,
+        rejecting=REJECTING,
+        follows_chance=follows_chance,
+        seed=seed,
+    )
+    surge.run([BROWSE, ORDERS, CHECKS], lasts_s=LASTS_S)
+    return surge
+
+
+def whole_fraction(outcome: Outcome) -> float:
+    """Return the served fraction of the requests of one class."""
+    return outcome.whole / outcome.offered
+
+
+def total(surge: Surge, field: str) -> float:
+    """Return the sum of a field of `Outcome` over all classes."""
+    return float(sum(getattr(o, field) for o in surge.outcome_by_importance.values()))
+
+
+class FakeConnection:
+    """The client's connection of an exchange that no network carries."""
+
+    def __init__(self, daemon: MeshDaemon) -> None:
+        self.server = daemon.clients
+
+    def flush(self) -> None:
+        """Send nothing: the answer stays in the exchange."""
+
+
+def daemon_with_gates(
+    *shares: float, visits: float = 4.0, is_client_route: bool = True
+) -> MeshDaemon:
+    """Build an entry whose route leads to `front`, and `visits` times to the gates of `stock`.
+
+    Each gate of `stock` has just announced one of the rejected shares.
+    """
+    front = route(parts=(SplitPart(ServiceName("front"), 1.0),))
+    daemon = daemon_at_rest()
+    entry, now = daemon.entry, daemon.now()
+    entry.put_in_force(configuration(front))
+    record_rows(entry.chain, "vm-1", (CallsBelow("front", "r", "stock", "s", visits),))
+    if is_client_route:
+        entry.origins.request_routes = frozenset({RouteName("r")})
+    for number, share in enumerate(shares):
+        target = Target(
+            target_id=TargetId(f"t-{number}"),
+            service=ServiceName("stock"),
+            vm=VmId(f"vm-{number}"),
+            zone=ZoneName("a"),
+            incarnation=Incarnation(1),
+            address=NOWHERE,
+            slots=20,
+            connections=20,
+        )
+        placement = entry.services.placement_of(target.service)
+        set_target(placement, target.vm, target, cold_s=0.0, now=now)
+        report_share(daemon, number, share)
+    return daemon
+
+
+def report_share(daemon: MeshDaemon, number: int, share: float, *, age_s: float = 0.0) -> None:
+    """Record the load of a gate of `stock`, as it announced it `age_s` seconds ago."""
+    load = GateLoad(0, 0, 20, 3.0, None, share)
+    daemon.entry.record_load(ServiceName("stock"), TargetId(f"t-{number}"), load, age_s=age_s)
+
+
+def ask(daemon: MeshDaemon, *, time_left_ms: int = 2_000, request_id: str = "q1") -> Exchange:
+    """Hand a client's request to an entry, in a loop; its answer is in the exchange returned."""
+    connection = FakeConnection(daemon)
+    exchange = Exchange(connection, arrived_at=daemon.now())  # type: ignore[arg-type]
+    exchange.method, exchange.request_target = b"GET", b"/r/x"
+    exchange.headers = [
+        (b"Host", b"shop.example"),
+        (b"Attempt-Id", request_id.encode()),
+        (b"Deadline-Ms", str(time_left_ms).encode()),
+    ]
+    daemon.entry.handle(exchange)
+    return exchange
+
+
+def ask_times(daemon: MeshDaemon, count: int, *, time_left_ms: int = 2_000) -> list[Exchange]:
+    """Hand requests of a client to an entry, one after the other."""
+
+    async def scenario() -> list[Exchange]:
+        return [
+            ask(daemon, time_left_ms=time_left_ms, request_id=f"q{number}")
+            for number in range(count)
+        ]
+
+    return asyncio.run(scenario())
+
+
+def outcomes(daemon: MeshDaemon) -> dict[str, int]:
+    """Return how many requests ended at an entry, by outcome."""
+    counts = daemon.entry.request_stats.count_by_labels.items()
+    return {outcome: count for (_, _, outcome), count in counts}
--- a/tests/test_mesh_versions.py
+++ b/tests/test_mesh_versions.py
@@ -61,9 +61,10 @@
 
 
 def test_fields_that_a_newer_version_adds_at_the_end_are_ignored() -> None:
-    newer = _framed([12, 7, True, [1, 2, 3, 2.5, 7.5, "added"], 40, "added as well"])
+    newer = _framed([12, 7, True, [1, 2, 3, 2.5, 7.5, 0.55, "added"], 40, "added as well"])
     received, is_closed = _receive(newer)
-    assert received == [StatusUpdate(7, True, GateLoad(1, 2, 3, 2.5, 7.5), confirmed_age_ms=40)]
+    load = GateLoad(1, 2, 3, 2.5, 7.5, 0.55)
+    assert received == [StatusUpdate(7, True, load, confirmed_age_ms=40)]
     assert not is_closed
 
 
@@ -79,6 +80,13 @@
     assert not is_closed
 
 
+def test_a_load_of_a_version_without_a_rejected_share_rejects_nothing() -> None:
+    received, is_closed = _receive(_framed([12, 7, True, [1, 2, 3, 2.5, 7.5], 40]))
+    load = GateLoad(1, 2, 3, 2.5, 7.5, 0.0)
+    assert received == [StatusUpdate(7, True, load, confirmed_age_ms=40)]
+    assert not is_closed
+
+
 @pytest.mark.parametrize("content", [[12, "seven"], {"kind": 12}, [], ["News", 7], 5])
 def test_a_malformed_frame_closes_its_link(content: object) -> None:
     received, is_closed = _receive(_framed(content) + encode_frame(Ping()))
@@ -104,10 +112,11 @@
     assert decode_frame(encode_frame(status)[LENGTH_BYTES:]) == status
 
 
-def test_a_load_without_a_rate_limit_takes_one_more_byte() -> None:
+def test_a_load_without_limit_and_rejections_takes_two_more_bytes() -> None:
     """Loads make up most of the bytes that daemons of a large fleet send each other."""
     without = len(msgspec.msgpack.encode([1, 2, 3, 2.5]))
     gate = Gate(dialect=PlatformDialect(), now=lambda: 1.0, memory=MemoryBudget(max_bytes=1e6))
     record_no_limit(gate.slots.rate, reported_at=1.0)
-    load = GateLoad(1, 2, 3, 2.5, gate.load().limit_per_s)
-    assert len(msgspec.msgpack.encode(load)) == without + 1
+    reported = gate.load()
+    load = GateLoad(1, 2, 3, 2.5, reported.limit_per_s, reported.rejected_share)
+    assert len(msgspec.msgpack.encode(load)) == without + 2
--- /dev/null
+++ b/tests/test_severe_overload.py
@@ -0,0 +1,294 @@
+"""Severe overload: rejected calls of a deep service, clients that come back, unknown chains."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from builders_mesh import (
+    Client,
+    MeshWorld,
+    SeenRequest,
+    TargetStandIn,
+    daemon_at_rest,
+    eventually,
+    in_loop,
+    route,
+)
+from builders_severe_overload import (
+    REJECTING,
+    ask_times,
+    daemon_with_gates,
+    outcomes,
+    rejecting_surge,
+    report_share,
+    total,
+    whole_fraction,
+)
+from daisywharf._contract import Importance
+from daisywharf._ids import ServiceName, TargetId
+from daisywharf._mesh._daemon import MeshDaemon
+from daisywharf._mesh._frames import GateLoad
+from daisywharf._overload._chain_chance import (
+    MIN_CHANCE,
+    PROBE_SHARE,
+    Rejections,
+    chance_of,
+    is_worth_starting,
+    record_start,
+    rejected_share,
+)
+from daisywharf._routing._placement import LOAD_LIFETIME_S, place, service_rejected_share
+
+SEEDS = [1, 2, 3, 4, 5]
+DEEP, MIDDLE, STOCK = ServiceName("deep"), ServiceName("middle"), ServiceName("stock")
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_rejections_of_a_deep_service_waste_at_most_half_as_much_work(seed: int) -> None:
+    before = rejecting_surge(follows_chance=False, seed=seed)
+    after = rejecting_surge(follows_chance=True, seed=seed)
+    for name, surge in (("before", before), ("after", after)):
+        checks = surge.outcome_by_importance[Importance.HIGH]
+        print(
+            f"seed {seed} {name}: {total(surge, 'thrown_away'):.0f} requests and"
+            f" {total(surge, 'wasted_s'):.1f} s thrown away, {total(surge, 'whole'):.0f} whole,"
+            f" one-call requests {whole_fraction(checks):.4f}"
+        )
+    assert total(after, "thrown_away") <= 0.5 * total(before, "thrown_away")
+    assert total(after, "wasted_s") <= 0.5 * total(before, "wasted_s")
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_requests_of_one_call_are_served_as_before(seed: int) -> None:
+    """Guard against refusing all requests that reach a rejecting service."""
+    before, after = (
+        rejecting_surge(follows_chance=follows, seed=seed).outcome_by_importance[Importance.HIGH]
+        for follows in (False, True)
+    )
+    # Two standard deviations of the share among some 4,500 requests.
+    assert whole_fraction(after) >= whole_fraction(before) - 0.02
+    assert after.unlikely == 0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_requests_are_admitted_again_half_a_second_after_the_rejections(seed: int) -> None:
+    surge = rejecting_surge(follows_chance=True, seed=seed)
+    assert max(surge.refused_as_unlikely_at) <= REJECTING.ends_s + 0.5
+
+
+# The share that a gate measures.
+
+
+def _rejections(*, calls: int, is_rejected: bool, per_s: float = 100.0) -> Rejections:
+    rejections = Rejections(now=0.0)
+    for number in range(calls):
+        record_start(rejections, is_rejected=is_rejected, now=number / per_s)
+    return rejections
+
+
+def test_the_share_follows_a_change_within_some_tens_of_calls() -> None:
+    rejections = _rejections(calls=60, is_rejected=True)
+    assert rejected_share(rejections, now=0.6) > 0.85
+    for number in range(50):
+        record_start(rejections, is_rejected=False, now=0.6 + number / 100.0)
+    assert rejected_share(rejections, now=1.1) < 0.15
+
+
+def test_the_share_of_few_calls_a_second_is_measured_too() -> None:
+    """Guard against a share that decays faster than a service with few calls confirms it."""
+    rng = Random(3)
+    rejections = Rejections(now=0.0)
+    shares = []
+    for number in range(200):
+        record_start(rejections, is_rejected=rng.random() < 0.55, now=number / 15.0)
+        shares.append(rejected_share(rejections, now=number / 15.0))
+    assert sum(shares[20:]) / len(shares[20:]) > 0.4
+
+
+def test_the_share_decays_while_no_calls_come() -> None:
+    rejections = _rejections(calls=60, is_rejected=True)
+    assert rejected_share(rejections, now=3.0) < 0.1
+
+
+def test_a_single_rejected_call_isn_t_a_failing_target() -> None:
+    rejections = _rejections(calls=30, is_rejected=False)
+    record_start(rejections, is_rejected=True, now=0.3)
+    assert rejected_share(rejections, now=0.3) < 0.1
+
+
+# The chance of a chain.
+
+
+def test_the_chance_falls_with_each_visit_and_names_the_service() -> None:
+    visits = {MIDDLE: 1.0, DEEP: 4.0}
+    found = chance_of(visits, {DEEP: 0.55, MIDDLE: 0.05})
+    assert found.service == DEEP
+    assert found.chance == pytest.approx(0.45**4)
+
+
+@pytest.mark.parametrize(("visits", "is_admitted"), [(1.0, True), (2.0, False), (4.0, False)])
+def test_requests_that_call_a_rejecting_service_once_are_worth_starting(
+    visits: float, is_admitted: bool
+) -> None:
+    chance = chance_of({DEEP: visits}, {DEEP: 0.55}).chance
+    assert is_worth_starting(chance, draw=0.5) is is_admitted
+
+
+def test_a_small_share_refuses_no_long_chain() -> None:
+    """Guard against refusing whole routes for what a full target rejects now and then."""
+    assert chance_of({DEEP: 27.0}, {DEEP: 0.09}).chance == 1.0
+
+
+def test_probes_are_a_small_share() -> None:
+    rng = Random(1)
+    probes = sum(is_worth_starting(0.01, draw=rng.random()) for _ in range(10_000))
+    assert probes / 10_000 == pytest.approx(PROBE_SHARE, abs=0.01)
+    assert is_worth_starting(MIN_CHANCE, draw=0.99)
+
+
+# The share of a service, and what an entry makes of it.
+
+
+def test_an_entry_refuses_a_chain_that_would_fail_apart_from_probes() -> None:
+    daemon = daemon_with_gates(0.55, 0.5, 0.6)
+    answers = [exchange.answer for exchange in ask_times(daemon, 400)]
+    refused = outcomes(daemon)["low-chance"]
+    assert refused / 400 == pytest.approx(1.0 - PROBE_SHARE, abs=0.03)
+    # The probes find no target of `front` here, and are refused for that.
+    assert outcomes(daemon)["no-target"] == 400 - refused
+    for answer in answers:
+        assert answer is not None
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After: " in answer
+
+
+def test_requests_that_call_the_rejecting_service_once_are_admitted() -> None:
+    daemon = daemon_with_gates(0.55, 0.5, 0.6, visits=1.0)
+    ask_times(daemon, 50)
+    assert "low-chance" not in outcomes(daemon)
+
+
+def test_a_target_s_own_call_is_never_refused_for_its_chance() -> None:
+    daemon = daemon_with_gates(0.9, 0.9, is_client_route=False)
+    ask_times(daemon, 50)
+    assert "low-chance" not in outcomes(daemon)
+
+
+@pytest.mark.parametrize("shares", [(1.0, 0.0, 0.0), (1.0, 0.0), (0.9, *[0.02] * 19)])
+def test_one_bad_target_of_many_refuses_no_requests(shares: tuple[float, ...]) -> None:
+    daemon = daemon_with_gates(*shares)
+    ask_times(daemon, 50)
+    assert "low-chance" not in outcomes(daemon)
+
+
+def test_a_gate_that_stops_reporting_is_forgotten() -> None:
+    daemon = daemon_with_gates(0.0, 0.0)
+    report_share(daemon, 0, 0.9)
+    placement = daemon.services.placement_of(STOCK)
+    now = daemon.now()
+    report_share(daemon, 1, 0.9, age_s=0.0)
+    assert service_rejected_share(placement, now=now + 0.1) == pytest.approx(0.9)
+    assert service_rejected_share(placement, now=now + LOAD_LIFETIME_S + 0.1) == 0.0
+
+
+def test_daemons_of_an_older_version_report_no_rejections() -> None:
+    """Their gates count as taking calls, so requests are admitted as before the upgrade."""
+    daemon = daemon_with_gates(0.0, 0.0, 0.55)
+    placement = daemon.services.placement_of(STOCK)
+    assert service_rejected_share(placement, now=daemon.now()) == 0.0
+
+
+def test_a_target_that_rejects_more_than_others_gets_few_calls() -> None:
+    daemon = daemon_with_gates(0.55, 0.0, 0.0)
+    assert _chosen(daemon, times=400)["t-0"] < 30
+
+
+def test_targets_that_all_reject_share_the_calls() -> None:
+    daemon = daemon_with_gates(*[0.55] * 8)
+    chosen = _chosen(daemon, times=800)
+    assert min(chosen[f"t-{n}"] for n in range(8)) > 60
+
+
+def _chosen(daemon: MeshDaemon, *, times: int) -> Counter[TargetId]:
+    placement = daemon.services.placement_of(STOCK)
+    chosen: Counter[TargetId] = Counter()
+    for _ in range(times):
+        candidate = place(placement, "s", excluded=set(), now=daemon.now(), rng=daemon.entry.rng)
+        assert candidate is not None
+        chosen[candidate.record.target.target_id] += 1
+    return chosen
+
+
+# What a gate counts as rejected.
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "is_counted"),
+    [
+        (503, {"Not-Executed": "1"}, True),
+        (421, {"Not-Executed": "1"}, False),
+        (503, {"Not-Executed": "1", "Server-Leaving": "1"}, False),
+        (500, {}, False),
+        (200, {}, False),
+    ],
+)
+def test_a_gate_counts_answers_of_a_target_that_rejects(
+    status: int, headers: dict[str, str], is_counted: bool
+) -> None:
+    """Guard against counting what a target rejects because it leaves or was replaced."""
+
+    async def scenario() -> None:
+        world = MeshWorld(route(max_attempts=1))
+        target = TargetStandIn(lambda seen: seen.answer(status, **headers))
+        daemon = await world.add(target)
+        await world.settle()
+        client = Client(daemon)
+        await client.ask()
+        assert (daemon.gate.rejected_share() > 0.0) is is_counted
+        await world.close()
+
+    in_loop(scenario)
+
+
+# Reports.
+
+
+def test_other_daemons_learn_when_rejections_start_and_end() -> None:
+    async def scenario() -> None:
+        world = MeshWorld(route(max_attempts=1))
+        is_rejecting = True
+
+        def behave(seen: SeenRequest) -> None:
+            if is_rejecting:
+                seen.answer(503, Not_Executed="1")
+            else:
+                seen.answer()
+
+        near = await world.add(TargetStandIn(behave))
+        far = await world.add(zone="b")
+        await world.settle()
+        client = Client(near)
+
+        def share() -> float:
+            return far.services.rejected_share_by_service(now=far.now()).get(STOCK, 0.0)
+
+        for _ in range(20):
+            await client.ask()
+        await eventually(lambda: share() > 0.5)
+        is_rejecting = False
+        for _ in range(60):
+            await client.ask()
+        await eventually(lambda: share() < 0.1)
+        await world.close()
+
+    in_loop(scenario)
+
+
+def test_a_changed_share_is_relayed_without_waiting_for_the_next_report() -> None:
+    reporter = daemon_at_rest().reporter
+    for share, is_urgent in ((0.05, False), (0.5, True), (0.55, False), (0.2, True), (0.0, True)):
+        reporter.is_relay_urgent = False
+        reporter.queue_load(TargetId("t-9"), GateLoad(0, 0, 20, 3.0, None, share), now=1.0)
+        assert reporter.is_relay_urgent is is_urgent, share
+    assert not reporter.relayed_share_by_target
