--- a/tests/builders_severe_overload.py
+++ b/tests/builders_severe_overload.py
@@ -128,3 +128,31 @@
     """Return how many requests ended at an entry, by outcome."""
     counts = daemon.entry.request_stats.count_by_labels.items()
     return {outcome: count for (_, _, outcome), count in counts}
+
+
+@functools.cache
+def surge_with_returns(
+    *, load: float, swing: float, prefers_returns: bool, seed: int = 1
+) -> Outcome:
+    """Play clients that come back after refusals; return the outcome of the least important.
+
+    `load` is the ratio of the demand to the capacity, which swings by `swing` in waves of 15 s.
+    """
+    calls_per_s = load * SLOTS / WORK_S
+    streams = [
+        Stream(importance, calls_per_s * part / calls, calls, deadline_s=3.0, swing=swing)
+        for importance, part, calls in (
+            (Importance.NORMAL, 0.65, 4),
+            (Importance.CRITICAL, 0.25, 4),
+            (Importance.HIGH, 0.10, 1),
+        )
+    ]
+    surge = Surge(
+        slots=SLOTS,
+        work_s=WORK_S,
+        follows_level=True,
+        prefers_returns=prefers_returns,
+        seed=seed,
+    )
+    surge.run(streams, lasts_s=20.0)
+    return surge.outcome_by_importance[Importance.NORMAL]
