Apply the strictest level to routes whose calls aren't known yet

For 2 s from a route's first request, and until a daemon reports calls of its runs, a client's request now counts as visiting every service. Calls of targets that aren't recognized yet are judged as before. A daemon that restarts with learned calls from the store, or among daemons that started 5 s earlier, doesn't do this. Newly reported calls count at once; visits computed before them were kept for 1 s.

--- a/src/daisywharf/_experiments/_surge.py
+++ b/src/daisywharf/_experiments/_surge.py
@@ -11,6 +11,17 @@
 from daisywharf._experiments._model import ExperimentResult, Sample
 from daisywharf._ids import CallClassName, RequestId, ServiceName
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
+from daisywharf._overload._calls_below import CallsBelow
+from daisywharf._overload._chain import (
+    ChainState,
+    Step,
+    chain_level,
+    is_unknown,
+    record_request,
+    record_rows,
+    strictest_level,
+    visits_of,
+)
 from daisywharf._overload._chain_chance import (
     MIN_URGENT_PERIOD_S,
     Rejections,
@@ -57,6 +68,7 @@
 REJECTION_S = 0.001  # until a target has rejected a call
 REPORT_PERIOD_S = 0.5  # of a gate whose rejected share hasn't changed much
 REPORT_DELAY_S = 0.15  # until the entries of all zones have a reported share
+FRONT = ServiceName("front")
 DEEP = ServiceName("deep")
 SWING_PERIOD_S = 15.0
 # Clients give up after this many attempts, or with less time left than a request takes.
@@ -121,7 +133,9 @@
 
     `work_s` is the mean run time of a call. Without `follows_level` the entries ignore the level,
     without `follows_chance` they admit requests whose calls would fail, and without
-    `prefers_returns` they treat clients that come back like any others.
+    `prefers_returns` they treat clients that come back like any others. The entries know the calls
+    of a request from `chain_known_at_s` on; before, they apply the strictest level to each request
+    if they are `strict_when_unknown`, and none otherwise.
     """
 
     def __init__(
@@ -134,12 +148,18 @@
         rejecting: Rejecting | None = None,
         follows_chance: bool = True,
         prefers_returns: bool = True,
+        chain_known_at_s: float = 0.0,
+        strict_when_unknown: bool = True,
         seed: int = 1,
     ) -> None:
         self.rejecting = rejecting
         self.follows_chance = follows_chance
         self.prefers_returns = prefers_returns
         self.returns = Returns()
+        self.chain_known_at_s = chain_known_at_s
+        self.strict_when_unknown = strict_when_unknown
+        self.chain = ChainState()
+        self.shed_shallow_at: list[float] = []
         self.rejections = Rejections(now=0.0)
         self.known_share = 0.0
         self.reported_share = 0.0
@@ -168,12 +188,33 @@
         """Simulate the streams for `lasts_s` seconds and sample the results."""
         for stream in streams:
             self._schedule_arrival(stream)
+        if self.chain_known_at_s:
+            call_later(self.loop, self.chain_known_at_s, lambda: self._learn_chain(streams))
+        else:
+            self._learn_chain(streams)
         call_later(self.loop, TICK_PERIOD_S, self._tick)
         totals = self._totals()
         for number in range(1, round(lasts_s / SAMPLE_PERIOD_S) + 1):
             run_until(self.loop, number * SAMPLE_PERIOD_S)
             totals = self._sample(totals)
 
+    def _learn_chain(self, streams: list[Stream]) -> None:
+        rows = tuple(
+            CallsBelow(FRONT, _route_of(stream), DEEP, "call", stream.calls)
+            for stream in streams
+            if stream.calls
+        )
+        record_rows(self.chain, "vm-1", rows)
+
+    def _level_for(self, stream: Stream) -> float:
+        """Return the level that entries apply to a request."""
+        now, step = self.loop.now, Step(_route_of(stream), FRONT)
+        levels = {FRONT: OPEN, DEEP: self.known_level}
+        record_request(self.chain, step.route, now=now)
+        if self.strict_when_unknown and is_unknown(self.chain, step, now=now):
+            return strictest_level(levels).level
+        return chain_level(visits_of(self.chain, step, now=now), levels).level
+
     def _totals(self) -> dict[str, float]:
         """Return the counts since the start, by the name of the column that shows their rate."""
         totals: dict[str, float] = {}
@@ -238,8 +279,10 @@
         outcome.returned += attempt.number > 1
         if self.prefers_returns and stream.deadline_s:
             sub_order = self._prefer_return(stream, sub_order, time_left_s)
-        if is_shed(stream.importance, sub_order, level=self.known_level):
+        if is_shed(stream.importance, sub_order, level=self._level_for(stream)):
             outcome.refused_at_entry += 1
+            if not stream.calls:
+                self.shed_shallow_at.append(now)
             self._come_back(attempt, is_lasting=False)
             return
         chance = chance_of({DEEP: float(stream.calls)}, {DEEP: self.known_share})
@@ -251,7 +294,14 @@
             self.refused_as_unlikely_at.append(self.loop.now)
             self._come_back(attempt, is_lasting=True)
             return
-        call_later(self.loop, WORK_ABOVE_S, lambda: self._call(stream, stream.calls))
+        call_later(self.loop, WORK_ABOVE_S, lambda: self._continue(stream, stream.calls))
+
+    def _continue(self, stream: Stream, calls_left: int) -> None:
+        """Make the next call of a request, or count it as answered."""
+        if calls_left:
+            self._call(stream, calls_left)
+        else:
+            self.outcome_by_importance[stream.importance].whole += 1
 
     def _prefer_return(self, stream: Stream, sub_order: int, time_left_s: float) -> int:
         """Return the sub-order of an attempt: a client that comes back gets a low one."""
@@ -349,10 +399,7 @@
         stream, calls_left = self._remaining_by_id.pop(call_id)
         record_start(self.rejections, is_rejected=False, now=self.loop.now)
         self._apply(release(self.gate, call_id, now=self.loop.now))
-        if calls_left:
-            self._call(stream, calls_left)
-        else:
-            self.outcome_by_importance[stream.importance].whole += 1
+        self._continue(stream, calls_left)
 
 
 def _route_of(stream: Stream) -> RouteName:
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -40,7 +40,16 @@
     step_without_retry,
 )
 from daisywharf._overload._calls_below import CallCounts, Callee, record_call
-from daisywharf._overload._chain import ChainState, Step, chain_level, visits_of
+from daisywharf._overload._chain import (
+    ChainLevel,
+    ChainState,
+    Step,
+    chain_level,
+    is_unknown,
+    record_request,
+    strictest_level,
+    visits_of,
+)
 from daisywharf._overload._chain_chance import chance_of, is_worth_starting
 from daisywharf._overload._level_controller import is_shed
 from daisywharf._overload._origins import (
@@ -203,6 +212,7 @@
             is_from_target=team is None and is_call(self.origins, route.name),
             team=team,
         )
+        record_request(self.chain, route.name, now=now)
         self._prefer_return(pending, now=now)
         self.entered_by_route[route.name] = self.entered_by_route.get(route.name, 0) + 1
         if pending.is_from_target:
@@ -251,8 +261,7 @@
 
     def _shed_if_overloaded(self, pending: PendingRequest, *, now: float) -> bool:
         """Refuse the request if a service of its call chain sheds it; return whether it did."""
-        visits = visits_of(self.chain, Step(pending.route.name, pending.service), now=now)
-        strictest = chain_level(visits, self.services.level_by_service(now=now))
+        strictest = self._chain_level(pending, now=now)
         if not is_shed(pending.importance, pending.sub_order, level=strictest.level):
             return False
         age_s = self.services.levels_age_s(now=now)
@@ -260,12 +269,24 @@
         self._refuse(pending, ErrorKind.SHED, now=now)
         return True
 
+    def _chain_level(self, pending: PendingRequest, *, now: float) -> ChainLevel:
+        """Return the strictest level of the request's chain, or of all services if unknown."""
+        step = Step(pending.route.name, pending.service)
+        level_by_service = self.services.level_by_service(now=now)
+        # A call of a target that isn't recognized yet must not be refused for another service.
+        if self._is_from_client(pending) and is_unknown(self.chain, step, now=now):
+            return strictest_level(level_by_service)
+        return chain_level(visits_of(self.chain, step, now=now), level_by_service)
+
+    def _is_from_client(self, pending: PendingRequest) -> bool:
+        """Return whether a request is known to be a client's."""
+        return pending.team is not None or is_request(self.origins, pending.route.name)
+
     def _refuse_if_unlikely(self, pending: PendingRequest, *, now: float) -> bool:
         """Refuse a client's request that would most probably fail; return whether it did."""
         share_by_service = self.services.rejected_share_by_service(now=now)
         # A route that isn't classified yet may carry targets' own calls.
-        is_from_client = pending.team is not None or is_request(self.origins, pending.route.name)
-        if not share_by_service or not is_from_client:
+        if not share_by_service or not self._is_from_client(pending):
             return False
         visits = visits_of(self.chain, Step(pending.route.name, pending.service), now=now)
         chance = chance_of(visits, share_by_service)
--- a/src/daisywharf/_mesh/_learned.py
+++ b/src/daisywharf/_mesh/_learned.py
@@ -58,6 +58,7 @@
 def restore_learned_calls(learned: LearnedCalls, chain: ChainState, origins: Origins) -> None:
     """Add to `chain` and `origins` what the fleet had learned before."""
     record_rows(chain, STORE_REPORTER, learned.rows)
+    chain.is_learned = chain.is_learned or bool(learned.rows)
     origins.call_routes |= frozenset(learned.called)
 
 
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -29,11 +29,12 @@
 from daisywharf._mesh._links import OutLink
 from daisywharf._mesh._membership import Membership
 from daisywharf._mesh._model import MemberRecord
+from daisywharf._mesh._pending import MS_PER_S
 from daisywharf._mesh._reporting import Reporter
 from daisywharf._mesh._retry_permits import RetryPermits
 from daisywharf._mesh._store_sync import StoreSync
 from daisywharf._mesh._watching import WatchReport
-from daisywharf._overload._chain import record_rows
+from daisywharf._overload._chain import MIN_LEARNED_S, record_rows
 from daisywharf._overload._origins import record_counts
 
 
@@ -151,10 +152,17 @@
     def _receive_report(self, link: FrameProtocol, report: Report) -> None:
         vm = self._vm_by_link.get(link)
         if vm is not None:
-            record_rows(self.entry.chain, vm, report.calls_below)
+            self._record_calls_below(vm, report)
             record_counts(self.entry.origins, report.service, report.entered)
             self._receive_status(link, report.status)
 
+    def _record_calls_below(self, vm: VmId, report: Report) -> None:
+        chain, peer = self.entry.chain, self.membership.record_by_vm.get(vm)
+        record_rows(chain, vm, report.calls_below)
+        if peer is not None and report.calls_below:
+            earlier_s = (self.membership.own.started_ms - peer.started_ms) / MS_PER_S
+            chain.is_learned = chain.is_learned or earlier_s >= MIN_LEARNED_S
+
     def _receive_status(self, link: FrameProtocol, status: StatusUpdate) -> None:
         vm = self._vm_by_link.get(link)
         if vm is None:
--- a/src/daisywharf/_overload/_chain.py
+++ b/src/daisywharf/_overload/_chain.py
@@ -3,6 +3,10 @@
 Load pattern: requests that call a deep service many times, mixed with others that never reach it.
 Only requests whose chain includes the loaded service are refused, the least important first, before
 any work is done for them; the calls of admitted requests continue.
+
+A day that starts with a surge is the second pattern: nothing is known of the calls below a route
+yet, and what is admitted is thrown away in the deep services. So for a short time, a request of
+such a route counts as visiting every service.
 """
 
 from typing import Final
@@ -21,6 +25,11 @@
 # Visits are computed anew after this time.
 VISITS_LIFETIME_S: Final = 1.0
 NO_SERVICE: Final = ServiceName("")
+# For this long after its first request here, a route without reported calls counts as unknown;
+# after that, its runs make no calls. Calls are reported every 0.5 s at the start.
+UNKNOWN_S: Final = 2.0
+# A daemon that started this much earlier reports all calls that it has learned.
+MIN_LEARNED_S: Final = 5.0
 # A chain that appears to make more calls than this was estimated wrongly.
 MAX_VISITS: Final = 1_000.0
 
@@ -33,18 +42,31 @@
 
 
 class ChainState:
-    """Hold the reported calls by reporting VM, and the visits computed from them."""
+    """Hold the reported calls by reporting VM, and the visits computed from them.
+
+    `known_steps` are those whose calls were ever reported. `is_learned` means that the calls were
+    learned before this daemon started, so that a route without any makes none.
+    """
 
     def __init__(self) -> None:
         self.rows_by_reporter: dict[str, tuple[CallsBelow, ...]] = {}
         self.visits_by_step: dict[Step, dict[ServiceName, float]] = {}
         self.computed_at = float("-inf")
+        self.first_requested_at: dict[RouteName, float] = {}
+        self.known_steps: set[Step] = set()
+        self.is_learned = False
 
 
 def record_rows(state: ChainState, reporter: str, rows: tuple[CallsBelow, ...]) -> None:
     """Replace one VM's report, unless the new one is empty."""
-    if rows:
-        state.rows_by_reporter[reporter] = rows
+    if not rows:
+        return
+    state.rows_by_reporter[reporter] = rows
+    steps = {Step(RouteName(row.route), ServiceName(row.service)) for row in rows}
+    if not steps <= state.known_steps:
+        # What is new counts at once: within the lifetime of visits, a surge would pass.
+        state.known_steps |= steps
+        state.visits_by_step.clear()
 
 
 def forget_reporter(state: ChainState, reporter: str) -> None:
@@ -52,6 +74,18 @@
     state.rows_by_reporter.pop(reporter, None)
 
 
+def record_request(state: ChainState, route: RouteName, *, now: float) -> None:
+    """Record when a route was first requested at this daemon."""
+    state.first_requested_at.setdefault(route, now)
+
+
+def is_unknown(state: ChainState, step: Step, *, now: float) -> bool:
+    """Return whether nothing can be known yet of the calls below a step."""
+    if state.is_learned or step in state.known_steps:
+        return False
+    return now - state.first_requested_at.get(step.route, now) < UNKNOWN_S
+
+
 def known_rows(state: ChainState) -> list[CallsBelow]:
     """Return the mean calls per run over all reporting VMs, in a fixed order."""
     rows = [
@@ -80,6 +114,11 @@
     service: ServiceName
 
 
+def strictest_level(level_by_service: dict[ServiceName, float]) -> ChainLevel:
+    """Return the strictest level of all services, for a request whose chain is unknown."""
+    return chain_level(dict.fromkeys(level_by_service, 1.0), level_by_service)
+
+
 def chain_level(
     visits: dict[ServiceName, float], level_by_service: dict[ServiceName, float]
 ) -> ChainLevel:
--- a/tests/builders_severe_overload.py
+++ b/tests/builders_severe_overload.py
@@ -92,9 +92,11 @@
     return daemon
 
 
-def report_share(daemon: MeshDaemon, number: int, share: float, *, age_s: float = 0.0) -> None:
+def report_share(
+    daemon: MeshDaemon, number: int, share: float, *, level: float = 3.0, age_s: float = 0.0
+) -> None:
     """Record the load of a gate of `stock`, as it announced it `age_s` seconds ago."""
-    load = GateLoad(0, 0, 20, 3.0, None, share)
+    load = GateLoad(0, 0, 20, level, None, share)
     daemon.entry.record_load(ServiceName("stock"), TargetId(f"t-{number}"), load, age_s=age_s)
 
 
@@ -156,3 +158,23 @@
     )
     surge.run(streams, lasts_s=20.0)
     return surge.outcome_by_importance[Importance.NORMAL]
+
+
+@functools.cache
+def surge_in_the_first_second(*, strict_when_unknown: bool, seed: int = 1) -> Surge:
+    """Play 1.5 times the capacity from the start, with calls that are known after 1.5 s."""
+    calls_per_s = 1.5 * SLOTS / WORK_S
+    surge = Surge(
+        slots=SLOTS,
+        work_s=WORK_S,
+        follows_level=True,
+        chain_known_at_s=1.5,
+        strict_when_unknown=strict_when_unknown,
+        seed=seed,
+    )
+    chains = [
+        Stream(Importance.NORMAL, calls_per_s * 0.9 / 4, 4),
+        Stream(Importance.CRITICAL, calls_per_s * 0.1 / 4, 4),
+    ]
+    surge.run([*chains, Stream(Importance.NORMAL, 200.0, 0)], lasts_s=6.0)
+    return surge
--- a/tests/test_severe_overload.py
+++ b/tests/test_severe_overload.py
@@ -14,6 +14,7 @@
     daemon_at_rest,
     eventually,
     in_loop,
+    member,
     route,
 )
 from builders_severe_overload import (
@@ -23,6 +24,7 @@
     outcomes,
     rejecting_surge,
     report_share,
+    surge_in_the_first_second,
     surge_with_returns,
     total,
     whole_fraction,
@@ -32,7 +34,18 @@
 from daisywharf._contract import Importance
 from daisywharf._ids import ServiceName, TargetId
 from daisywharf._mesh._daemon import MeshDaemon
-from daisywharf._mesh._frames import GateLoad
+from daisywharf._mesh._frames import GateLoad, Report, StatusUpdate
+from daisywharf._mesh._learned import LearnedCalls, restore_learned_calls
+from daisywharf._overload._calls_below import CallsBelow
+from daisywharf._overload._chain import (
+    UNKNOWN_S,
+    ChainState,
+    Step,
+    is_unknown,
+    record_request,
+    record_rows,
+    visits_of,
+)
 from daisywharf._overload._chain_chance import (
     MIN_CHANCE,
     PROBE_SHARE,
@@ -42,6 +55,7 @@
     record_start,
     rejected_share,
 )
+from daisywharf._overload._origins import Origins
 from daisywharf._overload._random_retry_after import return_after_s
 from daisywharf._overload._returns import (
     HELD_SUB_ORDERS,
@@ -448,3 +462,96 @@
     assert stats.returns == stats.returns_refused == 50
     found = [re.search(rb"Retry-After: ([0-9.]+)", answer or b"") for answer in answers]
     assert all(match is not None and 0.02 <= float(match[1]) <= 0.6 for match in found)
+
+
+# Unknown call chains at the start.
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_surge_in_the_first_second_throws_fewer_requests_away(seed: int) -> None:
+    before = surge_in_the_first_second(strict_when_unknown=False, seed=seed)
+    after = surge_in_the_first_second(strict_when_unknown=True, seed=seed)
+    for name, surge in (("before", before), ("after", after)):
+        print(
+            f"seed {seed} {name}: {total(surge, 'thrown_away'):.0f} thrown away,"
+            f" {total(surge, 'whole'):.0f} whole, {len(surge.shed_shallow_at)} shallow refused"
+        )
+    assert total(after, "thrown_away") <= 0.5 * total(before, "thrown_away")
+    first_at = after.chain.first_requested_at[RouteName("NORMAL 0")]
+    assert max(after.shed_shallow_at) - first_at < UNKNOWN_S
+
+
+STEP = Step(ROUTE, ServiceName("front"))
+ROWS = (CallsBelow("front", "r", "stock", "s", 4.0),)
+
+
+def _chain_requested_at_once() -> ChainState:
+    chain = ChainState()
+    record_request(chain, ROUTE, now=0.0)
+    return chain
+
+
+def test_a_chain_is_unknown_for_two_seconds_or_until_its_calls_are_reported() -> None:
+    chain = _chain_requested_at_once()
+    assert is_unknown(chain, STEP, now=1.9)
+    assert not is_unknown(chain, STEP, now=2.1)
+    record_rows(chain, "vm-2", (CallsBelow("back", "other", "stock", "s", 1.0),))
+    assert is_unknown(chain, STEP, now=1.0)
+    record_rows(chain, "vm-2", ROWS)
+    assert not is_unknown(chain, STEP, now=1.0)
+
+
+def test_reported_calls_count_at_once() -> None:
+    """Guard against visits computed before the first report, which were kept for a second."""
+    chain = _chain_requested_at_once()
+    assert visits_of(chain, STEP, now=0.1) == {"front": 1.0}
+    record_rows(chain, "vm-2", ROWS)
+    assert visits_of(chain, STEP, now=0.2) == {"front": 1.0, "stock": 4.0}
+
+
+def test_a_daemon_that_restores_learned_calls_knows_its_chains() -> None:
+    chain = _chain_requested_at_once()
+    restore_learned_calls(LearnedCalls(), chain, Origins(now=0.0))
+    assert is_unknown(chain, STEP, now=0.1)
+    other_route = (CallsBelow("back", "other", "stock", "s", 1.0),)
+    restore_learned_calls(LearnedCalls(other_route), chain, Origins(now=0.0))
+    assert not is_unknown(chain, STEP, now=0.1)
+
+
+@pytest.mark.parametrize(("earlier_ms", "is_learned"), [(10_000, True), (200, False)])
+def test_a_daemon_that_restarts_among_others_knows_its_chains(
+    earlier_ms: int, is_learned: bool
+) -> None:
+    """Guard against refusing requests that make no calls after each restart of one daemon."""
+    daemon = daemon_at_rest(started_ms=20_000)
+    peer = member("vm-2", started_ms=20_000 - earlier_ms)
+    daemon.membership.record_by_vm[peer.vm] = peer
+    report = Report(StatusUpdate(1, False, None), ROWS, ServiceName("front"), ())
+    daemon.peers._record_calls_below(peer.vm, report)
+    assert daemon.entry.chain.is_learned is is_learned
+
+
+def _daemon_with_unknown_chain(*, is_client_route: bool) -> MeshDaemon:
+    daemon = daemon_with_gates(0.0, is_client_route=is_client_route)
+    daemon.entry.chain = ChainState()
+    report_share(daemon, 0, 0.0, level=0.0)
+    return daemon
+
+
+def test_a_request_of_an_unknown_chain_counts_as_visiting_every_service() -> None:
+    daemon = _daemon_with_unknown_chain(is_client_route=True)
+    ask_times(daemon, 5)
+    assert outcomes(daemon) == {"shed": 5}
+
+
+def test_a_call_that_isn_t_recognized_yet_is_not_shed_for_another_service() -> None:
+    daemon = _daemon_with_unknown_chain(is_client_route=False)
+    ask_times(daemon, 5)
+    assert outcomes(daemon) == {"no-target": 5}
+
+
+def test_a_request_of_an_unknown_chain_is_admitted_without_overload() -> None:
+    daemon = _daemon_with_unknown_chain(is_client_route=True)
+    report_share(daemon, 0, 0.0)
+    ask_times(daemon, 5)
+    assert outcomes(daemon) == {"no-target": 5}
