Refuse calls that can't finish, and let others wait as long as they can

A call could start with 5 ms left, and held a slot until its deadline; a call of a running request was given up after 0.6 of its time, and a client's request after 0.3 of its latency objective, also where the target needs little time. A gate now keeps the mean run time of each route's answered calls and doesn't start a call with less than 0.6 of it left (refused as too late, not run). Calls of targets wait as long as they can finish, requests until 1.5 times the target's latency remain of the objective, and at least as long as before.

Tests of entries use a clock that stands still, so that a slow machine doesn't let loads expire.

--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -82,11 +82,11 @@
 from daisywharf._signals._events import SERVED_LINES_PER_S, Event
 from daisywharf._signals._log import log_event
 
-# Fraction of the latency objective that a request may wait for a slot; it runs in the rest.
+# A request may wait for a slot until `LATENCY_MARGIN` times its target's mean latency remain of its
+# latency objective, since many runs take longer than the mean; and for this fraction of the
+# objective if the latency isn't known or leaves less.
 QUEUE_WAIT_FRACTION: Final = 0.3
-# Fraction of its remaining time that a call of a running request may wait for a slot; its request
-# holds slots upstream meanwhile.
-INNER_QUEUE_WAIT_FRACTION: Final = 0.6
+LATENCY_MARGIN: Final = 1.5
 # Calls made by running requests queue together with requests of high importance. Ahead of them,
 # they would cost short requests their latency objective; behind them, work already done upstream
 # would be wasted.
@@ -333,10 +333,7 @@
     def _build_call(self, pending: PendingRequest, candidate: Candidate, *, now: float) -> Call:
         exchange, route, head = pending.exchange, pending.route, pending.head
         time_left_s = pending.deadline - now
-        if pending.is_from_target:
-            max_wait_s = time_left_s * INNER_QUEUE_WAIT_FRACTION
-        else:
-            max_wait_s = route.aim_s * QUEUE_WAIT_FRACTION - (now - exchange.arrived_at)
+        max_wait_s = self._max_wait_s(pending, candidate, now=now)
         return Call(
             call_id=0,
             target_id=candidate.record.target.target_id,
@@ -359,6 +356,18 @@
             limit_per_s=candidate.share.limit_per_s,
         )
 
+    def _max_wait_s(self, pending: PendingRequest, candidate: Candidate, *, now: float) -> float:
+        """Return how long a call may wait at a gate, in seconds."""
+        if pending.is_from_target:
+            # The work done for its request is lost without it; the gate refuses it in time.
+            return pending.deadline - now
+        route = pending.route
+        wait_s = route.aim_s * QUEUE_WAIT_FRACTION
+        latency_s = candidate.latency_by_kind.get(route.name)
+        if latency_s is not None:
+            wait_s = max(wait_s, route.aim_s - LATENCY_MARGIN * latency_s)
+        return wait_s - (now - pending.exchange.arrived_at)
+
     def _handle_result(self, pending: PendingRequest, result: CallResult) -> None:
         candidate = pending.candidate
         assert candidate is not None
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -22,6 +22,7 @@
 from daisywharf._overload._chain_chance import Rejections, record_start, rejected_share
 from daisywharf._overload._level_controller import LevelController, move_level, record_arrival
 from daisywharf._overload._queue import WaitingCall
+from daisywharf._overload._run_times import RunTimes, min_time_s, record_run
 from daisywharf._overload._slots import (
     SlotGate,
     arrive,
@@ -79,6 +80,7 @@
         self.slots = SlotGate(slots=1)
         self.level_controller = LevelController(now=now())
         self.rejections = Rejections(now=now())
+        self.run_times = RunTimes()
         self.started_count = 0  # calls sent to the target
         self.call_counts = CallCounts(now=now())
         self.ceiling = float(len(Importance))  # the shedding level at which nothing is refused
@@ -153,6 +155,7 @@
         self.slots.is_closed = self.is_stopping
         self.level_controller = LevelController(now=self.now())
         self.rejections = Rejections(now=self.now())
+        self.run_times = RunTimes()
         self._pool = HttpPool(announcement.address, now=self.now, memory=self.memory)
 
     def submit(self, call: Call, on_result: OnCallResult) -> CallId:
@@ -174,6 +177,7 @@
         if call.limit_per_s is not None and is_limit_unknown:
             self._set_rate_limit(call.limit_per_s)
         deadline = now + call.time_left_ms / MS_PER_S
+        needed_s = max(MIN_CALL_TIME_S, min_time_s(self.run_times, call.route, now=now))
         add_buffered(self.memory, len(call.body))
         self.calls_by_id[call_id] = GateCall(call_id, call, on_result, deadline)
         waiting = WaitingCall(
@@ -182,7 +186,7 @@
             Importance(call.importance),
             call.sub_order,
             0,
-            min(now + call.max_wait_ms / MS_PER_S, deadline - MIN_CALL_TIME_S),
+            min(now + call.max_wait_ms / MS_PER_S, deadline - needed_s),
             now,
         )
         record_arrival(self.level_controller)
@@ -386,6 +390,9 @@
         # A target that leaves or was replaced gets no more calls: that isn't a sign of overload.
         is_rejected = is_not_run and is_own and not (is_other_target or head.is_leaving)
         record_start(self.rejections, is_rejected=is_rejected, now=self.now())
+        if not is_not_run and result.status < MIN_FAILURE_STATUS:
+            now = self.now()
+            record_run(self.run_times, call.route, now - gate_call.started_at, now=now)
         # Without a matching request id, a refusal may be a late answer to another request.
         if (result.status < 300 and not is_whole) or (is_not_run and not is_own):
             return Unanswered(call.call_id, ErrorKind.CUT_ANSWER, has_begun=True, load=self.load())
--- a/tests/builders_severe_overload.py
+++ b/tests/builders_severe_overload.py
@@ -3,18 +3,22 @@
 import asyncio
 import functools
 
-from builders_mesh import NOWHERE, configuration, daemon_at_rest, route
+from builders_mesh import NOWHERE, announcement, configuration, daemon_at_rest, route
 from daisywharf._configuration import RouteName, SplitPart
 from daisywharf._contract import Importance
 from daisywharf._experiments._surge import Outcome, Rejecting, Stream, Surge
 from daisywharf._ids import Incarnation, ServiceName, TargetId, VmId, ZoneName
 from daisywharf._mesh._daemon import MeshDaemon
-from daisywharf._mesh._frames import GateLoad
+from daisywharf._mesh._frames import Call, GateLoad, OnCallResult
+from daisywharf._mesh._gate import Gate
 from daisywharf._mesh._http_server import Exchange
+from daisywharf._mesh._memory_budget import MemoryBudget
 from daisywharf._overload._calls_below import CallsBelow
 from daisywharf._overload._chain import record_rows
+from daisywharf._overload._run_times import MIN_RUNS, record_run
 from daisywharf._routing._placement import set_target
 from daisywharf._topology import Target
+from daisywharf.platform._headers import PlatformDialect
 
 # A deep service of 81 slots, which serve 3,450 calls of 22 ms per second, at 0.77 of its capacity.
 BROWSE = Stream(Importance.NORMAL, per_s=430.0, calls=4)
@@ -61,6 +65,56 @@
         """Send nothing: the answer stays in the exchange."""
 
 
+class RecordingChannel:
+    """A channel to a gate that records the calls sent there and never answers."""
+
+    def __init__(self) -> None:
+        self.calls: list[Call] = []
+
+    def submit(self, call: Call, on_result: OnCallResult) -> object:
+        """Record a call."""
+        self.calls.append(call)
+        return len(self.calls)
+
+    def cancel(self, call_id: object) -> None:
+        """Ignore that nobody waits for a call any more."""
+
+
+def daemon_with_recording_channel(channel: RecordingChannel) -> MeshDaemon:
+    """Build an entry whose route leads to one gate of `stock`, behind this channel."""
+    daemon = daemon_with_gates(0.0)
+    daemon.entry.put_in_force(configuration(route(aim_s=1.0)))
+    daemon.entry.channel_to = lambda _vm: channel
+    return daemon
+
+
+def gate_with_runs(*, seconds: float, slots: int = 10) -> Gate:
+    """Build a gate with a ready target, and ten runs of the route `r` that took this long."""
+    gate = Gate(dialect=PlatformDialect(), now=lambda: 1.0, memory=MemoryBudget(max_bytes=1e6))
+    gate.handle_announcement(announcement(NOWHERE, slots=slots))
+    for _ in range(MIN_RUNS):
+        record_run(gate.run_times, "r stock", seconds, now=1.0)
+    return gate
+
+
+def call_of(*, time_left_ms: int, max_wait_ms: int = 5_000, route_name: str = "r stock") -> Call:
+    """Build a call to the target of `gate_with_runs`."""
+    return Call(
+        0,
+        "t-1",
+        "q1",
+        "front",
+        route_name,
+        time_left_ms,
+        max_wait_ms,
+        Importance.HIGH,
+        0,
+        True,
+        b"GET /r/x HTTP/1.1\r\n",
+        b"",
+    )
+
+
 def daemon_with_gates(
     *shares: float, visits: float = 4.0, is_client_route: bool = True
 ) -> MeshDaemon:
@@ -71,6 +125,8 @@
     front = route(parts=(SplitPart(ServiceName("front"), 1.0),))
     daemon = daemon_at_rest()
     entry, now = daemon.entry, daemon.now()
+    # The clock stands still, so that announced loads don't expire on a slow machine.
+    entry.now = lambda: now
     entry.put_in_force(configuration(front))
     record_rows(entry.chain, "vm-1", (CallsBelow("front", "r", "stock", "s", visits),))
     if is_client_route:
@@ -103,7 +159,7 @@
 def ask(daemon: MeshDaemon, *, time_left_ms: int = 2_000, request_id: str = "q1") -> Exchange:
     """Hand a client's request to an entry, in a loop; its answer is in the exchange returned."""
     connection = FakeConnection(daemon)
-    exchange = Exchange(connection, arrived_at=daemon.now())  # type: ignore[arg-type]
+    exchange = Exchange(connection, arrived_at=daemon.entry.now())  # type: ignore[arg-type]
     exchange.method, exchange.request_target = b"GET", b"/r/x"
     exchange.headers = [
         (b"Host", b"shop.example"),
--- a/tests/test_severe_overload.py
+++ b/tests/test_severe_overload.py
@@ -19,8 +19,12 @@
 )
 from builders_severe_overload import (
     REJECTING,
+    RecordingChannel,
     ask_times,
+    call_of,
     daemon_with_gates,
+    daemon_with_recording_channel,
+    gate_with_runs,
     outcomes,
     rejecting_surge,
     report_share,
@@ -32,10 +36,12 @@
 from daisywharf._configuration import RouteName
 from daisywharf._context import SUB_ORDERS
 from daisywharf._contract import Importance
-from daisywharf._ids import ServiceName, TargetId
+from daisywharf._errors import ErrorKind
+from daisywharf._ids import RequestId, ServiceName, TargetId
 from daisywharf._mesh._daemon import MeshDaemon
-from daisywharf._mesh._frames import GateLoad, Report, StatusUpdate
+from daisywharf._mesh._frames import CallResult, GateLoad, Report, StatusUpdate, Unanswered
 from daisywharf._mesh._learned import LearnedCalls, restore_learned_calls
+from daisywharf._overload._actions import CallId, Refuse
 from daisywharf._overload._calls_below import CallsBelow
 from daisywharf._overload._chain import (
     UNKNOWN_S,
@@ -66,6 +72,8 @@
     record_time_left,
     usual_time_left_s,
 )
+from daisywharf._overload._run_times import MAX_ROUTES, RunTimes, min_time_s, record_run
+from daisywharf._overload._slots import expire
 from daisywharf._routing._placement import LOAD_LIFETIME_S, place, service_rejected_share
 
 SEEDS = [1, 2, 3, 4, 5]
@@ -214,7 +222,7 @@
     daemon = daemon_with_gates(0.0, 0.0)
     report_share(daemon, 0, 0.9)
     placement = daemon.services.placement_of(STOCK)
-    now = daemon.now()
+    now = daemon.entry.now()
     report_share(daemon, 1, 0.9, age_s=0.0)
     assert service_rejected_share(placement, now=now + 0.1) == pytest.approx(0.9)
     assert service_rejected_share(placement, now=now + LOAD_LIFETIME_S + 0.1) == 0.0
@@ -224,7 +232,7 @@
     """Their gates count as taking calls, so requests are admitted as before the upgrade."""
     daemon = daemon_with_gates(0.0, 0.0, 0.55)
     placement = daemon.services.placement_of(STOCK)
-    assert service_rejected_share(placement, now=daemon.now()) == 0.0
+    assert service_rejected_share(placement, now=daemon.entry.now()) == 0.0
 
 
 def test_a_target_that_rejects_more_than_others_gets_few_calls() -> None:
@@ -239,10 +247,10 @@
 
 
 def _chosen(daemon: MeshDaemon, *, times: int) -> Counter[TargetId]:
-    placement = daemon.services.placement_of(STOCK)
+    placement, now, rng = daemon.services.placement_of(STOCK), daemon.entry.now(), Random(5)
     chosen: Counter[TargetId] = Counter()
     for _ in range(times):
-        candidate = place(placement, "s", excluded=set(), now=daemon.now(), rng=daemon.entry.rng)
+        candidate = place(placement, "s", excluded=set(), now=now, rng=rng)
         assert candidate is not None
         chosen[candidate.record.target.target_id] += 1
     return chosen
@@ -555,3 +563,98 @@
     report_share(daemon, 0, 0.0)
     ask_times(daemon, 5)
     assert outcomes(daemon) == {"no-target": 5}
+
+
+# Waiting at a gate.
+
+
+def test_a_call_that_can_t_finish_is_refused_as_too_late() -> None:
+    """Guard against slots that are held by calls whose time ends while they run."""
+    gate = gate_with_runs(seconds=0.5)
+    results: list[CallResult] = []
+    gate.submit(call_of(time_left_ms=290), results.append)
+    (result,) = results
+    assert isinstance(result, Unanswered)
+    assert (result.kind, result.has_begun) == (ErrorKind.TOO_LATE, False)
+
+
+def test_a_call_waits_until_it_can_t_finish_any_more() -> None:
+    gate = gate_with_runs(seconds=0.5, slots=1)
+    gate.slots.running.add(CallId(RequestId("other"), 0))
+    results: list[CallResult] = []
+    gate.submit(call_of(time_left_ms=2_000), results.append)
+    assert not expire(gate.slots, now=1.0 + 1.69)
+    (refusal,) = expire(gate.slots, now=1.0 + 1.71)
+    assert isinstance(refusal, Refuse)
+    assert refusal.kind is ErrorKind.TOO_LATE
+
+
+def test_calls_of_a_route_with_few_runs_may_start_late() -> None:
+    gate = gate_with_runs(seconds=0.5, slots=1)
+    gate.slots.running.add(CallId(RequestId("other"), 0))
+    results: list[CallResult] = []
+    gate.submit(call_of(time_left_ms=50, route_name="rare stock"), results.append)
+    assert not results
+
+
+def test_a_route_whose_calls_are_all_refused_is_tried_again() -> None:
+    """Guard against a gate that refuses a route for good after its target was slow."""
+    times = RunTimes()
+    for _ in range(20):
+        record_run(times, "r", 3.0, now=0.0)
+    assert min_time_s(times, "r", now=0.0) == pytest.approx(1.8)
+    assert min_time_s(times, "r", now=6.0) < 0.25
+
+
+def test_the_run_times_of_routes_are_kept_apart_and_bounded() -> None:
+    times = RunTimes()
+    for number in range(2 * MAX_ROUTES):
+        record_run(times, f"r{number}", 1.0, now=0.0)
+    assert len(times.run_time_by_route) == MAX_ROUTES
+    assert min_time_s(times, "r0", now=0.0) == 0.0
+
+
+def test_only_answers_count_as_runs() -> None:
+    """Guard against short rejections that make a route look fast."""
+
+    async def scenario() -> None:
+        world = MeshWorld(route(max_attempts=1))
+        answers = iter([(503, {"Not-Executed": "1"}), (500, {}), (200, {})])
+
+        def behave(seen: SeenRequest) -> None:
+            status, headers = next(answers)
+            seen.answer(status, **headers)
+
+        daemon = await world.add(TargetStandIn(behave))
+        await world.settle()
+        client = Client(daemon)
+        for _ in range(3):
+            await client.ask()
+        assert daemon.gate.run_times.run_time_by_route["r stock"].runs == 1
+        await world.close()
+
+    in_loop(scenario)
+
+
+def _max_wait_ms(*, latency_s: float | None, is_call: bool = False) -> int:
+    channel = RecordingChannel()
+    daemon = daemon_with_recording_channel(channel)
+    if is_call:
+        daemon.entry.origins.call_routes = frozenset({ROUTE})
+    (candidate,) = daemon.services.placement_of(STOCK).candidates
+    if latency_s is not None:
+        candidate.latency_by_kind[ROUTE] = latency_s
+    ask_times(daemon, 1)
+    return channel.calls[0].max_wait_ms
+
+
+@pytest.mark.parametrize(
+    ("latency_s", "is_call", "expected_ms"),
+    [(None, False, 300), (0.2, False, 700), (0.9, False, 300), (0.9, True, 2_000)],
+    ids=["unknown", "short", "long", "target's call"],
+)
+def test_a_request_waits_as_long_as_its_objective_and_time_allow(
+    latency_s: float | None, is_call: bool, expected_ms: int
+) -> None:
+    found_ms = _max_wait_ms(latency_s=latency_s, is_call=is_call)
+    assert found_ms == pytest.approx(expected_ms, abs=1)
