--- a/tests/builders_target_announcements.py
+++ b/tests/builders_target_announcements.py
@@ -40,6 +40,7 @@
         self.limit_per_s: float | None = None
         self.is_leaving = False
         self.work_s = WORK_S
+        self.rejected_share = 0.0
         self.born_ms = int(world.fleet.now * 1_000)
         self.sequence = 0
         self.stand_in = TargetStandIn(self._behave)
@@ -88,6 +89,9 @@
 
     def _behave(self, seen: SeenRequest) -> None:
         self.world.record_arrival(self, seen)
+        if self.rejected_share and self.world.rng.random() < self.rejected_share:
+            seen.answer(503, Not_Executed="1")
+            return
         asyncio.get_running_loop().call_later(self.work_s, self._answer, seen)
 
     def _answer(self, seen: SeenRequest) -> None:
--- a/tests/test_severe_overload.py
+++ b/tests/test_severe_overload.py
@@ -33,6 +33,8 @@
     total,
     whole_fraction,
 )
+from builders_target_announcements import ReportingWorld
+from builders_virtual_fleet import VirtualFleet
 from daisywharf._configuration import RouteName
 from daisywharf._context import SUB_ORDERS
 from daisywharf._contract import Importance
@@ -75,6 +77,7 @@
 from daisywharf._overload._run_times import MAX_ROUTES, RunTimes, min_time_s, record_run
 from daisywharf._overload._slots import expire
 from daisywharf._routing._placement import LOAD_LIFETIME_S, place, service_rejected_share
+from virtual_net import VirtualNet, in_virtual_time
 
 SEEDS = [1, 2, 3, 4, 5]
 DEEP, MIDDLE, STOCK = ServiceName("deep"), ServiceName("middle"), ServiceName("stock")
@@ -330,6 +333,45 @@
     assert not reporter.relayed_share_by_target
 
 
+def test_daemons_of_a_large_fleet_know_within_half_a_second_that_rejections_ended() -> None:
+    """Guard against shares that wait for reports and relays, which take a second."""
+
+    async def scenario(net: VirtualNet) -> None:
+        fleet = VirtualFleet(net, vms_by_zone={"a": 14, "b": 13, "c": 13})
+        await fleet.start()
+        world = ReportingWorld(fleet)
+        await world.start()
+        service = ServiceName("stock-0")
+
+        def shares() -> list[float]:
+            daemons = [vm.daemon for vm in fleet.vm_by_name.values() if vm.daemon is not None]
+            return [
+                daemon.services.rejected_share_by_service(now=fleet.now).get(service, 0.0)
+                for daemon in daemons
+            ]
+
+        per_s = 50.0 * len(fleet.vm_by_name)
+        await world.load(per_s=per_s, lasts_s=1.0)
+        assert max(shares()) == 0.0
+        for target in world.target_by_vm.values():
+            target.rejected_share = 0.55
+        await world.load(per_s=per_s, lasts_s=0.5)
+        known_after = shares()
+        await world.load(per_s=per_s, lasts_s=2.0)
+        lasting = shares()
+        for target in world.target_by_vm.values():
+            target.rejected_share = 0.0
+        await world.load(per_s=per_s, lasts_s=0.5)
+        print(f"after 0.5 s {min(known_after)} to {max(known_after)}")
+        print(f"lasting {min(lasting)} to {max(lasting)}, 0.5 s after the end {max(shares())}")
+        assert min(known_after) > 0.3
+        assert min(lasting) > 0.45
+        assert max(lasting) < 0.65
+        assert chance_of({service: 4.0}, {service: max(shares())}).chance >= MIN_CHANCE
+
+    in_virtual_time(scenario)
+
+
 # Clients that come back.
 
 
