--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -26,6 +26,7 @@
     log_refused,
     log_retry,
     log_shed,
+    log_unlikely,
 )
 from daisywharf._mesh._results import attempt_end_of, error_kind_of
 from daisywharf._mesh._retry_permits import RetryPermits
@@ -41,7 +42,17 @@
     step_without_retry,
 )
 from daisywharf._overload._calls_below import CallCounts, Callee, record_call
-from daisywharf._overload._chain import ChainState, Step, chain_level, visits_of
+from daisywharf._overload._chain import (
+    ChainLevel,
+    ChainState,
+    Step,
+    chain_level,
+    is_unknown,
+    record_request,
+    strictest_level,
+    visits_of,
+)
+from daisywharf._overload._chain_chance import chance_of, is_worth_starting
 from daisywharf._overload._level_controller import is_shed
 from daisywharf._overload._origins import (
     Origins,
@@ -66,11 +77,11 @@
 from daisywharf._signals._events import SERVED_LINES_PER_S, Event
 from daisywharf._signals._log import log_event
 
-# Fraction of the latency objective that a request may wait for a slot; it runs in the rest.
+# A request may wait for a slot until `LATENCY_MARGIN` times its target's mean latency remain of its
+# latency objective, since many runs take longer than the mean; and for this fraction of the
+# objective if the latency isn't known or leaves less.
 QUEUE_WAIT_FRACTION: Final = 0.3
-# Fraction of its remaining time that a call of a running request may wait for a slot; its request
-# holds slots upstream meanwhile.
-INNER_QUEUE_WAIT_FRACTION: Final = 0.6
+LATENCY_MARGIN: Final = 1.5
 # Calls made by running requests queue together with requests of high importance. Ahead of them,
 # they would cost short requests their latency objective; behind them, work already done upstream
 # would be wasted.
@@ -79,6 +90,8 @@
 DEFAULT_TIME_LEFT_S: Final = 30.0
 # Error kinds that mean the target accepts no more calls, even while its record shows it as ready.
 LEAVING_KINDS: Final = frozenset({ErrorKind.DRAINING, ErrorKind.WRONG_INCARNATION})
+# Kinds that have log events of their own where the entry refuses a request before any attempt.
+LOGGED_AT_ENTRY: Final = frozenset({ErrorKind.SHED, ErrorKind.LOW_CHANCE})
 # A target that had a request for longer than this when its deadline passed counts as failing.
 MIN_SLOW_ATTEMPT_S: Final = 0.3
 # At most one served request is logged per period.
@@ -196,6 +209,7 @@
             is_from_target=team is None and is_call(self.origins, route.name),
             team=team,
         )
+        record_request(self.chain, route.name, now=now)
         self.entered_by_route[route.name] = self.entered_by_route.get(route.name, 0) + 1
         if pending.is_from_target:
             record_call(self.call_counts, Callee(f"{route.name} {pending.service}"))
@@ -205,7 +219,9 @@
         if refusal_kind is not None:
             self._refuse(pending, refusal_kind, now=now)
             return
-        if not pending.is_from_target and self._shed_if_overloaded(pending, now=now):
+        if not pending.is_from_target and (
+            self._shed_if_overloaded(pending, now=now) or self._refuse_if_unlikely(pending, now=now)
+        ):
             return
         self.pending.add(pending)
         exchange.on_client_gone = lambda: self._abandon(pending)
@@ -230,8 +246,7 @@
             pending.sub_order = order_request(
                 self.fair_shares, team, route_importance, pending.sub_order, now=now
             )
-        visits = visits_of(self.chain, Step(pending.route.name, pending.service), now=now)
-        strictest = chain_level(visits, self.services.level_by_service(now=now))
+        strictest = self._chain_level(pending, now=now)
         if not is_shed(pending.importance, pending.sub_order, level=strictest.level):
             return False
         age_s = self.services.levels_age_s(now=now)
@@ -243,6 +258,37 @@
         self._refuse(pending, ErrorKind.SHED, now=now)
         return True
 
+    def _chain_level(self, pending: PendingRequest, *, now: float) -> ChainLevel:
+        """Return the strictest level of the request's chain, or of all services if unknown."""
+        step = Step(pending.route.name, pending.service)
+        level_by_service = self.services.level_by_service(now=now)
+        # A call of a target that isn't recognized yet must not be refused for another service.
+        if self._is_from_client(pending) and is_unknown(self.chain, step, now=now):
+            return strictest_level(level_by_service)
+        return chain_level(visits_of(self.chain, step, now=now), level_by_service)
+
+    def _is_from_client(self, pending: PendingRequest) -> bool:
+        """Return whether a request is known to be a client's."""
+        return pending.team is not None or is_request(self.origins, pending.route.name)
+
+    def _refuse_if_unlikely(self, pending: PendingRequest, *, now: float) -> bool:
+        """Refuse a client's request that would most probably fail; return whether it did."""
+        share_by_service = self.services.rejected_share_by_service(now=now)
+        # A route that isn't classified yet may carry targets' own calls.
+        if not share_by_service or not self._is_from_client(pending):
+            return False
+        visits = visits_of(self.chain, Step(pending.route.name, pending.service), now=now)
+        chance = chance_of(visits, share_by_service)
+        above = [service for service in visits if service not in share_by_service]
+        occupied_fraction = self.services.max_occupied_fraction(above, now=now)
+        if is_worth_starting(
+            chance.chance, occupied_fraction=occupied_fraction, draw=self.rng.random()
+        ):
+            return False
+        log_unlikely(pending, chance)
+        self._refuse(pending, ErrorKind.LOW_CHANCE, now=now)
+        return True
+
     # Attempts.
 
     def _send(self, pending: PendingRequest) -> None:
@@ -280,10 +326,7 @@
     def _build_call(self, pending: PendingRequest, candidate: Candidate, *, now: float) -> Call:
         exchange, route, head = pending.exchange, pending.route, pending.head
         time_left_s = pending.deadline - now
-        if pending.is_from_target:
-            max_wait_s = time_left_s * INNER_QUEUE_WAIT_FRACTION
-        else:
-            max_wait_s = route.aim_s * QUEUE_WAIT_FRACTION - (now - exchange.arrived_at)
+        max_wait_s = self._max_wait_s(pending, candidate, now=now)
         return Call(
             call_id=0,
             target_id=candidate.record.target.target_id,
@@ -307,6 +350,18 @@
             has_team=pending.team is not None,
         )
 
+    def _max_wait_s(self, pending: PendingRequest, candidate: Candidate, *, now: float) -> float:
+        """Return how long a call may wait at a gate, in seconds."""
+        if pending.is_from_target:
+            # The work done for its request is lost without it; the gate refuses it in time.
+            return pending.deadline - now
+        route = pending.route
+        wait_s = route.aim_s * QUEUE_WAIT_FRACTION
+        latency_s = candidate.latency_by_kind.get(route.name)
+        if latency_s is not None:
+            wait_s = max(wait_s, route.aim_s - LATENCY_MARGIN * latency_s)
+        return wait_s - (now - pending.exchange.arrived_at)
+
     def _handle_result(self, pending: PendingRequest, result: CallResult) -> None:
         candidate = pending.candidate
         assert candidate is not None
@@ -398,7 +453,7 @@
         retry_after_s = random_retry_after_s(
             latency_objective_s=pending.route.aim_s, time_left_s=time_left_s, rng=self.rng
         )
-        if kind is not ErrorKind.SHED or pending.progress.gates_tried:
+        if kind not in LOGGED_AT_ENTRY or pending.progress.gates_tried:
             log_refused(pending, kind, now=now)
         self._end(pending, outcome=kind.value)
         lines = self.dialect.refusal_lines(retry_after_s=retry_after_s)
@@ -480,4 +535,5 @@
             level=load.level,
             heard_at=self.now() - age_s,
             limit_per_s=load.limit_per_s,
+            rejected_share=load.rejected_share,
         )
--- a/src/daisywharf/_mesh/_gate.py
+++ b/src/daisywharf/_mesh/_gate.py
@@ -19,8 +19,10 @@
 from daisywharf._mesh._results import MISDIRECTED_STATUS
 from daisywharf._overload._actions import AdmissionAction, Admit, CallId, Refuse
 from daisywharf._overload._calls_below import CallCounts, Kind, record_half_run
+from daisywharf._overload._chain_chance import Rejections, record_start, rejected_share
 from daisywharf._overload._level_controller import LevelController, move_level, record_arrival
 from daisywharf._overload._queue import WaitingCall
+from daisywharf._overload._run_times import RunTimes, min_time_s, record_run
 from daisywharf._overload._slots import (
     SlotGate,
     arrive,
@@ -77,6 +79,8 @@
         self.announcement: TargetAnnouncement | None = None
         self.slots = SlotGate(slots=1)
         self.level_controller = LevelController(now=now())
+        self.rejections = Rejections(now=now())
+        self.run_times = RunTimes()
         self.started_count = 0  # calls sent to the target
         self.call_counts = CallCounts(now=now())
         self.ceiling = float(len(Importance))  # the shedding level at which nothing is refused
@@ -114,8 +118,14 @@
             round(capacity(slots)),
             round(self.level_controller.level, 3),
             slots.rate.limit_per_s,
+            # An integer 0, as is usual, takes one byte in a frame; a float takes nine.
+            round(self.rejected_share(), 2) or 0,
         )
 
+    def rejected_share(self) -> float:
+        """Return the share of the calls started lately that the target rejected as not run."""
+        return rejected_share(self.rejections, now=self.now())
+
     def handle_announcement(self, announcement: TargetAnnouncement) -> None:
         """Apply an announcement of the target; the caller drops those out of order."""
         known = self.announcement
@@ -144,6 +154,8 @@
         self.slots = SlotGate(slots=announcement.slots)
         self.slots.is_closed = self.is_stopping
         self.level_controller = LevelController(now=self.now())
+        self.rejections = Rejections(now=self.now())
+        self.run_times = RunTimes()
         self._pool = HttpPool(announcement.address, now=self.now, memory=self.memory)
 
     def submit(self, call: Call, on_result: OnCallResult) -> CallId:
@@ -165,6 +177,7 @@
         if call.limit_per_s is not None and is_limit_unknown:
             self._set_rate_limit(call.limit_per_s)
         deadline = now + call.time_left_ms / MS_PER_S
+        needed_s = max(MIN_CALL_TIME_S, min_time_s(self.run_times, call.route, now=now))
         add_buffered(self.memory, len(call.body))
         self.calls_by_id[call_id] = GateCall(call_id, call, on_result, deadline)
         waiting = WaitingCall(
@@ -173,7 +186,7 @@
             Importance(call.importance),
             call.sub_order,
             0,
-            min(now + call.max_wait_ms / MS_PER_S, deadline - MIN_CALL_TIME_S),
+            min(now + call.max_wait_ms / MS_PER_S, deadline - needed_s),
             now,
             has_team=call.has_team,
         )
@@ -373,7 +386,14 @@
         is_whole = head.is_signed and is_own and not head.is_encoded
         if is_whole and result.status < MIN_FAILURE_STATUS:
             self._handle_whole_answer(gate_call, head)
-        is_not_run = head.is_not_run or result.status == MISDIRECTED_STATUS
+        is_other_target = result.status == MISDIRECTED_STATUS
+        is_not_run = head.is_not_run or is_other_target
+        # A target that leaves or was replaced gets no more calls: that isn't a sign of overload.
+        is_rejected = is_not_run and is_own and not (is_other_target or head.is_leaving)
+        record_start(self.rejections, is_rejected=is_rejected, now=self.now())
+        if not is_not_run and result.status < MIN_FAILURE_STATUS:
+            now = self.now()
+            record_run(self.run_times, call.route, now - gate_call.started_at, now=now)
         # Without a matching request id, a refusal may be a late answer to another request.
         if (result.status < 300 and not is_whole) or (is_not_run and not is_own):
             return Unanswered(call.call_id, ErrorKind.CUT_ANSWER, has_begun=True, load=self.load())
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -271,6 +271,13 @@
         " {team_per_s} such requests per second, and {fair_per_s} of a team are admitted",
         REQUEST_LINES_PER_S,
     )
+    REQUEST_UNLIKELY = EventDefinition(
+        716,
+        EventLevel.INFO,
+        "request {request} of {route}, team {team}, refused at its entry: {rejecting} rejects"
+        " calls, chance {chance} for its call chain, version {version}",
+        REQUEST_LINES_PER_S,
+    )
 
     @property
     def label(self) -> str:
