Decide by loads and costs which share of calls leaves a zone

Calls of a service with many targets left their zone at random once 0.6 of its slots were occupied, and zones at 0.9 of their capacity exchanged half of their calls in both directions. Entries now estimate their zone's demand, send only what exceeds its capacity, and only to zones with clearly lower load.

--- a/src/daisywharf/_routing/_placement.py
+++ b/src/daisywharf/_routing/_placement.py
@@ -4,7 +4,8 @@
 the same time by slightly old announcements. An entry adds the calls it has sent since to a gate's
 announced load, compares a few gates, and prefers its own zone while that has headroom. With many
 targets, entries that each pick the best of a few would meet at the same one until its next
-announcement, so a target is drawn at random instead, weighted by headroom and speed.
+announcement, so a target is drawn at random instead, weighted by headroom and speed. Which share of
+the calls leaves the zone is decided in `_zone_spill`.
 """
 
 from math import exp
@@ -18,6 +19,18 @@
 from daisywharf._routing._ejection import is_probe_due, record_answer, record_failure, record_probe
 from daisywharf._routing._rate_share import RateShare, has_share, set_share, spend_share
 from daisywharf._routing._record import FAILURE_COST_FACTOR, TargetRecord, freshness, learn_outcome
+from daisywharf._routing._zone_spill import (
+    KindCost,
+    ZoneLoad,
+    ZoneSpill,
+    crossing_s,
+    draw_zone,
+    is_filled,
+    is_move_due,
+    is_short,
+    move_spill,
+    spill_share,
+)
 from daisywharf._topology import Target
 
 # Up to this many targets of a service are all compared for a call; among more, one is drawn.
@@ -27,19 +40,16 @@
 # Added to each gate's headroom, as a fraction of its limit, so that full gates are drawn as well:
 # announced loads are old, and calls end at a full gate too.
 MIN_HEADROOM_FRACTION: Final = 0.5
-# Occupied fraction of the own zone above which some calls go to other zones, and above which all
-# calls may.
-SPILL_START_FRACTION: Final = 0.6
-SPILL_ALL_FRACTION: Final = 0.95
+# Occupied fraction of all of the own zone's gates from which a call of a small service is placed by
+# comparison with other zones' gates, without waiting for the share that leaves the zone to rise.
+FULL_FRACTION: Final = 1.0
 # A target of the own zone loses its preference if its expected time, from its latency, its failures
 # and the age of its last announcement, exceeds this many times the typical time.
 UNHEALTHY_FACTOR: Final = 5.0
-# Extra cost of a target in another zone, in multiples of the call's own time and in seconds that
-# count for short calls, because traffic between zones is paid for. It outweighs a target of twice
-# the speed, and an idle gate against one with headroom, but not a queue: `WAIT_FACTOR` makes up for
-# it where the own zone's gate is full.
+# Extra cost of a target in another zone, in multiples of the call's own time. With the cost of the
+# crossing it outweighs a target of twice the speed, but not a queue: `WAIT_FACTOR` makes up for it
+# where the own zone's gate is full.
 OTHER_ZONE_COST_FACTOR: Final = 2.0
-OTHER_ZONE_COST_S: Final = 0.003
 # Occupied fraction above which a call is expected to wait, and how steeply the wait grows.
 WAIT_START_FRACTION: Final = 0.65
 WAIT_FACTOR: Final = 8.0
@@ -62,6 +72,11 @@
 COLD_FACTOR: Final = 2.0
 # A few calls go to any healthy target, so that the latency of each is known.
 EXPLORATION_FRACTION: Final = 0.02
+# Time constant of the number of calls by kind, and smoothing weight of one call's bytes.
+KIND_DECAY_S: Final = 10.0
+BYTES_WEIGHT: Final = 0.05
+# A kind with fewer recent calls than this is forgotten.
+MIN_KIND_CALLS: Final = 0.01
 
 
 class AnnouncedLoad(msgspec.Struct):
@@ -100,11 +115,21 @@
         self.sent_at = 0.0
 
 
+class KindRecord:
+    """Hold the recent number of calls of a kind, and the mean bytes of one and its answer."""
+
+    def __init__(self) -> None:
+        self.calls = 0.0
+        self.mean_bytes = 0.0
+
+
 class Placement:
     """Hold one entry's view of the targets of one service."""
 
     def __init__(self, *, zone: ZoneName) -> None:
         self.zone = zone
+        self.spill = ZoneSpill(zone)
+        self.record_by_kind: dict[str, KindRecord] = {}
         self.entries = 1  # in this zone; they share the rate limit of a target
         self.candidate_by_id: dict[TargetId, Candidate] = {}
         self.candidates: list[Candidate] = []
@@ -166,13 +191,29 @@
         set_share(candidate.share, limit_per_s if limit_per_s > UNLIMITED_PER_S else None)
 
 
+def record_bytes(placement: Placement, kind: str, count: int) -> None:
+    """Record the bytes of a call and its answer, which cross zones if its target is in another."""
+    record = placement.record_by_kind.get(kind)
+    if record is not None:
+        record.mean_bytes += (count - record.mean_bytes) * (
+            BYTES_WEIGHT if record.mean_bytes else 1.0
+        )
+
+
 def place(
     placement: Placement, kind: str, *, excluded: set[TargetId], now: float, rng: Random
 ) -> Candidate | None:
     """Choose a target for a call, or return None if no target accepts calls.
 
     `kind` groups calls of similar latency (it is the route's name): latencies are recorded by kind.
+    `excluded` holds the targets that were tried for this call.
     """
+    record = placement.record_by_kind.get(kind)
+    if record is None:
+        record = placement.record_by_kind[kind] = KindRecord()
+    record.calls += 1.0
+    if is_move_due(placement.spill, now):
+        _move_spill(placement, now=now)
     usable = [
         candidate
         for candidate in placement.candidates
@@ -194,17 +235,111 @@
         return probe
     healthy = [candidate for candidate in usable if not candidate.record.is_ejected] or usable
     if len(healthy) > 1 and rng.random() < EXPLORATION_FRACTION:
-        return rng.choice(healthy)
+        return rng.choice(_without_short_zones(placement.spill, healthy))
     if len(healthy) > MAX_COMPARED:
-        return _draw(healthy, kind, now=now, rng=rng)
+        pool = _draw_pool(placement, healthy, kind, is_repeat=bool(excluded), now=now, rng=rng)
+        return _draw(pool, kind, now=now, rng=rng)
+    return _compare(placement, healthy, kind, now=now, rng=rng)
+
+
+def _compare(
+    placement: Placement, healthy: list[Candidate], kind: str, *, now: float, rng: Random
+) -> Candidate:
+    """Return the target with the least expected cost in the zone that is chosen for the call.
+
+    All zones that have capacity to spare are compared if the own zone's targets are all full, or
+    much slower than usual, or if it has none.
+    """
     typical_s = _typical_latency_s(healthy, kind)
+    other_zone_s = crossing_s(placement.record_by_kind[kind].mean_bytes)
 
     def cost(candidate: Candidate) -> float:
-        seconds = _expected_s(candidate, kind, typical_s, now)
+        seconds = _expected_s(candidate, kind, typical_s, now, other_zone_s=other_zone_s)
         # Up to 5 % at random, so that entries don't all choose the same one of equal targets.
         return seconds * (1.0 + _overdue_calls(candidate, now)) * (1.0 + 0.05 * rng.random())
 
-    return min(healthy, key=cost)
+    def idle_cost(candidate: Candidate) -> float:
+        seconds = _unloaded_s(candidate, kind, typical_s, now)
+        seconds *= 1.0 + _overdue_calls(candidate, now)
+        if candidate.record.is_own_zone:
+            return seconds
+        return (1.0 + OTHER_ZONE_COST_FACTOR) * seconds + other_zone_s
+
+    pool = _spilled_pool(placement.spill, healthy, kind, rng=rng)
+    if not pool and min(healthy, key=idle_cost).record.is_own_zone:
+        pool = [
+            candidate
+            for candidate in healthy
+            if candidate.record.is_own_zone and _occupied_fraction(candidate, now) < FULL_FRACTION
+        ]
+    return min(pool or _without_short_zones(placement.spill, healthy), key=cost)
+
+
+def _spilled_pool(
+    spill: ZoneSpill, healthy: list[Candidate], kind: str, *, rng: Random
+) -> list[Candidate]:
+    """Return the targets of another zone if the call is drawn to leave its zone, else none."""
+    share = spill_share(spill, kind)
+    if not share or rng.random() >= share:
+        return []
+    zone = draw_zone(spill, rng)
+    return [candidate for candidate in healthy if candidate.record.target.zone == zone]
+
+
+def _without_short_zones(spill: ZoneSpill, candidates: list[Candidate]) -> list[Candidate]:
+    """Leave out the targets of other zones that need their capacity, unless no others remain."""
+    if not spill.short_zones:
+        return candidates
+    return [
+        candidate for candidate in candidates if not is_short(spill, candidate.record.target.zone)
+    ] or candidates
+
+
+def _move_spill(placement: Placement, *, now: float) -> None:
+    """Move the shares of calls to other zones by the loads and costs known at present."""
+    spill = placement.spill
+    decay = exp(-min(KIND_DECAY_S, now - spill.moved_at) / KIND_DECAY_S)
+    healthy = [
+        candidate
+        for candidate in placement.candidates
+        if not candidate.is_refusing and not candidate.record.is_ejected
+    ]
+    cost = {
+        kind: KindCost(
+            record.calls, _typical_latency_s(healthy, kind), crossing_s(record.mean_bytes)
+        )
+        for kind, record in placement.record_by_kind.items()
+    }
+    main_kind = max(cost, key=lambda kind: cost[kind].work_s)
+    zones = _zone_loads(healthy, main_kind, cost[main_kind].run_s, now=now)
+    move_spill(spill, zones, cost, now)
+    for kind, record in list(placement.record_by_kind.items()):
+        record.calls *= decay
+        if record.calls < MIN_KIND_CALLS:
+            del placement.record_by_kind[kind]
+
+
+def _zone_loads(
+    healthy: list[Candidate], kind: str, typical_s: float, *, now: float
+) -> dict[ZoneName, ZoneLoad]:
+    """Return the load of each zone's targets that calls may be sent to.
+
+    A target counts with the fraction of its calls that succeed; those that are much slower than
+    usual, silent or mostly failing don't count.
+    """
+    zones: dict[ZoneName, ZoneLoad] = {}
+    for candidate in healthy:
+        record, load = candidate.record, candidate.load
+        if candidate.share.limit_per_s is not None and not record.is_own_zone:
+            continue  # only its own zone's entries send calls to a target with a rate limit
+        if _unloaded_s(candidate, kind, typical_s, now) > UNHEALTHY_FACTOR * typical_s:
+            continue
+        zone = zones.setdefault(record.target.zone, ZoneLoad())
+        limit = max(1, record.target.slots) if load is None else load.limit
+        zone.occupied += _occupied_fraction(candidate, now) * limit
+        zone.targets += 1
+        zone.capacity += limit * (1.0 - record.failed_fraction * freshness(record, now))
+    return zones
 
 
 def _has_rate_share(candidate: Candidate, placement: Placement, *, now: float, rng: Random) -> bool:
@@ -214,13 +349,8 @@
     )
 
 
-def _draw(healthy: list[Candidate], kind: str, *, now: float, rng: Random) -> Candidate:
-    """Draw a target weighted by headroom and speed, in the own zone while that has headroom.
-
-    `kind` is the kind of call, as for `place`.
-    """
-    typical_s = _typical_latency_s(healthy, kind)
-    pool = _draw_pool(healthy, kind, typical_s, now=now, rng=rng)
+def _draw(pool: list[Candidate], kind: str, *, now: float, rng: Random) -> Candidate:
+    """Draw a target weighted by headroom and speed; `kind` is the kind of call, as for `place`."""
     if len(pool) > MAX_DRAWN:
         pool = rng.sample(pool, MAX_DRAWN)
     typical_s = _typical_latency_s(pool, kind)
@@ -234,25 +364,32 @@
 
 
 def _draw_pool(
-    healthy: list[Candidate], kind: str, typical_s: float, *, now: float, rng: Random
+    placement: Placement,
+    healthy: list[Candidate],
+    kind: str,
+    *,
+    is_repeat: bool,
+    now: float,
+    rng: Random,
 ) -> list[Candidate]:
-    """Return the targets to draw from: those of the own zone or, as its load rises, more often all.
+    """Return the targets to draw from: those of the own zone or of one that has capacity to spare.
 
-    Much slower targets of the own zone are left out, unless all are returned.
+    Much slower targets of the own zone are left out, unless all are. A call that a gate refused is
+    drawn among all zones that have capacity to spare if the own zone has none.
     """
+    spilled = _spilled_pool(placement.spill, healthy, kind, rng=rng)
+    if spilled:
+        return spilled
+    typical_s = _typical_latency_s(healthy, kind)
     max_s = UNHEALTHY_FACTOR * typical_s
     own = [
         candidate
         for candidate in healthy
         if candidate.record.is_own_zone and _unloaded_s(candidate, kind, typical_s, now) <= max_s
     ]
-    if not own:
-        return healthy
-    occupied_fraction = sum(_occupied_fraction(candidate, now) for candidate in own) / len(own)
-    spilled_fraction = (occupied_fraction - SPILL_START_FRACTION) / (
-        SPILL_ALL_FRACTION - SPILL_START_FRACTION
-    )
-    return healthy if rng.random() < spilled_fraction else own
+    if not own or (is_repeat and is_filled(placement.spill)):
+        return _without_short_zones(placement.spill, healthy)
+    return own
 
 
 def record_sent(candidate: Candidate, *, now: float) -> None:
@@ -347,8 +484,13 @@
     return occupied_fraction
 
 
-def _expected_s(candidate: Candidate, kind: str, typical_s: float, now: float) -> float:
-    """Return the expected cost of a call in seconds, with its wait and the cost of other zones."""
+def _expected_s(
+    candidate: Candidate, kind: str, typical_s: float, now: float, *, other_zone_s: float
+) -> float:
+    """Return the expected cost of a call in seconds, with its wait and the cost of other zones.
+
+    `other_zone_s` is the cost of a call's crossing to another zone.
+    """
     occupied_fraction = _occupied_fraction(candidate, now)
     if occupied_fraction > WAIT_START_FRACTION:
         factor = 1.0 + WAIT_FACTOR * (occupied_fraction - WAIT_START_FRACTION)
@@ -358,7 +500,7 @@
     unloaded_s = _unloaded_s(candidate, kind, typical_s, now)
     if candidate.record.is_own_zone:
         return factor * unloaded_s
-    return (factor + OTHER_ZONE_COST_FACTOR) * unloaded_s + OTHER_ZONE_COST_S
+    return (factor + OTHER_ZONE_COST_FACTOR) * unloaded_s + other_zone_s
 
 
 def _unloaded_s(candidate: Candidate, kind: str, typical_s: float, now: float) -> float:
