--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -52,6 +52,7 @@
 from daisywharf._mesh._store import Store
 from daisywharf._mesh._store_sync import StoreSync
 from daisywharf._mesh._summaries import Summaries
+from daisywharf._mesh._zone_calls import end_idle_spills, zone_call_metrics
 from daisywharf._outcomes._pause import PAUSE_LIMIT_S, PauseState, pause_tick
 from daisywharf._overload._actions import CallId
 from daisywharf._overload._start_rate import limit_or_infinity
@@ -468,6 +469,7 @@
             self.clients.sweep(now=now)
             self.gate.sweep(now=now)
             self._count_unsent()
+            end_idle_spills(self.entry.zone_calls, self.services, now=now)
 
     def _count_unsent(self) -> None:
         for link in self.membership.link_by_vm.values():
@@ -492,7 +494,12 @@
             store_contact_age_s=self.now() - max(self.sync.contacted_at, self._started_at),
             confirmed_age_s=self._confirmed_age_s(),
         )
-        return [*request_metrics(self.entry.request_stats, zone=self.settings.zone), *state]
+        zone = self.settings.zone
+        return [
+            *request_metrics(self.entry.request_stats, zone=zone),
+            *zone_call_metrics(self.entry.zone_calls, self.services, zone=zone),
+            *state,
+        ]
 
     def _confirmed_age_s(self) -> float:
         """Return the time since the version in force was known to be the newest, in seconds."""
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -31,6 +31,7 @@
 from daisywharf._mesh._services import Services
 from daisywharf._mesh._settings import MeshSettings
 from daisywharf._mesh._team_keys import find_team
+from daisywharf._mesh._zone_calls import ZoneCalls, record_zone_call
 from daisywharf._outcomes._next_step import (
     AttemptEnd,
     NextStep,
@@ -53,6 +54,7 @@
 from daisywharf._routing._placement import (
     Candidate,
     place,
+    record_bytes,
     record_ended,
     record_failed_answer,
     record_failed_call,
@@ -61,6 +63,7 @@
     record_success,
 )
 from daisywharf._routing._split import SplitState, next_part
+from daisywharf._routing._zone_spill import spill_share
 from daisywharf._signals._events import SERVED_LINES_PER_S, Event
 from daisywharf._signals._log import log_event
 
@@ -118,6 +121,7 @@
         self.can_accept: Callable[[float, float], bool] = lambda _deadline, _now: True
         self.pending: set[PendingRequest] = set()
         self.request_stats = RequestStats()
+        self.zone_calls = ZoneCalls()
         self.sampled_at = float("-inf")
 
     @property
@@ -254,6 +258,9 @@
             return
         pending.candidate, pending.channel, pending.sent_at = candidate, channel, now
         record_sent(candidate, now=now)
+        pending.spill_share = spill_share(placement.spill, pending.route.name)
+        zone = candidate.record.target.zone
+        record_zone_call(self.zone_calls, pending.service, placement, zone, now=now)
         pending.call_id = None
         call_id = channel.submit(
             self._build_call(pending, candidate, now=now),
@@ -299,8 +306,10 @@
         record_ended(candidate)
         if result.load is not None:
             self.record_load(pending.service, candidate.record.target.target_id, result.load)
-        if isinstance(result, Answered) and result.is_leaving:
-            self.services.record_leaving(candidate.record.target)
+        if isinstance(result, Answered):
+            self._record_bytes(pending, result)
+            if result.is_leaving:
+                self.services.record_leaving(candidate.record.target)
         end = attempt_end_of(result)
         pending.last_error_kind = error_kind_of(result)
         self._record_outcome(pending, candidate, end, now=now)
@@ -317,6 +326,15 @@
         else:
             self._apply_step(pending, step, result, now=now)
 
+    def _record_bytes(self, pending: PendingRequest, result: Answered) -> None:
+        """Record the bytes that cross zones with a call like this one, apart from framing."""
+        request_bytes = len(pending.head.passed_on) + len(pending.exchange.body)
+        record_bytes(
+            self.services.placement_of(pending.service),
+            pending.route.name,
+            request_bytes + len(result.headers) + len(result.body),
+        )
+
     def _request_retry(
         self, pending: PendingRequest, end: AttemptEnd, result: CallResult, *, now: float
     ) -> None:
--- a/src/daisywharf/_mesh/_pending.py
+++ b/src/daisywharf/_mesh/_pending.py
@@ -59,6 +59,7 @@
         self.progress = Progress()
         self.last_error_kind = ErrorKind.NO_TARGET
         self.sent_at = 0.0
+        self.spill_share = 0.0  # of the calls of its route, when the last attempt was placed
         self.candidate: Candidate | None = None
         self.channel: GateChannel | None = None
         self.call_id: object = None
@@ -82,6 +83,11 @@
         """Return the id of the target of the last attempt, or "none"."""
         return "none" if self.candidate is None else self.candidate.record.target.target_id
 
+    @property
+    def target_zone(self) -> str:
+        """Return the zone of the target of the last attempt, or "none"."""
+        return "none" if self.candidate is None else self.candidate.record.target.zone
+
     def elapsed_ms(self, now: float) -> float:
         """Return the milliseconds since the request arrived."""
         return round((now - self.exchange.arrived_at) * MS_PER_S, 1)
@@ -129,6 +135,8 @@
         kind=kind.value,
         cause=cause,
         target=pending.target,
+        target_zone=pending.target_zone,
+        spill_share=round(pending.spill_share, 3),
         attempts=pending.progress.attempts,
         held_ms=pending.elapsed_ms(now),
         version=pending.version,
@@ -165,6 +173,8 @@
         route=pending.route.name,
         team=pending.team_name,
         target=pending.target,
+        target_zone=pending.target_zone,
+        spill_share=round(pending.spill_share, 3),
         status=status,
         held_ms=pending.elapsed_ms(now),
         version=pending.version,
--- a/src/daisywharf/_routing/_zone_spill.py
+++ b/src/daisywharf/_routing/_zone_spill.py
@@ -24,7 +24,7 @@
 MAX_ELAPSED_S: Final = 1.0
 # A zone that sends calls is kept at a load of 1 - this / sqrt(n), as a fraction of its slots, where
 # its targets have n slots each: small gates fill up while others of the zone have free slots.
-GATE_MARGIN: Final = 0.6
+GATE_MARGIN: Final = 0.8
 # Upper limit of that load for calls that cost much to send. Demand over the capacity fills the
 # queues and is refused however small the excess, and a refusal costs a caller more than a transfer.
 MAX_KEPT_LOAD: Final = 0.97
@@ -51,6 +51,8 @@
 # by 0.23 of its mean per second.
 MAX_RISE_PER_S: Final = 0.3
 MAX_FALL_PER_S: Final = 0.5
+# A service that wasn't called for this long stops leaving the zone.
+IDLE_S: Final = 5.0
 # Time constants of the loads, and of the share that the announced loads show: announcements arrive
 # some 0.3 s late on average, and a call occupies its slot for a while.
 LOAD_SMOOTHING_S: Final = 0.5
@@ -97,6 +99,7 @@
         self.zone = zone
         self.moved_at = float("-inf")
         self.has_own = True
+        self.is_leaving = False
         self.load = 0.0
         self.base_load = 0.0  # at which zones that send are kept if crossings cost little
         self.load_by_zone: dict[ZoneName, float] = {}
@@ -138,6 +141,7 @@
         state.share_by_zone.clear()
         state.lagged_share_by_zone.clear()
         state.share_by_kind.clear()
+        state.is_leaving = bool(zones)
         return
     wanted = _wanted_shares(state, zones, own, _kept_load(state, cost))
     _step(state, wanted, elapsed_s)
@@ -146,9 +150,20 @@
         lagged = state.lagged_share_by_zone.get(zone, 0.0)
         lagged += (state.share_by_zone.get(zone, 0.0) - lagged) * lag_weight
         state.lagged_share_by_zone[zone] = lagged
+    state.is_leaving = bool(state.share_by_zone)
     _divide_by_kind(state, cost)
 
 
+def end_idle_spill(state: ZoneSpill, *, now: float) -> None:
+    """Reset the shares of a service that is no longer called."""
+    if now - state.moved_at > IDLE_S:
+        state.has_own = True
+        state.is_leaving = False
+        state.share_by_zone.clear()
+        state.lagged_share_by_zone.clear()
+        state.share_by_kind.clear()
+
+
 def spill_share(state: ZoneSpill, kind: str) -> float:
     """Return the share of the calls of one kind that leaves the zone."""
     return state.share_by_kind.get(kind, 0.0) if state.has_own else 1.0
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -194,7 +194,8 @@
         703,
         EventLevel.WARNING,
         "request {request} of {route}, team {team}, failed at {service}: {kind}, {cause},"
-        " last at {target}, after {attempts} attempts in {held_ms} ms, version {version}",
+        " last at {target} in zone {target_zone}, spill share {spill_share},"
+        " after {attempts} attempts in {held_ms} ms, version {version}",
         REQUEST_LINES_PER_S,
     )
     REQUEST_REPEATED = EventDefinition(
@@ -230,6 +231,7 @@
         709,
         EventLevel.INFO,
         "request {request} of {route}, team {team}, was answered {status} by {target}"
+        " in zone {target_zone}, spill share {spill_share},"
         " in {held_ms} ms,"
         " version {version}",
         SERVED_LINES_PER_S,
@@ -253,6 +255,17 @@
         "request {request} of {route} was denied: {kind}, version {version}",
         REQUEST_LINES_PER_S,
     )
+    SPILL_STARTED = EventDefinition(
+        718,
+        EventLevel.INFO,
+        "calls of {service} start to leave the zone: share {share}, own load {load},"
+        " to {destinations}",
+    )
+    SPILL_ENDED = EventDefinition(
+        719,
+        EventLevel.INFO,
+        "calls of {service} stay in the zone again after {spilled_s} s, own load {load}",
+    )
 
     @property
     def label(self) -> str:
