--- a/src/daisywharf/_routing/_zone_spill.py
+++ b/src/daisywharf/_routing/_zone_spill.py
@@ -51,12 +51,21 @@
 # by 0.23 of its mean per second.
 MAX_RISE_PER_S: Final = 0.3
 MAX_FALL_PER_S: Final = 0.5
+# The same for the share of a zone that is short: it is called no more within about a second, and a
+# short peak of its load, which is common with few slots, doesn't take away all of its calls.
+MAX_SHORT_FALL_PER_S: Final = 0.8
 # A service that wasn't called for this long stops leaving the zone.
 IDLE_S: Final = 5.0
-# Time constants of the loads, and of the share that the announced loads show: announcements arrive
-# some 0.3 s late on average, and a call occupies its slot for a while.
-LOAD_SMOOTHING_S: Final = 0.5
-SHARE_LAG_S: Final = 0.8
+# Time constant of the loads. The load of a zone with 72 slots varies by a tenth by chance, and a
+# shorter time constant passes that on to the shares.
+LOAD_SMOOTHING_S: Final = 0.8
+# A zone whose load rises fast is short at once if its load, with a shorter time constant, is this
+# much over the load from which it is short.
+FAST_SMOOTHING_S: Final = 0.3
+FAST_SHORT_MARGIN: Final = 0.08
+# Time constant of the share that the smoothed loads reflect: announcements are some 0.2 s old on
+# average, and a call occupies its slot for a while.
+SHARE_LAG_S: Final = 1.1
 # A smaller share counts as none: at 100 calls per second it is less than one call.
 MIN_SHARE: Final = 0.005
 # Round trip between zones, in the middle of the 1 to 3 ms that operators report.
@@ -103,6 +112,7 @@
         self.load = 0.0
         self.base_load = 0.0  # at which zones that send are kept if crossings cost little
         self.load_by_zone: dict[ZoneName, float] = {}
+        self.fast_load_by_zone: dict[ZoneName, float] = {}
         self.short_zones: set[ZoneName] = set()
         self.share_by_zone: dict[ZoneName, float] = {}
         self.lagged_share_by_zone: dict[ZoneName, float] = {}
@@ -131,9 +141,7 @@
     is_first = state.moved_at == float("-inf")
     elapsed_s = MOVE_PERIOD_S if is_first else min(MAX_ELAPSED_S, now - state.moved_at)
     state.moved_at = now
-    _smooth_loads(
-        state, zones, weight=1.0 if is_first else 1.0 - exp(-elapsed_s / LOAD_SMOOTHING_S)
-    )
+    _smooth_loads(state, zones, elapsed_s=float("inf") if is_first else elapsed_s)
     own = zones.get(state.zone)
     state.has_own = own is not None and own.capacity > 0.0
     if own is None or not state.has_own:
@@ -146,7 +154,9 @@
     wanted = _wanted_shares(state, zones, own, _kept_load(state, cost))
     _step(state, wanted, elapsed_s)
     lag_weight = 1.0 - exp(-elapsed_s / SHARE_LAG_S)
-    for zone in zones.keys() | state.lagged_share_by_zone.keys():
+    for zone in state.lagged_share_by_zone.keys() - zones.keys():
+        del state.lagged_share_by_zone[zone]
+    for zone in zones:
         lagged = state.lagged_share_by_zone.get(zone, 0.0)
         lagged += (state.share_by_zone.get(zone, 0.0) - lagged) * lag_weight
         state.lagged_share_by_zone[zone] = lagged
@@ -186,25 +196,33 @@
     return zone in state.short_zones
 
 
-def _smooth_loads(state: ZoneSpill, zones: dict[ZoneName, ZoneLoad], *, weight: float) -> None:
+def _smooth_loads(state: ZoneSpill, zones: dict[ZoneName, ZoneLoad], *, elapsed_s: float) -> None:
+    weight = 1.0 - exp(-elapsed_s / LOAD_SMOOTHING_S)
+    fast_weight = 1.0 - exp(-elapsed_s / FAST_SMOOTHING_S)
     targets = sum(announced.targets for announced in zones.values())
     capacity = sum(announced.capacity for announced in zones.values())
     if capacity:
         state.base_load = max(0.5, 1.0 - GATE_MARGIN * sqrt(targets / capacity))
     for zone in state.load_by_zone.keys() - zones.keys():
-        del state.load_by_zone[zone]
+        del state.load_by_zone[zone], state.fast_load_by_zone[zone]
     for zone, announced in zones.items():
         load = announced.occupied / announced.capacity if announced.capacity else float("inf")
         load = min(load, MAX_MEASURED_LOAD)
         known = state.load_by_zone.get(zone, load)
         state.load_by_zone[zone] = known + (load - known) * weight
+        known = state.fast_load_by_zone.get(zone, load)
+        state.fast_load_by_zone[zone] = known + (load - known) * fast_weight
     state.load = state.load_by_zone.get(state.zone, 0.0)
     filled_load = _filled_load(state)
     short_load = max(state.base_load + SHORT_MARGIN, filled_load + MIN_GRADIENT - SHORT_MARGIN)
     state.short_zones = {
         zone
         for zone, load in state.load_by_zone.items()
-        if zone != state.zone and load >= (filled_load if zone in state.short_zones else short_load)
+        if zone != state.zone
+        and (
+            load >= (filled_load if zone in state.short_zones else short_load)
+            or state.fast_load_by_zone[zone] >= short_load + FAST_SHORT_MARGIN
+        )
     }
 
 
@@ -257,14 +275,14 @@
 
 
 def _step(state: ZoneSpill, wanted: dict[ZoneName, float], elapsed_s: float) -> None:
-    """Move the shares by bounded steps; a zone that is short or lost gets none at once."""
+    """Move the shares by bounded steps; a zone that can't be reached gets none at once."""
     share_by_zone = state.share_by_zone
-    for zone in list(share_by_zone):
-        if zone in state.short_zones or zone not in state.load_by_zone:
-            del share_by_zone[zone]
+    for zone in share_by_zone.keys() - state.load_by_zone.keys():
+        del share_by_zone[zone]
     change_by_zone = {
         zone: wanted.get(zone, 0.0) - share_by_zone.get(zone, 0.0)
-        for zone in wanted.keys() | share_by_zone.keys()
+        for zone in state.load_by_zone
+        if zone in wanted or zone in share_by_zone
     }
     rise = sum(change for change in change_by_zone.values() if change > 0.0)
     fall = -sum(change for change in change_by_zone.values() if change < 0.0)
@@ -272,8 +290,11 @@
     fall_scale = min(1.0, MAX_FALL_PER_S * elapsed_s / fall) if fall else 0.0
     for zone, change in change_by_zone.items():
         share = share_by_zone.get(zone, 0.0)
-        share += change * (rise_scale if change > 0.0 else fall_scale)
-        if share < MIN_SHARE and share >= wanted.get(zone, 0.0):
+        if zone in state.short_zones:
+            share -= MAX_SHORT_FALL_PER_S * elapsed_s
+        else:
+            share += change * (rise_scale if change > 0.0 else fall_scale)
+        if share < MIN_SHARE and share >= wanted.get(zone, 0.0) or share <= 0.0:
             share_by_zone.pop(zone, None)
         else:
             share_by_zone[zone] = share
