Leave the room of other zones to the zone that needs it most

A zone of medium load sent calls to a third zone and was in turn filled by one with a higher load. It now keeps its calls at a load close to that of the most loaded zone.

--- a/src/daisywharf/_routing/_zone_spill.py
+++ b/src/daisywharf/_routing/_zone_spill.py
@@ -233,15 +233,21 @@
 
 
 def _kept_load(state: ZoneSpill, cost: dict[str, KindCost]) -> float:
-    """Return the load at which the wait in the own zone makes up for the next crossing."""
+    """Return the load at which the wait in the own zone makes up for the next crossing.
+
+    It isn't much lower than the load of any other zone, which needs the room elsewhere more.
+    """
+    others = (load for zone, load in state.load_by_zone.items() if zone != state.zone)
+    lowest = max(state.base_load, max(others, default=0.0) - MIN_GRADIENT / 2)
     total_s = sum(kind.work_s for kind in cost.values())
     cheaper_s = 0.0
+    load = 0.0
     for kind in sorted(cost.values(), key=lambda kind: kind.crossing_s):
         cheaper_s += kind.work_s
         if cheaper_s > state.share * total_s:
             load = WAIT_START_LOAD + kind.crossing_s / (WAIT_FACTOR * max(kind.run_s, 1e-4))
-            return max(state.base_load, min(MAX_KEPT_LOAD, load))
-    return state.base_load
+            break
+    return min(MAX_KEPT_LOAD, max(lowest, load))
 
 
 def _wanted_shares(
