--- a/src/daisywharf/_routing/_zone_spill.py
+++ b/src/daisywharf/_routing/_zone_spill.py
@@ -48,8 +48,11 @@
 WAIT_START_LOAD: Final = 0.65
 WAIT_FACTOR: Final = 8.0
 # Maximum changes of the share per second. Demand that swings by 0.55 with a period of 15 s changes
-# by 0.23 of its mean per second.
+# by 0.23 of its mean per second. While the own zone's calls already wait, at a surge, a slow rise
+# would discard work for seconds.
 MAX_RISE_PER_S: Final = 0.3
+MAX_RISE_IF_FULL_PER_S: Final = 0.8
+FULL_LOAD: Final = 1.0
 MAX_FALL_PER_S: Final = 0.5
 # The same for the share of a zone that is short: it is called no more within about a second, and a
 # short peak of its load, which is common with few slots, doesn't take away all of its calls.
@@ -292,7 +295,8 @@
     }
     rise = sum(change for change in change_by_zone.values() if change > 0.0)
     fall = -sum(change for change in change_by_zone.values() if change < 0.0)
-    rise_scale = min(1.0, MAX_RISE_PER_S * elapsed_s / rise) if rise else 0.0
+    max_rise_per_s = MAX_RISE_PER_S if state.load < FULL_LOAD else MAX_RISE_IF_FULL_PER_S
+    rise_scale = min(1.0, max_rise_per_s * elapsed_s / rise) if rise else 0.0
     fall_scale = min(1.0, MAX_FALL_PER_S * elapsed_s / fall) if fall else 0.0
     for zone, change in change_by_zone.items():
         share = share_by_zone.get(zone, 0.0)
