Refuse requests over their team's quota with 429

Callers of a team with a quota were served without limit, to the cost of other teams. The entry now checks the quota after the key and before shedding, answers 429 with the time after which this daemon's part has a token, and returns the token of a request that was refused unrun. Daemons report totals by team in a new frame (TeamReport, tag 19), which one daemon of each other zone relays. Without teams in the configuration nothing is counted or sent.

--- a/src/daisywharf/_errors.py
+++ b/src/daisywharf/_errors.py
@@ -16,6 +16,7 @@
     UNKNOWN_KEY = "unknown-key"
     NOT_IN_CONTRACT = "not-in-contract"
     RATE_EXCEEDED = "rate-exceeded"
+    OVER_QUOTA = "over-quota"
     SHED = "shed"
     TOO_LATE = "too-late"
     TIMED_OUT = "timed-out"
@@ -71,6 +72,7 @@
     ErrorKind.UNKNOWN_KEY: Answer(401, False, Ran.NO),
     ErrorKind.NOT_IN_CONTRACT: Answer(403, False, Ran.NO),
     ErrorKind.RATE_EXCEEDED: Answer(429, False, Ran.NO),
+    ErrorKind.OVER_QUOTA: Answer(429, True, Ran.NO),
     ErrorKind.SHED: Answer(503, True, Ran.NO),
     ErrorKind.TOO_LATE: Answer(504, False, Ran.NO),
     ErrorKind.TIMED_OUT: Answer(504, False, Ran.UNKNOWN),
--- a/src/daisywharf/_mesh/_counts.py
+++ b/src/daisywharf/_mesh/_counts.py
@@ -8,6 +8,7 @@
 from daisywharf._configuration import RouteName
 from daisywharf._errors import ErrorKind
 from daisywharf._ids import ServiceName, ZoneName
+from daisywharf._overload._team_quota import TeamQuotas
 from daisywharf._signals._metrics import Metric, Sample, counter, gauge
 
 # Upper bounds of the latency buckets: from a quick read to the longest deadline of a site.
@@ -91,6 +92,23 @@
     ]
 
 
+def team_metrics(quotas: TeamQuotas, *, bytes_sent: int) -> list[Metric]:
+    """Return the metrics of teams' requests."""
+    requested = [
+        Sample(usage.requested, {"team": team})
+        for team, usage in sorted(quotas.usage.usage_by_team.items())[:MAX_SERIES]
+    ]
+    refused = [
+        Sample(bucket.refused, {"team": team})
+        for team, bucket in sorted(quotas.bucket_by_team.items())[:MAX_SERIES]
+    ]
+    return [
+        counter("daisywharf_team_requests_total", "Requests with a team's key.", *requested),
+        counter("daisywharf_team_over_quota_total", "Requests over a team's quota.", *refused),
+        counter("daisywharf_team_report_bytes_total", "Bytes of reports.", Sample(bytes_sent)),
+    ]
+
+
 def daemon_metrics(
     *,
     running: int,
--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -15,7 +15,7 @@
     check_announcement,
     is_born_in_the_future,
 )
-from daisywharf._mesh._counts import daemon_metrics, request_metrics
+from daisywharf._mesh._counts import daemon_metrics, request_metrics, team_metrics
 from daisywharf._mesh._departures import (
     Departure,
     Departures,
@@ -52,9 +52,12 @@
 from daisywharf._mesh._store import Store
 from daisywharf._mesh._store_sync import StoreSync
 from daisywharf._mesh._summaries import Summaries
+from daisywharf._mesh._team_reports import TeamReports
 from daisywharf._outcomes._pause import PAUSE_LIMIT_S, PauseState, pause_tick
 from daisywharf._overload._actions import CallId
 from daisywharf._overload._start_rate import limit_or_infinity
+from daisywharf._overload._team_quota import QuotaBounds
+from daisywharf._overload._team_usage import RunId
 from daisywharf._routing._fleet_retry_budget import FleetRetryBudget
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
@@ -74,6 +77,8 @@
 # A target's departure is acknowledged within this time, or not at all: targets wait for a second.
 KEEP_WITHIN_S: Final = 0.7
 MS_PER_S: Final = 1000.0
+# A process is told from earlier ones of its VM by its start, in milliseconds of 24 days.
+RUN_IDS: Final = 2**31
 
 
 class LocalGateChannel:
@@ -136,6 +141,16 @@
             services=lambda: self.services.placement_by_service,
             now=now,
         )
+        self.team_reports = TeamReports(
+            membership=self.membership,
+            bounds=QuotaBounds(
+                settings.bounds.quota_window_s,
+                settings.bounds.quota_overrun,
+                settings.bounds.quota_tolerance,
+            ),
+            run=RunId(started_ms % RUN_IDS),
+            now=now(),
+        )
         self.entry = Entry(
             settings,
             dialect=dialect,
@@ -144,6 +159,7 @@
             memory=self.memory,
             channel_to=self._channel_to,
             retry_permits=self.retry_permits,
+            team_reports=self.team_reports,
             now=now,
             rng=rng,
         )
@@ -195,6 +211,7 @@
             incoming=self.incoming,
             reporter=self.reporter,
             retry_permits=self.retry_permits,
+            team_reports=self.team_reports,
             supersede_record=lambda started_ms: self._update_own_record(started_ms=started_ms + 1),
             apply_earlier_record=self._apply_earlier_record,
             now=now,
@@ -455,6 +472,7 @@
             log_event(Event.CLOCK_GAP, gap_s=round(gap_s, 1))
             for link in self.membership.link_by_vm.values():
                 link.restart_silence_timer(now=now)
+            self.team_reports.restart_silence(now=now)
         self.gate.tick(now=now)
         self.membership.tick(now=now)
         if not self._has_written and now - self._started_at > FIRST_WRITE_AFTER_S:
@@ -462,6 +480,7 @@
         self.in_force.tick(now=now)
         self.reporter.tick(now=now)
         self.retry_permits.tick(now=now)
+        self.team_reports.tick(now=now)
         self.summaries.tick(now=now)
         if now - self._swept_at >= SWEEP_PERIOD_S:
             self._swept_at = now
@@ -492,7 +511,11 @@
             store_contact_age_s=self.now() - max(self.sync.contacted_at, self._started_at),
             confirmed_age_s=self._confirmed_age_s(),
         )
-        return [*request_metrics(self.entry.request_stats, zone=self.settings.zone), *state]
+        return [
+            *request_metrics(self.entry.request_stats, zone=self.settings.zone),
+            *team_metrics(self.team_reports.quotas, bytes_sent=self.team_reports.bytes_sent),
+            *state,
+        ]
 
     def _confirmed_age_s(self) -> float:
         """Return the time since the version in force was known to be the newest, in seconds."""
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -21,6 +21,7 @@
     log_abandoned,
     log_answered,
     log_failed,
+    log_over_quota,
     log_refused,
     log_retry,
     log_shed,
@@ -31,6 +32,7 @@
 from daisywharf._mesh._services import Services
 from daisywharf._mesh._settings import MeshSettings
 from daisywharf._mesh._team_keys import find_team
+from daisywharf._mesh._team_reports import TeamReports
 from daisywharf._outcomes._next_step import (
     AttemptEnd,
     NextStep,
@@ -49,6 +51,7 @@
     is_request,
 )
 from daisywharf._overload._random_retry_after import random_retry_after_s
+from daisywharf._overload._team_quota import part_per_s, refund, try_spend
 from daisywharf._routing._fleet_retry_budget import record_first_attempt
 from daisywharf._routing._placement import (
     Candidate,
@@ -96,6 +99,7 @@
         memory: MemoryBudget,
         channel_to: Callable[[VmId], GateChannel | None],
         retry_permits: RetryPermits,
+        team_reports: TeamReports,
         now: Callable[[], float],
         rng: Random,
     ) -> None:
@@ -106,6 +110,7 @@
         self.memory = memory
         self.channel_to = channel_to
         self.retry_permits = retry_permits
+        self.team_reports = team_reports
         self.now = now
         self.rng = rng
         self.table: RouteTable | None = None
@@ -128,6 +133,7 @@
     def put_in_force(self, configuration: Configuration) -> None:
         """Route new requests by this configuration."""
         self.table = RouteTable(configuration)
+        self.team_reports.put_in_force(configuration, now=self.now())
         keys = self.table.team_keys
         for teams in [] if keys is None else keys.shared_by:
             log_event(Event.KEY_SHARED, teams=", ".join(teams), version=configuration.version)
@@ -200,6 +206,8 @@
         if refusal_kind is not None:
             self._refuse(pending, refusal_kind, now=now)
             return
+        if team is not None and self._refuse_if_over_quota(pending, team):
+            return
         if not pending.is_from_target and self._shed_if_overloaded(pending, now=now):
             return
         self.pending.add(pending)
@@ -217,6 +225,21 @@
             return ErrorKind.DRAINING
         return ErrorKind.MEMORY_FULL if self.memory.is_full else None
 
+    def _refuse_if_over_quota(self, pending: PendingRequest, team: Team) -> bool:
+        """Count the request towards its team's quota; refuse it and return True if it is over."""
+        quotas = self.team_reports.quotas
+        now = self.now()
+        time_left_s = max(0.0, pending.deadline - now)
+        wait_s = try_spend(quotas, team.name, time_left_s=time_left_s, now=now, rng=self.rng)
+        if wait_s is None:
+            pending.is_counted = True
+            return False
+        log_over_quota(pending, wait_s=wait_s, part_per_s=part_per_s(quotas, team.name))
+        self._end(pending, outcome=ErrorKind.OVER_QUOTA.value)
+        lines = self.dialect.refusal_lines(retry_after_s=wait_s)
+        pending.exchange.respond(ANSWERS_BY_KIND[ErrorKind.OVER_QUOTA].status, lines=lines)
+        return True
+
     def _shed_if_overloaded(self, pending: PendingRequest, *, now: float) -> bool:
         """Refuse the request if a service of its call chain sheds it; return whether it did."""
         visits = visits_of(self.chain, Step(pending.route.name, pending.service), now=now)
@@ -378,6 +401,9 @@
 
     def _refuse(self, pending: PendingRequest, kind: ErrorKind, *, now: float) -> None:
         """Answer that the request hasn't run and won't, with a Retry-After header."""
+        if pending.is_counted and pending.team is not None:
+            pending.is_counted = False
+            refund(self.team_reports.quotas, pending.team.name)
         time_left_s = (pending.head.time_left_s or 0.0) - (now - pending.exchange.arrived_at)
         retry_after_s = random_retry_after_s(
             latency_objective_s=pending.route.aim_s, time_left_s=time_left_s, rng=self.rng
--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -10,10 +10,11 @@
 import msgspec
 
 from daisywharf._errors import ErrorKind
-from daisywharf._ids import ServiceName
+from daisywharf._ids import ServiceName, VmId
 from daisywharf._mesh._model import MemberRecord
 from daisywharf._overload._calls_below import CallsBelow
 from daisywharf._overload._origins import RouteCount
+from daisywharf._overload._team_usage import UsageReport
 
 LENGTH_BYTES: Final = 4
 UNKNOWN_MS: Final = -1
@@ -203,6 +204,23 @@
     is_allowed: bool
 
 
+class RelayedUsage(msgspec.Struct, frozen=True, array_like=True):
+    """Relay the report of a daemon of another zone."""
+
+    vm: VmId
+    report: UsageReport
+
+
+class TeamReport(msgspec.Struct, frozen=True, array_like=True, tag=19):
+    """Report what teams have requested and spent at the sender, and relay such reports to its zone.
+
+    A receiver of another zone relays the report to its own zone. It isn't answered.
+    """
+
+    report: UsageReport
+    relayed: tuple[RelayedUsage, ...] = ()
+
+
 class RewriteRecord(msgspec.Struct, frozen=True, array_like=True, tag=11):
     """Ask a daemon to write its record again, because the store has lost it."""
 
@@ -226,6 +244,7 @@
     | RetryDeposit
     | RetryRequest
     | RetryDecision
+    | TeamReport
 )
 
 KNOWN_TAGS: Final = frozenset(kind.__struct_config__.tag for kind in get_args(Frame))
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -22,6 +22,7 @@
     RetryRequest,
     RewriteRecord,
     StatusUpdate,
+    TeamReport,
     ZoneLoads,
 )
 from daisywharf._mesh._in_force import InForce
@@ -33,6 +34,7 @@
 from daisywharf._mesh._reporting import Reporter
 from daisywharf._mesh._retry_permits import RetryPermits
 from daisywharf._mesh._store_sync import StoreSync
+from daisywharf._mesh._team_reports import TeamReports
 from daisywharf._mesh._watching import WatchReport
 from daisywharf._overload._chain import record_rows
 from daisywharf._overload._origins import record_counts
@@ -50,6 +52,7 @@
         incoming: IncomingCalls,
         reporter: Reporter,
         retry_permits: RetryPermits,
+        team_reports: TeamReports,
         supersede_record: Callable[[int], None],
         apply_earlier_record: Callable[[MemberRecord], None],
         now: Callable[[], float],
@@ -61,6 +64,7 @@
         self.incoming = incoming
         self.reporter = reporter
         self.retry_permits = retry_permits
+        self.team_reports = team_reports
         self.supersede_record = supersede_record
         self.apply_earlier_record = apply_earlier_record
         self.now = now
@@ -89,6 +93,10 @@
         elif isinstance(frame, RelayLoad):
             self._receive_status(link, frame.status)
             self._queue_load_to_relay(link, frame.status)
+        elif isinstance(frame, TeamReport):
+            sender = self._vm_by_link.get(link)
+            if sender is not None:
+                self.team_reports.receive(sender, frame, now=self.now())
         else:
             vm = self._vm_by_link.get(link)
             self._receive_on_any_link(frame, link.send, source=vm or "a link without a hello")
--- a/src/daisywharf/_mesh/_pending.py
+++ b/src/daisywharf/_mesh/_pending.py
@@ -54,6 +54,8 @@
         self.deadline = deadline
         self.is_from_target = is_from_target
         self.team = team
+        # Whether a token of the team's quota is spent for this request.
+        self.is_counted = False
         self.sub_order = sub_order_of(RequestId(head.request_id))
         self.excluded: set[TargetId] = set()
         self.progress = Progress()
@@ -103,6 +105,19 @@
     )
 
 
+def log_over_quota(pending: PendingRequest, *, wait_s: float, part_per_s: float) -> None:
+    """Log a request that exceeds its team's quota."""
+    log_event(
+        Event.QUOTA_EXCEEDED,
+        request=pending.head.request_id,
+        route=pending.route.name,
+        team=pending.team_name,
+        wait_s=round(wait_s, 3),
+        part=round(part_per_s, 3),
+        version=pending.version,
+    )
+
+
 def log_refused(pending: PendingRequest, kind: ErrorKind, *, now: float) -> None:
     """Log a request that no gate accepted."""
     log_event(
--- a/src/daisywharf/_mesh/_settings.py
+++ b/src/daisywharf/_mesh/_settings.py
@@ -11,13 +11,17 @@
 
     A daemon ends within `grace_s` after it is told to stop. From all daemons together, a service
     gets at most `retry_ratio` retries per first attempt, and `retry_extra` more, within
-    `retry_window_s`.
+    `retry_window_s`. In any `quota_window_s`, a team may exceed its quota by the part
+    `quota_overrun` and `quota_tolerance` requests more.
     """
 
     grace_s: float
     retry_ratio: float
     retry_window_s: float
     retry_extra: float
+    quota_window_s: float = 5.0
+    quota_overrun: float = 0.1
+    quota_tolerance: float = 20.0
 
 
 class MeshSettings(msgspec.Struct, frozen=True):
--- a/src/daisywharf/_signals/_events.py
+++ b/src/daisywharf/_signals/_events.py
@@ -253,6 +253,13 @@
         "request {request} of {route} was denied: {kind}, version {version}",
         REQUEST_LINES_PER_S,
     )
+    QUOTA_EXCEEDED = EventDefinition(
+        713,
+        EventLevel.INFO,
+        "request {request} of {route} is over the quota of team {team}: retry after {wait_s} s,"
+        " this daemon's part is {part} per second, version {version}",
+        REQUEST_LINES_PER_S,
+    )
 
     @property
     def label(self) -> str:
--- a/src/daisywharf/platform/_settings.py
+++ b/src/daisywharf/platform/_settings.py
@@ -16,6 +16,9 @@
 DEFAULT_RETRY_RATIO: Final = 0.2  # retries per first attempt
 DEFAULT_RETRY_WINDOW_S: Final = 10.0
 DEFAULT_RETRY_EXTRA: Final = 0.0  # retries per window
+DEFAULT_QUOTA_WINDOW_S: Final = 5.0
+DEFAULT_QUOTA_OVERRUN: Final = 0.1  # part of the quota
+DEFAULT_QUOTA_TOLERANCE: Final = 20.0  # requests per window
 DEFAULT_MEMORY_MB: Final = 200.0  # the smallest of any VM in the site files
 BYTES_PER_MB: Final = 1_000_000.0
 
@@ -73,6 +76,9 @@
         retry_ratio=table.number("retryBudgetRatio", DEFAULT_RETRY_RATIO),
         retry_window_s=table.number("budgetWindowS", DEFAULT_RETRY_WINDOW_S),
         retry_extra=table.number("retryBudgetExtra", DEFAULT_RETRY_EXTRA),
+        quota_window_s=table.number("quotaWindowS", DEFAULT_QUOTA_WINDOW_S),
+        quota_overrun=table.number("quotaOverrun", DEFAULT_QUOTA_OVERRUN),
+        quota_tolerance=table.number("quotaTolerance", DEFAULT_QUOTA_TOLERANCE),
     )
 
 
