Admit teams' requests by the demand of the whole fleet

Each daemon now compares the demand of all daemons with what the shared bucket gives, and beyond that admits the same part of the requests as the others. The daemon's share only bounds what it spends before a rise is known; what that exceeds is a debt which is paid back before more passes.

--- a/src/daisywharf/_overload/_team_quota.py
+++ b/src/daisywharf/_overload/_team_quota.py
@@ -1,13 +1,14 @@
 """Decide whether a request is within its team's quota, which all daemons share.
 
 Load pattern: a team at several times its quota, at three daemons or at all of them at once, while
-other teams send a few requests per second. The daemons don't ask one another. Each estimates one
-token bucket that the fleet shares, from what the others report (`_team_usage.py`), and between two
-reports spends at most its share of it.
-
-Let W be the window, S = `overrun` * (rate * W + burst) + `tolerance` the slack that a quota leaves,
-and N the number of daemons. The bucket holds burst + S / 2 tokens, so that the other half of the
-slack is left for what two daemons spend at once because their shares differ for a moment.
+other teams send a few requests per second from many daemons. The daemons don't ask one another.
+Each estimates one token bucket that the fleet shares, and the team's demand, from what the others
+report (`_team_usage.py`). While demand is at most what the bucket gives, all requests pass; beyond
+that the same part of them passes at each daemon, however the demand is spread. What passes before a
+sudden demand is known everywhere is bounded by the daemon's share, and is a debt to be paid back.
+
+Let W be the window and S = `overrun` * (rate * W + burst) + `tolerance` the slack that a quota
+leaves. The bucket holds burst and a small part of S; the rest covers what reports tell too late.
 """
 
 from collections.abc import Collection
@@ -23,6 +24,7 @@
     FleetUsage,
     TeamUsage,
     forget_member,
+    own_demand,
     record_request,
     record_spent,
     reported_total,
@@ -31,10 +33,18 @@
 )
 
 # Part of the slack that is added to the burst.
-CAPACITY_SLACK_FRACTION: Final = 0.75
+CAPACITY_SLACK_FRACTION: Final = 0.1
 # Part of the slack that daemons may spend before the others hear of it, beyond what is refilled
 # meanwhile. Two sides of a partition spend this part about three times before they notice it.
 TRANSIT_SLACK_FRACTION: Final = 0.5
+# The bucket's tokens are given out over this time, beside what is refilled; a debt is paid back as
+# fast. It is longer than reports take, so that daemons don't all spend the same tokens.
+SPREAD_TOKENS_S: Final = 1.0
+# While the bucket is at least half full, each daemon may spend this much before others know of it,
+# so that requests of teams that send rarely from many daemons aren't refused.
+MIN_TOKENS_BELOW_QUOTA: Final = 2.0
+# Part of what a window may hold that all daemons together may spend before they know of it.
+UNKNOWN_SPENDING_FRACTION: Final = 0.5
 # Part of the bucket for daemons that aren't users of the team so far.
 NEWCOMERS_FRACTION: Final = 0.1
 # Weight of a user without demand at present, as a part of the rate, and in requests per second.
@@ -81,8 +91,8 @@
         "burst",
         "held",
         "limit",
-        "next_draw_at",
         "next_free_at",
+        "others_per_s",
         "prospect",
         "rate_per_s",
         "refused",
@@ -106,7 +116,8 @@
         self.prospect = 0.0
         self.share_at = float("-inf")
         self.limit = 0.0
-        self.next_draw_at = float("-inf")
+        # Demand at the other daemons that are heard, in requests per second.
+        self.others_per_s = 0.0
         # When the last of the clients that were told to come back gets its token.
         self.next_free_at = float("-inf")
         self.refused = 0
@@ -244,25 +255,42 @@
 def _may_pass(
     quotas: TeamQuotas, bucket: SharedBucket, team: TeamUsage, *, now: float, rng: Random
 ) -> bool:
-    """Return whether this daemon's share of the bucket has a token that isn't spent.
+    """Return whether a request may pass.
 
-    A share of less than one token is a probability: if all daemons spend at once, they spend what
-    the bucket holds, and yet each daemon may spend. It is drawn once in the time of a report.
+    While the team's demand at all daemons is at most what the bucket gives, each request may.
+    Beyond that a part of them is drawn, the same at each daemon, so that it doesn't matter how the
+    demand is spread. Until a rise of the demand is known everywhere, the daemon's share bounds what
+    it spends.
     """
-    in_transit = team.spent - reported_total(team, before=now - TRANSIT_S)
-    bucket.limit = bucket.share * (bucket.tokens + in_transit)
-    if bucket.limit > 1.0:
-        limit = bucket.share * _spread_limit(quotas, bucket)
-        bucket.limit = max(1.0, min(bucket.limit, limit))
-    part = bucket.limit - in_transit
-    if part >= 1.0:
-        return True
-    if part <= 0.0 or now < bucket.next_draw_at:
+    demand_per_s = bucket.others_per_s + own_demand(team, now=now)
+    given_per_s = max(0.0, _refill_per_s(bucket) + bucket.tokens / SPREAD_TOKENS_S)
+    if given_per_s < demand_per_s and rng.random() * demand_per_s >= given_per_s:
         return False
-    if rng.random() < part:
-        return True
-    bucket.next_draw_at = now + quotas.spread_s
-    return False
+    in_transit = team.spent - reported_total(team, before=now - TRANSIT_S)
+    at_hand = max(0.0, bucket.tokens) + in_transit + _refill_per_s(bucket) * quotas.spread_s
+    share, least = bucket.share, 1.0
+    if bucket.tokens >= 0.5 * _capacity(quotas, bucket):
+        reachable = len(quotas.members) - len(bucket.share_by_silent_vm)
+        share, least = max(share, 1.0 / max(1, reachable)), MIN_TOKENS_BELOW_QUOTA
+    bucket.limit = max(least, _unknown_factor(quotas, bucket) * share * at_hand)
+    return in_transit + 1.0 <= bucket.limit
+
+
+def _refill_per_s(bucket: SharedBucket) -> float:
+    return bucket.rate_per_s * (1.0 - bucket.held)
+
+
+def _unknown_factor(quotas: TeamQuotas, bucket: SharedBucket) -> float:
+    """Return how many times its share a daemon may spend before the others know of it.
+
+    If all daemons do so at once, they spend what the bound allows in one window; what the bucket
+    lacks then is refilled before more passes.
+    """
+    bounds = quotas.bounds
+    window = bucket.rate_per_s * bounds.window_s + bucket.burst + _slack(quotas, bucket)
+    at_once = bucket.burst + CAPACITY_SLACK_FRACTION * _slack(quotas, bucket)
+    at_once += bucket.rate_per_s * quotas.spread_s
+    return max(1.0, UNKNOWN_SPENDING_FRACTION * window / at_once)
 
 
 def _retry_after_s(
@@ -296,13 +324,15 @@
     since = now - SHARE_DELAY_S
     floor = _user_weight(bucket, team)
     own_vm = quotas.usage.own
-    own_least = own_now = others = 0.0
+    own_least = own_now = others = others_per_s = 0.0
     for vm, member in team.member_by_vm.items():
         if vm == own_vm:
             own_least = _weight(member.least_code(since=since), floor)
             own_now = _weight(member.code, floor)
         elif vm not in bucket.share_by_silent_vm:
             others += _weight(member.largest_code(since=since), floor)
+            others_per_s += max(0, member.code - 1) / CODES_PER_UNIT
+    bucket.others_per_s = others_per_s
     reachable = max(1, len(quotas.members) - len(bucket.share_by_silent_vm))
     if not own_least and not others:
         bucket.share = 1.0 / reachable
