--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -15,7 +15,7 @@
     check_announcement,
     is_born_in_the_future,
 )
-from daisywharf._mesh._counts import daemon_metrics, request_metrics
+from daisywharf._mesh._counts import daemon_metrics, request_metrics, team_metrics
 from daisywharf._mesh._departures import (
     Departure,
     Departures,
@@ -25,7 +25,7 @@
 )
 from daisywharf._mesh._dialect import Dialect
 from daisywharf._mesh._entry import Entry
-from daisywharf._mesh._fair_shares import FairShares, team_metrics
+from daisywharf._mesh._fair_shares import FairShares, fair_share_metrics
 from daisywharf._mesh._frames import Call, CallResult, Frame
 from daisywharf._mesh._gate import Gate
 from daisywharf._mesh._http_server import Exchange, HttpServer
@@ -53,10 +53,13 @@
 from daisywharf._mesh._store import Store
 from daisywharf._mesh._store_sync import StoreSync
 from daisywharf._mesh._summaries import Summaries
+from daisywharf._mesh._team_reports import TeamReports
 from daisywharf._mesh._zone_calls import end_idle_spills, zone_call_metrics
 from daisywharf._outcomes._pause import PAUSE_LIMIT_S, PauseState, pause_tick
 from daisywharf._overload._actions import CallId
 from daisywharf._overload._start_rate import limit_or_infinity
+from daisywharf._overload._team_quota import QuotaBounds
+from daisywharf._overload._team_usage import RunId, fleet_demand
 from daisywharf._routing._fleet_retry_budget import FleetRetryBudget
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
@@ -77,6 +80,8 @@
 KEEP_WITHIN_S: Final = 0.7
 KEEP_CHECK_S: Final = 0.005
 MS_PER_S: Final = 1000.0
+# A process is told from earlier ones of its VM by its start, in milliseconds of 24 days.
+RUN_IDS: Final = 2**31
 
 
 class LocalGateChannel:
@@ -139,6 +144,16 @@
             services=lambda: self.services.placement_by_service,
             now=now,
         )
+        self.team_reports = TeamReports(
+            membership=self.membership,
+            bounds=QuotaBounds(
+                settings.bounds.quota_window_s,
+                settings.bounds.quota_overrun,
+                settings.bounds.quota_tolerance,
+            ),
+            run=RunId(started_ms % RUN_IDS),
+            now=now(),
+        )
         self.entry = Entry(
             settings,
             dialect=dialect,
@@ -147,8 +162,10 @@
             memory=self.memory,
             channel_to=self._channel_to,
             retry_permits=self.retry_permits,
-            # Without the fleet's demand, requests are ordered by the own demand.
-            fair_shares=FairShares(fleet_demand=dict, now=now()),
+            team_reports=self.team_reports,
+            fair_shares=FairShares(
+                fleet_demand=lambda: fleet_demand(self.team_reports.usage, now=now()), now=now()
+            ),
             now=now,
             rng=rng,
         )
@@ -201,6 +218,7 @@
             incoming=self.incoming,
             reporter=self.reporter,
             retry_permits=self.retry_permits,
+            team_reports=self.team_reports,
             supersede_record=lambda started_ms: self._update_own_record(started_ms=started_ms + 1),
             apply_earlier_record=self._apply_earlier_record,
             now=now,
@@ -481,6 +499,7 @@
             log_event(Event.CLOCK_GAP, gap_s=round(gap_s, 1))
             for link in self.membership.link_by_vm.values():
                 link.restart_silence_timer(now=now)
+            self.team_reports.restart_silence(now=now)
         self.gate.tick(now=now)
         self.membership.tick(now=now)
         if not self._has_written and now - self._started_at > FIRST_WRITE_AFTER_S:
@@ -488,6 +507,7 @@
         self.in_force.tick(now=now)
         self.reporter.tick(now=now)
         self.retry_permits.tick(now=now)
+        self.team_reports.tick(now=now)
         self.summaries.tick(now=now)
         if now - self._swept_at >= SWEEP_PERIOD_S:
             self._swept_at = now
@@ -524,7 +544,8 @@
         zone = self.settings.zone
         return [
             *request_metrics(self.entry.request_stats, zone=zone),
-            *team_metrics(self.entry.fair_shares, zone=zone),
+            *team_metrics(self.team_reports.quotas, bytes_sent=self.team_reports.bytes_sent),
+            *fair_share_metrics(self.entry.fair_shares, zone=zone),
             *zone_call_metrics(self.entry.zone_calls, self.services, zone=zone),
             *state,
         ]
--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -22,6 +22,7 @@
     log_abandoned,
     log_answered,
     log_failed,
+    log_over_quota,
     log_over_share,
     log_refused,
     log_retry,
@@ -34,6 +35,7 @@
 from daisywharf._mesh._services import Services
 from daisywharf._mesh._settings import MeshSettings
 from daisywharf._mesh._team_keys import find_team
+from daisywharf._mesh._team_reports import TeamReports
 from daisywharf._mesh._zone_calls import ZoneCalls, record_zone_call
 from daisywharf._outcomes._next_step import (
     AttemptEnd,
@@ -63,6 +65,7 @@
     is_request,
 )
 from daisywharf._overload._random_retry_after import random_retry_after_s
+from daisywharf._overload._team_quota import part_per_s, refund, try_spend
 from daisywharf._routing._fleet_retry_budget import record_first_attempt
 from daisywharf._routing._placement import (
     Candidate,
@@ -115,6 +118,7 @@
         channel_to: Callable[[VmId], GateChannel | None],
         retry_permits: RetryPermits,
         fair_shares: FairShares,
+        team_reports: TeamReports,
         now: Callable[[], float],
         rng: Random,
     ) -> None:
@@ -126,6 +130,7 @@
         self.channel_to = channel_to
         self.retry_permits = retry_permits
         self.fair_shares = fair_shares
+        self.team_reports = team_reports
         self.now = now
         self.rng = rng
         self.table: RouteTable | None = None
@@ -150,6 +155,7 @@
         """Route new requests by this configuration."""
         self.table = RouteTable(configuration)
         self.fair_shares.put_in_force(configuration.teams)
+        self.team_reports.put_in_force(configuration, now=self.now())
         keys = self.table.team_keys
         for teams in [] if keys is None else keys.shared_by:
             log_event(Event.KEY_SHARED, teams=", ".join(teams), version=configuration.version)
@@ -223,6 +229,8 @@
         if refusal_kind is not None:
             self._refuse(pending, refusal_kind, now=now)
             return
+        if team is not None and self._refuse_if_over_quota(pending, team):
+            return
         if not pending.is_from_target and (
             self._shed_if_overloaded(pending, now=now) or self._refuse_if_unlikely(pending, now=now)
         ):
@@ -242,6 +250,21 @@
             return ErrorKind.DRAINING
         return ErrorKind.MEMORY_FULL if self.memory.is_full else None
 
+    def _refuse_if_over_quota(self, pending: PendingRequest, team: Team) -> bool:
+        """Count the request towards its team's quota; refuse it and return True if it is over."""
+        quotas = self.team_reports.quotas
+        now = self.now()
+        time_left_s = max(0.0, pending.deadline - now)
+        wait_s = try_spend(quotas, team.name, time_left_s=time_left_s, now=now, rng=self.rng)
+        if wait_s is None:
+            pending.is_counted = True
+            return False
+        log_over_quota(pending, wait_s=wait_s, part_per_s=part_per_s(quotas, team.name))
+        self._end(pending, outcome=ErrorKind.OVER_QUOTA.value)
+        lines = self.dialect.refusal_lines(retry_after_s=wait_s)
+        pending.exchange.respond(ANSWERS_BY_KIND[ErrorKind.OVER_QUOTA].status, lines=lines)
+        return True
+
     def _shed_if_overloaded(self, pending: PendingRequest, *, now: float) -> bool:
         """Refuse the request if a service of its call chain sheds it; return whether it did."""
         team, route_importance = pending.team, pending.route.importance
@@ -467,6 +490,9 @@
 
     def _refuse(self, pending: PendingRequest, kind: ErrorKind, *, now: float) -> None:
         """Answer that the request hasn't run and won't, with a Retry-After header."""
+        if pending.is_counted and pending.team is not None:
+            pending.is_counted = False
+            refund(self.team_reports.quotas, pending.team.name)
         time_left_s = (pending.head.time_left_s or 0.0) - (now - pending.exchange.arrived_at)
         retry_after_s = random_retry_after_s(
             latency_objective_s=pending.route.aim_s, time_left_s=time_left_s, rng=self.rng
--- a/src/daisywharf/_mesh/_fair_shares.py
+++ b/src/daisywharf/_mesh/_fair_shares.py
@@ -120,7 +120,7 @@
     shares.shed_by_team[name] = shares.shed_by_team.get(name, 0) + 1
 
 
-def team_metrics(shares: FairShares, *, zone: ZoneName) -> list[Metric]:
+def fair_share_metrics(shares: FairShares, *, zone: ZoneName) -> list[Metric]:
     """Return the number of shed requests by team; it has no samples if no team is configured."""
     samples = [
         Sample(count, {"team": team, "zone": zone})
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -32,12 +32,12 @@
     DEMAND_DECAY_S,
     REFRESH_PERIOD_S,
     FairShares,
+    fair_share_metrics,
     order_request,
     own_demand,
     record_shed,
     refresh,
     share_of,
-    team_metrics,
 )
 from daisywharf._mesh._frames import Call, decode_frame
 from daisywharf._mesh._http_answers import HttpAnswer
@@ -367,14 +367,14 @@
     shares = _shares(teams)
     for team in teams:
         record_shed(shares, team)
-    (metric,) = team_metrics(shares, zone=ZoneName("a"))
+    (metric,) = fair_share_metrics(shares, zone=ZoneName("a"))
     assert len(metric.samples) == MAX_SERIES + 1
     (other,) = [sample for sample in metric.samples if sample.labels["team"] == OTHER]
     assert other.value == 20
 
 
 def test_without_teams_the_metric_by_team_has_no_series() -> None:
-    (metric,) = team_metrics(_shares([]), zone=ZoneName("a"))
+    (metric,) = fair_share_metrics(_shares([]), zone=ZoneName("a"))
     assert not metric.samples
 
 
