Report keys that no request can carry, without showing them

Seen: a key with a lone surrogate in a YAML file made the check print the key, and cost its team all of its keys. A key with a line break, as a block of text in YAML has it, was accepted and never matched a request. A date or number out of range ended the check with a traceback. Cause: the encoder's error holds the text that it can't encode; whitespace around a header's value is dropped; the YAML decoder raises ValueError beside its own errors. Result: each such key is left out and counted in the message, the team keeps its others, and the check names the file for values that YAML can't decode. Tests fail before the change.

--- a/src/daisywharf/_cli/configuration.py
+++ b/src/daisywharf/_cli/configuration.py
@@ -94,7 +94,8 @@
         raise ConfigurationError(
             ErrorKind.INVALID_SETTINGS, f"{file} can't be read: {type(error).__name__}"
         ) from None
-    except (msgspec.DecodeError, RecursionError, yaml.YAMLError) as error:
+    except (msgspec.DecodeError, RecursionError, ValueError, yaml.YAMLError) as error:
+        # The YAML decoder raises ValueError for a number or a date out of range.
         mark = getattr(error, "problem_mark", None)
         where = f" at line {mark.line + 1}" if mark is not None else ""
         raise ConfigurationError(
--- a/src/daisywharf/platform/_configuration.py
+++ b/src/daisywharf/platform/_configuration.py
@@ -1,6 +1,7 @@
 """Decode the operator's configuration from the platform's store."""
 
 import math
+import re
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -26,6 +27,8 @@
 DEFAULT_TIMEOUT_MS: Final = 30_000  # a route without one is bounded by its client's deadline
 DEFAULT_ATTEMPTS: Final = 1
 MS_PER_S: Final = 1000.0
+# RFC 9110, section 5.5: what a header's value may be, apart from the whitespace around it.
+_HEADER_VALUE: Final = re.compile(rb"[!-~\x80-\xff]([\t -~\x80-\xff]*[!-~\x80-\xff])?")
 # Raised for a field that is missing, of the wrong type, or out of bounds.
 UNREADABLE: Final = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
@@ -135,18 +138,29 @@
 
 
 def _parse_keys(team: str, keys: Any, *, on_unreadable: OnUnreadable) -> tuple[KeyDigest, ...]:
-    """Return the digests of a team's keys, without those that aren't a text."""
+    """Return the digests of a team's keys, without those that no request can carry."""
     if keys is None:
         return ()
     if not isinstance(keys, list):
         raise TypeError(f"apiKeys is a {type(keys).__name__}; write a list of keys")
-    usable = [key.encode() for key in keys if isinstance(key, str) and key]
+    usable = [encoded for key in keys if (encoded := _encode_key(key)) is not None]
     if len(usable) < len(keys):
-        error = f"{len(keys) - len(usable)} of its {len(keys)} keys aren't a non-empty text"
+        error = f"{len(keys) - len(usable)} of its {len(keys)} keys can't be sent in a header"
         on_unreadable(f"'tenants' {team!r}", error)
     return tuple(dict.fromkeys(digest_key(key) for key in usable))
 
 
+def _encode_key(key: Any) -> bytes | None:
+    """Return a key's bytes, or None if it can't be the value of a header."""
+    if not isinstance(key, str):
+        return None
+    try:
+        encoded = key.encode()
+    except UnicodeEncodeError:  # its message would show the key
+        return None
+    return encoded if _HEADER_VALUE.fullmatch(encoded) else None
+
+
 def _parse_quota(content: dict[str, Any], field: str) -> float:
     value = float(content.get(field) or 0.0)
     if not math.isfinite(value) or value < 0.0:
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -8,7 +8,9 @@
 
 from builders_team_keys import document, team_entry
 from daisywharf._cli.app import run
+from daisywharf._cli.configuration import _load
 from daisywharf._cli.exit_codes import ExitCode
+from daisywharf._errors import ConfigurationError
 
 KEY = "3nax7u27gxprymh2rryt"
 OTHER_KEY = "apjsujqurtyiikdrbn4r"
@@ -106,6 +108,12 @@
         "a burst below 1",
     ),
     "a team twice": ((team_entry("harbour", "k"),), ExitCode.INVALID, "stands 2 times"),
+    # A block of text in YAML ends with a line break, which a request's key never does.
+    "a key with a line break": (
+        (team_entry("pilots", "k", "p\n"),),
+        ExitCode.INVALID,
+        "1 of its 2 keys can't be sent in a header",
+    ),
     "a key that is a number": ((team_entry("pilots", "k", 7),), ExitCode.INVALID, "can't be read"),
 }
 
@@ -204,3 +212,31 @@
     printed = msgspec.json.decode(capsys.readouterr().out)
     assert printed["findings"][0]["entry"] == "service unused"
     assert printed["differences"] == []
+
+
+@pytest.mark.parametrize("value", ["2020-13-45", "0x_", "!!float often"])
+def test_a_yaml_value_out_of_range_is_reported_without_the_content(
+    value: str, tmp_path: Path
+) -> None:
+    """The decoder raises ValueError for such a value, which ended the command with a traceback."""
+    path = tmp_path / "new.yaml"
+    path.write_text(f"version: 2\nresources: [{{apiKeys: [{KEY}]}}, {{from: {value}}}]\n")
+    with pytest.raises(ConfigurationError) as raised:
+        _load(path)
+    assert "neither JSON nor YAML" in str(raised.value)
+    assert KEY not in str(raised.value)
+
+
+def test_a_key_that_is_no_text_is_reported_and_not_shown(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """The error of the encoder shows the text that it can't encode, and the whole team was lost."""
+    path = tmp_path / "new.yaml"
+    path.write_text(
+        "version: 2\nresources:\n- resourceKind: tenants\n  metadata: {name: harbour}\n"
+        f'  specification: {{apiKeys: ["\\uD800{KEY}", {OTHER_KEY}]}}\n'
+    )
+    assert run(["configuration", "check", str(path)]) == ExitCode.INVALID
+    printed = capsys.readouterr()
+    assert "1 of its 2 keys can't be sent in a header" in printed.out
+    assert KEY not in printed.out + printed.err
