Bound a client's time left before it is divided

Seen: a request whose Deadline-Ms has 400 digits was never answered, and what its connection carried afterwards waited behind it. Cause: the division of such an integer raises OverflowError, which was not caught. Result: the number is bounded first; the test fails before the change.

--- a/src/daisywharf/platform/_headers.py
+++ b/src/daisywharf/platform/_headers.py
@@ -28,10 +28,11 @@
 
 def _parse_milliseconds(value: bytes) -> float | None:
     try:
-        seconds = int(value) / 1000.0
+        milliseconds = int(value)
     except ValueError:
         return None
-    return min(max(seconds, 0.0), MAX_TIME_LEFT_S)
+    # Bounded before the division, which raises OverflowError for a number of 400 digits.
+    return min(max(milliseconds, 0), int(MAX_TIME_LEFT_S * 1000.0)) / 1000.0
 
 
 def _parse_rate_per_s(value: bytes) -> float | None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -247,6 +247,15 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("value", "time_left_s"), [(b"9" * 400, 3_600.0), (b"-" + b"9" * 400, 0.0)]
+)
+def test_a_time_left_out_of_range_is_bounded(value: bytes, time_left_s: float) -> None:
+    """The division raised OverflowError, and the request was never answered."""
+    head = PlatformDialect().read_request([(b"Deadline-Ms", value)], has_teams=False)
+    assert head.time_left_s == time_left_s
+
+
 def test_an_answer_s_headers_are_read() -> None:
     head = PlatformDialect().read_answer(
         [
