Replace a copy that lacks its teams by the whole version

Seen: during an upgrade, a daemon without teams in force took the next version from a daemon of a release that leaves out teams. The store's version of the same number was then ignored, so requests passed without a key until the next version. It also passed the copy on as a full one, which a daemon that had just started took as well. Cause: the version in force didn't remember that it may lack its teams. Result: such a copy is marked when it is passed on, is replaced by the same version from the store or from a full copy, and isn't confirmed by other daemons, so that a daemon that doesn't watch the store probes it. Tests fail before the change.

--- a/src/daisywharf/_mesh/_frames.py
+++ b/src/daisywharf/_mesh/_frames.py
@@ -166,8 +166,8 @@
 class ConfigurationCopy(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """Send a version of the configuration, encoded by `encode_configuration`.
 
-    `lists_teams` is false if the sender is of a release that doesn't know teams, and may have left
-    them out.
+    `lists_teams` is false if the copy was made by a release that doesn't know teams, which may have
+    left them out, and also if it is passed on by a later release.
     """
 
     version: int
--- a/src/daisywharf/_mesh/_in_force.py
+++ b/src/daisywharf/_mesh/_in_force.py
@@ -38,18 +38,31 @@
         self.now = now
         self.distribution = Distribution()
         self._encoded = b""
+        # Whether the version in force is a copy of a release that leaves out teams.
+        self._may_lack_teams = False
 
     @property
     def version(self) -> int:
         """Return the version in force, or 0."""
         return self.entry.version
 
-    def put_in_force(self, configuration: Configuration, *, source: str) -> None:
-        """Put a version in force if it is newer than the present one."""
+    @property
+    def confirmable_version(self) -> int | None:
+        """Return the version that other daemons can confirm to be in force here, or None.
+
+        A version that may lack its teams isn't confirmed, so that this daemon reads the store.
+        """
+        return None if self._may_lack_teams else self.version
+
+    def put_in_force(
+        self, configuration: Configuration, *, source: str, lists_teams: bool = True
+    ) -> None:
+        """Put a version in force if it is newer than the present one, or replaces it."""
         earlier = self.version
-        if configuration.version <= earlier:
+        if not self._is_wanted(configuration.version, lists_teams=lists_teams):
             return
         self.entry.put_in_force(configuration)
+        self._may_lack_teams = not lists_teams
         self.clients.limits = configuration.limits
         ceiling = float(_least_importance(configuration) + 1)
         self.entry.services.ceiling = self.gate.ceiling = ceiling
@@ -85,16 +98,25 @@
     def send_to(self, send: Send) -> None:
         """Send a copy to a daemon that asks, unless too much was sent just now."""
         if self._encoded and may_send(self.distribution, len(self._encoded), now=self.now()):
-            send(ConfigurationCopy(self.version, self._encoded, lists_teams=True))
+            lists_teams = not self._may_lack_teams
+            send(ConfigurationCopy(self.version, self._encoded, lists_teams=lists_teams))
 
     def receive(self, frame: ConfigurationCopy, *, source: str) -> None:
         """Put a copy from another daemon in force; raise `msgspec.DecodeError` if malformed.
 
         A copy that may lack its teams would let requests pass without a key, so it is used only
-        where the version in force has none. The next source, or the store, has the whole version.
+        where the version in force has none. The next source, or the store, has the whole version,
+        which replaces such a copy.
         """
-        if frame.version > self.version and (frame.lists_teams or self._has_no_teams()):
-            self.put_in_force(decode_configuration(frame.body), source=source)
+        if self._is_wanted(frame.version, lists_teams=frame.lists_teams):
+            self.put_in_force(
+                decode_configuration(frame.body), source=source, lists_teams=frame.lists_teams
+            )
+
+    def _is_wanted(self, version: int, *, lists_teams: bool) -> bool:
+        if version > self.version:
+            return lists_teams or self._has_no_teams()
+        return version == self.version and lists_teams and self._may_lack_teams
 
     def _has_no_teams(self) -> bool:
         table = self.entry.table
--- a/src/daisywharf/_mesh/_peers.py
+++ b/src/daisywharf/_mesh/_peers.py
@@ -208,5 +208,5 @@
 
     def _record_status(self, status: StatusUpdate, send: Send, *, source: str) -> None:
         self.sync.record_peer_era(status.store_era, source=source)
-        self.sync.record_peer_confirmation(status, version=self.in_force.version)
+        self.sync.record_peer_confirmation(status, version=self.in_force.confirmable_version)
         self.in_force.record_offered_version(status.version, send)
--- a/src/daisywharf/_mesh/_store_sync.py
+++ b/src/daisywharf/_mesh/_store_sync.py
@@ -128,9 +128,10 @@
         age_s = self.now() - self.confirmation.confirmed_at
         return UNKNOWN_MS if age_s == float("inf") else ceil(age_s * MS_PER_S)
 
-    def record_peer_confirmation(self, status: StatusUpdate, *, version: int) -> None:
+    def record_peer_confirmation(self, status: StatusUpdate, *, version: int | None) -> None:
         """Record another daemon's confirmation of the version that is in force here.
 
+        `version` is None if no other daemon can confirm what is in force here.
         One from a daemon that hasn't heard of the store's present era says nothing about it.
         """
         is_of_present_era = status.store_era >= (self.store.era_state.era or 0)
--- a/tests/test_team_keys.py
+++ b/tests/test_team_keys.py
@@ -23,7 +23,7 @@
 from daisywharf._contract import Importance
 from daisywharf._mesh import _entry
 from daisywharf._mesh._configuration_frames import decode_configuration, encode_configuration
-from daisywharf._mesh._frames import Call, ConfigurationCopy, encode_frame
+from daisywharf._mesh._frames import Call, ConfigurationCopy, Frame, encode_frame
 from daisywharf._mesh._http_answers import HttpAnswer
 from daisywharf._mesh._http_client import HttpPool
 from daisywharf._mesh._team_keys import TeamKeys, digest_key, find_team
@@ -210,6 +210,62 @@
     assert daemon.version == 2
 
 
+def test_the_store_s_version_replaces_a_copy_that_lacks_its_teams() -> None:
+    """The copy has the same version, so the routes stayed open until the next one."""
+    daemon = daemon_at_rest()
+    daemon.in_force.put_in_force(configuration(route()), source="the store")
+    stripped = ConfigurationCopy(2, encode_configuration(configuration(route(), version=2)))
+    daemon.in_force.receive(stripped, source="vm-2")
+    complete = with_teams(team("harbour", KEY), version=2)
+    daemon.in_force.put_in_force(complete, source="the store")
+    assert daemon.entry.table is not None
+    assert daemon.entry.table.configuration == complete
+    # Neither the same copy nor another one of a release without teams undoes that.
+    daemon.in_force.receive(stripped, source="vm-2")
+    assert daemon.entry.table.configuration == complete
+
+
+def test_a_full_copy_replaces_one_that_lacks_its_teams() -> None:
+    daemon = daemon_at_rest()
+    daemon.in_force.put_in_force(configuration(route()), source="the store")
+    stripped = ConfigurationCopy(2, encode_configuration(configuration(route(), version=2)))
+    daemon.in_force.receive(stripped, source="vm-2")
+    complete = with_teams(team("harbour", KEY), version=2)
+    daemon.in_force.receive(
+        ConfigurationCopy(2, encode_configuration(complete), lists_teams=True), source="vm-3"
+    )
+    assert daemon.entry.table is not None
+    assert daemon.entry.table.configuration == complete
+
+
+def test_a_copy_that_lacks_its_teams_is_never_passed_on_as_a_full_one() -> None:
+    """A daemon that had just started took such a copy, and let requests pass without a key."""
+    daemon = daemon_at_rest()
+    daemon.in_force.put_in_force(configuration(route()), source="the store")
+    stripped = ConfigurationCopy(2, encode_configuration(configuration(route(), version=2)))
+    daemon.in_force.receive(stripped, source="vm-2")
+    sent: list[Frame] = []
+    daemon.in_force.send_to(sent.append)
+    fresh = daemon_at_rest()
+    for frame in sent:
+        assert isinstance(frame, ConfigurationCopy)
+        fresh.in_force.receive(frame, source="vm-1")
+    assert fresh.version == 0
+
+
+def test_a_copy_that_lacks_its_teams_is_not_confirmed_by_others() -> None:
+    """Confirmed by others, a daemon that doesn't watch the store would never read it."""
+    daemon = daemon_at_rest()
+    daemon.in_force.put_in_force(configuration(route()), source="the store")
+    assert daemon.in_force.confirmable_version == 1
+    stripped = ConfigurationCopy(2, encode_configuration(configuration(route(), version=2)))
+    daemon.in_force.receive(stripped, source="vm-2")
+    assert daemon.version == 2
+    assert daemon.in_force.confirmable_version is None
+    daemon.in_force.put_in_force(configuration(route(), version=2), source="the store")
+    assert daemon.in_force.confirmable_version == 2
+
+
 def test_frames_to_other_daemons_hold_no_key(monkeypatch: pytest.MonkeyPatch) -> None:
     config = read_configuration(document(team_entry("harbour", KEY)))
     encoded = encode_configuration(config)
