Skip a team whose name begins or ends with a space

Seen: a team named 'harbour ' was accepted beside 'harbour'. Cause: the check of names allows spaces anywhere, and a target drops those around a header's value, so that it takes both teams for the same one. Result: such an entry counts as unreadable; it affects only itself. The test fails before.

--- a/src/daisywharf/platform/_configuration.py
+++ b/src/daisywharf/platform/_configuration.py
@@ -127,6 +127,9 @@
 def _parse_team(name: str, content: dict[str, Any], *, on_unreadable: OnUnreadable) -> Team:
     if not 0 < len(name) <= MAX_NAME_CHARS or not (name.isascii() and name.isprintable()):
         raise ValueError(f"its name isn't 1 to {MAX_NAME_CHARS} printable ASCII characters")
+    if name != name.strip():
+        # Targets drop the spaces, so the requests would look like another team's.
+        raise ValueError("its name begins or ends with a space")
     priority = content.get("priority")
     return Team(
         name=TeamName(name),
--- a/tests/test_team_keys.py
+++ b/tests/test_team_keys.py
@@ -345,6 +345,9 @@
         team_entry("bad", KEY, priority="first"),
         team_entry("", KEY),
         team_entry("bad\r\nCaller-Service: x", KEY),
+        # A target drops the space and would take the requests for those of the other team.
+        team_entry("harbour ", KEY),
+        team_entry(" harbour", KEY),
         team_entry("n" * 10_000, KEY),
         {"resourceKind": "tenants", "metadata": None, "specification": None},
         {"resourceKind": "tenants"},
