Report entries of an unknown kind in the configuration check

Seen: a version whose teams were written as 'tenant' was said to be sound; in force, it would let requests pass without a key. Cause: entries of a kind that isn't known are ignored, also by the check. Result: each is a warning with the kinds that exist. What daemons do is unchanged. Tests fail before the change.

--- a/src/daisywharf/_cli/configuration.py
+++ b/src/daisywharf/_cli/configuration.py
@@ -70,18 +70,32 @@
 
 
 def _read(file: Path) -> tuple[Configuration, list[Finding]]:
-    """Return the configuration in a file, and an error for each entry that can't be read."""
-    from daisywharf.platform._configuration import read_configuration
+    """Return the configuration in a file, and a finding for each entry that would be ignored."""
+    from daisywharf.platform._configuration import (
+        RESOURCE_KINDS,
+        entries_of_unknown_kind,
+        read_configuration,
+    )
 
     findings: list[Finding] = []
+    document = _load(file)
     configuration = read_configuration(
-        _load(file),
+        document,
         on_unreadable=lambda entry, error: findings.append(
             Finding(
                 Severity.ERROR, f"entry {entry}", f"can't be read and would be ignored: {error}"
             )
         ),
     )
+    kinds = ", ".join(RESOURCE_KINDS)
+    findings += [
+        Finding(
+            Severity.WARNING,
+            f"entry {entry}",
+            f"is of an unknown kind and would be ignored; use one of {kinds}",
+        )
+        for entry in entries_of_unknown_kind(document)
+    ]
     return configuration, findings
 
 
--- a/src/daisywharf/platform/_configuration.py
+++ b/src/daisywharf/platform/_configuration.py
@@ -24,6 +24,7 @@
 
 IDEMPOTENT_KINDS: Final = frozenset({"idempotent", "download"})
 KNOWN_KINDS: Final = IDEMPOTENT_KINDS | {"non_idempotent"}
+RESOURCE_KINDS: Final = ("routes", "services", "tenants", "limits")
 DEFAULT_TIMEOUT_MS: Final = 30_000  # a route without one is bounded by its client's deadline
 DEFAULT_ATTEMPTS: Final = 1
 MS_PER_S: Final = 1000.0
@@ -86,6 +87,16 @@
     )
 
 
+def entries_of_unknown_kind(document: Any) -> list[str]:
+    """Return the kinds and names of the resources that `read_configuration` ignores."""
+    entries = document["resources"]
+    return [
+        _describe(entry)
+        for entry in entries
+        if isinstance(entry, dict) and entry.get("resourceKind") not in RESOURCE_KINDS
+    ]
+
+
 def _split_entry(entry: Any) -> tuple[str, dict[str, Any]]:
     metadata = entry.get("metadata") or {}
     return str(metadata.get("name", "")), entry["specification"]
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -114,6 +114,17 @@
         ExitCode.INVALID,
         "1 of its 2 keys can't be sent in a header",
     ),
+    # The version would have no teams, so that requests pass without a key.
+    "an entry of an unknown kind": (
+        ({**team_entry("pilots", "k"), "resourceKind": "tenant"},),
+        ExitCode.FAILED,
+        "entry 'tenant' 'pilots' is of an unknown kind and would be ignored",
+    ),
+    "an entry without a kind": (
+        ({"metadata": {"name": "pilots"}, "specification": {"apiKeys": [KEY]}},),
+        ExitCode.FAILED,
+        "entry None 'pilots' is of an unknown kind",
+    ),
     "a key that is a number": ((team_entry("pilots", "k", 7),), ExitCode.INVALID, "can't be read"),
 }
 
