Name what bounds quotas as it is decided now

Seen: TRANSIT_SLACK_FRACTION and its comment described what daemons may spend before others hear of it, which _unknown_factor decides since the last change; the constant is used only for what silent daemons are assumed to have spent. SharedBucket.limit was easily taken for the quota. Result: LOST_SLACK_FRACTION, _assumed_spending and max_in_transit; no change of behavior.

--- a/src/daisywharf/_overload/_team_quota.py
+++ b/src/daisywharf/_overload/_team_quota.py
@@ -34,9 +34,9 @@
 
 # Part of the slack that is added to the burst.
 CAPACITY_SLACK_FRACTION: Final = 0.1
-# Part of the slack that daemons may spend before the others hear of it, beyond what is refilled
-# meanwhile. Two sides of a partition spend this part about three times before they notice it.
-TRANSIT_SLACK_FRACTION: Final = 0.5
+# Part of the slack that daemons which fall silent are assumed to have spent in the time in which
+# reports reach all, beyond what is refilled meanwhile.
+LOST_SLACK_FRACTION: Final = 0.5
 # The bucket's tokens are given out over this time, beside what is refilled; a debt is paid back as
 # fast. It is longer than reports take, so that daemons don't all spend the same tokens.
 SPREAD_TOKENS_S: Final = 1.0
@@ -66,7 +66,7 @@
 # The least time after which to retry, and the largest part of the client's time left.
 MIN_RETRY_AFTER_S: Final = 0.02
 MAX_TIME_LEFT_FRACTION: Final = 1.0 / 3.0
-# A report of spending is due beyond this part of what a daemon may spend between two reports.
+# A report of spending is due beyond this part of what a daemon may spend before others know of it.
 DUE_FRACTION: Final = 0.3
 # Beyond this part, a report doesn't wait for the next period if the bucket is at least half full.
 URGENT_FRACTION: Final = 0.5
@@ -90,7 +90,7 @@
         "at",
         "burst",
         "held",
-        "limit",
+        "max_in_transit",
         "next_free_at",
         "others_per_s",
         "prospect",
@@ -115,7 +115,8 @@
         self.share = 0.0
         self.prospect = 0.0
         self.share_at = float("-inf")
-        self.limit = 0.0
+        # How much this daemon may have spent before the others know of it, at the last request.
+        self.max_in_transit = 0.0
         # Demand at the other daemons that are heard, in requests per second.
         self.others_per_s = 0.0
         # When the last of the clients that were told to come back gets its token.
@@ -207,7 +208,9 @@
     bucket = quotas.bucket_by_team.get(name)
     team = quotas.usage.usage_by_team[name]
     unreported = team.spent - team.sent[-1][1]
-    return bucket is not None and unreported > DUE_FRACTION * bucket.limit and unreported > 0
+    return (
+        bucket is not None and unreported > DUE_FRACTION * bucket.max_in_transit and unreported > 0
+    )
 
 
 def is_spending_urgent(quotas: TeamQuotas, name: TeamName) -> bool:
@@ -217,7 +220,7 @@
         return False
     team = quotas.usage.usage_by_team[name]
     unreported = team.spent - team.sent[-1][1]
-    return unreported > max(1.0, URGENT_FRACTION * bucket.limit)
+    return unreported > max(1.0, URGENT_FRACTION * bucket.max_in_transit)
 
 
 def part_per_s(quotas: TeamQuotas, name: TeamName) -> float:
@@ -239,10 +242,10 @@
     return full * (1.0 - bucket.held)
 
 
-def _spread_limit(quotas: TeamQuotas, bucket: SharedBucket) -> float:
-    """Return how much all daemons may spend in the time in which reports reach all."""
+def _assumed_spending(quotas: TeamQuotas, bucket: SharedBucket) -> float:
+    """Return what all daemons are assumed to have spent in `spread_s` if they aren't heard."""
     refilled = bucket.rate_per_s * quotas.spread_s
-    full = refilled + TRANSIT_SLACK_FRACTION * _slack(quotas, bucket)
+    full = refilled + LOST_SLACK_FRACTION * _slack(quotas, bucket)
     return full * (1.0 - bucket.held)
 
 
@@ -272,8 +275,8 @@
     if bucket.tokens >= 0.5 * _capacity(quotas, bucket):
         reachable = len(quotas.members) - len(bucket.share_by_silent_vm)
         share, least = max(share, 1.0 / max(1, reachable)), MIN_TOKENS_BELOW_QUOTA
-    bucket.limit = max(least, _unknown_factor(quotas, bucket) * share * at_hand)
-    return in_transit + 1.0 <= bucket.limit
+    bucket.max_in_transit = max(least, _unknown_factor(quotas, bucket) * share * at_hand)
+    return in_transit + 1.0 <= bucket.max_in_transit
 
 
 def _refill_per_s(bucket: SharedBucket) -> float:
@@ -296,7 +299,10 @@
 def _retry_after_s(
     quotas: TeamQuotas, bucket: SharedBucket, *, time_left_s: float, now: float
 ) -> float:
-    """Return when this daemon's part has a token, after those for clients told to come back."""
+    """Return the seconds until this daemon's part has a token for one more client.
+
+    Tokens for the clients that were told to come back before go first.
+    """
     longest_s = max(MIN_RETRY_AFTER_S, time_left_s * MAX_TIME_LEFT_FRACTION)
     share = max(bucket.share, bucket.prospect)
     rate_per_s = bucket.rate_per_s * (1.0 - bucket.held) * share
@@ -423,13 +429,13 @@
     quotas: TeamQuotas, bucket: SharedBucket, team: TeamUsage, lost: list[VmId], *, now: float
 ) -> None:
     """Hold the parts of daemons that were lost, as if they had spent all they could since then."""
-    limit_per_s = _spread_limit(quotas, bucket) / quotas.spread_s
+    spent_per_s = _assumed_spending(quotas, bucket) / quotas.spread_s
     before, assumed = bucket.held, 0.0
     parts = {vm: _lost_share(quotas, bucket, team, vm) for vm in lost}
     scale = 1.0 / max(1.0, sum(parts.values()))
     for vm, part in parts.items():
         bucket.share_by_silent_vm[vm] = part * scale * (1.0 - before)
-        assumed += part * scale * limit_per_s * (now - quotas.usage.heard_at_by_vm[vm])
+        assumed += part * scale * spent_per_s * (now - quotas.usage.heard_at_by_vm[vm])
     _set_held(quotas, bucket)
     if bucket.held > before:
         bucket.tokens -= assumed
