Skip entries with numbers that other daemons or requests can't bear

Seen: a service with 1e30 connections was put in force, but the version couldn't be encoded for other daemons; a latency objective of 'inf' or 'nan' raised an error with each request of its route, which was never answered. Cause: int() and float() accept numbers beyond 64 bits, and infinite ones. Result: such an entry is skipped and logged as unreadable, as others are. Tests fail before.

--- a/src/daisywharf/platform/_configuration.py
+++ b/src/daisywharf/platform/_configuration.py
@@ -28,6 +28,7 @@
 DEFAULT_TIMEOUT_MS: Final = 30_000  # a route without one is bounded by its client's deadline
 DEFAULT_ATTEMPTS: Final = 1
 MS_PER_S: Final = 1000.0
+MAX_COUNT: Final = 2**63 - 1  # the largest integer that any MessagePack decoder accepts
 # RFC 9110, section 5.5: what a header's value may be, apart from the whitespace around it.
 _HEADER_VALUE: Final = re.compile(rb"[!-~\x80-\xff]([\t -~\x80-\xff]*[!-~\x80-\xff])?")
 # Raised for a field that is missing, of the wrong type, or out of bounds.
@@ -71,7 +72,7 @@
             if kind == "routes":
                 routes.append(_parse_route(name, content))
             elif kind == "services":
-                connections_by_service[ServiceName(name)] = int(content["maxConnections"])
+                connections_by_service[ServiceName(name)] = _parse_count(content["maxConnections"])
             elif kind == "tenants":
                 teams.append(_parse_team(name, content, on_unreadable=on_unreadable))
             elif kind == "limits":
@@ -122,10 +123,10 @@
         path_prefix=str(content["pathPrefix"]),
         parts=_parse_parts(content),
         is_idempotent=kind in IDEMPOTENT_KINDS,
-        max_attempts=max(1, int(content.get("maxAttempts", DEFAULT_ATTEMPTS))),
-        timeout_s=float(content.get("timeoutMs", DEFAULT_TIMEOUT_MS)) / MS_PER_S,
+        max_attempts=max(1, _parse_count(content.get("maxAttempts", DEFAULT_ATTEMPTS))),
+        timeout_s=_parse_seconds(content.get("timeoutMs", DEFAULT_TIMEOUT_MS)),
         # In `targetLatencyMs`, "target" is a latency objective, not a target that runs calls.
-        aim_s=float(content.get("targetLatencyMs", DEFAULT_TIMEOUT_MS)) / MS_PER_S,
+        aim_s=_parse_seconds(content.get("targetLatencyMs", DEFAULT_TIMEOUT_MS)),
         importance=_importance_of(priority),
         is_public=content.get("public") is True,
     )
@@ -182,6 +183,20 @@
     return value
 
 
+def _parse_count(value: Any) -> int:
+    count = int(value)
+    if abs(count) > MAX_COUNT:
+        raise ValueError(f"a number of {len(str(count))} digits is out of range")
+    return count
+
+
+def _parse_seconds(milliseconds: Any) -> float:
+    value = float(milliseconds)
+    if not math.isfinite(value):
+        raise ValueError(f"{value} is no time in milliseconds")
+    return value / MS_PER_S
+
+
 def _parse_parts(content: dict[str, Any]) -> tuple[SplitPart, ...]:
     split = content.get("trafficSplit")
     if split:
@@ -191,8 +206,8 @@
 
 def _parse_limits(content: dict[str, Any]) -> ClientLimits:
     return ClientLimits(
-        header_bytes=int(content["maxHeaderBytes"]),
-        body_bytes=int(content["maxBodyBytes"]),
-        header_timeout_s=float(content["headerTimeoutMs"]) / MS_PER_S,
-        idle_timeout_s=float(content["idleTimeoutMs"]) / MS_PER_S,
+        header_bytes=_parse_count(content["maxHeaderBytes"]),
+        body_bytes=_parse_count(content["maxBodyBytes"]),
+        header_timeout_s=_parse_seconds(content["headerTimeoutMs"]),
+        idle_timeout_s=_parse_seconds(content["idleTimeoutMs"]),
     )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from daisywharf._configuration import SplitPart
+from daisywharf._configuration import ClientLimits, SplitPart
 from daisywharf._contract import Importance
 from daisywharf._errors import ConfigurationError, RequestError
 from daisywharf._ids import ServiceName, TargetId
@@ -184,11 +184,33 @@
         {"specification": {}},
         {"resourceKind": "limits", "specification": {"maxHeaderBytes": "lots"}},
         {"resourceKind": "services", "metadata": {"name": "s"}, "specification": None},
+        # Numbers that can't be encoded for other daemons, which then got none of the version.
+        {
+            "resourceKind": "services",
+            "metadata": {"name": "s"},
+            "specification": {"maxConnections": 1e30},
+        },
+        {**ROUTE, "specification": {**ROUTE["specification"], "maxAttempts": 1e30}},
+        {
+            "resourceKind": "limits",
+            "specification": {
+                "maxHeaderBytes": 1_000,
+                "maxBodyBytes": 1e30,
+                "headerTimeoutMs": 1_000,
+                "idleTimeoutMs": 1_000,
+            },
+        },
+        # An objective that can't be converted to whole milliseconds left requests unanswered.
+        {**ROUTE, "specification": {**ROUTE["specification"], "targetLatencyMs": "inf"}},
+        {**ROUTE, "specification": {**ROUTE["specification"], "targetLatencyMs": "nan"}},
+        {**ROUTE, "specification": {**ROUTE["specification"], "timeoutMs": "nan"}},
     ],
 )
 def test_an_unreadable_entry_is_skipped_and_the_others_apply(bad: dict[str, Any]) -> None:
     configuration = read_configuration({"version": 1, "resources": [bad, ROUTE]})
     assert [route.name for route in configuration.routes] == ["r-1"]
+    assert configuration.connections_by_service == {}
+    assert configuration.limits == ClientLimits()
 
 
 @pytest.mark.parametrize(
