Test that a daemon without a watch reads the version whose teams it lacks

Seen: the earlier tests cover the parts, not that the store is probed. The test fails if other daemons may confirm such a version.

--- a/tests/test_team_keys.py
+++ b/tests/test_team_keys.py
@@ -266,6 +266,28 @@
     assert daemon.in_force.confirmable_version == 2
 
 
+def test_a_daemon_that_does_not_watch_the_store_replaces_a_copy_that_lacks_its_teams() -> None:
+    """The others have the same version, so it isn't told of a newer one."""
+
+    async def scenario() -> None:
+        world = MeshWorld()
+        world.store.configuration = configuration(route())
+        for _ in range(4):
+            await world.add()
+        await world.settle()
+        await eventually(lambda: sum(d.sync.is_watching for d in world.daemons) == 2)
+        follower = next(d for d in world.daemons if not d.sync.is_watching)
+        stripped = ConfigurationCopy(2, encode_configuration(configuration(route(), version=2)))
+        follower.in_force.receive(stripped, source="vm-older")
+        world.store.change(with_teams(team("harbour", KEY), version=2))
+        await eventually(lambda: all(d.version == 2 for d in world.daemons))
+        await eventually(lambda: follower.in_force.confirmable_version == 2, within_s=4.0)
+        assert await _status(Client(follower)) == 401
+        await world.close()
+
+    in_loop(scenario)
+
+
 def test_frames_to_other_daemons_hold_no_key(monkeypatch: pytest.MonkeyPatch) -> None:
     config = read_configuration(document(team_entry("harbour", KEY)))
     encoded = encode_configuration(config)
