--- a/src/daisywharf/platform/_configuration.py
+++ b/src/daisywharf/platform/_configuration.py
@@ -1,6 +1,7 @@
 """Decode the operator's configuration from the platform's store."""
 
 import math
+import re
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -23,9 +24,13 @@
 
 IDEMPOTENT_KINDS: Final = frozenset({"idempotent", "download"})
 KNOWN_KINDS: Final = IDEMPOTENT_KINDS | {"non_idempotent"}
+RESOURCE_KINDS: Final = ("routes", "services", "tenants", "limits")
 DEFAULT_TIMEOUT_MS: Final = 30_000  # a route without one is bounded by its client's deadline
 DEFAULT_ATTEMPTS: Final = 1
 MS_PER_S: Final = 1000.0
+MAX_COUNT: Final = 2**63 - 1  # the largest integer that any MessagePack decoder accepts
+# RFC 9110, section 5.5: what a header's value may be, apart from the whitespace around it.
+_HEADER_VALUE: Final = re.compile(rb"[!-~\x80-\xff]([\t -~\x80-\xff]*[!-~\x80-\xff])?")
 # Raised for a field that is missing, of the wrong type, or out of bounds.
 UNREADABLE: Final = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
@@ -67,7 +72,7 @@
             if kind == "routes":
                 routes.append(_parse_route(name, content))
             elif kind == "services":
-                connections_by_service[ServiceName(name)] = int(content["maxConnections"])
+                connections_by_service[ServiceName(name)] = _parse_count(content["maxConnections"])
             elif kind == "tenants":
                 teams.append(_parse_team(name, content, on_unreadable=on_unreadable))
             elif kind == "limits":
@@ -83,6 +88,16 @@
     )
 
 
+def entries_of_unknown_kind(document: Any) -> list[str]:
+    """Return the kinds and names of the resources that `read_configuration` ignores."""
+    entries = document["resources"]
+    return [
+        _describe(entry)
+        for entry in entries
+        if isinstance(entry, dict) and entry.get("resourceKind") not in RESOURCE_KINDS
+    ]
+
+
 def _split_entry(entry: Any) -> tuple[str, dict[str, Any]]:
     metadata = entry.get("metadata") or {}
     return str(metadata.get("name", "")), entry["specification"]
@@ -108,10 +123,10 @@
         path_prefix=str(content["pathPrefix"]),
         parts=_parse_parts(content),
         is_idempotent=kind in IDEMPOTENT_KINDS,
-        max_attempts=max(1, int(content.get("maxAttempts", DEFAULT_ATTEMPTS))),
-        timeout_s=float(content.get("timeoutMs", DEFAULT_TIMEOUT_MS)) / MS_PER_S,
+        max_attempts=max(1, _parse_count(content.get("maxAttempts", DEFAULT_ATTEMPTS))),
+        timeout_s=_parse_seconds(content.get("timeoutMs", DEFAULT_TIMEOUT_MS)),
         # In `targetLatencyMs`, "target" is a latency objective, not a target that runs calls.
-        aim_s=float(content.get("targetLatencyMs", DEFAULT_TIMEOUT_MS)) / MS_PER_S,
+        aim_s=_parse_seconds(content.get("targetLatencyMs", DEFAULT_TIMEOUT_MS)),
         importance=_importance_of(priority),
         is_public=content.get("public") is True,
     )
@@ -124,6 +139,9 @@
 def _parse_team(name: str, content: dict[str, Any], *, on_unreadable: OnUnreadable) -> Team:
     if not 0 < len(name) <= MAX_NAME_CHARS or not (name.isascii() and name.isprintable()):
         raise ValueError(f"its name isn't 1 to {MAX_NAME_CHARS} printable ASCII characters")
+    if name != name.strip():
+        # Targets drop the spaces, so the requests would look like another team's.
+        raise ValueError("its name begins or ends with a space")
     priority = content.get("priority")
     return Team(
         name=TeamName(name),
@@ -135,18 +153,29 @@
 
 
 def _parse_keys(team: str, keys: Any, *, on_unreadable: OnUnreadable) -> tuple[KeyDigest, ...]:
-    """Return the digests of a team's keys, without those that aren't a text."""
+    """Return the digests of a team's keys, without those that no request can carry."""
     if keys is None:
         return ()
     if not isinstance(keys, list):
         raise TypeError(f"apiKeys is a {type(keys).__name__}; write a list of keys")
-    usable = [key.encode() for key in keys if isinstance(key, str) and key]
+    usable = [encoded for key in keys if (encoded := _encode_key(key)) is not None]
     if len(usable) < len(keys):
-        error = f"{len(keys) - len(usable)} of its {len(keys)} keys aren't a non-empty text"
+        error = f"{len(keys) - len(usable)} of its {len(keys)} keys can't be sent in a header"
         on_unreadable(f"'tenants' {team!r}", error)
     return tuple(dict.fromkeys(digest_key(key) for key in usable))
 
 
+def _encode_key(key: Any) -> bytes | None:
+    """Return a key's bytes, or None if it can't be the value of a header."""
+    if not isinstance(key, str):
+        return None
+    try:
+        encoded = key.encode()
+    except UnicodeEncodeError:  # its message would show the key
+        return None
+    return encoded if _HEADER_VALUE.fullmatch(encoded) else None
+
+
 def _parse_quota(content: dict[str, Any], field: str) -> float:
     value = float(content.get(field) or 0.0)
     if not math.isfinite(value) or value < 0.0:
@@ -154,6 +183,20 @@
     return value
 
 
+def _parse_count(value: Any) -> int:
+    count = int(value)
+    if abs(count) > MAX_COUNT:
+        raise ValueError(f"a number of {len(str(count))} digits is out of range")
+    return count
+
+
+def _parse_seconds(milliseconds: Any) -> float:
+    value = float(milliseconds)
+    if not math.isfinite(value):
+        raise ValueError(f"{value} is no time in milliseconds")
+    return value / MS_PER_S
+
+
 def _parse_parts(content: dict[str, Any]) -> tuple[SplitPart, ...]:
     split = content.get("trafficSplit")
     if split:
@@ -163,8 +206,8 @@
 
 def _parse_limits(content: dict[str, Any]) -> ClientLimits:
     return ClientLimits(
-        header_bytes=int(content["maxHeaderBytes"]),
-        body_bytes=int(content["maxBodyBytes"]),
-        header_timeout_s=float(content["headerTimeoutMs"]) / MS_PER_S,
-        idle_timeout_s=float(content["idleTimeoutMs"]) / MS_PER_S,
+        header_bytes=_parse_count(content["maxHeaderBytes"]),
+        body_bytes=_parse_count(content["maxBodyBytes"]),
+        header_timeout_s=_parse_seconds(content["headerTimeoutMs"]),
+        idle_timeout_s=_parse_seconds(content["idleTimeoutMs"]),
     )
