Spread calls over all zones while requests are refused for load

While a service's level refuses requests, all zones are now compared, or drawn from as slots fill, as before spillover.

--- a/src/daisywharf/_mesh/_services.py
+++ b/src/daisywharf/_mesh/_services.py
@@ -58,6 +58,8 @@
                 service: service_level(placement, ceiling=self.ceiling, now=now)
                 for service, placement in self.placement_by_service.items()
             }
+            for service, level in self._levels.items():
+                self.placement_by_service[service].is_shedding = level < self.ceiling
         return self._levels
 
     def rejected_share_by_service(self, *, now: float) -> dict[ServiceName, float]:
--- a/src/daisywharf/_routing/_placement.py
+++ b/src/daisywharf/_routing/_placement.py
@@ -43,6 +43,11 @@
 # Occupied fraction of all of the own zone's gates from which a call of a small service is placed by
 # comparison with other zones' gates, without waiting for the share that leaves the zone to rise.
 FULL_FRACTION: Final = 1.0
+# While requests are refused for a service's load, a refusal costs a caller more than any crossing.
+# Then calls are drawn from all zones: some above the first occupied fraction of the own zone, all
+# above the second one. Keeping them in the zone served 0.706 of a day's requests instead of 0.714.
+SPILL_START_FRACTION: Final = 0.6
+SPILL_ALL_FRACTION: Final = 0.95
 # A target of the own zone loses its preference if its expected time, from its latency, its failures
 # and the age of its last announcement, exceeds this many times the typical time.
 UNHEALTHY_FACTOR: Final = 5.0
@@ -126,7 +131,10 @@
 
 
 class Placement:
-    """Hold one entry's view of the targets of one service."""
+    """Hold one entry's view of the targets of one service.
+
+    `is_shedding` means that requests are refused for the service's load.
+    """
 
     def __init__(self, *, zone: ZoneName) -> None:
         self.zone = zone
@@ -135,6 +143,7 @@
         self.entries = 1  # in this zone; they share the rate limit of a target
         self.candidate_by_id: dict[TargetId, Candidate] = {}
         self.candidates: list[Candidate] = []
+        self.is_shedding = False
         self.rejecting_at = float("-inf")  # when a gate last announced that its target rejects
 
 
@@ -273,6 +282,8 @@
             return seconds
         return (1.0 + OTHER_ZONE_COST_FACTOR) * seconds + other_zone_s
 
+    if placement.is_shedding:
+        return min(healthy, key=cost)
     pool = _spilled_pool(placement.spill, healthy, kind, rng=rng)
     if not pool and min(healthy, key=idle_cost).record.is_own_zone:
         pool = [
@@ -388,7 +399,7 @@
     drawn among all zones that have capacity to spare if the own zone has none.
     """
     spilled = _spilled_pool(placement.spill, healthy, kind, rng=rng)
-    if spilled:
+    if spilled and not placement.is_shedding:
         return spilled
     typical_s = _typical_latency_s(healthy, kind)
     max_s = UNHEALTHY_FACTOR * typical_s
@@ -397,11 +408,19 @@
         for candidate in healthy
         if candidate.record.is_own_zone and _unloaded_s(candidate, kind, typical_s, now) <= max_s
     ]
+    if placement.is_shedding:
+        return healthy if not own or rng.random() < _shedding_share(own, now) else own
     if not own or (is_repeat and is_filled(placement.spill)):
         return _without_short_zones(placement.spill, healthy)
     return own
 
 
+def _shedding_share(own: list[Candidate], now: float) -> float:
+    """Return the share of calls drawn from all zones while the service's load is refused."""
+    occupied_fraction = sum(_occupied_fraction(candidate, now) for candidate in own) / len(own)
+    return (occupied_fraction - SPILL_START_FRACTION) / (SPILL_ALL_FRACTION - SPILL_START_FRACTION)
+
+
 def record_sent(candidate: Candidate, *, now: float) -> None:
     """Count a call that is sent to a target."""
     candidate.record.in_flight += 1
--- a/tests/test_mesh_placement.py
+++ b/tests/test_mesh_placement.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from random import Random
 
+import pytest
+
 from daisywharf._experiments._placement import PlacementSettings, PlacementWorld
 from daisywharf._ids import Incarnation, ServiceName, TargetId, VmId, ZoneName
 from daisywharf._routing._placement import (
@@ -220,3 +222,17 @@
 
 def _candidate(placement: Placement, number: int) -> Candidate:
     return placement.candidate_by_id[TargetId(f"t-{number}")]
+
+
+@pytest.mark.parametrize("targets", [2, 12])
+def test_calls_are_spread_over_all_zones_while_requests_are_refused(targets: int) -> None:
+    """Guard against a zone that keeps calls while its requests are refused for load."""
+    left = {}
+    for is_shedding in (False, True):
+        placement = _placement(*"ab" * targets)
+        placement.is_shedding = is_shedding
+        for number in range(2 * targets):
+            _report_load(placement, number, 37 if number % 2 == 0 else 10, now=0.05)
+        chosen = _choices(placement)
+        left[is_shedding] = sum(chosen[f"t-{n}"] for n in range(1, 2 * targets, 2))
+    assert left[True] > 100 > left[False]
