Count a full service that rejects single calls as full

Seen: with 0.55 of the calls of a deep service rejected and the service above at all of its slots, none of 50 requests with four visits was refused once the service above had rejected a few calls itself (a share of 0.05). Cause: the entry took each service with any rejected share as a rejecting one and left it out of the services whose work would be thrown away. Full targets reject single calls, so the rule was off where it matters. Result: shares below MIN_SHARE count as none here too, as in chance_of. The new test fails before; tests/test_severe_overload.py passes.

--- a/src/daisywharf/_mesh/_services.py
+++ b/src/daisywharf/_mesh/_services.py
@@ -7,6 +7,7 @@
 from daisywharf._ids import Incarnation, ServiceName, TargetId, VmId, ZoneName
 from daisywharf._mesh._model import MemberRecord, Readiness, parse_address
 from daisywharf._mesh._target_restrictions import RestrictionsByIncarnation, restrictions_of
+from daisywharf._overload._chain_chance import MIN_SHARE
 from daisywharf._routing._placement import (
     Placement,
     remove_target,
@@ -61,7 +62,10 @@
         return self._levels
 
     def rejected_share_by_service(self, *, now: float) -> dict[ServiceName, float]:
-        """Return the rejected share of each service that rejects calls, cached as the levels."""
+        """Return the rejected share of each service that rejects calls, cached as the levels.
+
+        Shares below `MIN_SHARE` are left out: a full target rejects single calls.
+        """
         if now - self._rejected_shares_at > LEVEL_CACHE_S:
             self._rejected_shares_at = now
             share_by_service = {
@@ -69,7 +73,7 @@
                 for service, placement in self.placement_by_service.items()
             }
             self._rejected_shares = {
-                service: share for service, share in share_by_service.items() if share > 0.0
+                service: share for service, share in share_by_service.items() if share >= MIN_SHARE
             }
         return self._rejected_shares
 
--- a/tests/test_severe_overload.py
+++ b/tests/test_severe_overload.py
@@ -1,4 +1,4 @@
-"""Severe overload: rejected calls of a deep service, clients that come back, unknown chains."""
+"""Severe overload: rejected calls of a deep service, unknown chains, waiting at a gate."""
 
 from collections import Counter
 from random import Random
@@ -54,6 +54,7 @@
 from daisywharf._overload._chain_chance import (
     FULL_FRACTION,
     MIN_CHANCE,
+    MIN_SHARE,
     PROBE_SHARE,
     SPARE_FRACTION,
     Rejections,
@@ -208,6 +209,15 @@
     assert "low-chance" not in outcomes(daemon)
 
 
+def test_a_full_service_above_that_rejects_single_calls_counts_as_full() -> None:
+    """Guard against admitting doomed requests because a full target above refused a call too."""
+    daemon = daemon_with_gates(0.55, 0.5, 0.6)
+    load = GateLoad(20, 0, 20, 3.0, None, 0.5 * MIN_SHARE)
+    daemon.entry.record_load(ServiceName("front"), TargetId("f-0"), load)
+    ask_times(daemon, 50)
+    assert outcomes(daemon)["low-chance"] >= 40
+
+
 def test_requests_that_call_the_rejecting_service_once_are_admitted() -> None:
     daemon = daemon_with_gates(0.55, 0.5, 0.6, visits=1.0)
     ask_times(daemon, 50)
