Keep the run time of a route faded when a fast run confirms it

Seen: after 20 runs of 3 s and a pause of 6 s, calls of the route needed 0.22 s; after one run of 0.1 s they needed 1.63 s and were refused again, so that a route whose target had become fast was refused for many pauses more. Cause: a run was smoothed into the mean from before the pause and restarted the fading. Result: the mean goes on from its faded value, or from the run if that took longer, so rare calls of constant length keep their mean. The new test of fast runs fails before; tests/test_severe_overload.py passes.

--- a/src/daisywharf/_overload/_run_times.py
+++ b/src/daisywharf/_overload/_run_times.py
@@ -41,13 +41,18 @@
 
 
 def record_run(times: RunTimes, route: str, seconds: float, *, now: float) -> None:
-    """Smooth the run time of a call that was answered into its route's mean."""
+    """Smooth the run time of a call that was answered into its route's mean.
+
+    A mean that has halved without runs stays so if the run confirms it: one fast run must not bring
+    back the mean from before.
+    """
     known = times.run_time_by_route.get(route)
     if known is None:
         if len(times.run_time_by_route) < MAX_ROUTES:
             times.run_time_by_route[route] = RunTime(seconds, 1, now)
         return
-    known.mean_s += (seconds - known.mean_s) * RUN_WEIGHT
+    mean_s = min(known.mean_s, max(seconds, _faded_s(known, now)))
+    known.mean_s = mean_s + (seconds - mean_s) * RUN_WEIGHT
     known.runs += 1
     known.ended_at = now
 
@@ -57,5 +62,10 @@
     known = times.run_time_by_route.get(route)
     if known is None or known.runs < MIN_RUNS:
         return 0.0
-    faded: float = 0.5 ** (max(0.0, now - known.ended_at) / HALF_LIFE_S)
-    return MIN_TIME_FRACTION * known.mean_s * faded
+    return MIN_TIME_FRACTION * _faded_s(known, now)
+
+
+def _faded_s(known: RunTime, now: float) -> float:
+    """Return the mean run time, halved for each `HALF_LIFE_S` since the last run."""
+    fraction: float = 0.5 ** (max(0.0, now - known.ended_at) / HALF_LIFE_S)
+    return known.mean_s * fraction
--- a/tests/test_severe_overload.py
+++ b/tests/test_severe_overload.py
@@ -525,6 +525,23 @@
     assert min_time_s(times, "r", now=6.0) < 0.25
 
 
+def test_a_fast_run_after_a_pause_keeps_a_route_admitted() -> None:
+    """Guard against a first fast run that brings back the run time from before the pause."""
+    times = RunTimes()
+    for _ in range(20):
+        record_run(times, "r", 3.0, now=0.0)
+    record_run(times, "r", 0.1, now=6.0)
+    assert min_time_s(times, "r", now=6.0) < 0.25
+
+
+def test_a_slow_run_after_a_pause_confirms_the_run_time_from_before() -> None:
+    """Guard against rare calls that are started too late because their run time has faded."""
+    times = RunTimes()
+    for number in range(20):
+        record_run(times, "r", 3.0, now=6.0 * number)
+    assert min_time_s(times, "r", now=6.0 * 19) == pytest.approx(1.8)
+
+
 def test_the_run_times_of_routes_are_kept_apart_and_bounded() -> None:
     times = RunTimes()
     for number in range(2 * MAX_ROUTES):
