Spread the returns of refused clients that name no deadline

Seen: each of 50 refused requests without Deadline-Ms got a Retry-After of 0.02 s, so that all their clients return together after 20 ms.

--- a/src/daisywharf/_mesh/_entry.py
+++ b/src/daisywharf/_mesh/_entry.py
@@ -207,14 +207,13 @@
         self, exchange: Exchange, head: RequestHead, route: Route, *, team: Team | None
     ) -> None:
         now = exchange.arrived_at
-        time_left_s = DEFAULT_TIME_LEFT_S if head.time_left_s is None else head.time_left_s
         pending = PendingRequest(
             exchange,
             head,
             route,
             next_part(self.split, route, rng=self.rng),
             version=self.version,
-            deadline=now + min(time_left_s, route.timeout_s),
+            deadline=now + min(_client_time_s(head), route.timeout_s),
             # A target's calls carry no key, so a request that has a team is a client's.
             is_from_target=team is None and is_call(self.origins, route.name),
             team=team,
@@ -493,7 +492,7 @@
         if pending.is_counted and pending.team is not None:
             pending.is_counted = False
             refund(self.team_reports.quotas, pending.team.name)
-        time_left_s = (pending.head.time_left_s or 0.0) - (now - pending.exchange.arrived_at)
+        time_left_s = _client_time_s(pending.head) - (now - pending.exchange.arrived_at)
         retry_after_s = random_retry_after_s(
             latency_objective_s=pending.route.aim_s, time_left_s=time_left_s, rng=self.rng
         )
@@ -581,3 +580,8 @@
             limit_per_s=load.limit_per_s,
             rejected_share=load.rejected_share,
         )
+
+
+def _client_time_s(head: RequestHead) -> float:
+    """Return the seconds that the client had left when it sent its request."""
+    return DEFAULT_TIME_LEFT_S if head.time_left_s is None else head.time_left_s
--- a/tests/builders_severe_overload.py
+++ b/tests/builders_severe_overload.py
@@ -169,21 +169,29 @@
     daemon.entry.record_load(ServiceName("stock"), TargetId(f"t-{number}"), load, age_s=age_s)
 
 
-def ask(daemon: MeshDaemon, *, time_left_ms: int = 2_000, request_id: str = "q1") -> Exchange:
-    """Hand a client's request to an entry, in a loop; its answer is in the exchange returned."""
+def ask(
+    daemon: MeshDaemon, *, time_left_ms: int | None = 2_000, request_id: str = "q1"
+) -> Exchange:
+    """Hand a client's request to an entry, in a loop; its answer is in the exchange returned.
+
+    Without `time_left_ms` the request doesn't say how much time its client has.
+    """
     connection = FakeConnection(daemon)
     exchange = Exchange(connection, arrived_at=daemon.entry.now())  # type: ignore[arg-type]
     exchange.method, exchange.request_target = b"GET", b"/r/x"
     exchange.headers = [
         (b"Host", b"shop.example"),
         (b"Attempt-Id", request_id.encode()),
-        (b"Deadline-Ms", str(time_left_ms).encode()),
     ]
+    if time_left_ms is not None:
+        exchange.headers.append((b"Deadline-Ms", str(time_left_ms).encode()))
     daemon.entry.handle(exchange)
     return exchange
 
 
-def ask_times(daemon: MeshDaemon, count: int, *, time_left_ms: int = 2_000) -> list[Exchange]:
+def ask_times(
+    daemon: MeshDaemon, count: int, *, time_left_ms: int | None = 2_000
+) -> list[Exchange]:
     """Hand requests of a client to an entry, one after the other."""
 
     async def scenario() -> list[Exchange]:
--- a/tests/test_severe_overload.py
+++ b/tests/test_severe_overload.py
@@ -64,6 +64,7 @@
     rejected_share,
 )
 from daisywharf._overload._origins import Origins
+from daisywharf._overload._random_retry_after import EARLIEST_FRACTION
 from daisywharf._overload._run_times import MAX_ROUTES, RunTimes, min_time_s, record_run
 from daisywharf._overload._slots import expire
 from daisywharf._routing._placement import LOAD_LIFETIME_S, place, service_rejected_share
@@ -203,6 +204,16 @@
         assert b"Retry-After: " in answer
 
 
+def test_refused_clients_that_name_no_deadline_come_back_at_spread_times() -> None:
+    """Guard against 20 ms for all of them, after which they return together and too early."""
+    daemon = daemon_with_gates(0.55, 0.5, 0.6)
+    answers = [exchange.answer or b"" for exchange in ask_times(daemon, 50, time_left_ms=None)]
+    times = [float(answer.partition(b"Retry-After: ")[2].split()[0]) for answer in answers]
+    objective_s = route().aim_s
+    assert min(times) >= EARLIEST_FRACTION * objective_s - 0.001
+    assert max(times) - min(times) > 0.1 * objective_s
+
+
 def test_an_entry_admits_a_chain_that_would_fail_while_the_services_above_have_capacity() -> None:
     daemon = daemon_with_gates(0.55, 0.5, 0.6, front_occupied=8)
     ask_times(daemon, 50)
