Show no leaving share where no zone has a target that can be called

Seen: in a deployment of one zone whose targets are all ejected, daisywharf_spill_share and the log lines of requests showed a share of 1.0 that leaves, although the calls go to the ejected targets of the own zone. Cause: no own target that counts was taken for targets in other zones. Result: without any zone the share is 0. Placement draws the same targets. The module's docstring says what the constants do: a zone that sends has no room for others, it isn't short by that alone.

--- a/src/daisywharf/_routing/_zone_spill.py
+++ b/src/daisywharf/_routing/_zone_spill.py
@@ -6,7 +6,7 @@
 and a zone's demand is estimated from its load and the share that was sent away when that load was
 announced: the estimate doesn't depend on the share, and the entries don't oscillate.
 
-A zone that sends calls is kept at a load at which it counts as short for the others. So two zones
+A zone that sends calls is kept at a load at which it has no room for calls of others. So two zones
 don't send each other calls.
 """
 
@@ -146,7 +146,8 @@
     state.moved_at = now
     _smooth_loads(state, zones, elapsed_s=float("inf") if is_first else elapsed_s)
     own = zones.get(state.zone)
-    state.has_own = own is not None and own.capacity > 0.0
+    # Without any zone, calls go to targets that don't count, in the own zone as well.
+    state.has_own = not zones or (own is not None and own.capacity > 0.0)
     if own is None or not state.has_own:
         # When the own zone's targets are back, they are called at once.
         state.share_by_zone.clear()
--- a/tests/test_zone_spillover.py
+++ b/tests/test_zone_spillover.py
@@ -346,6 +346,15 @@
     assert spill_share(state, "r") == 0.0
 
 
+def test_no_share_leaves_if_no_zone_has_a_target_that_can_be_called() -> None:
+    """Guard against metrics and log lines that show all calls leaving an only zone."""
+    state = ZoneSpill(A)
+    move_spill(state, _zones(0.5), _cost(), 0.0)
+    move_spill(state, {}, _cost(), 0.2)
+    assert state.share == spill_share(state, "r") == 0.0
+    assert not state.is_leaving
+
+
 def test_of_two_zones_at_most_one_sends_to_the_other() -> None:
     """Try all pairs of loads, with entries that each believe in them."""
     loads = [number / 20 for number in range(10, 26)]
