Take no account of teams that have ceased to send in the fair order

Seen: with one team at 40 requests per second and 98 teams whose demand had decayed to 1e-9, the least demand of a team that starts to send was 0.02 instead of 2 per second, so that its requests passed all others until its demand was known; each idle team also stood in the order with that demand. Cause: the fleet's demand decays without reaching 0, and each team of it counted in the mean from which the least demand follows. Result: demand below 0.001 per second counts as none. The new test fails before; tests/test_fair_shares.py passes.

--- a/src/daisywharf/_mesh/_fair_shares.py
+++ b/src/daisywharf/_mesh/_fair_shares.py
@@ -21,6 +21,9 @@
 DEMAND_DECAY_S: Final = 3.0
 # Decayed counts below this are forgotten, so that teams that send nothing take no memory.
 MIN_COUNT: Final = 0.001
+# Demand below this, in requests per second, counts as none: the fleet's decays without reaching 0,
+# and many teams that have ceased to send would lower the mean demand.
+MIN_DEMAND_PER_S: Final = 0.001
 
 
 class FairShares:
@@ -75,7 +78,7 @@
         {
             name: _within_quota(shares.team_by_name[name], demand)
             for name, demand in demand_by_team.items()
-            if name in shares.team_by_name
+            if name in shares.team_by_name and demand >= MIN_DEMAND_PER_S
         },
         importance_by_team={name: team.importance for name, team in shares.team_by_name.items()},
         route_demand=shares.route_counts,
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -278,6 +278,18 @@
     assert shares.order.demand_by_team == {one.name: 30.0, other.name: 10.0}
 
 
+def test_teams_that_no_longer_send_do_not_lower_the_least_demand_of_the_others() -> None:
+    """Guard against a team that starts at a high rate and passes all others until it is known."""
+    active, starting, *idle = build_teams(100)
+    # A decayed demand never becomes 0.
+    fleet = {active.name: 40.0, **{team.name: 1e-9 for team in idle}}
+    shares = _shares([active, starting, *idle], fleet)
+    order_request(shares, starting, NORMAL, 1, now=0.0)
+    assert shares.order.demand_by_team == {active.name: 40.0}
+    demand, _ = share_of(shares, starting, NORMAL, level=3.0)
+    assert demand == pytest.approx(MIN_DEMAND_FRACTION * 40.0)
+
+
 def test_without_reports_the_own_demand_is_used_and_decays() -> None:
     """A daemon that is cut off must not go on ordering by demand that has ended."""
     one, other = build_teams(2)
