Order by the own demand where no other daemon is heard

Seen: a daemon whose only peer had been silent for 60 s still ordered teams by the demand of 10 requests per second that the peer had reported last. Cause: the last demand of a silent daemon is kept, for quotas, for up to 600 s, and fair shares took the own demand only when that table was empty. The new test fails before; tests/test_fair_shares.py and tests/test_team_quota.py pass.

--- a/src/daisywharf/_mesh/_daemon.py
+++ b/src/daisywharf/_mesh/_daemon.py
@@ -59,7 +59,7 @@
 from daisywharf._overload._actions import CallId
 from daisywharf._overload._start_rate import limit_or_infinity
 from daisywharf._overload._team_quota import QuotaBounds
-from daisywharf._overload._team_usage import RunId, fleet_demand
+from daisywharf._overload._team_usage import RunId
 from daisywharf._routing._fleet_retry_budget import FleetRetryBudget
 from daisywharf._signals._events import Event
 from daisywharf._signals._log import log_event
@@ -164,7 +164,7 @@
             retry_permits=self.retry_permits,
             team_reports=self.team_reports,
             fair_shares=FairShares(
-                fleet_demand=lambda: fleet_demand(self.team_reports.usage, now=now()), now=now()
+                fleet_demand=lambda: self.team_reports.fleet_demand(now=now()), now=now()
             ),
             now=now,
             rng=rng,
--- a/src/daisywharf/_mesh/_team_reports.py
+++ b/src/daisywharf/_mesh/_team_reports.py
@@ -28,6 +28,7 @@
     FleetUsage,
     RunId,
     UsageReport,
+    fleet_demand,
     is_report_due,
     is_report_urgent,
     merge_report,
@@ -75,6 +76,11 @@
         """Return what is known of the teams' usage at all daemons."""
         return self.quotas.usage
 
+    def fleet_demand(self, *, now: float) -> dict[TeamName, float]:
+        """Return the demand of teams at all daemons; empty if no other daemon is heard."""
+        others = len(self.quotas.members) - 1
+        return fleet_demand(self.usage, now=now) if len(self.quotas.silent) < others else {}
+
     def put_in_force(self, configuration: Configuration, *, now: float) -> None:
         """Count the teams of a configuration by its quotas."""
         self.has_teams = configuration.teams is not None
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -22,11 +22,19 @@
     total_share,
     worst_tenth_share,
 )
-from builders_mesh import Client, MeshWorld, TargetStandIn, configuration, in_loop, route
+from builders_mesh import (
+    Client,
+    MeshWorld,
+    TargetStandIn,
+    configuration,
+    daemon_at_rest,
+    in_loop,
+    route,
+)
 from daisywharf._configuration import Team
 from daisywharf._context import SUB_ORDERS, sub_order_of
 from daisywharf._contract import Importance
-from daisywharf._ids import CallClassName, RequestId, ServiceName, TeamName, ZoneName
+from daisywharf._ids import CallClassName, RequestId, ServiceName, TeamName, VmId, ZoneName
 from daisywharf._mesh._counts import MAX_SERIES, OTHER
 from daisywharf._mesh._fair_shares import (
     DEMAND_DECAY_S,
@@ -52,6 +60,8 @@
 )
 from daisywharf._overload._level_controller import is_shed
 from daisywharf._overload._queue import WaitingCall, WaitingQueue, pop_worst, push
+from daisywharf._overload._team_quota import update_members
+from daisywharf._overload._team_usage import RunId, TeamRow, UsageReport, merge_report
 from daisywharf._signals import _log
 from daisywharf._signals._log import configure_events
 
@@ -472,6 +482,20 @@
     _log._log.write = None
 
 
+def test_a_daemon_that_hears_no_other_orders_by_its_own_demand() -> None:
+    """Guard against an order by the last reports of daemons that are cut off or gone."""
+    daemon = daemon_at_rest()
+    (one,) = build_teams(1)
+    daemon.entry.put_in_force(msgspec.structs.replace(configuration(route()), teams=(one,)))
+    quotas, other, now = daemon.team_reports.quotas, VmId("vm-2"), daemon.now()
+    report = UsageReport(RunId(1), 1, (TeamRow(one.name, 41, 0),))
+    assert not list(merge_report(quotas.usage, other, report, now=now))
+    update_members(quotas, [other], [], now=now)
+    assert daemon.entry.fair_shares.fleet_demand() == {one.name: 10.0}
+    update_members(quotas, [other], [], now=now + 60.0)
+    assert daemon.entry.fair_shares.fleet_demand() == {}
+
+
 def test_an_entry_orders_by_team_and_tells_whose_share_was_used_up(log: io.StringIO) -> None:
     async def scenario() -> None:
         hot, small = build_teams(2)
