--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -22,11 +22,19 @@
     total_share,
     worst_tenth_share,
 )
-from builders_mesh import Client, MeshWorld, TargetStandIn, configuration, in_loop, route
+from builders_mesh import (
+    Client,
+    MeshWorld,
+    TargetStandIn,
+    configuration,
+    daemon_at_rest,
+    in_loop,
+    route,
+)
 from daisywharf._configuration import Team
 from daisywharf._context import SUB_ORDERS, sub_order_of
 from daisywharf._contract import Importance
-from daisywharf._ids import CallClassName, RequestId, ServiceName, TeamName, ZoneName
+from daisywharf._ids import CallClassName, RequestId, ServiceName, TeamName, VmId, ZoneName
 from daisywharf._mesh._counts import MAX_SERIES, OTHER
 from daisywharf._mesh._fair_shares import (
     DEMAND_DECAY_S,
@@ -52,6 +60,8 @@
 )
 from daisywharf._overload._level_controller import is_shed
 from daisywharf._overload._queue import WaitingCall, WaitingQueue, pop_worst, push
+from daisywharf._overload._team_quota import update_members
+from daisywharf._overload._team_usage import RunId, TeamRow, UsageReport, merge_report
 from daisywharf._signals import _log
 from daisywharf._signals._log import configure_events
 
@@ -278,6 +288,18 @@
     assert shares.order.demand_by_team == {one.name: 30.0, other.name: 10.0}
 
 
+def test_teams_that_no_longer_send_do_not_lower_the_least_demand_of_the_others() -> None:
+    """Guard against a team that starts at a high rate and passes all others until it is known."""
+    active, starting, *idle = build_teams(100)
+    # A decayed demand never becomes 0.
+    fleet = {active.name: 40.0, **{team.name: 1e-9 for team in idle}}
+    shares = _shares([active, starting, *idle], fleet)
+    order_request(shares, starting, NORMAL, 1, now=0.0)
+    assert shares.order.demand_by_team == {active.name: 40.0}
+    demand, _ = share_of(shares, starting, NORMAL, level=3.0)
+    assert demand == pytest.approx(MIN_DEMAND_FRACTION * 40.0)
+
+
 def test_without_reports_the_own_demand_is_used_and_decays() -> None:
     """A daemon that is cut off must not go on ordering by demand that has ended."""
     one, other = build_teams(2)
@@ -460,6 +482,20 @@
     _log._log.write = None
 
 
+def test_a_daemon_that_hears_no_other_orders_by_its_own_demand() -> None:
+    """Guard against an order by the last reports of daemons that are cut off or gone."""
+    daemon = daemon_at_rest()
+    (one,) = build_teams(1)
+    daemon.entry.put_in_force(msgspec.structs.replace(configuration(route()), teams=(one,)))
+    quotas, other, now = daemon.team_reports.quotas, VmId("vm-2"), daemon.now()
+    report = UsageReport(RunId(1), 1, (TeamRow(one.name, 41, 0),))
+    assert not list(merge_report(quotas.usage, other, report, now=now))
+    update_members(quotas, [other], [], now=now)
+    assert daemon.entry.fair_shares.fleet_demand() == {one.name: 10.0}
+    update_members(quotas, [other], [], now=now + 60.0)
+    assert daemon.entry.fair_shares.fleet_demand() == {}
+
+
 def test_an_entry_orders_by_team_and_tells_whose_share_was_used_up(log: io.StringIO) -> None:
     async def scenario() -> None:
         hot, small = build_teams(2)
--- a/tests/test_severe_overload.py
+++ b/tests/test_severe_overload.py
@@ -1,4 +1,4 @@
-"""Severe overload: rejected calls of a deep service, clients that come back, unknown chains."""
+"""Severe overload: rejected calls of a deep service, unknown chains, waiting at a gate."""
 
 from collections import Counter
 from random import Random
@@ -54,6 +54,7 @@
 from daisywharf._overload._chain_chance import (
     FULL_FRACTION,
     MIN_CHANCE,
+    MIN_SHARE,
     PROBE_SHARE,
     SPARE_FRACTION,
     Rejections,
@@ -63,6 +64,7 @@
     rejected_share,
 )
 from daisywharf._overload._origins import Origins
+from daisywharf._overload._random_retry_after import EARLIEST_FRACTION
 from daisywharf._overload._run_times import MAX_ROUTES, RunTimes, min_time_s, record_run
 from daisywharf._overload._slots import expire
 from daisywharf._routing._placement import LOAD_LIFETIME_S, place, service_rejected_share
@@ -202,12 +204,31 @@
         assert b"Retry-After: " in answer
 
 
+def test_refused_clients_that_name_no_deadline_come_back_at_spread_times() -> None:
+    """Guard against 20 ms for all of them, after which they return together and too early."""
+    daemon = daemon_with_gates(0.55, 0.5, 0.6)
+    answers = [exchange.answer or b"" for exchange in ask_times(daemon, 50, time_left_ms=None)]
+    times = [float(answer.partition(b"Retry-After: ")[2].split()[0]) for answer in answers]
+    objective_s = route().aim_s
+    assert min(times) >= EARLIEST_FRACTION * objective_s - 0.001
+    assert max(times) - min(times) > 0.1 * objective_s
+
+
 def test_an_entry_admits_a_chain_that_would_fail_while_the_services_above_have_capacity() -> None:
     daemon = daemon_with_gates(0.55, 0.5, 0.6, front_occupied=8)
     ask_times(daemon, 50)
     assert "low-chance" not in outcomes(daemon)
 
 
+def test_a_full_service_above_that_rejects_single_calls_counts_as_full() -> None:
+    """Guard against admitting doomed requests because a full target above refused a call too."""
+    daemon = daemon_with_gates(0.55, 0.5, 0.6)
+    load = GateLoad(20, 0, 20, 3.0, None, 0.5 * MIN_SHARE)
+    daemon.entry.record_load(ServiceName("front"), TargetId("f-0"), load)
+    ask_times(daemon, 50)
+    assert outcomes(daemon)["low-chance"] >= 40
+
+
 def test_requests_that_call_the_rejecting_service_once_are_admitted() -> None:
     daemon = daemon_with_gates(0.55, 0.5, 0.6, visits=1.0)
     ask_times(daemon, 50)
@@ -515,6 +536,23 @@
     assert min_time_s(times, "r", now=6.0) < 0.25
 
 
+def test_a_fast_run_after_a_pause_keeps_a_route_admitted() -> None:
+    """Guard against a first fast run that brings back the run time from before the pause."""
+    times = RunTimes()
+    for _ in range(20):
+        record_run(times, "r", 3.0, now=0.0)
+    record_run(times, "r", 0.1, now=6.0)
+    assert min_time_s(times, "r", now=6.0) < 0.25
+
+
+def test_a_slow_run_after_a_pause_confirms_the_run_time_from_before() -> None:
+    """Guard against rare calls that are started too late because their run time has faded."""
+    times = RunTimes()
+    for number in range(20):
+        record_run(times, "r", 3.0, now=6.0 * number)
+    assert min_time_s(times, "r", now=6.0 * 19) == pytest.approx(1.8)
+
+
 def test_the_run_times_of_routes_are_kept_apart_and_bounded() -> None:
     times = RunTimes()
     for number in range(2 * MAX_ROUTES):
