--- a/src/daisywharf/_mesh/_services.py
+++ b/src/daisywharf/_mesh/_services.py
@@ -60,7 +60,8 @@
                 for service, placement in self.placement_by_service.items()
             }
             for service, level in self._levels.items():
-                self.placement_by_service[service].is_shedding = level < self.ceiling
+                if level < self.ceiling:
+                    self.placement_by_service[service].shed_at = now
         return self._levels
 
     def rejected_share_by_service(self, *, now: float) -> dict[ServiceName, float]:
--- a/src/daisywharf/_routing/_placement.py
+++ b/src/daisywharf/_routing/_placement.py
@@ -48,6 +48,9 @@
 # above the second one. Keeping them in the zone served 0.706 of a day's requests instead of 0.714.
 SPILL_START_FRACTION: Final = 0.6
 SPILL_ALL_FRACTION: Final = 0.95
+# This lasts for some time after the last refusal: a level that opens for a moment in a surge would
+# otherwise bring the calls back into a full zone.
+SHEDDING_HOLD_S: Final = 2.0
 # A target of the own zone loses its preference if its expected time, from its latency, its failures
 # and the age of its last announcement, exceeds this many times the typical time.
 UNHEALTHY_FACTOR: Final = 5.0
@@ -133,7 +136,7 @@
 class Placement:
     """Hold one entry's view of the targets of one service.
 
-    `is_shedding` means that requests are refused for the service's load.
+    `shed_at` is when requests were last refused for the service's load.
     """
 
     def __init__(self, *, zone: ZoneName) -> None:
@@ -143,7 +146,7 @@
         self.entries = 1  # in this zone; they share the rate limit of a target
         self.candidate_by_id: dict[TargetId, Candidate] = {}
         self.candidates: list[Candidate] = []
-        self.is_shedding = False
+        self.shed_at = float("-inf")
         self.rejecting_at = float("-inf")  # when a gate last announced that its target rejects
 
 
@@ -257,6 +260,11 @@
     return _compare(placement, healthy, kind, now=now, rng=rng)
 
 
+def is_shedding(placement: Placement, *, now: float) -> bool:
+    """Return whether requests are refused for the service's load, or were a moment ago."""
+    return now - placement.shed_at < SHEDDING_HOLD_S
+
+
 def _compare(
     placement: Placement, healthy: list[Candidate], kind: str, *, now: float, rng: Random
 ) -> Candidate:
@@ -282,7 +290,7 @@
             return seconds
         return (1.0 + OTHER_ZONE_COST_FACTOR) * seconds + other_zone_s
 
-    if placement.is_shedding:
+    if is_shedding(placement, now=now):
         return min(healthy, key=cost)
     pool = _spilled_pool(placement.spill, healthy, kind, rng=rng)
     if not pool and min(healthy, key=idle_cost).record.is_own_zone:
@@ -399,7 +407,7 @@
     drawn among all zones that have capacity to spare if the own zone has none.
     """
     spilled = _spilled_pool(placement.spill, healthy, kind, rng=rng)
-    if spilled and not placement.is_shedding:
+    if spilled and not is_shedding(placement, now=now):
         return spilled
     typical_s = _typical_latency_s(healthy, kind)
     max_s = UNHEALTHY_FACTOR * typical_s
@@ -408,7 +416,7 @@
         for candidate in healthy
         if candidate.record.is_own_zone and _unloaded_s(candidate, kind, typical_s, now) <= max_s
     ]
-    if placement.is_shedding:
+    if is_shedding(placement, now=now):
         return healthy if not own or rng.random() < _shedding_share(own, now) else own
     if not own or (is_repeat and is_filled(placement.spill)):
         return _without_short_zones(placement.spill, healthy)
--- a/tests/test_mesh_placement.py
+++ b/tests/test_mesh_placement.py
@@ -230,7 +230,8 @@
     left = {}
     for is_shedding in (False, True):
         placement = _placement(*"ab" * targets)
-        placement.is_shedding = is_shedding
+        if is_shedding:
+            placement.shed_at = 0.0
         for number in range(2 * targets):
             _report_load(placement, number, 37 if number % 2 == 0 else 10, now=0.05)
         chosen = _choices(placement)
