--- a/src/daisywharf/_mesh/_membership.py
+++ b/src/daisywharf/_mesh/_membership.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import Final
 
-from daisywharf._ids import VmId
+from daisywharf._ids import VmId, ZoneName
 from daisywharf._limits import MAX_NAME_CHARS
 from daisywharf._mesh._frame_protocol import FrameProtocol
 from daisywharf._mesh._frames import Frame, Hello, Members, RewriteRecord
@@ -259,3 +259,13 @@
         """Close all links."""
         for link in [*self.link_by_vm.values(), *self.seed_links.values()]:
             link.close()
+
+
+def open_links_by_zone(membership: Membership) -> dict[ZoneName, dict[VmId, OutLink]]:
+    """Return the open links to the other daemons, by zone and VM."""
+    links_by_zone: dict[ZoneName, dict[VmId, OutLink]] = {}
+    for vm, link in membership.link_by_vm.items():
+        if link.is_up:
+            zone = membership.record_by_vm[vm].zone
+            links_by_zone.setdefault(zone, {})[vm] = link
+    return links_by_zone
--- a/src/daisywharf/_mesh/_reporting.py
+++ b/src/daisywharf/_mesh/_reporting.py
@@ -22,7 +22,7 @@
     relay_partner,
     rotating_subset,
 )
-from daisywharf._mesh._membership import Membership
+from daisywharf._mesh._membership import Membership, open_links_by_zone
 from daisywharf._mesh._pending import MS_PER_S
 from daisywharf._mesh._store_sync import StoreSync
 from daisywharf._overload._calls_below import CallCounts, CallsBelow, calls_below, end_period
@@ -84,7 +84,7 @@
         """Send this daemon's status and the queued loads ahead of the next report."""
         status = self.status()
         self._record_own_load(status)
-        links_by_zone = self._links_by_zone()
+        links_by_zone = open_links_by_zone(self.membership)
         zone = links_by_zone.pop(self.membership.own.zone, {})
         elsewhere = [link for links in links_by_zone.values() for link in links.values()]
         if len(zone) + len(elsewhere) > MAX_FULL_REPORTS:
@@ -143,7 +143,7 @@
 
     def _send(self, status: StatusUpdate, report: Report, *, now: float) -> None:
         """Send the report to all of a small fleet; in a large one to some, and loads to more."""
-        links_by_zone = self._links_by_zone()
+        links_by_zone = open_links_by_zone(self.membership)
         zone = links_by_zone.pop(self.membership.own.zone, {})
         full_report_links = list(zone.values())
         elsewhere = [link for links in links_by_zone.values() for link in links.values()]
@@ -162,15 +162,6 @@
         for link in full_report_links:
             link.send(report, encoded)
 
-    def _links_by_zone(self) -> dict[ZoneName, dict[VmId, OutLink]]:
-        """Return the open links, by zone and VM."""
-        links_by_zone: dict[ZoneName, dict[VmId, OutLink]] = {}
-        for vm, link in self.membership.link_by_vm.items():
-            if link.is_up:
-                zone = self.membership.record_by_vm[vm].zone
-                links_by_zone.setdefault(zone, {})[vm] = link
-        return links_by_zone
-
     def _send_loads(
         self,
         status: StatusUpdate,
--- a/src/daisywharf/_mesh/_team_reports.py
+++ b/src/daisywharf/_mesh/_team_reports.py
@@ -13,7 +13,7 @@
 from daisywharf._mesh._frames import RelayedUsage, TeamReport, encode_frame
 from daisywharf._mesh._links import OutLink
 from daisywharf._mesh._load_relay import relay_partner
-from daisywharf._mesh._membership import Membership
+from daisywharf._mesh._membership import Membership, open_links_by_zone
 from daisywharf._overload._team_quota import (
     QuotaBounds,
     TeamQuotas,
@@ -40,14 +40,14 @@
 # report of this size to all daemons, directly and through relays, at this many bytes per second.
 MAX_MEMBERS_AT_PERIOD: Final = 60
 MAX_BYTES_PER_S: Final = 6_000
-# A report is due after this many periods even if there is nothing to report, as a sign of life.
+# A report is due after this many periods even if there is nothing to report, as a heartbeat.
 # Three daemons in four hear of it through a relay.
 HEARTBEAT_PERIODS: Final = 2
 # The least time between two frames, also for reports of other zones and for demand that has just
 # begun, which don't wait for a period.
 MIN_INTERVAL_S: Final = 0.2
 # A zone is out of reach if no report of any of its daemons has arrived for this time, and for this
-# many times the mean interval between the signs of life of its daemons.
+# many times the mean interval between the heartbeats of its daemons.
 ZONE_SILENT_AFTER_S: Final = 1.75
 ZONE_SILENT_INTERVALS: Final = 5.0
 MEMBERS_PERIOD_S: Final = 0.25
@@ -173,7 +173,7 @@
         if is_periodic:
             is_first = self._period_at == float("-inf")
             self._period_at = now - (self._phase_s() if is_first else 0.0)
-        links_by_zone = self._links_by_zone()
+        links_by_zone = open_links_by_zone(self.membership)
         zone = links_by_zone.pop(self.membership.own.zone, {})
         if is_for_all:
             report = take_report(self.usage, due, is_periodic=is_periodic, now=now)
@@ -195,7 +195,7 @@
             self._interval_s = min(max(PERIOD_S, cost_s), self.usage.period_s)
 
     def _phase_s(self) -> float:
-        """Return how much earlier the second sign of life is sent.
+        """Return how much earlier the second heartbeat is sent.
 
         Daemons that start together would otherwise be silent together, like a zone that is cut off.
         """
@@ -209,11 +209,3 @@
             link.send(frame, encoded)
         self.bytes_sent += len(encoded) * len(links)
         return len(encoded)
-
-    def _links_by_zone(self) -> dict[ZoneName, dict[VmId, OutLink]]:
-        links_by_zone: dict[ZoneName, dict[VmId, OutLink]] = {}
-        for vm, link in self.membership.link_by_vm.items():
-            if link.is_up:
-                zone = self.membership.record_by_vm[vm].zone
-                links_by_zone.setdefault(zone, {})[vm] = link
-        return links_by_zone
--- a/tests/test_team_quota.py
+++ b/tests/test_team_quota.py
@@ -328,7 +328,7 @@
     assert fleet_demand(usage, now=1.0) == {T: 10.0}
 
 
-def test_totals_of_a_restarted_daemon_begin_at_nought_and_its_earlier_reports_are_late() -> None:
+def test_totals_of_a_restarted_daemon_begin_at_zero_and_its_earlier_reports_are_late() -> None:
     usage = _quotas(team()).usage
     merged = []
     for run, sequence, spent in ((7, 1, 5), (8, 1, 2), (7, 2, 9), (8, 2, 3)):
